--- /dev/null
+++ b/commander/commander.go
@@ -0,0 +1,114 @@
+// Package commander is the command line of gooseberrypass.
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+)
+
+// The exit statuses.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitBadUsage = 2
+)
+
+const description = `Distributes model weights to instances and routes requests to them.
+
+Operators edit a folder of small INI files and publish it; see docs/OPERATING.md.`
+
+// A Command line is what kong parses: one field for each command.
+type commandLine struct {
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+// A Streams holds the standard streams that commands read and write.
+type streams struct {
+	stderr io.Writer
+	stdin  io.Reader
+	stdout io.Writer
+}
+
+// An ExitError ends the program with a status. Its command has printed
+// everything there is to say if Err is nil.
+type ExitError struct {
+	Err    error
+	Status int
+}
+
+// Error implements error.
+func (e *ExitError) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("exit status %d", e.Status)
+	}
+	return e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ExitError) Unwrap() error { return e.Err }
+
+// Main runs the program with its arguments, without the program's name, and
+// returns its exit status.
+func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var line commandLine
+	parser, err := kong.New(&line,
+		kong.Name("gooseberrypass"),
+		kong.Description(description),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(status int) { panic(exitPanic(status)) }),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(streams{stderr: stderr, stdin: stdin, stdout: stdout}),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "gooseberrypass:", err)
+		return ExitBadUsage
+	}
+	return run(parser, args, stderr)
+}
+
+// An exitPanic carries the status of kong's exit, as after --help, out of the
+// parser.
+type exitPanic int
+
+func run(parser *kong.Kong, args []string, stderr io.Writer) (status int) { //nolint:nonamedreturns // set by the recovery
+	defer func() {
+		if r := recover(); r != nil {
+			code, ok := r.(exitPanic)
+			if !ok {
+				panic(r)
+			}
+			status = int(code)
+		}
+	}()
+	kctx, err := parser.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "gooseberrypass:", err)
+		return ExitBadUsage
+	}
+	return exitStatus(kctx.Run(), stderr)
+}
+
+func exitStatus(err error, stderr io.Writer) int {
+	if err == nil {
+		return ExitOK
+	}
+	var exit *ExitError
+	if !errors.As(err, &exit) {
+		_, _ = fmt.Fprintln(stderr, "gooseberrypass:", err)
+		return ExitFailed
+	}
+	if exit.Err != nil {
+		_, _ = fmt.Fprintln(stderr, "gooseberrypass:", exit.Err)
+	}
+	return exit.Status
+}
--- /dev/null
+++ b/manifest.go
@@ -0,0 +1,112 @@
+package gooseberrypass
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// The limits of a manifest.
+const (
+	MaxChunkSize    = 64 << 20 // bytes
+	MaxManifestSize = 16 << 20 // bytes
+	MaxChunks       = 1 << 17
+)
+
+// ErrBadManifest is returned for bytes that are not a valid manifest.
+var ErrBadManifest = errors.New("bad manifest")
+
+// A Chunk is one piece of a model version.
+type Chunk struct {
+	Digest Digest `json:"digest"`
+	Size   int64  `json:"size"` // bytes
+}
+
+// A Manifest lists the chunks of one model version, in order. Its digest,
+// taken over its encoded bytes, names the version's contents.
+type Manifest struct {
+	base    Digest
+	chunks  []Chunk
+	digest  Digest
+	encoded []byte
+	model   string
+	offsets []int64
+	size    int64
+	version string
+}
+
+type manifestDocument struct {
+	Base    Digest  `json:"base,omitzero"`
+	Chunks  []Chunk `json:"chunks"`
+	Model   string  `json:"model"`
+	Version string  `json:"version"`
+}
+
+// NewManifest returns the manifest of a version made of chunks. For an adapter,
+// base is the digest of its base model's manifest.
+func NewManifest(model, version string, base Digest, chunks []Chunk) (*Manifest, error) {
+	doc := manifestDocument{Base: base, Chunks: chunks, Model: model, Version: version}
+	encoded, err := json.Marshal(doc)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode manifest")
+	}
+	return ParseManifest(encoded)
+}
+
+// ParseManifest decodes and checks a manifest.
+func ParseManifest(encoded []byte) (*Manifest, error) {
+	if len(encoded) > MaxManifestSize {
+		return nil, errors.Wrapf(ErrBadManifest, "%d bytes, at most %d", len(encoded), MaxManifestSize)
+	}
+	var doc manifestDocument
+	if err := json.Unmarshal(encoded, &doc); err != nil {
+		return nil, errors.Wrapf(ErrBadManifest, "%v", err)
+	}
+	if len(doc.Chunks) == 0 || len(doc.Chunks) > MaxChunks {
+		return nil, errors.Wrapf(ErrBadManifest, "%d chunks, want 1 to %d", len(doc.Chunks), MaxChunks)
+	}
+	m := &Manifest{
+		base:    doc.Base,
+		chunks:  doc.Chunks,
+		digest:  DigestOf(encoded),
+		encoded: encoded,
+		model:   doc.Model,
+		offsets: make([]int64, 0, len(doc.Chunks)),
+		version: doc.Version,
+	}
+	for i, c := range doc.Chunks {
+		if c.Size <= 0 || c.Size > MaxChunkSize || c.Digest.IsZero() {
+			return nil, errors.Wrapf(ErrBadManifest, "chunk %d: size %d, digest %s", i, c.Size, c.Digest)
+		}
+		m.offsets = append(m.offsets, m.size)
+		m.size += c.Size
+	}
+	return m, nil
+}
+
+// Base returns the digest of the base model's manifest, zero for a model.
+func (m *Manifest) Base() Digest { return m.base }
+
+// Chunk returns the i-th chunk.
+func (m *Manifest) Chunk(i int) Chunk { return m.chunks[i] }
+
+// Digest returns the digest of the encoded manifest.
+func (m *Manifest) Digest() Digest { return m.digest }
+
+// Encoded returns the encoded manifest. Callers must not change it.
+func (m *Manifest) Encoded() []byte { return m.encoded }
+
+// Len returns the number of chunks.
+func (m *Manifest) Len() int { return len(m.chunks) }
+
+// Model returns the model's name as the builder of the weights wrote it.
+func (m *Manifest) Model() string { return m.model }
+
+// Offset returns where the i-th chunk starts in the weights, in bytes.
+func (m *Manifest) Offset(i int) int64 { return m.offsets[i] }
+
+// Size returns the size of the weights in bytes.
+func (m *Manifest) Size() int64 { return m.size }
+
+// Version returns the version's name as the builder of the weights wrote it.
+func (m *Manifest) Version() string { return m.version }
--- /dev/null
+++ b/request.go
@@ -0,0 +1,132 @@
+package gooseberrypass
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+)
+
+// A RequestKind tells requests for tokens from calls of plain services.
+type RequestKind int
+
+// The kinds of requests.
+const (
+	RequestGenerate RequestKind = iota
+	RequestCall
+)
+
+// RequestFields are the fields of a new Request.
+type RequestFields struct {
+	Account   Name
+	Body      []byte // prompt, or body of the call
+	Call      string
+	Deadline  time.Time
+	ID        string
+	Key       string // idempotency key, a UUIDv7
+	Kind      RequestKind
+	MaxTokens int
+	Priority  Priority
+	Target    Name
+}
+
+// A Request is one request of a caller. Filters that resolve a part of it pass
+// on a changed copy.
+type Request struct {
+	accountID  ID
+	digest     Digest
+	fields     RequestFields
+	repeatable bool
+	targetID   ID
+}
+
+// NewRequest returns a request that nothing has been resolved of.
+func NewRequest(fields RequestFields) *Request {
+	return &Request{digest: requestDigest(fields), fields: fields}
+}
+
+// Account returns the client account as the caller named it.
+func (r *Request) Account() Name { return r.fields.Account }
+
+// AccountID returns the resolved client account.
+func (r *Request) AccountID() ID { return r.accountID }
+
+// Body returns the prompt or the body of the call.
+func (r *Request) Body() []byte { return r.fields.Body }
+
+// Call returns the name of the call to a plain service.
+func (r *Request) Call() string { return r.fields.Call }
+
+// Deadline returns the time after which the answer is worthless.
+func (r *Request) Deadline() time.Time { return r.fields.Deadline }
+
+// Digest returns the digest of what the caller asked for. Requests with equal
+// target, call, body, token limit and account have equal digests.
+func (r *Request) Digest() Digest { return r.digest }
+
+// ID returns the request's id.
+func (r *Request) ID() string { return r.fields.ID }
+
+// Key returns the idempotency key, "" if the caller sent none.
+func (r *Request) Key() string { return r.fields.Key }
+
+// Kind returns the kind of request.
+func (r *Request) Kind() RequestKind { return r.fields.Kind }
+
+// MaxTokens returns the most tokens the caller wants.
+func (r *Request) MaxTokens() int { return r.fields.MaxTokens }
+
+// Priority returns the priority.
+func (r *Request) Priority() Priority { return r.fields.Priority }
+
+// Repeatable reports whether the request is idempotent.
+func (r *Request) Repeatable() bool { return r.repeatable }
+
+// Target returns the model or service as the caller named it.
+func (r *Request) Target() Name { return r.fields.Target }
+
+// TargetID returns the resolved model or service.
+func (r *Request) TargetID() ID { return r.targetID }
+
+// WithAccountID returns a copy whose client account is resolved to id.
+func (r *Request) WithAccountID(id ID) *Request {
+	c := *r
+	c.accountID = id
+	return &c
+}
+
+// WithDeadline returns a copy with another deadline.
+func (r *Request) WithDeadline(deadline time.Time) *Request {
+	c := *r
+	c.fields.Deadline = deadline
+	return &c
+}
+
+// WithPriority returns a copy with another priority.
+func (r *Request) WithPriority(priority Priority) *Request {
+	c := *r
+	c.fields.Priority = priority
+	return &c
+}
+
+// WithTarget returns a copy whose target is resolved to id. repeatable tells
+// whether the request may run more than once.
+func (r *Request) WithTarget(id ID, repeatable bool) *Request {
+	c := *r
+	c.targetID = id
+	c.repeatable = repeatable
+	return &c
+}
+
+func requestDigest(f RequestFields) Digest {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(f.Account), []byte(f.Target), []byte(f.Call), f.Body} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		_, _ = h.Write(size[:])
+		_, _ = h.Write(part)
+	}
+	var limit [8]byte
+	binary.BigEndian.PutUint64(limit[:], uint64(int64(f.MaxTokens)))
+	_, _ = h.Write(limit[:])
+	return Digest(h.Sum(nil))
+}
