--- /dev/null
+++ b/dialer/dialer.go
@@ -0,0 +1,106 @@
+// Package dialer makes the HTTP clients of a process, one for each class of
+// traffic, and counts their bytes.
+package dialer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/gooseberrypass/gooseberrypass/authenticator"
+)
+
+// A Class is a class of traffic.
+type Class string
+
+// The classes of traffic.
+const (
+	ClassAttempt  Class = "attempt"
+	ClassBulk     Class = "bulk"
+	ClassControl  Class = "control"
+	ClassPlatform Class = "platform"
+)
+
+// The limits of connections.
+const (
+	connectTimeout      = 2 * time.Second
+	idleTimeout         = 90 * time.Second
+	keepAlivePeriod     = 15 * time.Second
+	maxIdlePerHost      = 16
+	maxResponseHeaders  = 64 << 10 // bytes
+	writeReadBufferSize = 32 << 10 // bytes
+)
+
+// A Dialer makes HTTP clients.
+type Dialer struct {
+	bytes *prometheus.CounterVec
+	key   authenticator.Key
+}
+
+// New returns a dialer whose clients carry key, except those of
+// ClassPlatform.
+func New(key authenticator.Key, registerer prometheus.Registerer) (*Dialer, error) {
+	d := &Dialer{
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gooseberrypass_connection_bytes_total",
+			Help: "Bytes on connections that this process opened.",
+		}, []string{"class", "direction"}),
+		key: key,
+	}
+	if err := registerer.Register(d.bytes); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Client returns a new client for a class of traffic. It has no timeout of its
+// own: each call carries a context.
+func (d *Dialer) Client(class Class) *http.Client {
+	in := d.bytes.WithLabelValues(string(class), "in")
+	out := d.bytes.WithLabelValues(string(class), "out")
+	dial := &net.Dialer{KeepAlive: keepAlivePeriod, Timeout: connectTimeout}
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return countedConn{Conn: conn, in: in, out: out}, nil
+		},
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		MaxResponseHeaderBytes: maxResponseHeaders,
+		ReadBufferSize:         writeReadBufferSize,
+		WriteBufferSize:        writeReadBufferSize,
+	}
+	if class == ClassPlatform {
+		return &http.Client{Transport: transport}
+	}
+	return &http.Client{Transport: d.key.Transport(transport)}
+}
+
+// A countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	in  prometheus.Counter
+	out prometheus.Counter
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.in.Add(float64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.out.Add(float64(n))
+	return n, err
+}
+
+var _ net.Conn = countedConn{}
