Add HTTP clients of the platform

Other packages need the clients before the stand-ins exist.

No tests yet; they come with the stand-ins.

--- /dev/null
+++ b/connector/client.go
@@ -0,0 +1,168 @@
+// Package connector holds the HTTP clients of the platform: log, origin, weight
+// store, instance list, engine and plain service. docs/PLATFORM.md describes the
+// protocols. Each client bounds every answer it reads and follows no redirect.
+package connector
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// The limits of answers, in bytes.
+const (
+	maxBatchSize  = 32 << 20
+	maxCallSize   = 16 << 20
+	maxDetailSize = 512
+	maxEventsSize = 4 << 20
+	maxKVSize     = 64 << 20
+	maxListSize   = 16 << 20
+	maxStateSize  = 4 << 20
+	maxTokenSize  = 1 << 20
+)
+
+// callTimeout bounds a small exchange with the platform whose context has no
+// earlier deadline.
+const callTimeout = 10 * time.Second
+
+// ErrBadAnswer is returned for an answer that breaks the platform's protocol.
+var ErrBadAnswer = errors.New("bad answer of the platform")
+
+// A StatusError is an HTTP status that no other error stands for.
+type StatusError struct {
+	Code       int
+	Detail     string
+	Operation  string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s: status %d: %s", e.Operation, e.Code, e.Detail)
+}
+
+// A client sends requests to one base address.
+type client struct {
+	base string
+	http *http.Client
+}
+
+func newClient(httpClient *http.Client, baseURL string) client {
+	c := *httpClient
+	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return client{base: strings.TrimRight(baseURL, "/"), http: &c}
+}
+
+// send returns the response if its status is want, else a *StatusError. The
+// caller closes the body.
+func (c client) send(r *http.Request, want int) (*http.Response, error) {
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if resp.StatusCode == want {
+		return resp, nil
+	}
+	defer closeBody(resp)
+	return nil, newStatusError(r, resp)
+}
+
+// exchange sends a request and reads its whole answer of at most limit bytes.
+func (c client) exchange(r *http.Request, want int, limit int64) ([]byte, error) {
+	resp, err := c.send(r, want)
+	if err != nil {
+		return nil, err
+	}
+	defer closeBody(resp)
+	return readAll(resp.Body, limit)
+}
+
+// exchangeJSON sends a request and decodes its answer.
+func (c client) exchangeJSON(r *http.Request, want int, limit int64, answer any) error {
+	body, err := c.exchange(r, want, limit)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, answer); err != nil {
+		return errors.Wrapf(ErrBadAnswer, "%s: %v", operation(r), err)
+	}
+	return nil
+}
+
+func (c client) newRequest(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s %s%s", method, c.base, path)
+	}
+	return r, nil
+}
+
+func (c client) newJSONRequest(ctx context.Context, method, path string, body any) (*http.Request, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode %s", path)
+	}
+	r, err := c.newRequest(ctx, method, path, encoded)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	return r, nil
+}
+
+func newStatusError(r *http.Request, resp *http.Response) *StatusError {
+	detail, _ := io.ReadAll(io.LimitReader(resp.Body, maxDetailSize))
+	return &StatusError{
+		Code:       resp.StatusCode,
+		Detail:     strings.TrimSpace(string(detail)),
+		Operation:  operation(r),
+		RetryAfter: parseRetryAfter(resp.Header.Get("Retry-After")),
+	}
+}
+
+func operation(r *http.Request) string {
+	return r.Method + " " + r.URL.Path
+}
+
+// parseRetryAfter returns the time in a Retry-After header that counts seconds,
+// 0 for any other.
+func parseRetryAfter(header string) time.Duration {
+	seconds, err := strconv.ParseUint(header, 10, 31)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// readAll reads r to its end. It returns ErrBadAnswer for more than limit bytes.
+func readAll(r io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
+	if int64(len(body)) > limit {
+		return nil, errors.Wrapf(ErrBadAnswer, "more than %d bytes", limit)
+	}
+	return body, nil
+}
+
+func closeBody(resp *http.Response) {
+	_ = resp.Body.Close()
+}
+
+// statusCode returns the status that err carries, 0 for none.
+func statusCode(err error) int {
+	var status *StatusError
+	if errors.As(err, &status) {
+		return status.Code
+	}
+	return 0
+}
--- /dev/null
+++ b/connector/origin.go
@@ -0,0 +1,86 @@
+package connector
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// An Origin is the platform's origin of weights.
+type Origin struct {
+	client client
+}
+
+// NewOrigin returns the origin at baseURL.
+func NewOrigin(httpClient *http.Client, baseURL string) *Origin {
+	return &Origin{client: newClient(httpClient, baseURL)}
+}
+
+// Manifest implements gooseberrypass.Origin.
+func (o *Origin) Manifest(ctx context.Context, model, version string) ([]byte, error) {
+	r, err := o.client.newRequest(ctx, http.MethodGet, versionPath(model, version)+"/manifest", nil)
+	if err != nil {
+		return nil, err
+	}
+	body, err := o.client.exchange(r, http.StatusOK, gooseberrypass.MaxManifestSize)
+	return body, sourceError(err)
+}
+
+// ReadRange implements gooseberrypass.Origin.
+func (o *Origin) ReadRange(ctx context.Context, model, version string, offset, size int64) ([]byte, error) {
+	if offset < 0 || size <= 0 || size > gooseberrypass.MaxChunkSize {
+		return nil, errors.Errorf("read %s %s: bad range of %d bytes at %d", model, version, size, offset)
+	}
+	r, err := o.client.newRequest(ctx, http.MethodGet, versionPath(model, version)+"/weights", nil)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Range", fmt.Sprintf("bytes=%d-%d", offset, offset+size-1))
+	resp, err := o.client.send(r, http.StatusPartialContent)
+	if err != nil {
+		return nil, sourceError(err)
+	}
+	defer closeBody(resp)
+	want := fmt.Sprintf("bytes %d-%d/", offset, offset+size-1)
+	if got := resp.Header.Get("Content-Range"); !strings.HasPrefix(got, want) {
+		return nil, errors.Wrapf(ErrBadAnswer, "%s: range %q, want %q", operation(r), got, want)
+	}
+	return readExactly(resp.Body, size)
+}
+
+// readExactly reads size bytes and the end of r.
+func readExactly(r io.Reader, size int64) ([]byte, error) {
+	body, err := readAll(r, size)
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) < size {
+		return nil, errors.Wrapf(io.ErrUnexpectedEOF, "%d of %d bytes", len(body), size)
+	}
+	return body, nil
+}
+
+// sourceError returns the sentinel that stands for a source's status.
+func sourceError(err error) error {
+	switch statusCode(err) {
+	case http.StatusNotFound:
+		return fmt.Errorf("%w: %w", gooseberrypass.ErrChunkNotHeld, err)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return fmt.Errorf("%w: %w", gooseberrypass.ErrSourceBusy, err)
+	default:
+		return err
+	}
+}
+
+func versionPath(model, version string) string {
+	return "/models/" + url.PathEscape(model) + "/versions/" + url.PathEscape(version)
+}
+
+var _ gooseberrypass.Origin = (*Origin)(nil)
