Read, merge and check folders of INI files

Operators need every fault of a folder at once, with its place. ini.v1 tells no line numbers, so each line is handed to it alone: the place is exact and no syntax is read twice. A line index beside a whole-file parse was weighed; it would have had to know the library's rules for quotes and comments again. Multi-line values are ruled out that way, and none of the keys needs one.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -26,6 +26,8 @@
 
 // A Command line is what kong parses: one field for each command.
 type commandLine struct {
+	Check   checkCmd   `cmd:"" help:"Check a folder of INI files."`
+	Merge   mergeCmd   `cmd:"" help:"Print the merge of a folder, with the place of each value."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/commander/mergecmd.go
@@ -0,0 +1,21 @@
+package commander
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
+
+// A mergeCmd prints the merge of a folder.
+type mergeCmd struct {
+	Dir string `arg:"" help:"Folder of INI files." type:"path"`
+}
+
+func (c *mergeCmd) Run(ctx context.Context, std streams) error {
+	check, err := readChecked(ctx, c.Dir, std.stderr)
+	if err != nil {
+		return err
+	}
+	_, err = check.Merge().WriteTo(std.stdout)
+	return errors.Wrap(err, "print the merge")
+}
