Follow members by the platform's list and their own status

Weighed: plain polling at a fixed period (either over 5 KB/s or too slow to see a leaving agent), and gossip of statuses (more bytes in all). Not tested yet; tests follow.

--- /dev/null
+++ b/tracker/pacing.go
@@ -0,0 +1,72 @@
+package tracker
+
+import (
+	"context"
+	"time"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// The cost of polls and what may be spent on them.
+const (
+	listBudget   = 2 << 10 // bytes a second for the platform's list
+	listRowBytes = 160     // bytes of one row of the list
+	pollBytes    = 700     // bytes of one status poll, both ways, with headers
+	statusBudget = 3 << 10 // bytes a second for status polls
+)
+
+// The bounds of pauses and waits.
+const (
+	listPollLimit   = 5 * time.Second
+	maxListPause    = 5 * time.Minute
+	maxPause        = time.Second
+	maxWait         = 20 * time.Second
+	minListPause    = time.Second
+	minPause        = 50 * time.Millisecond
+	minWait         = 2 * time.Second
+	pollAnswerLimit = 1500 * time.Millisecond
+)
+
+// A pacing spaces polls out so that they stay within their budget.
+type pacing struct {
+	list time.Duration // from one poll of the list to the next
+	load time.Duration // for which an agent holds back changes of its load
+	wait time.Duration // for which an agent holds a poll without any change
+}
+
+func newPacing(listed, followed int) pacing {
+	list := time.Duration(listed) * listRowBytes * time.Second / listBudget
+	status := time.Duration(followed) * pollBytes * time.Second / statusBudget
+	return pacing{
+		list: min(max(list, minListPause), maxListPause),
+		load: min(max(status, minPause), maxWait),
+		wait: min(max(status, minWait), maxWait),
+	}
+}
+
+// pause is the time between an answer and the next poll. It is short, so that
+// an agent that leaves is heard of within its bound; the agent itself holds
+// back changes of its load.
+func (p pacing) pause() time.Duration {
+	return min(max(p.load/8, minPause), maxPause)
+}
+
+// silence is how long a followed agent may go unheard.
+func (p pacing) silence() time.Duration {
+	return p.wait + p.pause() + pollAnswerLimit
+}
+
+// sleep waits for d and reports whether it passed before ctx was done.
+func sleep(ctx context.Context, clock gooseberrypass.Clock, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.Chan():
+		return true
+	}
+}
