--- a/request.go
+++ b/request.go
@@ -17,16 +17,17 @@
 
 // RequestFields are the fields of a new Request.
 type RequestFields struct {
-	Account   Name
-	Body      []byte // prompt, or body of the call
-	Call      string
-	Deadline  time.Time
-	ID        string
-	Key       string // idempotency key, a UUIDv7
-	Kind      RequestKind
-	MaxTokens int
-	Priority  Priority
-	Target    Name
+	Account    Name
+	AccountKey string // key of the client account, as the caller sent it
+	Body       []byte // prompt, or body of the call
+	Call       string
+	Deadline   time.Time
+	ID         string
+	Key        string // idempotency key, a UUIDv7
+	Kind       RequestKind
+	MaxTokens  int
+	Priority   Priority
+	Target     Name
 }
 
 // A Request is one request of a caller. Filters that resolve a part of it pass
@@ -47,6 +48,9 @@
 // Account returns the client account as the caller named it.
 func (r *Request) Account() Name { return r.fields.Account }
 
+// AccountKey returns the client account's key as the caller sent it.
+func (r *Request) AccountKey() string { return r.fields.AccountKey }
+
 // AccountID returns the resolved client account.
 func (r *Request) AccountID() ID { return r.accountID }
 
--- a/tracker/selector.go
+++ b/tracker/selector.go
@@ -52,7 +52,7 @@
 				entries = append(entries, l.ID)
 			}
 		}
-		var ids []gooseberrypass.ID
+		ids := make([]gooseberrypass.ID, 0, len(pools)*size)
 		for _, agents := range pools {
 			ids = append(ids, subset(self, agents, entries, size)...)
 		}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -88,7 +88,7 @@
 
 // Handle implements gooseberrypass.Controller.
 func (t *Tracker) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
-	changed := false
+	var changed bool
 	switch e := event.(type) {
 	case gooseberrypass.Tick:
 		changed = t.handleTick(now)
