--- a/authenticator/authenticator.go
+++ b/authenticator/authenticator.go
@@ -2,6 +2,7 @@
 package authenticator
 
 import (
+	"crypto/hmac"
 	"crypto/sha256"
 	"crypto/subtle"
 	"net/http"
@@ -41,6 +42,22 @@
 	return subtle.ConstantTimeCompare(given[:], want[:]) == 1
 }
 
+// Sign returns the code that proves that a holder of the key wrote message.
+// domain keeps codes of different uses apart.
+func (k Key) Sign(domain string, message []byte) []byte {
+	mac := hmac.New(sha256.New, []byte(k.secret))
+	// A hash takes all bytes without error.
+	_, _ = mac.Write(append([]byte(domain), 0))
+	_, _ = mac.Write(message)
+	return mac.Sum(nil)
+}
+
+// Verifies reports whether code is that of message. It takes the same time
+// whatever the code is. The zero Key verifies every code.
+func (k Key) Verifies(domain string, message, code []byte) bool {
+	return k.IsZero() || hmac.Equal(k.Sign(domain, message), code)
+}
+
 // Protect returns next behind a check of the key.
 func (k Key) Protect(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/replayer/replayer.go
@@ -0,0 +1,120 @@
+package replayer
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/authenticator"
+)
+
+const (
+	maxPages    = 1 << 16
+	maxRestarts = 3
+)
+
+// A Replayer reads the configuration stream of the log.
+type Replayer struct {
+	key authenticator.Key
+	log gooseberrypass.Log
+}
+
+// New returns a replayer that takes the records proved by key for authentic.
+func New(key authenticator.Key, log gooseberrypass.Log) *Replayer {
+	return &Replayer{key: key, log: log}
+}
+
+// A Progress is what a replay came to. State is what the fold came to, also if
+// the replay failed halfway.
+type Progress struct {
+	Accepted []Accepted
+	First    gooseberrypass.Offset // first record that the log keeps
+	Next     gooseberrypass.Offset // next record to come
+	State    State
+}
+
+// CatchUp folds the records after s up to the end of the log, waiting up to
+// wait for the first. A state that the log has left behind goes on from a
+// snapshot in the log that is not older; if there is none, the error is ErrGap.
+func (r *Replayer) CatchUp(ctx context.Context, s State, wait time.Duration) (Progress, error) {
+	p := Progress{State: s}
+	for range maxRestarts {
+		err := r.fold(ctx, &p, wait)
+		var trimmed *gooseberrypass.TrimmedError
+		if !errors.As(err, &trimmed) {
+			return p, err
+		}
+		p.First, p.Next = trimmed.First, trimmed.Next
+		snapshot, err := r.findSnapshot(ctx, trimmed.First)
+		if err != nil {
+			return p, err
+		}
+		if snapshot == nil || snapshot.LastAccepted < p.State.lastAccepted {
+			return p, errors.Wrapf(ErrGap, "folded through %d, first record kept is %d, and no snapshot to go on from",
+				p.State.foldedThrough, trimmed.First)
+		}
+		if snapshot.LastAccepted > p.State.lastAccepted {
+			p.Accepted = nil
+		}
+		p.State = NewState(*snapshot)
+	}
+	return p, errors.Wrap(ErrGap, "the log is trimmed faster than it is read")
+}
+
+// fold folds page after page to the end of the log.
+func (r *Replayer) fold(ctx context.Context, p *Progress, wait time.Duration) error {
+	for range maxPages {
+		batch, err := r.log.Read(ctx, gooseberrypass.StreamConfig, p.State.foldedThrough+1, wait)
+		if err != nil {
+			return errors.Wrap(err, "read configuration")
+		}
+		if batch.First > p.State.foldedThrough+1 {
+			return &gooseberrypass.TrimmedError{First: batch.First, Next: batch.Next}
+		}
+		p.First, p.Next = batch.First, batch.Next
+		state, accepted, err := Fold(r.key, p.State, batch.Records)
+		p.State = state
+		p.Accepted = append(p.Accepted, accepted...)
+		if err != nil {
+			return err
+		}
+		if p.State.foldedThrough+1 >= batch.Next || len(batch.Records) == 0 {
+			return nil
+		}
+		wait = 0
+	}
+	return errors.New("the log grows faster than it is read")
+}
+
+// findSnapshot returns the snapshot with the highest accepted offset from which
+// the log can be folded, the first of equals, or nil.
+func (r *Replayer) findSnapshot(ctx context.Context, first gooseberrypass.Offset) (*Snapshot, error) {
+	var best *Snapshot
+	from := first
+	for range maxPages {
+		batch, err := r.log.Read(ctx, gooseberrypass.StreamConfig, from, 0)
+		if err != nil {
+			return nil, errors.Wrap(err, "look for a snapshot")
+		}
+		for _, record := range batch.Records {
+			decoded, err := Decode(r.key, record.Body)
+			if err == nil && decoded.Snapshot != nil && decoded.Snapshot.usable(record.Offset, batch.First) &&
+				(best == nil || decoded.Snapshot.LastAccepted > best.LastAccepted) {
+				best = decoded.Snapshot
+			}
+			from = record.Offset + 1
+		}
+		if len(batch.Records) == 0 || from >= batch.Next {
+			return best, nil
+		}
+	}
+	return nil, errors.New("the log grows faster than it is read")
+}
+
+// usable reports whether a snapshot at offset can be started from: the log
+// still holds every record after what was folded into it.
+func (s *Snapshot) usable(offset, first gooseberrypass.Offset) bool {
+	return s.FoldedThrough+1 >= first && s.FoldedThrough < offset && s.LastAccepted <= s.FoldedThrough
+}
