Add pull and publish

Operators race one another. A publisher folds the log, applies the operator's difference from the pulled base to the accepted files, checks and pins the whole, and appends it with the accepted offset as its base. The loser of a race does so again on the winner's state unless both touched one file.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -97,8 +97,8 @@
 			values[v.Key] = ids[0]
 		}
 	}
-	if s.Kind() == gooseberrypass.KindModel && values["origin-name"] == nil {
-		values["origin-name"] = string(s.ID())
+	if s.Kind() == gooseberrypass.KindModel && values[keyOriginName] == nil {
+		values[keyOriginName] = string(s.ID())
 	}
 	b.ignored += c.ignored
 	b.findings = append(b.findings, c.findings...)
@@ -143,7 +143,7 @@
 }
 
 func (b *builder) checkAdapter(s builtSection) {
-	id, _ := s.values["base"].(gooseberrypass.ID)
+	id, _ := s.values[keyBase].(gooseberrypass.ID)
 	i := slices.IndexFunc(b.sections, func(o builtSection) bool {
 		return o.merged.Kind() == gooseberrypass.KindModel && o.merged.ID() == id
 	})
@@ -153,20 +153,20 @@
 	base := b.sections[i]
 	switch {
 	case id == s.merged.ID():
-		b.find(s, "base", "a model cannot be its own base")
-	case base.values["base"] != nil:
-		b.find(s, "base", fmt.Sprintf("%q is an adapter itself", id))
-	case base.values["pool"] != s.values["pool"]:
-		b.find(s, "pool", fmt.Sprintf("an adapter needs the pool of its base, %q", base.values["pool"]))
+		b.find(s, keyBase, "a model cannot be its own base")
+	case base.values[keyBase] != nil:
+		b.find(s, keyBase, fmt.Sprintf("%q is an adapter itself", id))
+	case base.values[keyPool] != s.values[keyPool]:
+		b.find(s, keyPool, fmt.Sprintf("an adapter needs the pool of its base, %q", base.values[keyPool]))
 	}
 }
 
 func (b *builder) checkCalls(s builtSection) {
-	repeatable, _ := s.values["repeatable-calls"].([]string)
-	unrepeatable, _ := s.values["unrepeatable-calls"].([]string)
+	repeatable, _ := s.values[keyRepeatableCalls].([]string)
+	unrepeatable, _ := s.values[keyUnrepeatableCalls].([]string)
 	for _, call := range unrepeatable {
 		if slices.Contains(repeatable, call) {
-			b.find(s, "unrepeatable-calls", fmt.Sprintf("%q is in repeatable-calls too", call))
+			b.find(s, keyUnrepeatableCalls, fmt.Sprintf("%q is in repeatable-calls too", call))
 		}
 	}
 }
--- a/checker/folder.go
+++ b/checker/folder.go
@@ -22,6 +22,15 @@
 	longestCall = time.Hour
 )
 
+// The keys that checks between sections name.
+const (
+	keyBase              = "base"
+	keyOriginName        = "origin-name"
+	keyPool              = "pool"
+	keyRepeatableCalls   = "repeatable-calls"
+	keyUnrepeatableCalls = "unrepeatable-calls"
+)
+
 // FolderTable returns the table of an operator's folder.
 func FolderTable() *Table {
 	return NewTable(
@@ -70,7 +79,7 @@
 		Kind: gooseberrypass.KindInstance,
 		Keys: []Key{
 			{Name: "drain", Type: Bool(), Default: "no", Doc: "Whether the instance is to take no new work."},
-			{Name: "pool", Type: Word(), Doc: "Pool in place of the listed one."},
+			{Name: keyPool, Type: Word(), Doc: "Pool in place of the listed one."},
 			{
 				Name:    "role",
 				Type:    Enum(string(gooseberrypass.EngineRoleDecode), string(gooseberrypass.EngineRoleMixed), string(gooseberrypass.EngineRolePrefill)),
@@ -86,13 +95,13 @@
 		Doc:  "A model or adapter to be served.",
 		Kind: gooseberrypass.KindModel,
 		Keys: []Key{
-			{Name: "base", Type: Reference(gooseberrypass.KindModel), Doc: "Base model, if this is an adapter."},
+			{Name: keyBase, Type: Reference(gooseberrypass.KindModel), Doc: "Base model, if this is an adapter."},
 			{Name: "deadline", Type: Duration(shortest, longestCall), Default: "30s", Doc: "Time a request gets if its caller names none."},
 			{Name: "fenced", Type: Bool(), Default: "no", Doc: "Whether the engines refuse orders with an old fence."},
 			{Name: "manifest", Type: Digest(), Doc: "Digest of the version's manifest; `publish` writes it."},
 			{Name: "max-tokens", Type: Int(1, mostTokens), Default: "1024", Doc: "Most tokens of one answer."},
-			{Name: "origin-name", Type: Word(), Doc: "Name of the model at the origin; the model's identity if not set."},
-			{Name: "pool", Type: Word(), Required: true, Doc: "Pool of instances that serve the model."},
+			{Name: keyOriginName, Type: Word(), Doc: "Name of the model at the origin; the model's identity if not set."},
+			{Name: keyPool, Type: Word(), Required: true, Doc: "Pool of instances that serve the model."},
 			{Name: "priority", Type: priority(), Default: "4", Doc: "Priority of requests that name none."},
 			{Name: "version", Type: Word(), Required: true, Doc: "Name of the version at the origin."},
 		},
@@ -124,10 +133,10 @@
 		Keys: []Key{
 			{Name: "checks-orders", Type: Bool(), Default: "no", Doc: "Whether the service checks who calls it."},
 			{Name: "deadline", Type: Duration(shortest, longestCall), Default: "10s", Doc: "Time a call gets if its caller names none."},
-			{Name: "pool", Type: Word(), Required: true, Doc: "Pool of instances that serve the service."},
+			{Name: keyPool, Type: Word(), Required: true, Doc: "Pool of instances that serve the service."},
 			{Name: "priority", Type: priority(), Default: "4", Doc: "Priority of calls that name none."},
-			{Name: "repeatable-calls", Type: Words(), Doc: "Calls that are idempotent and may be retried."},
-			{Name: "unrepeatable-calls", Type: Words(), Doc: "Calls that must run at most once."},
+			{Name: keyRepeatableCalls, Type: Words(), Doc: "Calls that are idempotent and may be retried."},
+			{Name: keyUnrepeatableCalls, Type: Words(), Doc: "Calls that must run at most once."},
 		},
 	})
 }
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -28,6 +28,8 @@
 type commandLine struct {
 	Check   checkCmd   `cmd:"" help:"Check a folder of INI files."`
 	Merge   mergeCmd   `cmd:"" help:"Print the merge of a folder, with the place of each value."`
+	Publish publishCmd `cmd:"" help:"Publish a folder of INI files."`
+	Pull    pullCmd    `cmd:"" help:"Write the accepted files to a folder."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/commander/publishcmd.go
@@ -0,0 +1,58 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypass/gooseberrypass/publisher"
+)
+
+// A publishCmd publishes a folder.
+type publishCmd struct {
+	platformFlags
+
+	Dir string `arg:"" help:"Folder of INI files." type:"path"`
+}
+
+func (c *publishCmd) Run(ctx context.Context, std streams) error {
+	p, err := c.publisher()
+	if err != nil {
+		return err
+	}
+	result, err := p.Publish(ctx, c.Dir)
+	var faulty *publisher.FindingsError
+	if errors.As(err, &faulty) {
+		return printFindings(faulty.Findings, std.stderr)
+	}
+	if err != nil {
+		return err
+	}
+	return printResult(result, std.stdout)
+}
+
+func printResult(result *publisher.Result, w io.Writer) error {
+	var b strings.Builder
+	for _, pin := range result.Pins {
+		fmt.Fprintf(&b, "pinned %s version=%s manifest=%s file=%s\n", pin.Model, pin.Version, pin.Digest, pin.File)
+	}
+	for _, name := range result.Brought {
+		fmt.Fprintf(&b, "brought in %s, changed by others\n", name)
+	}
+	for _, name := range result.Kept {
+		fmt.Fprintf(&b, "left %s as you changed it meanwhile\n", name)
+	}
+	for _, note := range result.Notes {
+		fmt.Fprintf(&b, "note: %s\n", note)
+	}
+	if len(result.Changed) == 0 {
+		fmt.Fprintf(&b, "nothing to publish offset=%d\n", result.Offset)
+	} else {
+		fmt.Fprintf(&b, "published offset=%d files=%s\n", result.Offset, strings.Join(result.Changed, ","))
+	}
+	_, err := io.WriteString(w, b.String())
+	return errors.Wrap(err, "print the result")
+}
--- a/parser/file.go
+++ b/parser/file.go
@@ -13,7 +13,7 @@
 const (
 	MaxFileSize   = 1 << 20 // bytes
 	MaxFiles      = 4096
-	MaxFolderSize = 4 << 20 // bytes
+	MaxFolderSize = 2 << 20 // bytes
 )
 
 const byteOrderMark = "\uFEFF"
--- a/replayer/record.go
+++ b/replayer/record.go
@@ -12,7 +12,7 @@
 
 // MaxRecordSize is the size of the longest record, in bytes. Longer ones are
 // never accepted, so it must be the same in all releases.
-const MaxRecordSize = 16 << 20
+const MaxRecordSize = 4 << 20
 
 const (
 	schema     = 1
--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -29,10 +29,23 @@
 // A Progress is what a replay came to. State is what the fold came to, also if
 // the replay failed halfway.
 type Progress struct {
-	Accepted []Accepted
-	First    gooseberrypass.Offset // first record that the log keeps
-	Next     gooseberrypass.Offset // next record to come
-	State    State
+	Accepted   []Accepted
+	First      gooseberrypass.Offset // first record that the log keeps
+	Next       gooseberrypass.Offset // next record to come
+	Oldest     time.Time             // time of the first record read
+	SnapshotAt time.Time             // time of the latest snapshot read
+	State      State
+}
+
+// see keeps the times of a record that was read.
+func (p *Progress) see(key authenticator.Key, r gooseberrypass.Record) {
+	if p.Oldest.IsZero() {
+		p.Oldest = r.Time
+	}
+	record, err := Decode(key, r.Body)
+	if err == nil && record.Snapshot != nil && record.Snapshot.LastAccepted >= p.State.lastAccepted && r.Time.After(p.SnapshotAt) {
+		p.SnapshotAt = r.Time
+	}
 }
 
 // CatchUp folds the records after s up to the end of the log, waiting up to
@@ -77,6 +90,9 @@
 		state, accepted, err := Fold(r.key, p.State, batch.Records)
 		p.State = state
 		p.Accepted = append(p.Accepted, accepted...)
+		for _, record := range batch.Records {
+			p.see(r.key, record)
+		}
 		if err != nil {
 			return err
 		}
