Add stand-ins of the platform and the emulator command

Trials and tests of whole processes need something in the platform's place. Each stand-in is an http.Handler with its state in memory and faults that PUT /faults switches; all time comes from the clock.

An engine's text depends on the digest of the weights that it really read, the prompt and the token's index, so that a test can tell a mixed answer. A counted fault shows on the next n occasions, which makes one lost answer repeatable; faults by probability were ruled out for that.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -11,6 +11,8 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
+
+	"github.com/gooseberrypass/gooseberrypass/emulator"
 )
 
 // The exit statuses.
@@ -26,7 +28,8 @@
 
 // A Command line is what kong parses: one field for each command.
 type commandLine struct {
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Emulator emulatorCmd `cmd:"" help:"Run stand-ins of the platform for trials and tests."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
 // A Streams holds the standard streams that commands read and write.
@@ -68,6 +71,7 @@
 		kong.BindTo(ctx, (*context.Context)(nil)),
 		kong.Bind(streams{stderr: stderr, stdin: stdin, stdout: stdout}),
 		kong.UsageOnError(),
+		kong.Vars{"crash_mark": emulator.DefaultCrashMark},
 	)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "gooseberrypass:", err)
--- /dev/null
+++ b/emulator/origin.go
@@ -0,0 +1,190 @@
+package emulator
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// maxWeightsSize is the most bytes of one version's weights.
+const maxWeightsSize = 4 << 30
+
+// An Origin stands in for the platform's origin of weights. It counts the bytes
+// of weights that it serves.
+type Origin struct {
+	FaultSwitch
+	handler http.Handler
+	pacer   pacer
+
+	mu       sync.Mutex
+	served   map[versionKey]int64
+	versions map[versionKey]originVersion
+}
+
+// NewOrigin returns an empty origin whose link carries bytesPerSecond, 0 for
+// any number.
+func NewOrigin(clock gooseberrypass.Clock, bytesPerSecond int64) *Origin {
+	o := &Origin{
+		FaultSwitch: FaultSwitch{clock: clock},
+		pacer:       newPacer(clock, bytesPerSecond),
+		served:      map[versionKey]int64{},
+		versions:    map[versionKey]originVersion{},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /models/{model}/versions/{version}/manifest", o.getManifest)
+	mux.HandleFunc("GET /models/{model}/versions/{version}/weights", o.getWeights)
+	mux.HandleFunc("GET /served", o.getServed)
+	mux.HandleFunc("PUT /models/{model}/versions/{version}/manifest", o.putManifest)
+	mux.HandleFunc("PUT /models/{model}/versions/{version}/weights", o.putWeights)
+	o.handler = o.wrap(mux)
+	return o
+}
+
+// ServeHTTP implements http.Handler.
+func (o *Origin) ServeHTTP(w http.ResponseWriter, r *http.Request) { o.handler.ServeHTTP(w, r) }
+
+type versionKey struct {
+	model   string
+	version string
+}
+
+type originVersion struct {
+	manifest []byte
+	weights  []byte
+}
+
+// Put stores a version, in place of one of the same name. Nothing checks that
+// the manifest fits the weights.
+func (o *Origin) Put(model, version string, manifest, weights []byte) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.versions[versionKey{model, version}] = originVersion{manifest: manifest, weights: weights}
+}
+
+// Served returns the bytes of weights served of a version.
+func (o *Origin) Served(model, version string) int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.served[versionKey{model, version}]
+}
+
+func requestKey(r *http.Request) versionKey {
+	return versionKey{model: r.PathValue("model"), version: r.PathValue("version")}
+}
+
+func (o *Origin) version(key versionKey) originVersion {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions[key]
+}
+
+func (o *Origin) getManifest(w http.ResponseWriter, r *http.Request) {
+	v := o.version(requestKey(r))
+	if v.manifest == nil {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(v.manifest)
+}
+
+func (o *Origin) getWeights(w http.ResponseWriter, r *http.Request) {
+	key := requestKey(r)
+	v := o.version(key)
+	if v.weights == nil {
+		http.NotFound(w, r)
+		return
+	}
+	start, end, ok := parseRange(r.Header.Get("Range"), int64(len(v.weights)))
+	if !ok {
+		http.Error(w, "bad range", http.StatusRequestedRangeNotSatisfiable)
+		return
+	}
+	body := v.weights[start:end]
+	if o.take(corruptChunks) {
+		body = corrupt(body)
+	}
+	w.Header().Set("Content-Length", strconv.FormatInt(end-start, 10))
+	w.Header().Set("Content-Range", fmt.Sprintf("bytes %d-%d/%d", start, end-1, len(v.weights)))
+	w.WriteHeader(http.StatusPartialContent)
+	n, _ := o.pacer.write(r.Context(), w, body)
+	o.mu.Lock()
+	o.served[key] += int64(n)
+	o.mu.Unlock()
+}
+
+// parseRange returns the bounds in a Range header that names one range by its
+// first and last byte.
+func parseRange(header string, size int64) (start, end int64, ok bool) { //nolint:nonamedreturns // two of one type
+	bounds, ok := strings.CutPrefix(header, "bytes=")
+	if !ok {
+		return 0, 0, false
+	}
+	first, last, ok := strings.Cut(bounds, "-")
+	if !ok {
+		return 0, 0, false
+	}
+	start, startErr := strconv.ParseInt(first, 10, 64)
+	end, endErr := strconv.ParseInt(last, 10, 64)
+	if startErr != nil || endErr != nil || start < 0 || end < start || end >= size {
+		return 0, 0, false
+	}
+	return start, end + 1, true
+}
+
+// corrupt returns a copy of body in which one byte differs.
+func corrupt(body []byte) []byte {
+	changed := bytes.Clone(body)
+	if len(changed) > 0 {
+		changed[len(changed)/2] ^= 0xff
+	}
+	return changed
+}
+
+type servedDocument struct {
+	Bytes   int64  `json:"bytes"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+}
+
+func (o *Origin) getServed(w http.ResponseWriter, _ *http.Request) {
+	o.mu.Lock()
+	served := make([]servedDocument, 0, len(o.served))
+	for key, n := range o.served {
+		served = append(served, servedDocument{Bytes: n, Model: key.model, Version: key.version})
+	}
+	o.mu.Unlock()
+	writeJSON(w, http.StatusOK, served)
+}
+
+func (o *Origin) putManifest(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r, gooseberrypass.MaxManifestSize)
+	if !ok {
+		return
+	}
+	o.change(requestKey(r), func(v *originVersion) { v.manifest = body })
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (o *Origin) putWeights(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r, maxWeightsSize)
+	if !ok {
+		return
+	}
+	o.change(requestKey(r), func(v *originVersion) { v.weights = body })
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (o *Origin) change(key versionKey, f func(*originVersion)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	v := o.versions[key]
+	f(&v)
+	o.versions[key] = v
+}
+
+var _ http.Handler = (*Origin)(nil)
--- /dev/null
+++ b/emulator/plainservice.go
@@ -0,0 +1,103 @@
+package emulator
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// The limits of the plain service.
+const (
+	maxCallSize = 16 << 20 // bytes
+	maxRuns     = 1 << 20
+)
+
+// A Run is one run of a call.
+type Run struct {
+	At        time.Time             `json:"at"`
+	AttemptID string                `json:"attempt_id"`
+	Body      gooseberrypass.Digest `json:"body"`
+	Call      string                `json:"call"`
+	Key       string                `json:"key"`
+	Number    int                   `json:"number"` // from 1
+}
+
+// A PlainService stands in for a service beside the engines. It runs every call
+// it gets, whatever its key, and records each run.
+type PlainService struct {
+	FaultSwitch
+	duration time.Duration
+	handler  http.Handler
+
+	mu   sync.Mutex
+	runs []Run
+}
+
+// NewPlainService returns a service whose calls take duration after their
+// effect.
+func NewPlainService(clock gooseberrypass.Clock, duration time.Duration) *PlainService {
+	s := &PlainService{FaultSwitch: FaultSwitch{clock: clock}, duration: duration}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /runs", s.list)
+	mux.HandleFunc("POST /calls/{call}", s.call)
+	s.handler = s.wrap(mux)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *PlainService) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
+
+// Runs returns the runs so far in their order.
+func (s *PlainService) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.runs)
+}
+
+func (s *PlainService) call(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r, maxCallSize)
+	if !ok {
+		return
+	}
+	run, ok := s.record(r, body)
+	if !ok {
+		http.Error(w, "too many runs", http.StatusTooManyRequests)
+		return
+	}
+	if err := sleep(r.Context(), s.clock, s.duration); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, run)
+}
+
+// record adds the run of a call. It returns false if there are too many.
+func (s *PlainService) record(r *http.Request, body []byte) (Run, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.runs) >= maxRuns {
+		return Run{}, false
+	}
+	run := Run{
+		At:        s.clock.Now(),
+		AttemptID: r.Header.Get("Attempt-Id"),
+		Body:      gooseberrypass.DigestOf(body),
+		Call:      r.PathValue("call"),
+		Key:       r.Header.Get("Idempotency-Key"),
+		Number:    len(s.runs) + 1,
+	}
+	s.runs = append(s.runs, run)
+	return run, true
+}
+
+func (s *PlainService) list(w http.ResponseWriter, r *http.Request) {
+	runs := s.Runs()
+	if key := r.URL.Query().Get("key"); key != "" {
+		runs = slices.DeleteFunc(runs, func(run Run) bool { return run.Key != key })
+	}
+	writeJSON(w, http.StatusOK, runs)
+}
+
+var _ http.Handler = (*PlainService)(nil)
--- /dev/null
+++ b/emulator/weights.go
@@ -0,0 +1,59 @@
+package emulator
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// MakeWeights returns size bytes that depend on seed alone.
+func MakeWeights(seed uint64, size int) []byte {
+	var key [32]byte
+	binary.LittleEndian.PutUint64(key[:], seed)
+	weights := make([]byte, size)
+	_, _ = rand.NewChaCha8(key).Read(weights)
+	return weights
+}
+
+// MakeManifest returns the manifest of weights cut into chunks of chunkSize
+// bytes. base is the digest of an adapter's base model, else zero.
+func MakeManifest(
+	model, version string,
+	base gooseberrypass.Digest,
+	weights []byte,
+	chunkSize int,
+) (*gooseberrypass.Manifest, error) {
+	var chunks []gooseberrypass.Chunk
+	for start := 0; start < len(weights); start += chunkSize {
+		piece := weights[start:min(start+chunkSize, len(weights))]
+		chunks = append(chunks, gooseberrypass.Chunk{
+			Digest: gooseberrypass.DigestOf(piece),
+			Size:   int64(len(piece)),
+		})
+	}
+	return gooseberrypass.NewManifest(model, version, base, chunks)
+}
+
+// Text returns the whole text of n tokens that an engine makes of a prompt with
+// the weights of a digest.
+func Text(digest gooseberrypass.Digest, prompt string, n int) string {
+	var text strings.Builder
+	for i := range n {
+		text.WriteString(TokenText(digest, prompt, i))
+	}
+	return text.String()
+}
+
+// TokenText returns the i-th token of Text.
+func TokenText(digest gooseberrypass.Digest, prompt string, i int) string {
+	h := xxhash.New()
+	_, _ = h.Write(digest[:])
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(i)))
+	_, _ = h.WriteString(prompt)
+	return fmt.Sprintf("%06x ", h.Sum64()&0xffffff)
+}
