--- a/commander/commander.go
+++ b/commander/commander.go
@@ -11,6 +11,8 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
+
+	"github.com/gooseberrypass/gooseberrypass/emulator"
 )
 
 // The exit statuses.
@@ -26,9 +28,12 @@
 
 // A Command line is what kong parses: one field for each command.
 type commandLine struct {
-	Check   checkCmd   `cmd:"" help:"Check a folder of INI files."`
-	Merge   mergeCmd   `cmd:"" help:"Print the merge of a folder, with the place of each value."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Check    checkCmd    `cmd:"" help:"Check a folder of INI files."`
+	Emulator emulatorCmd `cmd:"" help:"Run stand-ins of the platform for trials and tests."`
+	Merge    mergeCmd    `cmd:"" help:"Print the merge of a folder, with the place of each value."`
+	Publish  publishCmd  `cmd:"" help:"Publish a folder of INI files."`
+	Pull     pullCmd     `cmd:"" help:"Write the accepted files to a folder."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
 // A Streams holds the standard streams that commands read and write.
@@ -70,6 +75,7 @@
 		kong.BindTo(ctx, (*context.Context)(nil)),
 		kong.Bind(streams{stderr: stderr, stdin: stdin, stdout: stdout}),
 		kong.UsageOnError(),
+		kong.Vars{"crash_mark": emulator.DefaultCrashMark},
 	)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "gooseberrypass:", err)
