Spread the accepted configuration to every process

A configuration must be in force everywhere within 6 s, with a fifth of the processes dead and the log in sight of one region. A few tailers of each region read the log; each process pushes what is new to it at once to three of its region and one of each other, and compares offsets with a random one every 2 s as repair. Polling by all processes was ruled out: its load grows with the fleet and it fails with the log.

The spreader is a controller of the control loop, so it has no Run of its own.

--- /dev/null
+++ b/spreader/dial.go
@@ -0,0 +1,14 @@
+package spreader
+
+import (
+	"net/http"
+
+	"github.com/gooseberrypass/gooseberrypass/wire"
+)
+
+// DialTwirp returns a Dial that reaches processes by client.
+func DialTwirp(client *http.Client) Dial {
+	return func(address string) wire.Peer {
+		return wire.NewPeerProtobufClient("http://"+address, client)
+	}
+}
--- /dev/null
+++ b/spreader/exchange.go
@@ -0,0 +1,158 @@
+package spreader
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/replayer"
+	"github.com/gooseberrypass/gooseberrypass/wire"
+)
+
+const exchangeTimeout = time.Second
+
+// exchanged is the event that an exchange with a peer has ended.
+type exchanged struct {
+	err      error
+	followUp bool
+	peer     *gooseberrypass.ListedInstance
+	response *wire.ExchangeResponse
+}
+
+// EventName implements gooseberrypass.Event.
+func (exchanged) EventName() string { return "config-exchanged" }
+
+// exchangeReceived is the event that a peer has begun an exchange.
+type exchangeReceived struct {
+	reply   chan<- *wire.ExchangeResponse
+	request *wire.ExchangeRequest
+}
+
+// EventName implements gooseberrypass.Event.
+func (exchangeReceived) EventName() string { return "config-exchange-received" }
+
+// An exchangeEffect compares offsets with a peer.
+type exchangeEffect struct {
+	client   wire.Peer
+	followUp bool
+	peer     *gooseberrypass.ListedInstance
+	request  *wire.ExchangeRequest
+}
+
+// EffectName implements gooseberrypass.Effect.
+func (exchangeEffect) EffectName() string { return "config-exchange" }
+
+// Run implements gooseberrypass.Effect.
+func (e exchangeEffect) Run(ctx context.Context) gooseberrypass.Event {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	response, err := e.client.Exchange(ctx, e.request)
+	return exchanged{err: err, followUp: e.followUp, peer: e.peer, response: response}
+}
+
+// Exchange implements wire.Peer. It waits for the control goroutine.
+func (s *Spreader) Exchange(ctx context.Context, request *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
+	reply := make(chan *wire.ExchangeResponse, 1)
+	s.post(exchangeReceived{reply: reply, request: request})
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	select {
+	case response := <-reply:
+		return response, nil
+	case <-ctx.Done():
+		return nil, twirp.NewError(twirp.DeadlineExceeded, "the control goroutine did not answer")
+	}
+}
+
+func (s *Spreader) exchange(peer *gooseberrypass.ListedInstance, request *wire.ExchangeRequest) exchangeEffect {
+	return exchangeEffect{client: s.dial(peer.Address), peer: peer, request: request}
+}
+
+// request returns a request that carries the offset alone.
+func (s *Spreader) request() *wire.ExchangeRequest {
+	return &wire.ExchangeRequest{
+		Offset:      uint64(s.state.LastAccepted()),
+		Sender:      string(s.self.ID),
+		StateDigest: s.stateDigest(),
+	}
+}
+
+// fill returns a request that brings a peer from an offset to the state.
+func (s *Spreader) fill(since gooseberrypass.Offset) *wire.ExchangeRequest {
+	request := s.request()
+	if records, ok := s.history.after(since); ok {
+		request.Records = records
+	} else {
+		request.Snapshot = s.peerSnapshot()
+	}
+	return request
+}
+
+// answer answers a peer and takes over what it brought.
+func (s *Spreader) answer(now time.Time, e exchangeReceived) []gooseberrypass.Effect {
+	effects := s.take(now, e.request.GetRecords(), e.request.GetSnapshot())
+	offset := gooseberrypass.Offset(e.request.GetOffset())
+	s.compareDigests(offset, e.request.GetStateDigest(), e.request.GetSender())
+	response := &wire.ExchangeResponse{Offset: uint64(s.state.LastAccepted()), StateDigest: s.stateDigest()}
+	if offset < s.state.LastAccepted() {
+		fill := s.fill(offset)
+		response.Records, response.Snapshot = fill.Records, fill.Snapshot
+	}
+	e.reply <- response
+	return effects
+}
+
+// settleExchange takes over what a peer answered, and sends it what it lacks.
+func (s *Spreader) settleExchange(now time.Time, e exchanged) []gooseberrypass.Effect {
+	if e.err != nil {
+		s.metrics.exchanges.WithLabelValues("failed").Inc()
+		s.suspects[e.peer.ID] = now.Add(suspectTime)
+		return nil
+	}
+	s.metrics.exchanges.WithLabelValues("answered").Inc()
+	delete(s.suspects, e.peer.ID)
+	effects := s.take(now, e.response.GetRecords(), e.response.GetSnapshot())
+	offset := gooseberrypass.Offset(e.response.GetOffset())
+	s.compareDigests(offset, e.response.GetStateDigest(), string(e.peer.ID))
+	if offset < s.state.LastAccepted() && !e.followUp {
+		followUp := s.exchange(e.peer, s.fill(offset))
+		followUp.followUp = true
+		effects = append(effects, followUp)
+	}
+	return effects
+}
+
+// take takes over records or a snapshot that a peer sent, if they are newer.
+func (s *Spreader) take(now time.Time, records []*wire.LogRecord, snapshot []byte) []gooseberrypass.Effect {
+	if state, accepted := acceptRecords(s.key, s.state, records); len(accepted) > 0 {
+		return s.adopt(now, state, accepted)
+	}
+	if len(snapshot) == 0 {
+		return nil
+	}
+	decoded, err := replayer.Decode(s.key, snapshot)
+	if err != nil || decoded.Snapshot == nil {
+		s.metrics.exchanges.WithLabelValues("refused").Inc()
+		return nil
+	}
+	return s.adopt(now, replayer.NewState(*decoded.Snapshot), nil)
+}
+
+// compareDigests counts peers that hold other files at the same offset.
+func (s *Spreader) compareDigests(offset gooseberrypass.Offset, digest []byte, peer string) {
+	if offset == 0 || offset != s.state.LastAccepted() || bytes.Equal(digest, s.stateDigest()) {
+		return
+	}
+	s.metrics.divergences.Inc()
+	s.logger.WithField("peer", peer).WithField("offset", offset).Error("peer holds other files at the same offset")
+}
+
+// recordOf returns a record of the log that a peer sent.
+func recordOf(r *wire.LogRecord) gooseberrypass.Record {
+	return gooseberrypass.Record{
+		Body: r.GetBody(), Offset: gooseberrypass.Offset(r.GetOffset()), Time: time.Unix(0, r.GetUnixNanos()),
+	}
+}
--- /dev/null
+++ b/spreader/ranks.go
@@ -0,0 +1,21 @@
+package spreader
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// rank orders ids by a hash of each, so that all processes with the same list
+// find the same order, and a change of the list moves few places.
+func rank(salt string, ids []gooseberrypass.ID) {
+	slices.SortFunc(ids, func(a, b gooseberrypass.ID) int {
+		return cmp.Or(
+			cmp.Compare(xxhash.Sum64String(salt+string(a)), xxhash.Sum64String(salt+string(b))),
+			cmp.Compare(a, b),
+		)
+	})
+}
