Answer callers through the filter chain of an entry

The thin path of requests, whole: caller API, deadline, identity, resolution, limits per client account, quarantine, claims in the log, routing, retries and attempts over HTTP, the answer check, and counts for the service-level report. answerer.NewEntry builds the chain; its controllers run on the control loop.

Claims are a controller too: events in, effects out, so their interleavings can be tested without sockets. Weighed: goroutines with a lock for each partition, which test badly.

A request's digest now covers what its names resolved to, so the same request under another naming scheme is the same request.

--- /dev/null
+++ b/answerer/entry.go
@@ -0,0 +1,111 @@
+package answerer
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/burner"
+	"github.com/gooseberrypass/gooseberrypass/claimer"
+	"github.com/gooseberrypass/gooseberrypass/limiter"
+	"github.com/gooseberrypass/gooseberrypass/quarantiner"
+	"github.com/gooseberrypass/gooseberrypass/retrier"
+	"github.com/gooseberrypass/gooseberrypass/router"
+	"github.com/gooseberrypass/gooseberrypass/wire"
+)
+
+// Dependencies are what the request path of an entry is made of.
+type Dependencies struct {
+	Client     *http.Client // to agents; carries the shared key, no timeout
+	Clock      gooseberrypass.Clock
+	Config     gooseberrypass.ConfigSource
+	Log        gooseberrypass.Log
+	Logger     logrus.FieldLogger
+	Membership gooseberrypass.Membership
+	Partitions int                        // of claims, 0 for the default
+	Post       func(gooseberrypass.Event) // to the control loop
+	Registerer prometheus.Registerer
+	Seed       uint64
+	Self       gooseberrypass.ListedInstance
+}
+
+// An Entry is the request path of an entry process. It runs no goroutine of its
+// own beyond those of the requests.
+type Entry struct {
+	burner      *burner.Burner
+	config      gooseberrypass.ConfigSource
+	controllers []gooseberrypass.Controller
+	handler     http.Handler
+	membership  gooseberrypass.Membership
+	clock       gooseberrypass.Clock
+	self        gooseberrypass.ListedInstance
+}
+
+// NewEntry builds the filter chain of an entry: deadline, identity, resolution,
+// service level, limit, quarantine, claim, answer check, and the retrier, which
+// routes each attempt.
+func NewEntry(d Dependencies) (*Entry, error) {
+	if d.Partitions == 0 {
+		d.Partitions = claimer.DefaultPartitions
+	}
+	burn, err := burner.New(d.Clock, d.Config, d.Self.ID, d.Registerer)
+	if err != nil {
+		return nil, err
+	}
+	limit, err := limiter.New(d.Clock, d.Config, d.Registerer)
+	if err != nil {
+		return nil, err
+	}
+	quarantine, err := quarantiner.New(d.Clock, d.Config, d.Post, d.Registerer, d.Logger)
+	if err != nil {
+		return nil, err
+	}
+	claim, err := claimer.New(d.Clock, d.Config, d.Log, d.Partitions, d.Post, d.Registerer, d.Logger)
+	if err != nil {
+		return nil, err
+	}
+	route, err := router.New(d.Clock, d.Config, d.Membership, d.Self, d.Seed, d.Registerer)
+	if err != nil {
+		return nil, err
+	}
+	retry, err := retrier.New(d.Clock, d.Config, route, retrier.NewHTTPDispatcher(d.Client), quarantine, d.Registerer)
+	if err != nil {
+		return nil, err
+	}
+	chain := gooseberrypass.Chain(retry,
+		deadlineFilter{clock: d.Clock, config: d.Config},
+		identityFilter{config: d.Config},
+		resolutionFilter{config: d.Config},
+		burn, limit, quarantine, claim,
+		checkFilter{},
+	)
+	handler, err := New(d.Clock, d.Config, chain, claim)
+	if err != nil {
+		return nil, err
+	}
+	return &Entry{
+		burner:      burn,
+		clock:       d.Clock,
+		config:      d.Config,
+		controllers: []gooseberrypass.Controller{burn, limit, quarantine, claim, route},
+		handler:     handler,
+		membership:  d.Membership,
+		self:        d.Self,
+	}, nil
+}
+
+// Controllers returns the controllers that the process's control loop must run.
+func (e *Entry) Controllers() []gooseberrypass.Controller { return e.controllers }
+
+// Handler returns the handler of the caller API.
+func (e *Entry) Handler() http.Handler { return e.handler }
+
+// Burn implements wire.Entry.
+func (e *Entry) Burn(ctx context.Context, r *wire.BurnRequest) (*wire.BurnResponse, error) {
+	return e.burner.Burn(ctx, r)
+}
+
+var _ wire.Entry = (*Entry)(nil)
--- /dev/null
+++ b/quarantiner/quarantiner.go
@@ -0,0 +1,186 @@
+// Package quarantiner keeps requests that crash endpoints from being run again
+// and again.
+package quarantiner
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// convictingCrashes is how many crashes a request must have been seen in, the
+// last one alone, to be refused.
+const convictingCrashes = 2
+
+// A snapshot is what traffic goroutines read: immutable.
+type snapshot struct {
+	refused  map[gooseberrypass.Digest]time.Time // until when
+	suspects map[gooseberrypass.Digest]bool
+}
+
+// A Quarantiner is the filter that refuses requests which crashed endpoints,
+// and the controller that scores them. A request seen in one crash is a
+// suspect: it runs alone on its endpoint, so that nothing else is lost with it
+// and a second crash tells for sure. It is cleared when it finishes.
+type Quarantiner struct {
+	clock    gooseberrypass.Clock
+	config   gooseberrypass.ConfigSource
+	logger   logrus.FieldLogger
+	metrics  *metrics
+	post     func(gooseberrypass.Event)
+	scores   *scores
+	snapshot atomic.Pointer[snapshot]
+}
+
+// New returns a quarantiner. post hands events to the control loop that runs
+// it.
+func New(
+	clock gooseberrypass.Clock,
+	config gooseberrypass.ConfigSource,
+	post func(gooseberrypass.Event),
+	registerer prometheus.Registerer,
+	logger logrus.FieldLogger,
+) (*Quarantiner, error) {
+	m, err := newMetrics(registerer)
+	if err != nil {
+		return nil, err
+	}
+	q := &Quarantiner{clock: clock, config: config, logger: logger, metrics: m, post: post, scores: newScores()}
+	q.snapshot.Store(&snapshot{})
+	return q, nil
+}
+
+// A finished is the event that a suspect ran to its end.
+type finished struct{ digest gooseberrypass.Digest }
+
+// EventName implements gooseberrypass.Event.
+func (finished) EventName() string { return "suspect-finished" }
+
+// A broken is the event that an attempt broke off.
+type broken struct{ cut cut }
+
+// EventName implements gooseberrypass.Event.
+func (broken) EventName() string { return "attempt-broken" }
+
+// Alone reports whether a request must run alone on its endpoint.
+func (q *Quarantiner) Alone(digest gooseberrypass.Digest) bool {
+	return q.snapshot.Load().suspects[digest]
+}
+
+// Cut tells that an attempt, which may have run alone, broke off at an endpoint
+// that may have crashed.
+func (q *Quarantiner) Cut(digest gooseberrypass.Digest, at gooseberrypass.ID, alone bool) {
+	q.post(broken{cut: cut{alone: alone, at: at, digest: digest}})
+}
+
+// Finished tells that a request ran to its end.
+func (q *Quarantiner) Finished(digest gooseberrypass.Digest) {
+	if q.Alone(digest) {
+		q.post(finished{digest: digest})
+	}
+}
+
+// Wrap implements gooseberrypass.Filter.
+func (q *Quarantiner) Wrap(next gooseberrypass.Handler) gooseberrypass.Handler {
+	return gooseberrypass.HandlerFunc(func(ctx context.Context, req *gooseberrypass.Request, answer gooseberrypass.Answer) error {
+		until, ok := q.snapshot.Load().refused[req.Digest()]
+		now := q.clock.Now()
+		if !ok || !now.Before(until) {
+			return next.Handle(ctx, req, answer)
+		}
+		q.metrics.refused.Inc()
+		return &gooseberrypass.RequestError{
+			Detail:     "the request crashed endpoints and is refused for a time",
+			Outcome:    gooseberrypass.OutcomeNotRun,
+			Reason:     gooseberrypass.ReasonPoison,
+			RetryAfter: until.Sub(now),
+		}
+	})
+}
+
+// Handle implements gooseberrypass.Controller.
+func (q *Quarantiner) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
+	changed := false
+	switch e := event.(type) {
+	case gooseberrypass.MembersChanged:
+		changed = q.observe(now, e.Members)
+	case broken:
+		q.scores.suspectCut(now, e.cut)
+	case finished:
+		changed = q.scores.clear(e.digest)
+	case gooseberrypass.Tick:
+		changed = q.scores.expire(now)
+	}
+	if changed {
+		q.publish()
+	}
+	return nil
+}
+
+func (q *Quarantiner) observe(now time.Time, members []gooseberrypass.Member) bool {
+	gone := q.scores.gone(members)
+	for _, c := range gone {
+		q.score(now, c.digest, c.at, c.alone)
+	}
+	changed := len(gone) > 0
+	for _, m := range members {
+		if m.Status == nil {
+			continue
+		}
+		for _, crash := range m.Status.Crashes {
+			changed = q.crash(now, m.Listed.ID, crash) || changed
+		}
+	}
+	return changed
+}
+
+func (q *Quarantiner) crash(now time.Time, at gooseberrypass.ID, crash gooseberrypass.Crash) bool {
+	if !q.scores.note(now, at, crash) {
+		return false
+	}
+	q.metrics.crashes.Inc()
+	alone := len(crash.Requests) == 1
+	for _, digest := range crash.Requests {
+		q.score(now, digest, at, alone)
+	}
+	return true
+}
+
+func (q *Quarantiner) score(now time.Time, digest gooseberrypass.Digest, at gooseberrypass.ID, alone bool) {
+	if !q.scores.add(now, digest, at, alone, q.quarantine()) {
+		return
+	}
+	q.metrics.quarantined.Inc()
+	q.logger.WithField("request", digest.Short()).Warn("request crashed endpoints, refusing it for a time")
+}
+
+func (q *Quarantiner) quarantine() time.Duration {
+	cfg := q.config.Config()
+	if cfg == nil {
+		return 0
+	}
+	return cfg.System().Quarantine()
+}
+
+func (q *Quarantiner) publish() {
+	s := &snapshot{refused: map[gooseberrypass.Digest]time.Time{}, suspects: map[gooseberrypass.Digest]bool{}}
+	for digest, score := range q.scores.requests {
+		if !score.refusedUntil.IsZero() {
+			s.refused[digest] = score.refusedUntil
+		} else {
+			s.suspects[digest] = true
+		}
+	}
+	q.snapshot.Store(s)
+	q.metrics.suspects.Set(float64(len(s.suspects)))
+}
+
+var (
+	_ gooseberrypass.Controller = (*Quarantiner)(nil)
+	_ gooseberrypass.Filter     = (*Quarantiner)(nil)
+)
--- a/request.go
+++ b/request.go
@@ -95,6 +95,7 @@
 func (r *Request) WithAccountID(id ID) *Request {
 	c := *r
 	c.accountID = id
+	c.digest = c.resolvedDigest()
 	return &c
 }
 
@@ -105,6 +106,13 @@
 	return &c
 }
 
+// WithMaxTokens returns a copy with another limit of tokens.
+func (r *Request) WithMaxTokens(n int) *Request {
+	c := *r
+	c.fields.MaxTokens = n
+	return &c
+}
+
 // WithPriority returns a copy with another priority.
 func (r *Request) WithPriority(priority Priority) *Request {
 	c := *r
@@ -118,9 +126,23 @@
 	c := *r
 	c.targetID = id
 	c.repeatable = repeatable
+	c.digest = c.resolvedDigest()
 	return &c
 }
 
+// resolvedDigest returns the digest over what has been resolved, so that it
+// does not depend on the scheme of the names a caller used.
+func (r *Request) resolvedDigest() Digest {
+	f := r.fields
+	if r.accountID != "" {
+		f.Account = Name(r.accountID)
+	}
+	if r.targetID != "" {
+		f.Target = Name(r.targetID)
+	}
+	return requestDigest(f)
+}
+
 func requestDigest(f RequestFields) Digest {
 	h := sha256.New()
 	for _, part := range [][]byte{[]byte(f.Account), []byte(f.Target), []byte(f.Call), f.Body} {
--- /dev/null
+++ b/retrier/call.go
@@ -0,0 +1,85 @@
+package retrier
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/router"
+	"github.com/gooseberrypass/gooseberrypass/wire"
+)
+
+// call makes one attempt at a call of a plain service.
+func (r *run) call(ctx context.Context, ticket *router.Ticket, id string, left time.Duration) *failure {
+	digest := r.req.Digest()
+	request := &wire.CallRequest{
+		Account:       string(r.req.AccountID()),
+		AttemptId:     id,
+		Body:          r.req.Body(),
+		Call:          r.req.Call(),
+		DeadlineMs:    max(left.Milliseconds(), 1),
+		Key:           r.req.Key(),
+		Priority:      int32(r.req.Priority()),
+		RequestDigest: digest[:],
+		Service:       string(r.req.TargetID()),
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := startWatchdog(r.retrier.clock, r.callWait(left, ticket.Service()), cancel)
+	defer watch.stop()
+	response, err := r.retrier.dispatcher.Call(ctx, ticket.Member().Listed, request)
+	if err != nil {
+		return r.broken(ticket, watch, err)
+	}
+	if err := checkResponse(request, response); err != nil {
+		r.retrier.metrics.badFrames.Inc()
+		return r.broken(ticket, watch, err)
+	}
+	if gooseberrypass.ParseOutcome(response.GetOutcome()) != gooseberrypass.OutcomeAnswered {
+		return refusal(response.GetOutcome(), response.GetReason(), response.GetDetail(), 0)
+	}
+	return r.deliverCall(response.GetBody())
+}
+
+// callWait is how long one attempt of a call may take. A call that may not be
+// repeated gets all the time there is.
+func (r *run) callWait(left, usual time.Duration) time.Duration {
+	if !r.req.Repeatable() {
+		return left
+	}
+	return firstWait(left, usual)
+}
+
+func (r *run) deliverCall(body []byte) *failure {
+	if err := r.start(gooseberrypass.Digest{}); err != nil {
+		return r.gone(err)
+	}
+	if err := r.answer.Write(body); err != nil {
+		return r.gone(err)
+	}
+	if err := r.answer.End(); err != nil {
+		return r.gone(err)
+	}
+	return nil
+}
+
+// checkResponse returns an error for a response that belongs to another
+// attempt or is not whole.
+func checkResponse(request *wire.CallRequest, response *wire.CallResponse) error {
+	if response.GetAttemptId() != request.GetAttemptId() {
+		return errors.Wrapf(ErrBadFrame, "attempt %q, want %q", response.GetAttemptId(), request.GetAttemptId())
+	}
+	if string(response.GetRequestDigest()) != string(request.GetRequestDigest()) {
+		return errors.Wrap(ErrBadFrame, "other request's digest")
+	}
+	if gooseberrypass.ParseOutcome(response.GetOutcome()) != gooseberrypass.OutcomeAnswered {
+		return nil
+	}
+	digest := gooseberrypass.DigestOf(response.GetBody())
+	if string(response.GetBodyDigest()) != string(digest[:]) {
+		return errors.Wrap(ErrBadFrame, "digest of the answer differs")
+	}
+	return nil
+}
--- /dev/null
+++ b/retrier/dispatcher.go
@@ -0,0 +1,31 @@
+package retrier
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/wire"
+)
+
+// ErrNotSent is wrapped by the error of a dispatch of which no byte was sent.
+var ErrNotSent = errors.New("nothing was sent")
+
+// A FrameStream returns the frames of the answer to one attempt, in the order
+// in which they came. It checks nothing but their encoding.
+type FrameStream interface {
+	// Next returns the next frame, or io.EOF where the connection ended.
+	Next() (*wire.Frame, error)
+	Close() error
+}
+
+// A Dispatcher hands attempts to the process beside an endpoint. An error that
+// wraps ErrNotSent promises that the attempt has not reached it and will not.
+type Dispatcher interface {
+	Call(ctx context.Context, to gooseberrypass.ListedInstance, call *wire.CallRequest) (*wire.CallResponse, error)
+	Cancel(ctx context.Context, to gooseberrypass.ListedInstance, attemptID string) error
+	Generate(ctx context.Context, to gooseberrypass.ListedInstance, attempt *wire.Attempt) (FrameStream, error)
+	// Refuse settles attempts and returns the state of each.
+	Refuse(ctx context.Context, to gooseberrypass.ListedInstance, attemptIDs []string) ([]wire.AttemptState, error)
+}
--- /dev/null
+++ b/retrier/httpdispatcher.go
@@ -0,0 +1,140 @@
+package retrier
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/wire"
+)
+
+// The limits of messages between entries and agents, in bytes.
+const (
+	// MaxFrame is the largest frame; one with a key-value cache is the largest.
+	MaxFrame    = 64 << 20
+	frameBuffer = 16 << 10
+)
+
+const attemptContentType = "application/x-protobuf"
+
+// A HTTPDispatcher hands attempts to agents over HTTP: generation by POST
+// /attempts, all else by twirp.
+type HTTPDispatcher struct {
+	client *http.Client
+}
+
+// NewHTTPDispatcher returns a dispatcher that uses client, which must carry the
+// system's shared key and have no timeout of its own.
+func NewHTTPDispatcher(client *http.Client) *HTTPDispatcher {
+	return &HTTPDispatcher{client: client}
+}
+
+// Call implements Dispatcher.
+func (d *HTTPDispatcher) Call(ctx context.Context, to gooseberrypass.ListedInstance, call *wire.CallRequest) (*wire.CallResponse, error) {
+	ctx, connected := traceConnection(ctx)
+	answer, err := d.agent(to).Call(ctx, call)
+	return answer, sentError(err, connected, "call service")
+}
+
+// Cancel implements Dispatcher.
+func (d *HTTPDispatcher) Cancel(ctx context.Context, to gooseberrypass.ListedInstance, attemptID string) error {
+	_, err := d.agent(to).Cancel(ctx, &wire.CancelRequest{AttemptId: attemptID})
+	return errors.Wrap(err, "cancel attempt")
+}
+
+// Generate implements Dispatcher.
+func (d *HTTPDispatcher) Generate(ctx context.Context, to gooseberrypass.ListedInstance, attempt *wire.Attempt) (FrameStream, error) {
+	body, err := proto.Marshal(attempt)
+	if err != nil {
+		return nil, notSent(err, "encode attempt")
+	}
+	ctx, connected := traceConnection(ctx)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, baseURL(to)+"/attempts", bytes.NewReader(body))
+	if err != nil {
+		return nil, notSent(err, "build attempt")
+	}
+	r.Header.Set("Content-Type", attemptContentType)
+	response, err := d.client.Do(r)
+	if err != nil {
+		return nil, sentError(err, connected, "send attempt")
+	}
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		return nil, errors.Errorf("send attempt: status %s", response.Status)
+	}
+	return &frameStream{body: response.Body, reader: bufio.NewReaderSize(response.Body, frameBuffer)}, nil
+}
+
+// Refuse implements Dispatcher.
+func (d *HTTPDispatcher) Refuse(ctx context.Context, to gooseberrypass.ListedInstance, attemptIDs []string) ([]wire.AttemptState, error) {
+	answer, err := d.agent(to).Refuse(ctx, &wire.RefuseRequest{AttemptIds: attemptIDs})
+	if err != nil {
+		return nil, errors.Wrap(err, "refuse attempts")
+	}
+	if len(answer.GetStates()) != len(attemptIDs) {
+		return nil, errors.Errorf("refuse attempts: %d states for %d attempts", len(answer.GetStates()), len(attemptIDs))
+	}
+	return answer.GetStates(), nil
+}
+
+func (d *HTTPDispatcher) agent(to gooseberrypass.ListedInstance) wire.Agent {
+	return wire.NewAgentProtobufClient(baseURL(to), d.client)
+}
+
+func baseURL(to gooseberrypass.ListedInstance) string { return "http://" + to.Address }
+
+// traceConnection returns a context whose request sets the flag as soon as it
+// has a connection to be written to.
+func traceConnection(ctx context.Context) (context.Context, *atomic.Bool) {
+	connected := new(atomic.Bool)
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}), connected
+}
+
+func sentError(err error, connected *atomic.Bool, doing string) error {
+	if err == nil {
+		return nil
+	}
+	if !connected.Load() {
+		return notSent(err, doing)
+	}
+	return errors.Wrap(err, doing)
+}
+
+func notSent(err error, doing string) error {
+	return errors.Wrapf(ErrNotSent, "%s: %v", doing, err)
+}
+
+// A frameStream reads frames from the body of a response.
+type frameStream struct {
+	body   io.ReadCloser
+	reader *bufio.Reader
+}
+
+// Next implements FrameStream.
+func (s *frameStream) Next() (*wire.Frame, error) {
+	frame := &wire.Frame{}
+	err := protodelim.UnmarshalOptions{MaxSize: MaxFrame}.UnmarshalFrom(s.reader, frame)
+	if errors.Is(err, io.EOF) {
+		return nil, io.EOF
+	}
+	return frame, errors.Wrap(err, "read frame")
+}
+
+// Close implements FrameStream.
+func (s *frameStream) Close() error { return s.body.Close() }
+
+var (
+	_ Dispatcher  = (*HTTPDispatcher)(nil)
+	_ FrameStream = (*frameStream)(nil)
+)
