--- a/connector/client.go
+++ b/connector/client.go
@@ -82,7 +82,7 @@
 		return nil, err
 	}
 	defer closeBody(resp)
-	return readAll(resp.Body, limit)
+	return readAll(resp, limit)
 }
 
 // exchangeJSON sends a request and decodes its answer.
@@ -142,16 +142,19 @@
 	return time.Duration(seconds) * time.Second
 }
 
-// readAll reads r to its end. It returns ErrBadAnswer for more than limit bytes.
-func readAll(r io.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
+// readAll reads a whole body. It returns ErrBadAnswer for more than limit bytes.
+func readAll(resp *http.Response, limit int64) ([]byte, error) {
+	var body bytes.Buffer
+	if resp.ContentLength > 0 {
+		body.Grow(int(min(resp.ContentLength, limit)) + bytes.MinRead)
+	}
+	if _, err := body.ReadFrom(io.LimitReader(resp.Body, limit+1)); err != nil {
 		return nil, errors.Wrap(err, "read answer")
 	}
-	if int64(len(body)) > limit {
+	if int64(body.Len()) > limit {
 		return nil, errors.Wrapf(ErrBadAnswer, "more than %d bytes", limit)
 	}
-	return body, nil
+	return body.Bytes(), nil
 }
 
 func closeBody(resp *http.Response) {
--- a/connector/origin.go
+++ b/connector/origin.go
@@ -52,12 +52,12 @@
 	if got := resp.Header.Get("Content-Range"); !strings.HasPrefix(got, want) {
 		return nil, errors.Wrapf(ErrBadAnswer, "%s: range %q, want %q", operation(r), got, want)
 	}
-	return readExactly(resp.Body, size)
+	return readExactly(resp, size)
 }
 
-// readExactly reads size bytes and the end of r.
-func readExactly(r io.Reader, size int64) ([]byte, error) {
-	body, err := readAll(r, size)
+// readExactly reads a body of size bytes.
+func readExactly(resp *http.Response, size int64) ([]byte, error) {
+	body, err := readAll(resp, size)
 	if err != nil {
 		return nil, err
 	}
--- a/emulator/weightstore.go
+++ b/emulator/weightstore.go
@@ -14,6 +14,7 @@
 
 // WeightStoreSettings are the limits of a WeightStore. 0 stands for no limit.
 type WeightStoreSettings struct {
+	Burst    int64 // bytes at once above the rate, MaxChunkSize for 0
 	ByteRate int64 // bytes a second, both ways together
 	MaxBytes int64 // bytes held
 }
@@ -39,7 +40,7 @@
 	s := &WeightStore{
 		FaultSwitch: FaultSwitch{clock: clock},
 		chunks:      map[gooseberrypass.Digest][]byte{},
-		limiter:     rate.NewLimiter(limit, gooseberrypass.MaxChunkSize),
+		limiter:     rate.NewLimiter(limit, orDefault(int(settings.Burst), gooseberrypass.MaxChunkSize)),
 		set:         settings,
 	}
 	mux := http.NewServeMux()
@@ -107,6 +108,10 @@
 func (s *WeightStore) admit(w http.ResponseWriter, n int) bool {
 	now := s.clock.Now()
 	reservation := s.limiter.ReserveN(now, n)
+	if !reservation.OK() {
+		http.Error(w, "more than the store's burst", http.StatusRequestEntityTooLarge)
+		return false
+	}
 	delay := reservation.DelayFrom(now)
 	if delay == 0 {
 		return true
