--- /dev/null
+++ b/attempter/attempter_test.go
@@ -0,0 +1,64 @@
+package attempter_test
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+func TestAnswerIsWhole(t *testing.T) {
+	e := newFakeEngine(4, digestOf("v1"))
+	e.generate = func(_ context.Context, o gooseberrypass.GenerateOrder) (gooseberrypass.TokenStream, error) {
+		return replay(tokensOf(o.AttemptID, o.Digest, 5), io.EOF), nil
+	}
+	a := newEngineAgent(t, e)
+	got := a.ask(t, attemptOf("a-1"))
+	want := textOf(tokensOf("a-1", digestOf("v1"), 5))
+	if !got.whole() || got.text.String() != want {
+		t.Errorf("got %q, end %v, failed %v, want %q whole", got.text.String(), got.end, got.failed, want)
+	}
+}
+
+func TestNoAnswerWhileTheVersionIsBeingReplaced(t *testing.T) {
+	other := gooseberrypass.TargetStatus{Model: "other", Phase: gooseberrypass.PhaseLoading}
+	same := gooseberrypass.TargetStatus{Model: model, Phase: gooseberrypass.PhaseLoading}
+	tests := []struct {
+		name    string
+		asked   string
+		loading bool
+		targets []gooseberrypass.TargetStatus
+		want    string
+	}{
+		{"version in force", "", false, nil, ""},
+		{"version asked for", "v1", false, nil, ""},
+		{"version not loaded", "v2", false, nil, "not-loaded"},
+		{"load ordered", "", false, []gooseberrypass.TargetStatus{same}, "not-loaded"},
+		{"load seen only", "", true, nil, "not-loaded"},
+		{"another model's load", "", true, []gooseberrypass.TargetStatus{other}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newFakeEngine(4, digestOf("v1"))
+			e.state.Loading = tt.loading
+			e.generate = func(_ context.Context, o gooseberrypass.GenerateOrder) (gooseberrypass.TokenStream, error) {
+				return replay(tokensOf(o.AttemptID, o.Digest, 2), io.EOF), nil
+			}
+			a := newEngineAgent(t, e)
+			a.targets.set(tt.targets...)
+			m := attemptOf("a-1")
+			if tt.asked != "" {
+				d := digestOf(tt.asked)
+				m.WeightsDigest = d[:]
+			}
+			got := a.ask(t, m)
+			if got.failed.GetReason() != tt.want || (tt.want == "") != got.whole() {
+				t.Errorf("got failed %v, end %v, want reason %q", got.failed, got.end, tt.want)
+			}
+			if tt.want != "" && (got.failed.GetOutcome() != "not run" || e.runs["a-1"] != 0) {
+				t.Errorf("got outcome %q after %d runs, want not run", got.failed.GetOutcome(), e.runs["a-1"])
+			}
+		})
+	}
+}
--- /dev/null
+++ b/attempter/server.go
@@ -0,0 +1,105 @@
+package attempter
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/wire"
+)
+
+const (
+	maxRefusals   = 1024
+	maxStatusWait = 30 * time.Second
+)
+
+// A server is the wire.Agent of the process.
+type server struct {
+	caller   *caller // nil beside an engine
+	clock    gooseberrypass.Clock
+	registry *registry
+	reporter *reporter
+}
+
+// Call implements wire.Agent.
+func (s *server) Call(ctx context.Context, m *wire.CallRequest) (*wire.CallResponse, error) {
+	if err := checkIdentity(m.GetAttemptId(), m.GetRequestDigest()); err != nil {
+		return nil, twirp.InvalidArgumentError("attempt_id", err.Error())
+	}
+	resp := &wire.CallResponse{AttemptId: m.GetAttemptId(), RequestDigest: m.GetRequestDigest()}
+	body, err := s.call(ctx, m)
+	if err != nil {
+		e := asRequestError(err)
+		resp.Outcome, resp.Reason, resp.Detail = e.Outcome.String(), string(e.Reason), e.Detail
+		return resp, nil
+	}
+	digest := gooseberrypass.DigestOf(body)
+	resp.Body, resp.BodyDigest = body, digest[:]
+	resp.Outcome = gooseberrypass.OutcomeAnswered.String()
+	return resp, nil
+}
+
+func (s *server) call(ctx context.Context, m *wire.CallRequest) ([]byte, error) {
+	if s.caller == nil {
+		return nil, notRun(gooseberrypass.ReasonNotLoaded, "no service here")
+	}
+	return s.caller.call(ctx, m)
+}
+
+// Cancel implements wire.Agent. A call that was sent to a plain service goes on.
+func (s *server) Cancel(_ context.Context, m *wire.CancelRequest) (*wire.CancelResponse, error) {
+	return &wire.CancelResponse{Found: s.registry.cancelAttempt(m.GetAttemptId())}, nil
+}
+
+// Refuse implements wire.Agent.
+func (s *server) Refuse(_ context.Context, m *wire.RefuseRequest) (*wire.RefuseResponse, error) {
+	if len(m.GetAttemptIds()) > maxRefusals {
+		return nil, twirp.InvalidArgumentError("attempt_ids", "too many")
+	}
+	resp := &wire.RefuseResponse{States: make([]wire.AttemptState, 0, len(m.GetAttemptIds()))}
+	for _, id := range m.GetAttemptIds() {
+		resp.States = append(resp.States, s.refuse(id))
+	}
+	return resp, nil
+}
+
+func (s *server) refuse(id string) wire.AttemptState {
+	if id == "" || len(id) > maxIDSize {
+		return wire.AttemptState_ATTEMPT_STATE_UNKNOWN
+	}
+	switch s.registry.refuse(id) {
+	case phaseRefused:
+		return wire.AttemptState_ATTEMPT_STATE_REFUSED
+	case phaseNone:
+		return wire.AttemptState_ATTEMPT_STATE_UNKNOWN
+	default:
+		return wire.AttemptState_ATTEMPT_STATE_STARTED
+	}
+}
+
+// Status implements wire.Agent.
+func (s *server) Status(ctx context.Context, m *wire.StatusRequest) (*wire.StatusResponse, error) {
+	wait := time.Duration(min(m.GetWaitMs(), maxStatusWait.Milliseconds())) * time.Millisecond
+	if m.GetVersion() == 0 || wait <= 0 {
+		return s.reporter.response(s.clock.Now()), nil
+	}
+	timer := s.clock.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		p := s.reporter.published.Load()
+		if p.status.Version != m.GetVersion() {
+			return s.reporter.response(s.clock.Now()), nil
+		}
+		select {
+		case <-p.replaced:
+		case <-timer.Chan():
+			return s.reporter.response(s.clock.Now()), nil
+		case <-ctx.Done():
+			return nil, twirp.NewError(twirp.Canceled, "status no longer wanted")
+		}
+	}
+}
+
+var _ wire.Agent = (*server)(nil)
