--- /dev/null
+++ b/commander/agentcmd.go
@@ -0,0 +1,34 @@
+package commander
+
+import (
+	"context"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/runner"
+)
+
+// An agentCmd runs an agent process.
+type agentCmd struct {
+	settingsFlag
+}
+
+// Help returns what --help shows besides the flags.
+func (agentCmd) Help() string {
+	return settingsHelp(gooseberrypass.RoleAgent) + `
+Example:
+
+  gooseberrypass agent --settings agent.ini`
+}
+
+// Run runs the agent until the process is told to stop.
+func (c *agentCmd) Run(ctx context.Context, std streams) error {
+	settings, d, err := c.read(gooseberrypass.RoleAgent, std)
+	if err != nil {
+		return err
+	}
+	agent, err := runner.NewAgent(ctx, settings, d)
+	if err != nil {
+		return err
+	}
+	return agent.Run(ctx)
+}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -28,8 +28,10 @@
 
 // A Command line is what kong parses: one field for each command.
 type commandLine struct {
+	Agent    agentCmd    `cmd:"" help:"Run the process beside an endpoint."`
 	Check    checkCmd    `cmd:"" help:"Check a folder of INI files."`
 	Emulator emulatorCmd `cmd:"" help:"Run stand-ins of the platform for trials and tests."`
+	Entry    entryCmd    `cmd:"" help:"Run a process for callers."`
 	Merge    mergeCmd    `cmd:"" help:"Print the merge of a folder, with the place of each value."`
 	Publish  publishCmd  `cmd:"" help:"Publish a folder of INI files."`
 	Pull     pullCmd     `cmd:"" help:"Write the accepted files to a folder."`
--- /dev/null
+++ b/demonstrator/folder.go
@@ -0,0 +1,30 @@
+package demonstrator
+
+// systemFile is the part of the operator's folder that stays.
+const systemFile = `[system]
+bulk-rate = 8MiB
+max-unavailable = 0.34
+origin-region = centro
+
+[service licensing]
+inventory-name = SRV-0007
+path-name = /fonoteca/licences
+pool = licensing
+repeatable-calls = lookup
+unrepeatable-calls = charge
+
+[client-account radio-uno]
+inventory-name = ACC-0001
+
+[client-account podcast]
+path-name = /universidad/podcast
+`
+
+// modelFile is the part that names the version.
+const modelFile = `[model jingle-writer]
+inventory-name = MDL-0042
+path-name = /fonoteca/scripts/jingle-writer
+max-tokens = 64
+pool = writers
+version = %s
+`
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -20,8 +20,8 @@
 
 // A Listener serves one handler on one address.
 type Listener struct {
-	handler http.Handler
-	lis     net.Listener
+	lis    net.Listener
+	server *http.Server
 }
 
 // Listen binds address and returns a listener for handler.
@@ -36,7 +36,12 @@
 
 // New returns a listener for handler on lis, which it owns.
 func New(lis net.Listener, handler http.Handler) *Listener {
-	return &Listener{handler: handler, lis: lis}
+	return &Listener{lis: lis, server: &http.Server{
+		Handler:           limitBodyTime(handler),
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+	}}
 }
 
 // Address returns the address that is bound.
@@ -45,23 +50,20 @@
 // Close gives up the address of a listener that does not run.
 func (l *Listener) Close() error { return l.lis.Close() }
 
+// Kill gives up the address and cuts all connections.
+func (l *Listener) Kill() { _ = l.server.Close() }
+
 // Run serves until ctx is done. Then it takes no new connection, and waits up
 // to grace for the requests in progress before it cuts them.
 func (l *Listener) Run(ctx context.Context, grace time.Duration) error {
-	server := &http.Server{
-		Handler:           limitBodyTime(l.handler),
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: readHeaderTimeout,
-	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(l.lis) }()
+	go func() { failed <- l.server.Serve(l.lis) }()
 	select {
 	case err := <-failed:
 		return errors.Wrapf(err, "serve %s", l.Address())
 	case <-ctx.Done():
 	}
-	return stop(context.WithoutCancel(ctx), server, grace, failed)
+	return stop(context.WithoutCancel(ctx), l.server, grace, failed)
 }
 
 func stop(ctx context.Context, server *http.Server, grace time.Duration, failed <-chan error) error {
--- a/looper/looper.go
+++ b/looper/looper.go
@@ -30,15 +30,9 @@
 
 // New returns a loop that gives every controller each event, and a Tick every
 // period.
-func New(
-	clock gooseberrypass.Clock,
-	registerer prometheus.Registerer,
-	period time.Duration,
-	controllers ...gooseberrypass.Controller,
-) (*Loop, error) {
+func New(clock gooseberrypass.Clock, registerer prometheus.Registerer, period time.Duration) (*Loop, error) {
 	l := &Loop{
-		clock:       clock,
-		controllers: controllers,
+		clock: clock,
 		effects: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberrypass_control_effects_total",
 			Help: "Effects started by controllers.",
@@ -59,6 +53,12 @@
 	return l, nil
 }
 
+// Add adds controllers, which see each event after those added before. It must
+// not be called once the loop runs.
+func (l *Loop) Add(controllers ...gooseberrypass.Controller) {
+	l.controllers = append(l.controllers, controllers...)
+}
+
 // Post queues an event. It returns without queueing once the loop has stopped.
 func (l *Loop) Post(event gooseberrypass.Event) {
 	select {
--- a/looper/looper_test.go
+++ b/looper/looper_test.go
@@ -48,10 +48,11 @@
 	defer goleak.VerifyNone(t)
 	clock := clockwork.NewFakeClock()
 	c := &counter{done: make(chan struct{}), limit: 100}
-	loop, err := looper.New(clock, prometheus.NewRegistry(), time.Second, c)
+	loop, err := looper.New(clock, prometheus.NewRegistry(), time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
+	loop.Add(c)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- loop.Run(ctx) }()
--- /dev/null
+++ b/runner/entry.go
@@ -0,0 +1,100 @@
+package runner
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/answerer"
+	"github.com/gooseberrypass/gooseberrypass/dialer"
+	"github.com/gooseberrypass/gooseberrypass/listener"
+	"github.com/gooseberrypass/gooseberrypass/tracker"
+	"github.com/gooseberrypass/gooseberrypass/wire"
+)
+
+// agentsPerPool is how many agents of each pool an entry follows and sends
+// work to.
+const agentsPerPool = 48
+
+// An Entry is an entry process.
+type Entry struct {
+	*process
+	callers *listener.Listener
+	entry   *answerer.Entry
+	system  *listener.Listener
+}
+
+// NewEntry binds the addresses of an entry and puts its parts together.
+func NewEntry(ctx context.Context, settings *Settings, d Dependencies) (*Entry, error) {
+	p, err := newProcess(settings, tracker.SelectSubset(settings.self, agentsPerPool), d)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{process: p}
+	e.entry, err = answerer.NewEntry(answerer.Dependencies{
+		Client:     p.dialer.Client(dialer.ClassAttempt),
+		Clock:      p.clock,
+		Config:     p.spreader,
+		Log:        p.log,
+		Logger:     p.logger,
+		Membership: p.tracker,
+		Post:       p.loop.Post,
+		Registerer: p.registry,
+		Seed:       p.seed,
+		Self:       settings.self,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "request path")
+	}
+	p.loop.Add(e.entry.Controllers()...)
+	return e, e.bind(ctx)
+}
+
+// CallersAddress returns the address for callers.
+func (e *Entry) CallersAddress() string { return e.callers.Address() }
+
+// Config returns the configuration in force, nil before the first.
+func (e *Entry) Config() *gooseberrypass.Config { return e.spreader.Config() }
+
+// SystemAddress returns the address for other processes.
+func (e *Entry) SystemAddress() string { return e.system.Address() }
+
+// Run serves until ctx is done, then takes no new request and ends those in
+// progress.
+func (e *Entry) Run(ctx context.Context) error {
+	failed, stopParts := start(e.loop.Run, func(ctx context.Context) error {
+		return e.system.Run(ctx, closeGrace)
+	})
+	callersFailed, stopCallers := start(func(ctx context.Context) error {
+		return e.callers.Run(ctx, e.settings.grace)
+	})
+	e.logger.WithField("callers", e.CallersAddress()).WithField("system", e.SystemAddress()).Info("entry started")
+	var cause error
+	select {
+	case <-ctx.Done():
+		e.logger.Info("entry stops")
+	case cause = <-failed:
+	case cause = <-callersFailed:
+	}
+	for _, stop := range []func() error{stopCallers, stopParts} {
+		if err := stop(); cause == nil {
+			cause = err
+		}
+	}
+	return cause
+}
+
+func (e *Entry) bind(ctx context.Context) error {
+	server := wire.NewEntryServer(e.entry)
+	handler := e.systemHandler(e.ready, listener.Route{Handler: server, Pattern: server.PathPrefix()})
+	var err error
+	if e.system, err = listener.Listen(ctx, e.settings.listen.String(), handler); err != nil {
+		return err
+	}
+	e.callers, err = listener.Listen(ctx, e.settings.callers.String(), e.entry.Handler())
+	if err != nil {
+		_ = e.system.Close()
+	}
+	return err
+}
