Distribute weights between instances and load them in waves

An instance gets chunks from the instance before it in a rank order that each chunk has of its own, and only the first in rank reads the origin. The chunk request waits at a holder that waits itself, so no messages on who holds what are needed. The loader orders a load once every chunk is verified and the instance's wave has come.

Instances that knew the configuration early took a 404 of one that did not know it yet for a refusal.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -26,6 +26,7 @@
 
 // A Command line is what kong parses: one field for each command.
 type commandLine struct {
+	Pack    packCmd    `cmd:"" help:"Make the manifest of a weights file."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/fetcher/settings.go
@@ -0,0 +1,57 @@
+package fetcher
+
+import (
+	"math/bits"
+	"time"
+)
+
+// Settings tune a Planner. The zero value of a field stands for its default.
+type Settings struct {
+	FarInFlight    int           // reads from other regions at once
+	Fanout         int           // instances of its region that one sends a chunk to
+	InitialLimit   time.Duration // of a transfer before one has been measured
+	MaxLimit       time.Duration // of a transfer
+	MinLimit       time.Duration // of a transfer
+	OriginInFlight int           // reads from the origin at once
+	StoreInFlight  int           // reads from the weight store at once
+	Wait           time.Duration // how long a peer may hold a request
+	Window         int           // missing items looked at; 0 grows with the instances
+}
+
+const (
+	defaultFanout       = 2
+	defaultInFlight     = 4
+	defaultInitialLimit = 20 * time.Second
+	defaultMaxLimit     = 2 * time.Minute
+	defaultMinLimit     = time.Second
+	defaultWait         = 5 * time.Second
+	windowBase          = 16
+	windowPerDoubling   = 6
+)
+
+func (s Settings) withDefaults() Settings {
+	defaultTo(&s.FarInFlight, defaultInFlight)
+	defaultTo(&s.Fanout, defaultFanout)
+	defaultTo(&s.InitialLimit, defaultInitialLimit)
+	defaultTo(&s.MaxLimit, defaultMaxLimit)
+	defaultTo(&s.MinLimit, defaultMinLimit)
+	defaultTo(&s.OriginInFlight, defaultInFlight)
+	defaultTo(&s.StoreInFlight, defaultInFlight)
+	defaultTo(&s.Wait, defaultWait)
+	return s
+}
+
+func defaultTo[T ~int | ~int64](v *T, value T) {
+	if *v == 0 {
+		*v = value
+	}
+}
+
+// window returns how many missing items are looked at when n instances take
+// part: a chunk needs a time to come that grows with the depth of its tree.
+func (s Settings) window(n int) int {
+	if s.Window > 0 {
+		return s.Window
+	}
+	return windowBase + windowPerDoubling*bits.Len(uint(n))
+}
--- /dev/null
+++ b/keeper/weights.go
@@ -0,0 +1,66 @@
+package keeper
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// WeightsPattern is where a WeightsHandler stands in a http.ServeMux.
+const WeightsPattern = "GET /weights/{digest}"
+
+// A WeightsHandler streams the weights of a version that is held whole to the
+// engine beside this process. It is to be offered on loopback only.
+type WeightsHandler struct {
+	keeper *Keeper
+}
+
+// NewWeightsHandler returns a handler that reads from a keeper.
+func NewWeightsHandler(keeper *Keeper) *WeightsHandler {
+	return &WeightsHandler{keeper: keeper}
+}
+
+// ServeHTTP implements http.Handler. It answers 404 unless every chunk is held.
+func (h *WeightsHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	digest, err := gooseberrypass.ParseDigest(r.PathValue("digest"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	manifest, err := h.whole(digest)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.FormatInt(manifest.Size(), 10))
+	for i := range manifest.Len() {
+		body, err := h.keeper.Chunk(manifest.Chunk(i).Digest)
+		if err == nil {
+			_, err = w.Write(body)
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler) // the engine sees cut weights
+		}
+	}
+}
+
+func (h *WeightsHandler) whole(digest gooseberrypass.Digest) (*gooseberrypass.Manifest, error) {
+	encoded, err := h.keeper.Chunk(digest)
+	if err != nil {
+		return nil, err
+	}
+	manifest, err := gooseberrypass.ParseManifest(encoded)
+	if err != nil {
+		return nil, err
+	}
+	for i := range manifest.Len() {
+		if _, err := h.keeper.Chunk(manifest.Chunk(i).Digest); err != nil {
+			return nil, err
+		}
+	}
+	return manifest, nil
+}
+
+var _ http.Handler = (*WeightsHandler)(nil)
--- /dev/null
+++ b/loader/distribution_test.go
@@ -0,0 +1,41 @@
+package loader_test
+
+import (
+	"testing"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+func TestDistributionKeepsLinksAndOrigin(t *testing.T) {
+	o := &origin{}
+	weights := randomWeights(1, 256)
+	m := o.publish(t, "jingles", "1", weights, gooseberrypass.Digest{})
+	f := &fleet{}
+	for i := range 15 {
+		f.agents = append(f.agents, newAgent(t, i, "centro", o, nil, nil))
+	}
+	f.round()
+	for _, a := range f.agents {
+		a.accept(config(1, model("jingles", "1", m.Digest(), nil)))
+	}
+	f.until(t, "all serve", serve(f.agents, "jingles", m.Digest()))
+
+	if got := o.copies(len(weights)); got > 1.1 {
+		t.Errorf("got %.2f copies read from the origin, want at most 1.1", got)
+	}
+	var most float64
+	for _, a := range f.agents {
+		in := a.sum(t, "gooseberrypass_fetch_bytes_total", "") / float64(len(weights))
+		out := a.sum(t, "gooseberrypass_chunk_sent_bytes_total", "") / float64(len(weights))
+		most = max(most, in, out)
+		for v, got := range a.engine.bytes {
+			if want := gooseberrypass.DigestOf(weights); got != want {
+				t.Errorf("%s loaded %s for %s, want %s", a.listed.ID, got, v.Digest, want)
+			}
+		}
+	}
+	if most > 2.2 {
+		t.Errorf("got %.2f copies on a link, want at most 2.2", most)
+	}
+	t.Logf("origin copies %.3f, most copies on a link %.3f", o.copies(len(weights)), most)
+}
--- /dev/null
+++ b/loader/harness_test.go
@@ -0,0 +1,363 @@
+package loader_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/fetcher"
+	"github.com/gooseberrypass/gooseberrypass/keeper"
+	"github.com/gooseberrypass/gooseberrypass/loader"
+	"github.com/gooseberrypass/gooseberrypass/looper"
+	"github.com/gooseberrypass/gooseberrypass/packer"
+)
+
+const chunkSize = 16 << 10
+
+type names struct{}
+
+func (names) Resolve(_ gooseberrypass.Kind, name gooseberrypass.Name) (gooseberrypass.ID, bool) {
+	return gooseberrypass.ID(name), true
+}
+
+func section(kind gooseberrypass.Kind, id gooseberrypass.ID, values map[string]any) gooseberrypass.Section {
+	return gooseberrypass.NewSection(kind, id, nil, values)
+}
+
+// config returns a configuration that pins models to manifests in pool "gpu".
+func config(offset gooseberrypass.Offset, sections ...gooseberrypass.Section) *gooseberrypass.Config {
+	sections = append(sections, section(gooseberrypass.KindSystem, "", map[string]any{
+		"chunk-memory": int64(64 << 20), "max-unavailable": 0.2, "origin-budget": 4.0, "origin-region": "centro",
+		"stop-limit": time.Minute,
+	}))
+	return gooseberrypass.NewConfig(offset, names{}, sections)
+}
+
+func model(id gooseberrypass.ID, version string, digest gooseberrypass.Digest, more map[string]any) gooseberrypass.Section {
+	values := map[string]any{"manifest": digest, "origin-name": string(id), "pool": "gpu", "version": version}
+	for key, value := range more {
+		values[key] = value
+	}
+	return section(gooseberrypass.KindModel, id, values)
+}
+
+// An origin serves versions from memory and counts what is read. corrupt may
+// change what a read returns.
+type origin struct {
+	mu        sync.Mutex
+	read      int64
+	corrupt   func(model, version string, offset int64, body []byte) ([]byte, error)
+	manifests map[string]*gooseberrypass.Manifest
+	weights   map[string][]byte
+}
+
+// publish packs weights as a version and returns the manifest.
+func (o *origin) publish(tb testing.TB, model, version string, weights []byte, base gooseberrypass.Digest) *gooseberrypass.Manifest {
+	tb.Helper()
+	p, err := packer.New(chunkSize)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	m, err := p.Pack(bytes.NewReader(weights), model, version, base)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.manifests == nil {
+		o.manifests, o.weights = map[string]*gooseberrypass.Manifest{}, map[string][]byte{}
+	}
+	o.manifests[model+version], o.weights[model+version] = m, weights
+	return m
+}
+
+func (o *origin) Manifest(_ context.Context, model, version string) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	m, ok := o.manifests[model+version]
+	if !ok {
+		return nil, gooseberrypass.ErrChunkNotHeld
+	}
+	return m.Encoded(), nil
+}
+
+func (o *origin) ReadRange(_ context.Context, model, version string, offset, size int64) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.read += size
+	body := o.weights[model+version][offset : offset+size]
+	if o.corrupt != nil {
+		return o.corrupt(model, version, offset, bytes.Clone(body))
+	}
+	return body, nil
+}
+
+func (o *origin) copies(of int) float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return float64(o.read) / float64(of)
+}
+
+// An engine loads versions over HTTP as a real one does. It keeps the digest of
+// the bytes that it loaded.
+type engine struct {
+	mu     sync.Mutex
+	bytes  map[gooseberrypass.LoadedVersion]gooseberrypass.Digest
+	fenced bool
+	hold   chan struct{} // loads wait for it to be closed, if set
+	orders []gooseberrypass.Order
+	state  gooseberrypass.EngineState
+}
+
+func (e *engine) Order(ctx context.Context, order gooseberrypass.Order) error {
+	e.mu.Lock()
+	if e.fenced && order.Fence < e.state.Fence {
+		e.mu.Unlock()
+		return gooseberrypass.ErrOldFence
+	}
+	e.state.Fence = max(e.state.Fence, order.Fence)
+	e.orders = append(e.orders, order)
+	hold := e.hold
+	e.mu.Unlock()
+	switch order.Kind {
+	case gooseberrypass.OrderRole:
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.state.Role = order.Role
+		return nil
+	case gooseberrypass.OrderUnload:
+		e.set(order.Model, gooseberrypass.Digest{}, gooseberrypass.Digest{})
+		return nil
+	}
+	if hold != nil {
+		<-hold
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, order.WeightsURL, http.NoBody)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	e.set(order.Model, order.Digest, gooseberrypass.DigestOf(body))
+	return nil
+}
+
+func (e *engine) set(model gooseberrypass.ID, digest, weights gooseberrypass.Digest) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var kept []gooseberrypass.LoadedVersion
+	for _, v := range e.state.Loaded {
+		if v.Model != model {
+			kept = append(kept, v)
+		}
+	}
+	if !digest.IsZero() {
+		v := gooseberrypass.LoadedVersion{Digest: digest, Model: model}
+		kept = append(kept, v)
+		if e.bytes == nil {
+			e.bytes = map[gooseberrypass.LoadedVersion]gooseberrypass.Digest{}
+		}
+		e.bytes[v] = weights
+	}
+	e.state.Loaded = kept
+}
+
+func (e *engine) State(context.Context) (gooseberrypass.EngineState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state, nil
+}
+
+// restart empties the engine.
+func (e *engine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n, _ := strconv.Atoi(e.state.BootID)
+	e.state = gooseberrypass.EngineState{BootID: strconv.Itoa(n + 1)}
+}
+
+func (*engine) CacheEvents(context.Context, uint64) ([]gooseberrypass.CacheEvent, error) {
+	return nil, nil
+}
+func (*engine) Cancel(context.Context, string) error             { return nil }
+func (*engine) ExportKV(context.Context, string) ([]byte, error) { return nil, nil }
+func (*engine) Generate(context.Context, gooseberrypass.GenerateOrder) (gooseberrypass.TokenStream, error) {
+	return nil, io.EOF
+}
+
+// An agent is one instance with its real HTTP servers and control loop.
+type agent struct {
+	cancel   context.CancelFunc
+	chunks   *httptest.Server
+	config   atomic.Pointer[gooseberrypass.Config]
+	done     chan struct{}
+	engine   *engine
+	listed   gooseberrypass.ListedInstance
+	loop     *looper.Loop
+	registry *prometheus.Registry
+	weights  *loader.Weights
+}
+
+func (a *agent) Config() *gooseberrypass.Config { return a.config.Load() }
+
+// newAgent starts an agent. settings shorten the times so that faults show
+// soon; no test depends on how long they are.
+func newAgent(tb testing.TB, id int, region string, o gooseberrypass.Origin, store gooseberrypass.WeightStore, wrap func(http.Handler) http.Handler) *agent {
+	tb.Helper()
+	a := &agent{
+		done: make(chan struct{}), registry: prometheus.NewRegistry(),
+		engine: &engine{state: gooseberrypass.EngineState{BootID: "1"}},
+	}
+	mux := http.NewServeMux()
+	a.chunks = httptest.NewServer(mux)
+	a.listed = gooseberrypass.ListedInstance{
+		Address: a.chunks.Listener.Addr().String(), FailureDomain: gooseberrypass.FailureDomain(region),
+		ID: gooseberrypass.ID("i" + strconv.Itoa(id)), Pool: "gpu", Region: gooseberrypass.Region(region),
+		Role: gooseberrypass.RoleAgent, State: gooseberrypass.ListedLive,
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var err error
+	a.weights, err = loader.NewWeights(loader.Dependencies{
+		Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}, Clock: clockwork.NewRealClock(),
+		Config: a, Engine: a.engine, Log: log, Origin: o, Registerer: a.registry, Seed: uint64(id), Self: a.listed,
+		Settings:   fetcher.Settings{InitialLimit: 2 * time.Second, MinLimit: time.Second, Wait: 500 * time.Millisecond},
+		Store:      store,
+		WeightsURL: a.chunks.URL,
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	chunks := a.weights.ChunkHandler()
+	if wrap != nil {
+		chunks = wrap(chunks)
+	}
+	mux.Handle(keeper.Pattern, chunks)
+	mux.Handle(keeper.WeightsPattern, a.weights.WeightsHandler())
+	a.loop, err = looper.New(clockwork.NewRealClock(), a.registry, 50*time.Millisecond, a.weights.Controllers()...)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(tb.Context())
+	a.cancel = cancel
+	go func() {
+		defer close(a.done)
+		_ = a.loop.Run(ctx)
+	}()
+	tb.Cleanup(a.stop)
+	return a
+}
+
+func (a *agent) stop() {
+	a.cancel()
+	<-a.done
+	a.chunks.CloseClientConnections()
+	a.chunks.Close()
+}
+
+func (a *agent) accept(cfg *gooseberrypass.Config) {
+	a.config.Store(cfg)
+	a.loop.Post(gooseberrypass.ConfigAccepted{Config: cfg})
+}
+
+// member is the agent as the others see it.
+func (a *agent) member() gooseberrypass.Member {
+	return gooseberrypass.Member{Listed: a.listed, Status: &gooseberrypass.AgentStatus{
+		EndpointUp: true, Loaded: a.weights.Serving(), Targets: a.weights.Targets(),
+	}}
+}
+
+// sum adds up a counter over its labels that contain match.
+func (a *agent) sum(tb testing.TB, name, match string) float64 {
+	tb.Helper()
+	families, err := a.registry.Gather()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	var sum float64
+	for _, family := range families {
+		for _, m := range family.GetMetric() {
+			if family.GetName() == name && strings.Contains(m.String(), match) {
+				sum += m.GetCounter().GetValue()
+			}
+		}
+	}
+	return sum
+}
+
+// A fleet is a number of agents that tell each other how far they are.
+type fleet struct {
+	agents []*agent
+}
+
+// round lets every agent see its engine and the members once.
+func (f *fleet) round() {
+	members := make([]gooseberrypass.Member, 0, len(f.agents))
+	for _, a := range f.agents {
+		members = append(members, a.member())
+	}
+	for _, a := range f.agents {
+		state, err := a.engine.State(context.Background())
+		a.loop.Post(gooseberrypass.EngineObserved{Err: err, State: state})
+		a.loop.Post(gooseberrypass.MembersChanged{Members: members})
+	}
+}
+
+// until plays rounds until cond holds, and fails the test if it never does.
+func (f *fleet) until(tb testing.TB, what string, cond func() bool) {
+	tb.Helper()
+	for range 1500 {
+		f.round()
+		if cond() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, a := range f.agents {
+		tb.Logf("%s: %+v", a.listed.ID, a.weights.Targets())
+	}
+	tb.Fatalf("never: %s", what)
+}
+
+// serve reports whether every agent given serves a version.
+func serve(agents []*agent, id gooseberrypass.ID, digest gooseberrypass.Digest) func() bool {
+	return func() bool {
+		for _, a := range agents {
+			s := gooseberrypass.AgentStatus{Loaded: a.weights.Serving()}
+			if !s.Serves(id, digest) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func randomWeights(seed uint64, chunks int) []byte {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	weights := make([]byte, chunks*chunkSize)
+	for i := range weights {
+		weights[i] = byte(rng.Uint32())
+	}
+	return weights
+}
--- /dev/null
+++ b/loader/weights.go
@@ -0,0 +1,133 @@
+package loader
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/fetcher"
+	"github.com/gooseberrypass/gooseberrypass/keeper"
+)
+
+// Dependencies are what the weights of one agent are built from.
+type Dependencies struct {
+	Busy       func(gooseberrypass.ID) int // requests in progress on a model; may be nil
+	Client     *http.Client                // to other instances, carries the shared key
+	Clock      gooseberrypass.Clock
+	Config     gooseberrypass.ConfigSource
+	Engine     gooseberrypass.Engine
+	Log        logrus.FieldLogger
+	Origin     gooseberrypass.Origin
+	Pressure   keeper.Pressure // may be nil
+	Registerer prometheus.Registerer
+	Seed       uint64
+	Self       gooseberrypass.ListedInstance
+	Settings   fetcher.Settings
+	Store      gooseberrypass.WeightStore // may be nil
+	WeightsURL string                     // base of the loopback address, without "/weights/"
+}
+
+// Weights is all of an agent's work on weights, assembled.
+type Weights struct {
+	chunks  *keeper.Handler
+	fetcher *fetcher.Fetcher
+	keeper  *keeper.Keeper
+	loader  *Loader
+	weights *keeper.WeightsHandler
+}
+
+// NewWeights assembles keeper, fetcher and loader.
+func NewWeights(d Dependencies) (*Weights, error) {
+	k := keeper.New(0)
+	bulkRate := func() int64 {
+		if cfg := d.Config.Config(); cfg != nil {
+			return cfg.System().BulkRate()
+		}
+		return 0
+	}
+	chunks, err := keeper.NewHandler(k, keeper.NewPacer(bulkRate, d.Pressure), d.Registerer)
+	if err != nil {
+		return nil, err
+	}
+	reader := fetcher.NewReader(d.Client, d.Clock, k, d.Origin, d.Store)
+	f, err := fetcher.New(d.Self, k, reader, d.Seed, d.Settings, d.Registerer, d.Log)
+	if err != nil {
+		return nil, err
+	}
+	w := &Weights{
+		chunks:  chunks,
+		fetcher: f,
+		keeper:  k,
+		loader:  New(d.Self, d.Engine, f, d.WeightsURL, d.Busy, d.Log),
+		weights: keeper.NewWeightsHandler(k),
+	}
+	if err := d.Registerer.Register(newPhases(w.loader)); err != nil {
+		return nil, errors.Wrap(err, "register phase metrics")
+	}
+	return w, nil
+}
+
+// ChunkHandler returns the handler for keeper.Pattern, offered to other
+// instances behind the shared key.
+func (w *Weights) ChunkHandler() http.Handler { return w.chunks }
+
+// Controllers returns the controllers for the control loop, in the order in
+// which they must see each event.
+func (w *Weights) Controllers() []gooseberrypass.Controller {
+	return []gooseberrypass.Controller{w.fetcher, w.loader}
+}
+
+// Keeper returns the chunks in memory.
+func (w *Weights) Keeper() *keeper.Keeper { return w.keeper }
+
+// Serving returns the versions that requests may be admitted to now.
+func (w *Weights) Serving() []gooseberrypass.LoadedVersion { return w.loader.Serving() }
+
+// Stop refuses new uploads and returns once those in progress have ended, or
+// with the error of ctx. The control loop is told by
+// gooseberrypass.StopRequested.
+func (w *Weights) Stop(ctx context.Context) error { return w.chunks.Stop(ctx) }
+
+// Targets tells how far each wanted version is.
+func (w *Weights) Targets() []gooseberrypass.TargetStatus { return w.loader.Targets() }
+
+// WeightsHandler returns the handler for keeper.WeightsPattern, offered on
+// loopback to the engine.
+func (w *Weights) WeightsHandler() http.Handler { return w.weights }
+
+// phases reports the phase of each target as a metric.
+type phases struct {
+	held   *prometheus.Desc
+	loader *Loader
+	phase  *prometheus.Desc
+}
+
+func newPhases(loader *Loader) *phases {
+	return &phases{
+		held: prometheus.NewDesc("gooseberrypass_target_held_chunks",
+			"Verified chunks of the wanted version.", []string{labelModel}, nil),
+		loader: loader,
+		phase: prometheus.NewDesc("gooseberrypass_target_phase",
+			"1 for the phase in which this instance is with the wanted version.", []string{labelModel, "phase"}, nil),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (p *phases) Describe(ch chan<- *prometheus.Desc) {
+	ch <- p.held
+	ch <- p.phase
+}
+
+// Collect implements prometheus.Collector.
+func (p *phases) Collect(ch chan<- prometheus.Metric) {
+	for _, t := range p.loader.Targets() {
+		ch <- prometheus.MustNewConstMetric(p.held, prometheus.GaugeValue, float64(t.Held), string(t.Model))
+		ch <- prometheus.MustNewConstMetric(p.phase, prometheus.GaugeValue, 1, string(t.Model), string(t.Phase))
+	}
+}
+
+var _ prometheus.Collector = (*phases)(nil)
--- /dev/null
+++ b/roller/roller.go
@@ -0,0 +1,75 @@
+// Package roller decides when an instance may leave service to load a version,
+// so that a rollout goes in waves without a coordinator.
+package roller
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// A Candidate is an instance that takes part in a rollout.
+type Candidate struct {
+	FailureDomain gooseberrypass.FailureDomain
+	Finished      bool // serves the new version
+	ID            gooseberrypass.ID
+	PassedOver    bool // does not get on; others need not wait for it
+	Serving       bool // serves some version of the model
+}
+
+// Allowed reports whether self, one of the candidates, may leave service to
+// load the version digest. maxUnavailable is the share of the instances of a
+// failure domain that may be out of service at once; one always may.
+//
+// Candidates are ordered by a hash of version and instance. self may go when
+// fewer than the permitted number before it are unfinished. As an instance is
+// never unfinished again, no more than the permitted number are out at once,
+// however old the view of each is.
+func Allowed(self gooseberrypass.ID, digest gooseberrypass.Digest, candidates []Candidate, maxUnavailable float64) bool {
+	group := groupOf(self, candidates)
+	permitted := max(1, int(maxUnavailable*float64(len(group))))
+	own := order(digest, self)
+	before, out := 0, 0
+	for _, c := range group {
+		if c.ID == self {
+			continue
+		}
+		if !c.Serving {
+			out++
+		}
+		if !c.Finished && !c.PassedOver && cmp.Or(cmp.Compare(order(digest, c.ID), own), cmp.Compare(c.ID, self)) < 0 {
+			before++
+		}
+	}
+	return before < permitted && out < permitted
+}
+
+// groupOf returns the candidates of self's failure domain. Failure domains of a
+// single instance are one group, or each would stop serving at the same time.
+func groupOf(self gooseberrypass.ID, candidates []Candidate) []Candidate {
+	sizes := map[gooseberrypass.FailureDomain]int{}
+	var domain gooseberrypass.FailureDomain
+	for _, c := range candidates {
+		sizes[c.FailureDomain]++
+		if c.ID == self {
+			domain = c.FailureDomain
+		}
+	}
+	alone := sizes[domain] == 1
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
+		if alone {
+			return sizes[c.FailureDomain] != 1
+		}
+		return c.FailureDomain != domain
+	})
+}
+
+func order(digest gooseberrypass.Digest, id gooseberrypass.ID) uint64 {
+	buf := make([]byte, 0, gooseberrypass.DigestSize+32)
+	buf = append(buf, digest[:]...)
+	buf = append(buf, id...)
+	return xxhash.Sum64(buf)
+}
