--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -16,6 +16,7 @@
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/authenticator"
 	"github.com/gooseberrypass/gooseberrypass/connector"
+	"github.com/gooseberrypass/gooseberrypass/emulator"
 	"github.com/gooseberrypass/gooseberrypass/publisher"
 )
 
@@ -27,12 +28,12 @@
 	pollPeriod   = 50 * time.Millisecond
 	rolloutLimit = 2 * time.Minute
 	settleTime   = 2 * time.Second // of requests after a rollout
-	sharedShare  = 4               // one part in sharedShare of a version is new
+	sharedPart   = 4               // one part in sharedPart of a version is in the next
 )
 
 // Settings vary the demo.
 type Settings struct {
-	Instances int   // engines, each with its agent
+	Instances int // engines, each with its agent
 	Seed      uint64
 	Size      int // bytes of the model
 }
@@ -47,6 +48,7 @@
 	out      io.Writer
 	platform *platform
 	result   Result
+	serving  string // the version that all engines serve
 	settings Settings
 	traffic  *traffic
 }
@@ -111,13 +113,13 @@
 	return d.writeFile("10-system.ini", systemFile)
 }
 
-// putVersion puts a version at the origin that shares most of its chunks with
-// the other.
+// putVersion puts a version at the origin that shares a part of its chunks
+// with the other.
 func (d *Demonstrator) putVersion(version string, n int) error {
-	fresh := d.settings.Size / sharedShare
+	shared := d.settings.Size / sharedPart / chunkSize * chunkSize
 	weights := append(
-		d.platform.makeWeights(d.settings.Seed, d.settings.Size-fresh),
-		d.platform.makeWeights(d.settings.Seed+uint64(n)+1, fresh)...,
+		emulator.MakeWeights(d.settings.Seed, shared),
+		emulator.MakeWeights(d.settings.Seed+uint64(n)+1, d.settings.Size-shared)...,
 	)
 	return d.platform.putVersion(version, weights)
 }
@@ -132,7 +134,7 @@
 		return err
 	}
 	d.say("published %s at offset %d", version, offset)
-	r := rollout{bytes: d.platform.versionBytes(version, d.fleet.held()), version: version}
+	r := rollout{bytes: d.platform.newBytes(version, d.serving), version: version}
 	ctx, cancel := context.WithTimeout(ctx, rolloutLimit)
 	defer cancel()
 	shown := -1
@@ -159,8 +161,9 @@
 	}
 	r.took = d.clock.Since(begin)
 	r.links = d.fleet.linkBytes().since(sent)
-	r.origin = d.platform.served(version)
+	r.origin = d.platform.origin.Served(modelName, version)
 	d.result.rollouts = append(d.result.rollouts, r)
+	d.serving = version
 	return nil
 }
 
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -32,6 +32,12 @@
 // Targets implements attempter.Targets.
 func (noTargets) Targets() []gooseberrypass.TargetStatus { return nil }
 
+// A pressure tells how much live requests suffer.
+type pressure func() float64
+
+// Pressure implements keeper.Pressure.
+func (p pressure) Pressure() float64 { return p() }
+
 // An Agent is an agent process, beside an engine or a plain service.
 type Agent struct {
 	*process
@@ -65,6 +71,12 @@
 // Address returns the address for other processes.
 func (a *Agent) Address() string { return a.system.Address() }
 
+// Config returns the configuration in force, nil before the first.
+func (a *Agent) Config() *gooseberrypass.Config { return a.spreader.Config() }
+
+// Status returns what the agent says of itself. Callers must not change it.
+func (a *Agent) Status() *gooseberrypass.AgentStatus { return a.attempts.Status() }
+
 // Run serves until ctx is done. Then new work is refused, and work and uploads
 // in progress end before Run returns.
 func (a *Agent) Run(ctx context.Context) error {
@@ -172,7 +184,7 @@
 		Engine:     a.engine,
 		Log:        a.logger,
 		Origin:     connector.NewOrigin(a.platform, a.settings.originURL),
-		Pressure:   func() float64 { return a.attempts.Pressure() },
+		Pressure:   pressure(func() float64 { return a.attempts.Pressure() }),
 		Registerer: a.registry,
 		Seed:       a.seed,
 		Self:       a.settings.self,
