--- /dev/null
+++ b/admitter/queue_test.go
@@ -0,0 +1,225 @@
+package admitter_test
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/admitter"
+)
+
+func start() time.Time { return time.Unix(1_800_000_000, 0) }
+
+func jobOf(id string, account gooseberrypass.ID, p gooseberrypass.Priority) admitter.Job {
+	return admitter.Job{Account: account, Cost: 1, Deadline: start().Add(time.Hour), ID: id, Priority: p}
+}
+
+// describe writes decisions as "+id" for a start and "-id:reason" for a refusal.
+func describe(decisions []admitter.Decision) []string {
+	got := []string{}
+	for _, d := range decisions {
+		if d.Verdict == admitter.VerdictStart {
+			got = append(got, "+"+d.ID)
+		} else {
+			got = append(got, "-"+d.ID+":"+string(d.Reason))
+		}
+	}
+	return got
+}
+
+func TestQueueOrder(t *testing.T) {
+	tests := []struct {
+		name  string
+		limit int
+		do    func(q *admitter.Queue) []admitter.Decision
+		want  []string
+	}{
+		{"higher priority first", 9, func(q *admitter.Queue) []admitter.Decision {
+			q.Offer(start(), jobOf("low", "a", 1))
+			q.Offer(start(), jobOf("high", "a", 5))
+			return q.Finish(start(), "first", 1, true)
+		}, []string{"+high"}},
+		{"account that was given less first", 9, func(q *admitter.Queue) []admitter.Decision {
+			q.Offer(start(), jobOf("a1", "a", 4))
+			q.Offer(start(), jobOf("b1", "b", 4))
+			return q.Finish(start(), "first", 1, true)
+		}, []string{"+b1"}},
+		{"full queue: lowest priority gives way", 2, func(q *admitter.Queue) []admitter.Decision {
+			q.Offer(start(), jobOf("low", "a", 1))
+			q.Offer(start(), jobOf("mid", "a", 2))
+			return q.Offer(start(), jobOf("high", "b", 5))
+		}, []string{"-low:overloaded"}},
+		{"full queue: no lower priority", 2, func(q *admitter.Queue) []admitter.Decision {
+			q.Offer(start(), jobOf("b1", "b", 4))
+			q.Offer(start(), jobOf("c1", "c", 4))
+			return q.Offer(start(), jobOf("d1", "d", 4))
+		}, []string{"-d1:overloaded"}},
+		{"full queue: longest flow of the priority gives way", 3, func(q *admitter.Queue) []admitter.Decision {
+			for _, id := range []string{"a1", "a2", "a3"} {
+				q.Offer(start(), jobOf(id, "a", 4))
+			}
+			return q.Offer(start(), jobOf("b1", "b", 4))
+		}, []string{"-a3:overloaded"}},
+		{"repeated id", 9, func(q *admitter.Queue) []admitter.Decision {
+			return q.Offer(start(), jobOf("first", "a", 4))
+		}, []string{"-first:bad-request"}},
+		{"deadline passed", 9, func(q *admitter.Queue) []admitter.Decision {
+			j := jobOf("late", "a", 4)
+			j.Deadline = start().Add(-1)
+			return q.Offer(start(), j)
+		}, []string{"-late:deadline"}},
+		{"cannot end in time", 9, func(q *admitter.Queue) []admitter.Decision {
+			q.Finish(start().Add(time.Second), "first", 1, true)
+			q.Offer(start().Add(time.Second), jobOf("second", "a", 4))
+			j := jobOf("tight", "a", 4)
+			j.Deadline = start().Add(2500 * time.Millisecond) // needs a second of waiting and one of service
+			return q.Offer(start().Add(time.Second), j)
+		}, []string{"-tight:deadline"}},
+		{"queued too long", 9, func(q *admitter.Queue) []admitter.Decision {
+			j := jobOf("late", "a", 4)
+			j.Deadline = start().Add(time.Second)
+			q.Offer(start(), j)
+			return q.Expire(start().Add(2 * time.Second))
+		}, []string{"-late:deadline"}},
+		{"cancelled while queued", 9, func(q *admitter.Queue) []admitter.Decision {
+			q.Offer(start(), jobOf("gone", "b", 4))
+			q.Offer(start(), jobOf("next", "b", 4))
+			q.Cancel(start(), "gone")
+			return q.Finish(start(), "first", 1, true)
+		}, []string{"+next"}},
+		{"closed", 9, func(q *admitter.Queue) []admitter.Decision {
+			q.Offer(start(), jobOf("queued", "b", 4))
+			return append(q.Close(gooseberrypass.ReasonLeaving), q.Offer(start(), jobOf("new", "b", 4))...)
+		}, []string{"-queued:leaving", "-new:leaving"}},
+		{"more capacity", 9, func(q *admitter.Queue) []admitter.Decision {
+			q.Offer(start(), jobOf("b1", "b", 4))
+			q.Offer(start(), jobOf("b2", "b", 4))
+			return q.SetCapacity(start(), 3)
+		}, []string{"+b1", "+b2"}},
+		{"alone waits for the others", 9, func(q *admitter.Queue) []admitter.Decision {
+			j := jobOf("solo", "b", 5)
+			j.Alone = true
+			q.SetCapacity(start(), 2)
+			got := q.Offer(start(), j)
+			got = append(got, q.Offer(start(), jobOf("b1", "b", 4))...)
+			got = append(got, q.Finish(start(), "first", 1, true)...)
+			return append(got, q.Finish(start(), "solo", 1, true)...)
+		}, []string{"+solo", "+b1"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := admitter.NewQueue(tt.limit, 1)
+			q.Offer(start(), jobOf("first", "a", 4))
+			if got := describe(tt.do(q)); !slices.Equal(got, tt.want) {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestQueueInvariants checks every decision of random histories against what
+// must hold whatever the order.
+func TestQueueInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 5
+		now, room := start(), 2
+		q := admitter.NewQueue(limit, room)
+		queued, running := map[string]admitter.Job{}, map[string]admitter.Job{}
+		take := func(decisions []admitter.Decision) {
+			for _, d := range decisions {
+				job, ok := queued[d.ID]
+				if !ok {
+					t.Fatalf("got a verdict on %s, which is not queued", d.ID)
+				}
+				delete(queued, d.ID)
+				if d.Verdict == admitter.VerdictRefuse {
+					continue
+				}
+				for _, other := range queued {
+					if other.Priority > job.Priority {
+						t.Fatalf("got %s of priority %d started before %d", d.ID, job.Priority, other.Priority)
+					}
+				}
+				for _, other := range running {
+					if job.Alone || other.Alone {
+						t.Fatalf("got %s started beside %s, want one alone", d.ID, other.ID)
+					}
+				}
+				if running[d.ID] = job; len(running) > room {
+					t.Fatalf("got %d running, want at most %d", len(running), room)
+				}
+			}
+		}
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.SampledFrom([]string{"offer", "offer", "offer", "finish", "cancel", "expire", "capacity"}).Draw(t, "op") {
+			case "offer":
+				job := jobOf(strconv.Itoa(i), rapid.SampledFrom([]gooseberrypass.ID{"a", "b", "c"}).Draw(t, "account"),
+					gooseberrypass.Priority(rapid.IntRange(0, 3).Draw(t, "priority")))
+				job.Alone = rapid.IntRange(0, 5).Draw(t, "alone") == 0
+				job.Deadline = now.Add(time.Duration(rapid.IntRange(0, 9000).Draw(t, "patience")) * time.Millisecond)
+				queued[job.ID] = job
+				take(q.Offer(now, job))
+			case "finish":
+				if id, ok := anyOf(t, running); ok {
+					delete(running, id)
+					take(q.Finish(now, id, 1, true))
+				}
+			case "cancel":
+				if id, ok := anyOf(t, queued); ok {
+					delete(queued, id)
+					decisions, found := q.Cancel(now, id)
+					if !found {
+						t.Fatalf("got %s not found, want cancelled", id)
+					}
+					take(decisions)
+				}
+			case "expire":
+				take(q.Expire(now))
+			case "capacity":
+				room = rapid.IntRange(0, 3).Draw(t, "capacity")
+				decisions := q.SetCapacity(now, room)
+				take(decisions)
+			}
+			if q.Queued() != len(queued) || q.Running() != len(running) || len(queued) > limit {
+				t.Fatalf("got %d queued, %d running, want %d (at most %d), %d",
+					q.Queued(), q.Running(), len(queued), limit, len(running))
+			}
+		}
+	})
+}
+
+func anyOf(t *rapid.T, jobs map[string]admitter.Job) (string, bool) {
+	ids := make([]string, 0, len(jobs))
+	for id := range jobs {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return "", false
+	}
+	slices.Sort(ids)
+	return rapid.SampledFrom(ids).Draw(t, "id"), true
+}
+
+// TestWrongEstimateIsForgotten shows that one slow job does not refuse work for
+// ever.
+func TestWrongEstimateIsForgotten(t *testing.T) {
+	q := admitter.NewQueue(4, 1)
+	q.Offer(start(), jobOf("slow", "a", 4))
+	now := start().Add(time.Minute)
+	q.Finish(now, "slow", 1, true)
+	j := jobOf("quick", "a", 4)
+	j.Deadline = now.Add(time.Second)
+	if got, want := describe(q.Offer(now, j)), []string{"-quick:deadline"}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	now = now.Add(time.Minute)
+	j.Deadline = now.Add(time.Second)
+	if got, want := describe(q.Offer(now, j)), []string{"+quick"}; !slices.Equal(got, want) {
+		t.Errorf("got %v after a minute, want %v", got, want)
+	}
+}
