Prove the fold and publishing under races and lost answers

A pull and a publish now bring in what others changed by the same three-way rule, and keep the base of a file that the operator was just editing: moving it would have let the next publish revert the others' change. Restore is the way out if the log lost all and nobody holds a state.

A base whose offset is the log's but whose files differ was refused before; the kept base makes that a lawful case, so it is a conflict of files instead.

--- a/commander/publishcmd.go
+++ b/commander/publishcmd.go
@@ -15,7 +15,8 @@
 type publishCmd struct {
 	platformFlags
 
-	Dir string `arg:"" help:"Folder of INI files." type:"path"`
+	Dir     string `arg:"" help:"Folder of INI files." type:"path"`
+	Restore bool   `help:"Make the folder the accepted state of a log that has lost it."`
 }
 
 func (c *publishCmd) Run(ctx context.Context, std streams) error {
@@ -23,7 +24,11 @@
 	if err != nil {
 		return err
 	}
-	result, err := p.Publish(ctx, c.Dir)
+	publish := p.Publish
+	if c.Restore {
+		publish = p.Restore
+	}
+	result, err := publish(ctx, c.Dir)
 	var faulty *publisher.FindingsError
 	if errors.As(err, &faulty) {
 		return printFindings(faulty.Findings, std.stderr)
@@ -34,17 +39,22 @@
 	return printResult(result, std.stdout)
 }
 
+// writeFolderLines tells what became of the files of the operator's folder.
+func writeFolderLines(b *strings.Builder, result *publisher.Result) {
+	for _, name := range result.Brought {
+		fmt.Fprintf(b, "brought in %s, changed by others\n", name)
+	}
+	for _, name := range result.Kept {
+		fmt.Fprintf(b, "left %s as you changed it meanwhile\n", name)
+	}
+}
+
 func printResult(result *publisher.Result, w io.Writer) error {
 	var b strings.Builder
 	for _, pin := range result.Pins {
 		fmt.Fprintf(&b, "pinned %s version=%s manifest=%s file=%s\n", pin.Model, pin.Version, pin.Digest, pin.File)
 	}
-	for _, name := range result.Brought {
-		fmt.Fprintf(&b, "brought in %s, changed by others\n", name)
-	}
-	for _, name := range result.Kept {
-		fmt.Fprintf(&b, "left %s as you changed it meanwhile\n", name)
-	}
+	writeFolderLines(&b, result)
 	for _, note := range result.Notes {
 		fmt.Fprintf(&b, "note: %s\n", note)
 	}
--- a/commander/pullcmd.go
+++ b/commander/pullcmd.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"strings"
+
+	"github.com/pkg/errors"
 )
 
 // A pullCmd writes the accepted files to a folder.
@@ -17,10 +21,13 @@
 	if err != nil {
 		return err
 	}
-	offset, err := p.Pull(ctx, c.Dir)
+	result, err := p.Pull(ctx, c.Dir)
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(std.stdout, "pulled offset=%d\n", offset)
-	return err
+	var b strings.Builder
+	writeFolderLines(&b, result)
+	fmt.Fprintf(&b, "pulled offset=%d\n", result.Offset)
+	_, err = io.WriteString(std.stdout, b.String())
+	return errors.Wrap(err, "print the result")
 }
--- a/publisher/edit.go
+++ b/publisher/edit.go
@@ -1,6 +1,8 @@
 package publisher
 
 import (
+	"slices"
+
 	"github.com/gooseberrypass/gooseberrypass/replayer"
 )
 
@@ -45,3 +47,14 @@
 	}
 	return files
 }
+
+// intersect returns the strings of a that are in b.
+func intersect(a, b []string) []string {
+	var both []string
+	for _, s := range a {
+		if slices.Contains(b, s) {
+			both = append(both, s)
+		}
+	}
+	return both
+}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -105,14 +103,14 @@
 	return p
 }
 
-// A Result is what came of publishing a folder.
+// A Result is what came of publishing or pulling a folder.
 type Result struct {
 	Brought []string // files that others changed, written to the folder
-	Offset  gooseberrypass.Offset
-	Pins    []Pin
 	Changed []string // files published, empty if there was nothing to publish
 	Kept    []string // files not written, as the operator changed them meanwhile
 	Notes   []string
+	Offset  gooseberrypass.Offset
+	Pins    []Pin
 }
 
 // Publish checks a folder and publishes what differs from its base. A change
@@ -143,7 +141,7 @@
 		return nil, err
 	}
 	result.Offset = state.LastAccepted()
-	return result, bringIn(dir, folder.Files(), state, result)
+	return result, edit.bringIn(dir, state.Files(), state, result)
 }
 
 // checkBase refuses a folder that cannot have been pulled from the log.
@@ -153,8 +151,6 @@
 		return ErrNoBase
 	case base.Offset > state.LastAccepted():
 		return errors.Wrapf(ErrOtherLog, "base %d, the log's last accepted change is %d", base.Offset, state.LastAccepted())
-	case base.Offset == state.LastAccepted() && len(base.Differing(state.Files())) > 0:
-		return errors.Wrapf(ErrOtherLog, "base %d holds other files", base.Offset)
 	default:
 		return nil
 	}
@@ -177,6 +173,10 @@
 		if len(result.Changed) == 0 {
 			return state, result, nil
 		}
+		// What is accepted must fit into a snapshot.
+		if _, err := replayer.EncodeSnapshot(p.key, replayer.Snapshot{Files: pinned.files}); err != nil {
+			return state, nil, err
+		}
 		next, accepted, err := p.append(ctx, state, change)
 		if err != nil || accepted {
 			return next, result, err
@@ -275,52 +275,3 @@
 		return nil
 	}
 }
-
-// bringIn writes what was accepted to the operator's folder, but for the files
-// that changed since they were read, and the base last.
-func bringIn(dir string, read map[string]string, state replayer.State, result *Result) error {
-	accepted := state.Files()
-	for _, name := range slices.Sorted(maps.Keys(accepted)) {
-		text := accepted[name]
-		was, had := read[name]
-		if had && was == text {
-			continue
-		}
-		if !parser.PlainName(name) {
-			return errors.Errorf("the accepted file %q has a name that no folder can hold", name)
-		}
-		if !unchanged(dir, name, was, had) {
-			result.Kept = append(result.Kept, name)
-			continue
-		}
-		if err := writeFile(dir, name, []byte(text)); err != nil {
-			return err
-		}
-		if !slices.ContainsFunc(result.Pins, func(pin Pin) bool { return pin.File == name }) {
-			result.Brought = append(result.Brought, name)
-		}
-	}
-	for _, name := range slices.Sorted(maps.Keys(read)) {
-		if _, ok := accepted[name]; ok {
-			continue
-		}
-		if !unchanged(dir, name, read[name], true) {
-			result.Kept = append(result.Kept, name)
-			continue
-		}
-		if err := os.Remove(filepath.Join(dir, name)); err != nil {
-			return errors.Wrapf(err, "remove %s", name)
-		}
-		result.Brought = append(result.Brought, name)
-	}
-	return NewBase(state).Write(dir)
-}
-
-// unchanged reports whether a file is still as it was read.
-func unchanged(dir, name, was string, had bool) bool {
-	body, err := os.ReadFile(filepath.Join(dir, name)) //nolint:gosec // the operator names the folder
-	if !had {
-		return os.IsNotExist(err)
-	}
-	return err == nil && string(body) == was
-}
--- /dev/null
+++ b/replayer/replayer_test.go
@@ -0,0 +1,258 @@
+package replayer_test
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/authenticator"
+	"github.com/gooseberrypass/gooseberrypass/replayer"
+)
+
+func testKey() authenticator.Key { return authenticator.NewKey("secret") }
+
+// A fakeLog is a log whose reads return pages of a few records.
+type fakeLog struct {
+	first   gooseberrypass.Offset
+	page    int
+	records []gooseberrypass.Record // all that were ever appended
+}
+
+func (l *fakeLog) Append(_ context.Context, _ gooseberrypass.Stream, body []byte) (gooseberrypass.Offset, error) {
+	offset := gooseberrypass.Offset(len(l.records) + 1)
+	l.records = append(l.records, gooseberrypass.Record{Offset: offset, Body: body})
+	return offset, nil
+}
+
+func (l *fakeLog) Read(
+	_ context.Context, _ gooseberrypass.Stream, from gooseberrypass.Offset, _ time.Duration,
+) (gooseberrypass.Batch, error) {
+	next := gooseberrypass.Offset(len(l.records) + 1)
+	if from < l.first {
+		return gooseberrypass.Batch{}, &gooseberrypass.TrimmedError{First: l.first, Next: next}
+	}
+	start := min(int(from-1), len(l.records))
+	end := min(start+l.page, len(l.records))
+	return gooseberrypass.Batch{First: l.first, Next: next, Records: l.records[start:end]}, nil
+}
+
+// naiveFold keeps every accepted change and lays them over each other.
+func naiveFold(t *rapid.T, records []gooseberrypass.Record) (map[string]string, gooseberrypass.Offset) {
+	var accepted []replayer.Change
+	last := gooseberrypass.Offset(0)
+	for _, r := range records {
+		decoded, err := replayer.Decode(testKey(), r.Body)
+		if err == nil && decoded.Snapshot == nil && decoded.Change.Base == last {
+			last = r.Offset
+			accepted = append(accepted, decoded.Change)
+		}
+	}
+	files := map[string]string{}
+	for _, c := range accepted {
+		for _, name := range c.Removed {
+			delete(files, name)
+		}
+		maps.Copy(files, c.Files)
+	}
+	if len(accepted) == 0 && last != 0 {
+		t.Fatalf("naive fold is broken")
+	}
+	return files, last
+}
+
+// newerRecord returns a change as a release to come may write it.
+func newerRecord(base gooseberrypass.Offset, files map[string]string) []byte {
+	payload, err := json.Marshal(map[string]any{
+		"schema": 9, "base": base, "files": files, "id": "newer", "waves": []int{1, 2}, "kind": "new",
+	})
+	if err != nil {
+		panic(err)
+	}
+	const domain = "gooseberrypass configuration record"
+	body, err := json.Marshal(map[string]any{"payload": json.RawMessage(payload), "code": testKey().Sign(domain, payload), "extra": 1})
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+func must(body []byte, err error) []byte {
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+// drawHistory draws a log that holds what publishers, races, lost answers,
+// entries of different ages and strangers may have appended.
+func drawHistory(t *rapid.T) *fakeLog {
+	log := &fakeLog{first: 1, page: rapid.IntRange(1, 7).Draw(t, "page")}
+	state := replayer.State{}
+	n := rapid.IntRange(1, 40).Draw(t, "records")
+	states := append(make([]replayer.State, 0, n+1), state)
+	for i := range n {
+		base := state.LastAccepted()
+		if rapid.IntRange(0, 2).Draw(t, "stale") == 0 {
+			base = gooseberrypass.Offset(rapid.IntRange(0, i+2).Draw(t, "base"))
+		}
+		files := map[string]string{rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "file"): strconv.Itoa(i)}
+		var body []byte
+		switch rapid.IntRange(0, 8).Draw(t, "kind") {
+		case 0: // an append that was applied twice
+			if len(log.records) > 0 {
+				body = rapid.SampledFrom(log.records).Draw(t, "again").Body
+			}
+		case 1: // an entry's snapshot, perhaps of an old state
+			body = must(replayer.EncodeSnapshot(testKey(), rapid.SampledFrom(states).Draw(t, "state").Snapshot()))
+		case 2:
+			body = must(replayer.EncodeChange(authenticator.NewKey("stranger"), replayer.Change{Base: base, Files: files}))
+		case 3:
+			body = newerRecord(base, files)
+		case 4:
+			body = must(replayer.EncodeChange(testKey(), replayer.Change{Base: base, Removed: slices.Collect(maps.Keys(files))}))
+		default:
+			body = must(replayer.EncodeChange(testKey(), replayer.Change{Base: base, Files: files}))
+		}
+		offset, _ := log.Append(context.Background(), "", body)
+		next, _, err := replayer.Fold(testKey(), state, log.records[offset-1:])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if next.LastAccepted() < state.LastAccepted() {
+			t.Fatalf("offset %d: got last accepted %d, had %d", offset, next.LastAccepted(), state.LastAccepted())
+		}
+		state = next
+		states = append(states, state)
+	}
+	return log
+}
+
+func TestFoldAgreesWithNaiveFoldOnEveryPrefix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := drawHistory(t)
+		for n := range log.records {
+			state, _, err := replayer.Fold(testKey(), replayer.State{}, log.records[:n+1])
+			if err != nil {
+				t.Fatal(err)
+			}
+			files, last := naiveFold(t, log.records[:n+1])
+			if got := state.Files(); state.LastAccepted() != last || !maps.Equal(got, files) {
+				t.Fatalf("prefix %d: got %v at %d, want %v at %d", n+1, got, state.LastAccepted(), files, last)
+			}
+		}
+	})
+}
+
+// A reader may read at any moment, fall behind the log's retention, and start
+// anew; it comes to the naive fold's state of everything, or tells of the gap.
+func TestReplayAgreesWithNaiveFoldWhateverWasTrimmed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole := drawHistory(t)
+		log := &fakeLog{first: 1, page: whole.page}
+		r := replayer.New(testKey(), log)
+		state := replayer.State{}
+		for len(log.records) < len(whole.records) {
+			log.records = whole.records[:rapid.IntRange(len(log.records)+1, len(whole.records)).Draw(t, "appended")]
+			log.first = max(log.first, gooseberrypass.Offset(rapid.IntRange(1, len(log.records)+1).Draw(t, "first")))
+			if rapid.IntRange(0, 3).Draw(t, "restart") == 0 {
+				state = replayer.State{}
+			}
+			progress, err := r.CatchUp(context.Background(), state, 0)
+			if progress.State.LastAccepted() < state.LastAccepted() {
+				t.Fatalf("got last accepted %d, had %d", progress.State.LastAccepted(), state.LastAccepted())
+			}
+			if errors.Is(err, replayer.ErrGap) {
+				state = progress.State
+				continue
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			state = progress.State
+			files, last := naiveFold(t, log.records)
+			if got := state.Files(); state.LastAccepted() != last || !maps.Equal(got, files) {
+				t.Fatalf("got %v at %d, want %v at %d", got, state.LastAccepted(), files, last)
+			}
+		}
+	})
+}
+
+// Starting from the newest snapshot without looking at what it was folded
+// through, as a naive reader does, loses the changes that were trimmed.
+func TestOldSnapshotIsNotStartedFrom(t *testing.T) {
+	log := &fakeLog{first: 1, page: 10}
+	change := func(base gooseberrypass.Offset, file string) {
+		_, _ = log.Append(context.Background(), "", must(replayer.EncodeChange(testKey(), replayer.Change{Base: base, Files: map[string]string{file: "x"}})))
+	}
+	change(0, "a")
+	old, _, _ := replayer.Fold(testKey(), replayer.State{}, log.records)
+	change(1, "b")
+	_, _ = log.Append(context.Background(), "", must(replayer.EncodeSnapshot(testKey(), old.Snapshot())))
+	naive := old
+	log.first = 3
+	_, err := replayer.New(testKey(), log).CatchUp(context.Background(), replayer.State{}, 0)
+	if !errors.Is(err, replayer.ErrGap) {
+		t.Errorf("got error %v, want %v", err, replayer.ErrGap)
+	}
+	if got, want := naive.LastAccepted(), gooseberrypass.Offset(2); got >= want {
+		t.Errorf("naive reader: got last accepted %d, want it below %d", got, want)
+	}
+	log.first = 2
+	progress, err := replayer.New(testKey(), log).CatchUp(context.Background(), replayer.State{}, 0)
+	if err != nil || progress.State.LastAccepted() != 2 || len(progress.State.Files()) != 2 {
+		t.Errorf("got %v at %d, %v, want two files at 2", progress.State.Files(), progress.State.LastAccepted(), err)
+	}
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	good := must(replayer.EncodeChange(testKey(), replayer.Change{Base: 3, Files: map[string]string{"a": "x"}, ID: "1"}))
+	for name, body := range map[string][]byte{
+		"nothing":       nil,
+		"no payload":    []byte(`{"code":""}`),
+		"another key":   must(replayer.EncodeChange(authenticator.NewKey("other"), replayer.Change{})),
+		"changed bytes": []byte(strings.Replace(string(good), `"base":3`, `"base":4`, 1)),
+		"too long":      append(slices.Clone(good), make([]byte, replayer.MaxRecordSize)...),
+	} {
+		if _, err := replayer.Decode(testKey(), body); !errors.Is(err, replayer.ErrBadRecord) {
+			t.Errorf("%s: got error %v, want %v", name, err, replayer.ErrBadRecord)
+		}
+	}
+	if _, err := replayer.EncodeChange(testKey(), replayer.Change{Files: map[string]string{"a": "\xff"}}); !errors.Is(err, replayer.ErrBadRecord) {
+		t.Errorf("bad UTF-8: got error %v, want %v", err, replayer.ErrBadRecord)
+	}
+}
+
+// FuzzDecode checks that what decodes folds without harm, and that a change
+// that was signed decodes to itself.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"payload":{"base":1,"files":{"a":"b"}}}`), uint64(1), "a", "b")
+	f.Add(newerRecord(0, map[string]string{"a": "b"}), uint64(0), "", "[model x]\n")
+	f.Fuzz(func(t *testing.T, body []byte, base uint64, name, text string) {
+		// The zero key takes every record for authentic.
+		records := []gooseberrypass.Record{{Offset: 1, Body: body}}
+		state, _, err := replayer.Fold(authenticator.Key{}, replayer.State{}, records)
+		if err != nil || state.FoldedThrough() != 1 || state.LastAccepted() > 1 {
+			t.Errorf("got state %d through %d, %v", state.LastAccepted(), state.FoldedThrough(), err)
+		}
+		want := replayer.Change{Base: gooseberrypass.Offset(base), Files: map[string]string{name: text}, ID: "1"}
+		encoded, err := replayer.EncodeChange(testKey(), want)
+		if err != nil {
+			return
+		}
+		got, err := replayer.Decode(testKey(), encoded)
+		if err != nil || got.Change.Base != want.Base || !maps.Equal(got.Change.Files, want.Files) {
+			t.Errorf("got %+v, %v, want %+v", got, err, want)
+		}
+	})
+}
+
+var _ gooseberrypass.Log = (*fakeLog)(nil)
