--- a/looper/looper.go
+++ b/looper/looper.go
@@ -30,9 +30,15 @@
 
 // New returns a loop that gives every controller each event, and a Tick every
 // period.
-func New(clock gooseberrypass.Clock, registerer prometheus.Registerer, period time.Duration) (*Loop, error) {
+func New(
+	clock gooseberrypass.Clock,
+	registerer prometheus.Registerer,
+	period time.Duration,
+	controllers ...gooseberrypass.Controller,
+) (*Loop, error) {
 	l := &Loop{
-		clock: clock,
+		clock:       clock,
+		controllers: controllers,
 		effects: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberrypass_control_effects_total",
 			Help: "Effects started by controllers.",
