Fetch no weights before the list of instances is known

Cause: after a cold start the configuration comes from peers or the log before the platform's list; each agent then ranked itself first and read the origin. Ruled out: the ranking itself, whose model runs at one origin copy. The fetcher now waits for a list with its own instance, 20 s at the most, so that a platform without its list still gets its weights. The demo publishes once the list has reached all processes, since its list lags on purpose while the fleet is being started.

--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -110,9 +110,24 @@
 			return err
 		}
 	}
+	if err := d.awaitMembers(ctx); err != nil {
+		return err
+	}
 	return d.writeFile("10-system.ini", systemFile)
 }
 
+// awaitMembers waits until the platform's list has reached all processes.
+func (d *Demonstrator) awaitMembers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, rolloutLimit)
+	defer cancel()
+	for !d.fleet.known() {
+		if err := d.pause(ctx); err != nil {
+			return errors.Wrap(err, "wait for the list of instances")
+		}
+	}
+	return nil
+}
+
 // putVersion puts a version at the origin that shares a part of its chunks
 // with the other.
 func (d *Demonstrator) putVersion(version string, n int) error {
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -162,6 +162,22 @@
 	return urls
 }
 
+// known reports whether all processes know all members.
+func (f *fleet) known() bool {
+	total := len(f.entries) + len(f.agents)
+	for _, e := range f.entries {
+		if len(e.Members()) < total {
+			return false
+		}
+	}
+	for _, a := range f.agents {
+		if len(a.agent.Members()) < total {
+			return false
+		}
+	}
+	return true
+}
+
 // inForce reports whether a configuration is in force in all live processes.
 func (f *fleet) inForce(offset gooseberrypass.Offset) bool {
 	for _, e := range f.entries {
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +17,11 @@
 // storePutLimit bounds one copy of a chunk to the weight store.
 const storePutLimit = time.Minute
 
+// listPatience is how long after the first configuration a fetcher waits for a
+// list of instances that has its own in it. One that fetched earlier would
+// believe to be the first in rank, as would every other after a cold start.
+const listPatience = 20 * time.Second
+
 // maxStorePuts bounds the copies to the weight store at once. Those beyond are
 // left out: the store is a help, not a need.
 const maxStorePuts = 2
@@ -24,9 +30,11 @@
 // what is wanted.
 type Fetcher struct {
 	config  *gooseberrypass.Config
-	drops   uint64 // of the keeper when kept was made
+	configs time.Time // of the first configuration
+	drops   uint64    // of the keeper when kept was made
 	kept    map[gooseberrypass.Digest]Progress
 	keeper  *keeper.Keeper
+	listed  bool // whether a list had this instance in it
 	log     logrus.FieldLogger
 	members []gooseberrypass.Member
 	metrics *metrics
@@ -129,14 +137,21 @@
 	var effects []gooseberrypass.Effect
 	switch e := event.(type) {
 	case gooseberrypass.ConfigAccepted:
+		if f.config == nil {
+			f.configs = now
+		}
 		f.config = e.Config
 		f.keeper.SetLimit(e.Config.System().ChunkMemory())
 		f.planner.SetCopies(e.Config.System().OriginBudget())
-		f.setRanking()
+		f.setRanking(now)
 	case gooseberrypass.MembersChanged:
 		f.members = e.Members
-		f.setRanking()
+		f.setRanking(now)
 		f.setPeers()
+	case gooseberrypass.Tick:
+		if !f.listed {
+			f.setRanking(now)
+		}
 	case gooseberrypass.StopRequested:
 		f.stop()
 		return nil
@@ -163,10 +178,16 @@
 	clear(f.stops)
 }
 
-func (f *Fetcher) setRanking() {
+func (f *Fetcher) setRanking(now time.Time) {
 	if f.config == nil {
 		return
 	}
+	f.listed = f.listed || slices.ContainsFunc(f.members, func(m gooseberrypass.Member) bool {
+		return m.Listed.ID == f.self.ID
+	})
+	if !f.listed && now.Sub(f.configs) < listPatience {
+		return
+	}
 	pool := f.config.PoolOf(f.self)
 	instances := []gooseberrypass.ListedInstance{f.self}
 	for _, m := range f.members {
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -71,9 +71,6 @@
 // Address returns the address for other processes.
 func (a *Agent) Address() string { return a.system.Address() }
 
-// Config returns the configuration in force, nil before the first.
-func (a *Agent) Config() *gooseberrypass.Config { return a.spreader.Config() }
-
 // Status returns what the agent says of itself. Callers must not change it.
 func (a *Agent) Status() *gooseberrypass.AgentStatus { return a.attempts.Status() }
 
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -5,7 +5,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/answerer"
 	"github.com/gooseberrypass/gooseberrypass/dialer"
 	"github.com/gooseberrypass/gooseberrypass/listener"
@@ -54,9 +53,6 @@
 // CallersAddress returns the address for callers.
 func (e *Entry) CallersAddress() string { return e.callers.Address() }
 
-// Config returns the configuration in force, nil before the first.
-func (e *Entry) Config() *gooseberrypass.Config { return e.spreader.Config() }
-
 // SystemAddress returns the address for other processes.
 func (e *Entry) SystemAddress() string { return e.system.Address() }
 
--- a/runner/process.go
+++ b/runner/process.go
@@ -107,6 +107,12 @@
 	return nil
 }
 
+// Members returns the members as this process believes them to be.
+func (p *process) Members() []gooseberrypass.Member { return p.tracker.Members() }
+
+// Config returns the configuration in force, nil before the first.
+func (p *process) Config() *gooseberrypass.Config { return p.spreader.Config() }
+
 // ready tells why the process is not ready, nil if it is.
 func (p *process) ready() error {
 	if p.spreader.Config() == nil {
