--- a/attempter/fakes_test.go
+++ b/attempter/fakes_test.go
@@ -264,7 +264,7 @@
 	digest []byte
 	end    *wire.End
 	failed *wire.Failed
-	frames int
+	pieces int
 	moved  *wire.Moved
 	reader protodelim.Reader
 	text   strings.Builder
@@ -277,11 +277,11 @@
 		_ = s.body.Close()
 		return false
 	}
-	s.frames++
 	switch k := f.GetKind().(type) {
 	case *wire.Frame_Started:
 		s.digest = k.Started.GetWeightsDigest()
 	case *wire.Frame_Piece:
+		s.pieces++
 		s.text.Write(k.Piece.GetText())
 	case *wire.Frame_End:
 		s.end = k.End
--- a/attempter/registry_test.go
+++ b/attempter/registry_test.go
@@ -26,7 +26,7 @@
 	started map[string]bool
 }
 
-func (f *forgetful) Begin(id string) (bool, bool) { //nolint:revive // The results are named in steps.
+func (f *forgetful) Begin(id string) (bool, bool) {
 	if f.queued[id] || f.started[id] {
 		return false, false
 	}
--- /dev/null
+++ b/attempter/settle_test.go
@@ -0,0 +1,287 @@
+package attempter_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/attempter"
+	"github.com/gooseberrypass/gooseberrypass/connector"
+	"github.com/gooseberrypass/gooseberrypass/wire"
+)
+
+func refuse(tb testing.TB, a *agent, id string) wire.AttemptState {
+	tb.Helper()
+	resp, err := a.Server().Refuse(context.Background(), &wire.RefuseRequest{AttemptIds: []string{id}})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return resp.GetStates()[0]
+}
+
+func grantOf(id string) *wire.CallRequest {
+	digest := digestOf("call " + id)
+	return &wire.CallRequest{
+		Account: "radio", AttemptId: id, Call: "grant", DeadlineMs: 5000, RequestDigest: digest[:], Service: string(service),
+	}
+}
+
+// newServiceAgent returns an agent beside the service at url.
+func newServiceAgent(tb testing.TB, url string, change func(d *attempter.Dependencies)) *agent {
+	tb.Helper()
+	return newAgent(tb, func(d *attempter.Dependencies) {
+		d.Probe = func(context.Context) error { return nil }
+		d.Service = connector.NewPlainService(&http.Client{}, url)
+		if change != nil {
+			change(d)
+		}
+	})
+}
+
+func call(tb testing.TB, a *agent, m *wire.CallRequest) *wire.CallResponse {
+	tb.Helper()
+	resp, err := a.Server().Call(context.Background(), m)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return resp
+}
+
+// TestNotRunNeverRan cuts the connection to a service that counts its runs at
+// each point of the exchange.
+func TestNotRunNeverRan(t *testing.T) {
+	cut := func(w http.ResponseWriter) {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_ = conn.Close()
+		}
+	}
+	tests := []struct {
+		name  string
+		serve func(w http.ResponseWriter, run func())
+		want  string
+		runs  int64
+	}{
+		{"answered", func(w http.ResponseWriter, run func()) { run(); _, _ = io.WriteString(w, "granted") }, "answered", 1},
+		{"cut before the run", func(w http.ResponseWriter, _ func()) { cut(w) }, "unknown", 0},
+		{"cut after the run", func(w http.ResponseWriter, run func()) { run(); cut(w) }, "unknown", 1},
+		{"cut within the answer", func(w http.ResponseWriter, run func()) {
+			run()
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "gra")
+			_ = http.NewResponseController(w).Flush()
+			cut(w)
+		}, "unknown", 1},
+		{"failed after the run", func(w http.ResponseWriter, run func()) { run(); w.WriteHeader(http.StatusInternalServerError) }, "unknown", 1},
+		{"refused for its rate", func(w http.ResponseWriter, _ func()) { w.WriteHeader(http.StatusTooManyRequests) }, "not run", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var runs atomic.Int64
+			var warm atomic.Bool
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if warm.Load() {
+					tt.serve(w, func() { runs.Add(1) })
+				}
+			}))
+			defer s.Close()
+			a := newServiceAgent(t, s.URL, nil)
+			call(t, a, grantOf("c-0")) // leaves a kept connection, on which HTTP clients like to send again
+			warm.Store(true)
+			m := grantOf("c-1")
+			m.Key = "key"
+			if got := call(t, a, m); got.GetOutcome() != tt.want || runs.Load() != tt.runs {
+				t.Errorf("got %s (%s) after %d runs, want %s after %d", got.GetOutcome(), got.GetDetail(), runs.Load(), tt.want, tt.runs)
+			}
+			state := refuse(t, a, "c-1")
+			if refused := state == wire.AttemptState_ATTEMPT_STATE_REFUSED; refused != (tt.want == "not run") {
+				t.Errorf("got state %v after %s", state, tt.want)
+			}
+			if got := call(t, a, m); got.GetOutcome() == "answered" || runs.Load() != tt.runs {
+				t.Errorf("got %s for a copy, %d runs, want %d", got.GetOutcome(), runs.Load(), tt.runs)
+			}
+		})
+	}
+}
+
+func TestDeadServiceIsNotRun(t *testing.T) {
+	s := httptest.NewServer(http.NotFoundHandler())
+	s.Close()
+	a := newServiceAgent(t, s.URL, nil)
+	if got := call(t, a, grantOf("c-1")); got.GetOutcome() != "not run" {
+		t.Errorf("got %s (%s), want not run", got.GetOutcome(), got.GetDetail())
+	}
+	a = newServiceAgent(t, s.URL, func(d *attempter.Dependencies) {
+		d.Service = failing{&net.OpError{Op: "dial", Err: errors.New("refused")}}
+	})
+	if got := call(t, a, grantOf("c-1")); got.GetOutcome() != "not run" {
+		t.Errorf("got %s for an untyped dial error, want not run", got.GetOutcome())
+	}
+	a = newServiceAgent(t, s.URL, func(d *attempter.Dependencies) { d.Service = failing{io.ErrUnexpectedEOF} })
+	if got := call(t, a, grantOf("c-1")); got.GetOutcome() != "unknown" {
+		t.Errorf("got %s for an untyped error, want unknown", got.GetOutcome())
+	}
+}
+
+type failing struct{ err error }
+
+func (f failing) Call(context.Context, gooseberrypass.ServiceCall) ([]byte, error) { return nil, f.err }
+
+// A holding service counts its runs, each of which lasts until it is let go.
+type holding struct {
+	release chan struct{}
+	runs    sync.Map
+}
+
+func (h *holding) Call(_ context.Context, c gooseberrypass.ServiceCall) ([]byte, error) {
+	n, _ := h.runs.LoadOrStore(c.AttemptID, &atomic.Int64{})
+	n.(*atomic.Int64).Add(1)
+	<-h.release
+	return []byte("done"), nil
+}
+
+func (h *holding) count(id string) int64 {
+	n, ok := h.runs.Load(id)
+	if !ok {
+		return 0
+	}
+	return n.(*atomic.Int64).Load()
+}
+
+// TestRefuseRacesTheRun sends each attempt thrice while it is refused, and
+// compares what was said with what ran.
+func TestRefuseRacesTheRun(t *testing.T) {
+	h := &holding{release: make(chan struct{})}
+	close(h.release)
+	a := newServiceAgent(t, "", func(d *attempter.Dependencies) { d.Service, d.ServiceCapacity = h, 2 })
+	refused, ran := 0, 0
+	for i := range concurrent {
+		id := fmt.Sprintf("c-%d", i)
+		var state wire.AttemptState
+		outcomes := make([]string, 3)
+		var wg sync.WaitGroup
+		for j := range outcomes {
+			wg.Go(func() { outcomes[j] = call(t, a, grantOf(id)).GetOutcome() })
+		}
+		wg.Go(func() {
+			for range i % 60 {
+				runtime.Gosched()
+			}
+			state = refuse(t, a, id)
+		})
+		wg.Wait()
+		runs := h.count(id)
+		saidNotRun := state == wire.AttemptState_ATTEMPT_STATE_REFUSED
+		for _, o := range outcomes {
+			saidNotRun = saidNotRun || o == "not run"
+		}
+		if runs > 1 || (runs > 0 && saidNotRun) {
+			t.Errorf("%s: got %d runs, outcomes %v, state %v", id, runs, outcomes, state)
+		}
+		if runs == 0 {
+			refused++
+		} else {
+			ran++
+		}
+	}
+	t.Logf("%d refused, %d ran", refused, ran)
+}
+
+func TestRefusedInTheQueue(t *testing.T) {
+	h := &holding{release: make(chan struct{})}
+	a := newServiceAgent(t, "", func(d *attempter.Dependencies) { d.Service, d.ServiceCapacity = h, 1 })
+	outcomes := make(chan string, 2)
+	for _, id := range []string{"running", "queued"} {
+		go func() { outcomes <- call(t, a, grantOf(id)).GetOutcome() }()
+		for a.load(t).GetRunning()+a.load(t).GetQueued() < map[string]int64{"running": 1, "queued": 2}[id] {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if got, want := refuse(t, a, "queued"), wire.AttemptState_ATTEMPT_STATE_REFUSED; got != want {
+		t.Errorf("got %v for the queued one, want %v", got, want)
+	}
+	if got, want := <-outcomes, "not run"; got != want {
+		t.Errorf("got %s for the queued one, want %s", got, want)
+	}
+	if got, want := refuse(t, a, "running"), wire.AttemptState_ATTEMPT_STATE_STARTED; got != want {
+		t.Errorf("got %v for the running one, want %v", got, want)
+	}
+	close(h.release)
+	if got, want := <-outcomes, "answered"; got != want || h.count("queued") != 0 {
+		t.Errorf("got %s and %d runs of the refused one, want %s and none", got, h.count("queued"), want)
+	}
+}
+
+func (a *agent) load(tb testing.TB) *wire.StatusResponse {
+	tb.Helper()
+	s, err := a.Server().Status(context.Background(), &wire.StatusRequest{})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return s
+}
+
+// TestLateCopyOfARefusedAttempt settles an attempt that has not come yet, and
+// delivers it within the time that it may come late, over a suspension too.
+func TestLateCopyOfARefusedAttempt(t *testing.T) {
+	for _, late := range []time.Duration{0, time.Minute, attempter.MaxDeadline, 3 * time.Hour} {
+		h := &holding{release: make(chan struct{})}
+		close(h.release)
+		a := newServiceAgent(t, "", func(d *attempter.Dependencies) { d.Service = h })
+		if got, want := refuse(t, a, "c-1"), wire.AttemptState_ATTEMPT_STATE_REFUSED; got != want {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+		if late <= attempter.MaxDeadline {
+			for range int(late / time.Second) {
+				a.tick()
+			}
+		} else { // suspended: no tick between
+			a.clock.Advance(late)
+			a.handle(gooseberrypass.Tick{})
+		}
+		if got := call(t, a, grantOf("c-1")); got.GetOutcome() != "not run" || h.count("c-1") != 0 {
+			t.Errorf("late by %v: got %s after %d runs, want not run", late, got.GetOutcome(), h.count("c-1"))
+		}
+	}
+}
+
+// A freezer is a configuration source that suspends the process for an hour at
+// one of its readings.
+type freezer struct {
+	fixedConfig
+	at     int64
+	freeze func()
+	reads  atomic.Int64
+}
+
+func (f *freezer) Config() *gooseberrypass.Config {
+	if f.reads.Add(1) == f.at {
+		f.freeze()
+	}
+	return f.cfg
+}
+
+// TestFrozenAndWoken suspends the agent while it admits a call, and wakes it
+// when the caller has long been told that the outcome is unknown.
+func TestFrozenAndWoken(t *testing.T) {
+	for at := range int64(2) {
+		h := &holding{release: make(chan struct{})}
+		close(h.release)
+		f := &freezer{fixedConfig: fixedConfig{configOf(1, digestOf("v1"))}, at: at + 1}
+		a := newServiceAgent(t, "", func(d *attempter.Dependencies) { d.Service, d.Configs = h, f })
+		f.freeze = func() { a.clock.Advance(time.Hour) }
+		if got := call(t, a, grantOf("c-1")); got.GetOutcome() != "not run" || h.count("c-1") != 0 {
+			t.Errorf("frozen at reading %d: got %s after %d runs, want not run", at+1, got.GetOutcome(), h.count("c-1"))
+		}
+	}
+}
