--- a/commander/commander.go
+++ b/commander/commander.go
@@ -37,6 +37,7 @@
 	Pack     packCmd     `cmd:"" help:"Make the manifest of a weights file."`
 	Publish  publishCmd  `cmd:"" help:"Publish a folder of INI files."`
 	Pull     pullCmd     `cmd:"" help:"Write the accepted files to a folder."`
+	Status   statusCmd   `cmd:"" help:"Show what each instance serves and how far a rollout is."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/commander/entriesflag.go
@@ -0,0 +1,109 @@
+package commander
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/authenticator"
+	"github.com/gooseberrypass/gooseberrypass/connector"
+	"github.com/gooseberrypass/gooseberrypass/dialer"
+	"github.com/gooseberrypass/gooseberrypass/wire"
+)
+
+// The limits of asking the entries.
+const (
+	entryTimeout = 5 * time.Second
+	entryWorkers = 16
+)
+
+var errNoEntries = errors.New("no entries: name them with --entry, or the platform's list with --list")
+
+// An entriesFlags tells how to reach the entries.
+type entriesFlags struct {
+	Entry         []string `help:"IP number and port of an entry's system address; may be repeated." placeholder:"ADDRESS"`
+	List          string   `env:"GOOSEBERRYPASS_LIST" help:"URL of the platform's list, to ask every entry in it." placeholder:"URL"`
+	Output        string   `default:"table" enum:"json,table" help:"Output format: table or json."`
+	SharedKeyFile string   `env:"GOOSEBERRYPASS_SHARED_KEY_FILE" help:"File that holds the shared key." type:"path"`
+}
+
+// An entryAnswer is what one entry answered, or why it did not.
+type entryAnswer[T any] struct {
+	address string
+	answer  T
+	err     error
+}
+
+// askEntries asks every entry at once. The answers come in the order of the
+// entries' addresses as given or listed.
+func askEntries[T any](
+	ctx context.Context,
+	f entriesFlags,
+	ask func(ctx context.Context, entry wire.Entry) (T, error),
+) ([]entryAnswer[T], error) {
+	addresses, client, err := f.addresses(ctx)
+	if err != nil {
+		return nil, err
+	}
+	answers := make([]entryAnswer[T], len(addresses))
+	workers := make(chan struct{}, entryWorkers)
+	var wg sync.WaitGroup
+	for i, address := range addresses {
+		wg.Go(func() {
+			workers <- struct{}{}
+			defer func() { <-workers }()
+			ctx, cancel := context.WithTimeout(ctx, entryTimeout)
+			defer cancel()
+			answer, err := ask(ctx, wire.NewEntryProtobufClient("http://"+address, client))
+			answers[i] = entryAnswer[T]{address: address, answer: answer, err: err}
+		})
+	}
+	wg.Wait()
+	return answers, nil
+}
+
+// addresses returns the entries and a client that reaches them.
+func (f entriesFlags) addresses(ctx context.Context) ([]string, *http.Client, error) {
+	key, err := authenticator.ReadKey(f.SharedKeyFile, os.Getenv)
+	if err != nil {
+		return nil, nil, err
+	}
+	d, err := dialer.New(key, prometheus.NewRegistry())
+	if err != nil {
+		return nil, nil, err
+	}
+	addresses := f.Entry
+	if f.List != "" {
+		listed, err := f.listed(ctx, d)
+		if err != nil {
+			return nil, nil, err
+		}
+		addresses = append(addresses, listed...)
+	}
+	if len(addresses) == 0 {
+		return nil, nil, &ExitError{Err: errNoEntries, Status: ExitBadUsage}
+	}
+	return addresses, d.Client(dialer.ClassControl), nil
+}
+
+func (f entriesFlags) listed(ctx context.Context, d *dialer.Dialer) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
+	defer cancel()
+	listing, err := connector.NewInstanceList(d.Client(dialer.ClassPlatform), f.List).List(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the platform's list")
+	}
+	var addresses []string
+	for _, l := range listing.Instances {
+		if l.Role == gooseberrypass.RoleEntry {
+			addresses = append(addresses, l.Address)
+		}
+	}
+	return addresses, nil
+}
--- a/commander/platformflags.go
+++ b/commander/platformflags.go
@@ -2,10 +2,8 @@
 
 import (
 	"os"
-	"strings"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/gooseberrypass/gooseberrypass/authenticator"
@@ -22,7 +20,7 @@
 }
 
 func (f *platformFlags) publisher() (*publisher.Publisher, error) {
-	key, err := readKey(f.SharedKeyFile)
+	key, err := authenticator.ReadKey(f.SharedKeyFile, os.Getenv)
 	if err != nil {
 		return nil, err
 	}
@@ -35,19 +33,3 @@
 	origin := connector.NewOrigin(client, f.Origin)
 	return publisher.New(clockwork.NewRealClock(), key, log, origin), nil
 }
-
-// readKey reads a shared key, the zero one if path is "".
-func readKey(path string) (authenticator.Key, error) {
-	if path == "" {
-		return authenticator.Key{}, nil
-	}
-	secret, err := os.ReadFile(path) //nolint:gosec // the operator names the file
-	if err != nil {
-		return authenticator.Key{}, errors.Wrap(err, "read shared key")
-	}
-	key := authenticator.NewKey(strings.TrimSpace(string(secret)))
-	if key.IsZero() {
-		return authenticator.Key{}, errors.Errorf("the shared key file %s is empty", path)
-	}
-	return key, nil
-}
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -99,7 +99,7 @@
 func (d *Demonstrator) start(ctx context.Context) error {
 	d.say("starting stand-ins of the platform, %d agents beside engines, %d beside plain services and %d entries in %d regions",
 		d.settings.Instances, serviceCount, entryCount, len(regions()))
-	if err := d.platform.start(); err != nil {
+	if err := d.platform.start(); err != nil { //nolint:contextcheck // platform.stop ends it
 		return err
 	}
 	if err := d.fleet.start(ctx, d.settings.Instances, d.settings.Seed); err != nil {
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -54,7 +54,7 @@
 // entries.
 func (f *fleet) start(ctx context.Context, n int, seed uint64) error {
 	for i := range n {
-		_, url, err := f.platform.startEngine(seed + uint64(i))
+		_, url, err := f.platform.startEngine(seed + uint64(i)) //nolint:contextcheck // platform.stop ends it
 		if err != nil {
 			return err
 		}
@@ -63,7 +63,7 @@
 		}
 	}
 	for i := range serviceCount {
-		url, err := f.platform.startService()
+		url, err := f.platform.startService() //nolint:contextcheck // platform.stop ends it
 		if err != nil {
 			return err
 		}
--- a/demonstrator/traffic.go
+++ b/demonstrator/traffic.go
@@ -68,7 +68,7 @@
 		c := &caller{
 			account: []string{"radio-uno", "/universidad/podcast"}[i%2],
 			id:      i,
-			random:  rand.New(rand.NewPCG(t.seed, uint64(i))), //nolint:gosec // makes prompts
+			random:  rand.New(rand.NewPCG(t.seed, uint64(i))),
 		}
 		for _, u := range t.urls {
 			client, err := api.NewClient(u)
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -85,7 +85,7 @@
 			return a.feed.Run(ctx, closeGrace)
 		})
 	}
-	failed, stop := start(services...)
+	failed, stop := start(ctx, services...)
 	a.logger.WithField("address", a.Address()).Info("agent started")
 	var cause error
 	select {
@@ -131,7 +131,7 @@
 		Configs:    a.spreader,
 		Instance:   a.settings.self,
 		Log:        a.logger,
-		Random:     rand.New(rand.NewPCG(a.seed, 0)), //nolint:gosec // spreads polls
+		Random:     rand.New(rand.NewPCG(a.seed, 0)),
 		Registerer: a.registry,
 		Targets:    noTargets{},
 	}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -59,10 +59,10 @@
 // Run serves until ctx is done, then takes no new request and ends those in
 // progress.
 func (e *Entry) Run(ctx context.Context) error {
-	failed, stopParts := start(e.loop.Run, func(ctx context.Context) error {
+	failed, stopParts := start(ctx, e.loop.Run, func(ctx context.Context) error {
 		return e.system.Run(ctx, closeGrace)
 	})
-	callersFailed, stopCallers := start(func(ctx context.Context) error {
+	callersFailed, stopCallers := start(ctx, func(ctx context.Context) error {
 		return e.callers.Run(ctx, e.settings.grace)
 	})
 	e.logger.WithField("callers", e.CallersAddress()).WithField("system", e.SystemAddress()).Info("entry started")
--- a/runner/process.go
+++ b/runner/process.go
@@ -131,10 +131,11 @@
 // A service is one goroutine of a process. It runs until its context is done.
 type service func(ctx context.Context) error
 
-// start runs services until the returned stop is called, which returns the
-// first error. failed gets the error of a service that ends by itself.
-func start(services ...service) (<-chan error, func() error) {
-	ctx, cancel := context.WithCancel(context.Background())
+// start runs services until the returned stop is called, whatever becomes of
+// ctx; stop returns the first error. The channel gets the error of a service
+// that ends by itself.
+func start(ctx context.Context, services ...service) (<-chan error, func() error) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	failed := make(chan error, len(services))
 	ended := make(chan error, len(services))
 	for _, s := range services {
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -16,9 +16,6 @@
 	"github.com/gooseberrypass/gooseberrypass/parser"
 )
 
-// EnvSharedKey is the environment variable that may hold the shared key.
-const EnvSharedKey = "GOOSEBERRYPASS_SHARED_KEY"
-
 // maxSettingsSize bounds a settings file, in bytes.
 const maxSettingsSize = 1 << 20
 
@@ -161,7 +158,7 @@
 	if len(findings) > 0 {
 		return nil, &FindingsError{Findings: findings}
 	}
-	s.sharedKey, err = readSharedKey(path, s.sharedKeyFile, getenv)
+	s.sharedKey, err = authenticator.ReadKey(keyPath(path, s.sharedKeyFile), getenv)
 	return s.Settings, err
 }
 
@@ -251,22 +248,10 @@
 	return findings
 }
 
-// readSharedKey reads the key from the file that the settings at path name,
-// else from the environment.
-func readSharedKey(path, keyFile string, getenv func(string) string) (authenticator.Key, error) {
-	if keyFile == "" {
-		return authenticator.NewKey(getenv(EnvSharedKey)), nil
-	}
-	if !filepath.IsAbs(keyFile) {
-		keyFile = filepath.Join(filepath.Dir(path), keyFile)
-	}
-	secret, err := os.ReadFile(keyFile) //nolint:gosec // the operator names the file
-	if err != nil {
-		return authenticator.Key{}, errors.Wrap(err, "read the shared key")
-	}
-	trimmed := strings.TrimSpace(string(secret))
-	if trimmed == "" {
-		return authenticator.Key{}, errors.Errorf("read the shared key: %s is empty", keyFile)
+// keyPath returns the path of a key file that the settings at path name.
+func keyPath(path, keyFile string) string {
+	if keyFile == "" || filepath.IsAbs(keyFile) {
+		return keyFile
 	}
-	return authenticator.NewKey(trimmed), nil
+	return filepath.Join(filepath.Dir(path), keyFile)
 }
