--- a/merger/merger.go
+++ b/merger/merger.go
@@ -3,7 +3,9 @@
 package merger
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/parser"
@@ -95,6 +97,9 @@
 			})
 		}
 	}
+	slices.SortStableFunc(s.declarations, func(a, b Declaration) int {
+		return cmp.Or(cmp.Compare(a.Place.File, b.Place.File), cmp.Compare(a.Place.Line, b.Place.Line))
+	})
 	for _, scheme := range resolver.Schemes() {
 		m.findCollisions(s, scheme)
 	}
