--- a/runner/settings.go
+++ b/runner/settings.go
@@ -165,6 +165,17 @@
 	return s.Settings, err
 }
 
+// ParseSettings parses the settings of a process whose shared key is known.
+// Every fault is reported in one *FindingsError; name is the file's name in it.
+func ParseSettings(name string, role gooseberrypass.Role, body []byte, key authenticator.Key) (*Settings, error) {
+	s, findings := parseSettings(name, role, body)
+	if len(findings) > 0 {
+		return nil, &FindingsError{Findings: findings}
+	}
+	s.sharedKey = key
+	return s.Settings, nil
+}
+
 // parsedSettings are settings whose shared key has not been read.
 type parsedSettings struct {
 	*Settings
