Follow the peers that the rollout's waves count

Cause: an agent followed the agents of its pool and failure domain only, while the waves count the instances that are alone in their failure domain as one group. Those did not know of each other and would have left service together. The choice of peers now uses the waves' own grouping, and the folder's pool where it overrides the listed one.

--- a/demonstrator/result.go
+++ b/demonstrator/result.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -59,6 +61,11 @@
 	if err := t.Flush(); err != nil {
 		return errors.Wrap(err, "print the table")
 	}
+	for _, reason := range slices.Sorted(maps.Keys(r.traffic.reasons)) {
+		if _, err := fmt.Fprintf(w, "%d requests %s\n", r.traffic.reasons[reason], reason); err != nil {
+			return errors.Wrap(err, "print the reasons")
+		}
+	}
 	return r.writeLine(w)
 }
 
--- a/demonstrator/traffic.go
+++ b/demonstrator/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -33,6 +34,7 @@
 	failed   int // no outcome at all
 	mixed    int // answers not of one version
 	notRun   int
+	reasons  map[string]int // why requests were not answered
 	requests int
 	unknown  int
 }
@@ -49,7 +51,7 @@
 }
 
 func newTraffic(clock gooseberrypass.Clock, seed uint64, urls []string) *traffic {
-	return &traffic{clock: clock, seed: seed, urls: urls}
+	return &traffic{clock: clock, counts: tally{reasons: map[string]int{}}, seed: seed, urls: urls}
 }
 
 // A caller sends one request after another.
@@ -91,7 +93,9 @@
 func (t *traffic) tally() tally {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.counts
+	counts := t.counts
+	counts.reasons = maps.Clone(counts.reasons)
+	return counts
 }
 
 func (t *traffic) run(ctx context.Context, c *caller, ask func(context.Context, *caller) error) {
@@ -129,11 +133,17 @@
 		t.counts.failed++
 	case failure.Response.Outcome == api.FailureOutcomeNotRun:
 		t.counts.notRun++
+		t.counts.reasons[failureReason(failure)]++
 	default:
 		t.counts.unknown++
+		t.counts.reasons[failureReason(failure)]++
 	}
 }
 
+func failureReason(f *api.FailureStatusCodeWithHeaders) string {
+	return string(f.Response.Outcome) + ": " + f.Response.Reason
+}
+
 func (c *caller) client() *api.Client { return c.clients[c.n%len(c.clients)] }
 
 // generate asks for a script and checks that it is whole and of one version.
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -18,6 +18,8 @@
 	"github.com/gooseberrypass/gooseberrypass/keeper"
 	"github.com/gooseberrypass/gooseberrypass/listener"
 	"github.com/gooseberrypass/gooseberrypass/loader"
+	"github.com/gooseberrypass/gooseberrypass/roller"
+	"github.com/gooseberrypass/gooseberrypass/tracker"
 	"github.com/gooseberrypass/gooseberrypass/wire"
 )
 
@@ -38,6 +40,15 @@
 // Pressure implements keeper.Pressure.
 func (p pressure) Pressure() float64 { return p() }
 
+// A configHolder gives the configuration of a source that is made later, before
+// the process runs.
+type configHolder struct {
+	source gooseberrypass.ConfigSource
+}
+
+// Config implements gooseberrypass.ConfigSource.
+func (h *configHolder) Config() *gooseberrypass.Config { return h.source.Config() }
+
 // An Agent is an agent process, beside an engine or a plain service.
 type Agent struct {
 	*process
@@ -52,10 +63,12 @@
 // address for other processes is the lock on the endpoint: NewAgent waits for
 // it as long as another process has it.
 func NewAgent(ctx context.Context, settings *Settings, d Dependencies) (*Agent, error) {
-	p, err := newProcess(settings, selectDomain(settings.self), d)
+	var configs configHolder
+	p, err := newProcess(settings, selectPeers(settings.self, &configs), d)
 	if err != nil {
 		return nil, err
 	}
+	configs.source = p.spreader
 	lis, err := loader.Listen(ctx, d.Clock, settings.listen.String())
 	if err != nil {
 		return nil, err
@@ -242,16 +255,15 @@
 	return errors.Wrap(conn.Close(), "probe")
 }
 
-// selectDomain follows the agents of self's pool in its failure domain, whose
-// progress decides when self may load.
-func selectDomain(self gooseberrypass.ListedInstance) func([]gooseberrypass.ListedInstance) []gooseberrypass.ID {
-	return func(listed []gooseberrypass.ListedInstance) []gooseberrypass.ID {
-		var ids []gooseberrypass.ID
-		for _, l := range listed {
-			if l.ID != self.ID && l.Role == gooseberrypass.RoleAgent && l.Pool == self.Pool && l.FailureDomain == self.FailureDomain {
-				ids = append(ids, l.ID)
-			}
+// selectPeers follows the agents whose progress decides when self may load.
+func selectPeers(self gooseberrypass.ListedInstance, configs gooseberrypass.ConfigSource) tracker.Selector {
+	pool := func(l gooseberrypass.ListedInstance) gooseberrypass.Pool {
+		if config := configs.Config(); config != nil {
+			return config.PoolOf(l)
 		}
-		return ids
+		return l.Pool
+	}
+	return func(listed []gooseberrypass.ListedInstance) []gooseberrypass.ID {
+		return roller.Peers(self, listed, pool)
 	}
 }
