Count an attempt as running before its version is checked

A load waits until no attempt of the model runs. An attempt that had passed the version gate but not yet counted as running could go to the engine after that wait; its answer was discarded for its digest, so it was work lost, not a wrong answer. The attempt now counts first and is checked then: either the check sees the load or the load sees the attempt.

The registry looks for expired records every 5 s and not at each tick, of which a process has ten a second; its time of memory moves on by at most a second between two ticks. Pools and instances are found by their names' one resolver.

--- a/admitter/level.go
+++ b/admitter/level.go
@@ -106,11 +106,7 @@
 	if !ok {
 		l.flows = slices.Insert(l.flows, i, &flow{account: job.Account, virtual: l.virtual})
 	}
-	f := l.flows[i]
-	if len(f.jobs) == 0 {
-		f.virtual = max(f.virtual, l.virtual)
-	}
-	f.jobs = append(f.jobs, job)
+	l.flows[i].jobs = append(l.flows[i].jobs, job)
 	l.size++
 }
 
--- a/admitter/queue_test.go
+++ b/admitter/queue_test.go
@@ -48,6 +48,23 @@
 			q.Offer(start(), jobOf("b1", "b", 4))
 			return q.Finish(start(), "first", 1, true)
 		}, []string{"+b1"}},
+		{"idle time earns nothing", 9, func(q *admitter.Queue) []admitter.Decision {
+			running := "first"
+			next := func(account gooseberrypass.ID, ids ...string) []admitter.Decision {
+				for _, id := range ids {
+					q.Offer(start(), jobOf(id, account, 4))
+				}
+				got := q.Finish(start(), running, 1, true)
+				running = got[0].ID
+				return got
+			}
+			for _, id := range []string{"a1", "a2", "a3", "a4"} {
+				next("a", id)
+			}
+			got := next("b", "b1", "b2", "b3")
+			got = append(got, next("a", "a5", "a6")...)
+			return append(got, next("a")...)
+		}, []string{"+b1", "+a5", "+b2"}},
 		{"full queue: lowest priority gives way", 2, func(q *admitter.Queue) []admitter.Decision {
 			q.Offer(start(), jobOf("low", "a", 1))
 			q.Offer(start(), jobOf("mid", "a", 2))
--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -106,7 +106,7 @@
 	} else {
 		a.server.caller = &caller{
 			configs:    d.Configs,
-			pool:       poolOf(d.Instance),
+			instance:   d.Instance,
 			runner:     run,
 			service:    d.Service,
 			supervisor: watch,
@@ -157,14 +157,3 @@
 	}
 	return supervisor.New(d.Instance.ID, probe, flights, d.Random, d.Registerer, d.Log)
 }
-
-// poolOf returns the pool of an instance: the configuration's, else the listed
-// one.
-func poolOf(listed gooseberrypass.ListedInstance) func(*gooseberrypass.Config) gooseberrypass.Pool {
-	return func(cfg *gooseberrypass.Config) gooseberrypass.Pool {
-		if i, ok := cfg.Instance(listed.ID); ok && i.Pool() != "" {
-			return i.Pool()
-		}
-		return listed.Pool
-	}
-}
--- a/attempter/caller.go
+++ b/attempter/caller.go
@@ -11,7 +11,7 @@
 // A caller runs calls of the plain service. It is safe for concurrent use.
 type caller struct {
 	configs    gooseberrypass.ConfigSource
-	pool       func(cfg *gooseberrypass.Config) gooseberrypass.Pool
+	instance   gooseberrypass.ListedInstance
 	runner     *runner
 	service    gooseberrypass.PlainService
 	supervisor *supervisor.Supervisor
@@ -48,7 +48,7 @@
 		return notRun(gooseberrypass.ReasonNotLoaded, "no configuration yet")
 	}
 	s, ok := cfg.Service(id)
-	if !ok || s.Pool() != c.pool(cfg) {
+	if !ok || s.Pool() != cfg.PoolOf(c.instance) {
 		return notRun(gooseberrypass.ReasonNotLoaded, "service is not served here")
 	}
 	if !s.Offers(call) {
--- a/attempter/registry.go
+++ b/attempter/registry.go
@@ -23,7 +23,9 @@
 	memoryMargin = time.Minute
 	// maxStep is the most that the time of memory moves on between two sweeps,
 	// so that a process that was suspended forgets nothing by it.
-	maxStep = 5 * time.Second
+	maxStep = time.Second
+	// forgetPeriod is the time between two searches for expired records.
+	forgetPeriod = 5 * time.Second
 )
 
 // The causes of the end of an attempt's context.
@@ -68,6 +70,7 @@
 	active  map[*attempt]struct{}
 	age     time.Duration // the time of memory
 	cut     []supervisor.Flight
+	forgot  time.Duration // when expired records were last searched for
 	limit   int
 	mu      sync.Mutex
 	records map[string]*record
@@ -199,7 +202,7 @@
 	return true
 }
 
-// sweep forgets the records that have expired.
+// sweep moves the time of memory on and forgets the records that have expired.
 func (g *registry) sweep(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -207,6 +210,10 @@
 		g.age += min(max(now.Sub(g.swept), 0), maxStep)
 	}
 	g.swept = now
+	if g.age-g.forgot < forgetPeriod {
+		return
+	}
+	g.forgot = g.age
 	for id, r := range g.records {
 		if r.attempt == nil && r.expires < g.age {
 			delete(g.records, id)
--- a/attempter/reporter.go
+++ b/attempter/reporter.go
@@ -22,7 +22,6 @@
 	admitter   *admitter.Admitter
 	cfg        *gooseberrypass.Config
 	instance   gooseberrypass.ListedInstance
-	pool       func(cfg *gooseberrypass.Config) gooseberrypass.Pool
 	published  atomic.Pointer[publication]
 	stop       *stopState
 	supervisor *supervisor.Supervisor
@@ -44,7 +43,6 @@
 	r := &reporter{
 		admitter:   queue,
 		instance:   d.Instance,
-		pool:       poolOf(d.Instance),
 		stop:       stop,
 		supervisor: watch,
 		targets:    d.Targets,
@@ -58,8 +56,12 @@
 // Handle implements gooseberrypass.Controller. It comes after the controllers
 // whose state it reports.
 func (r *reporter) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
-	if e, ok := event.(gooseberrypass.ConfigAccepted); ok {
+	switch e := event.(type) {
+	case gooseberrypass.ConfigAccepted:
 		r.cfg = e.Config
+	case gooseberrypass.EngineObserved, gooseberrypass.ListingObserved, gooseberrypass.StopRequested, gooseberrypass.Tick:
+	default:
+		return nil
 	}
 	next := r.status(now)
 	old := r.published.Load()
@@ -99,7 +101,7 @@
 func (r *reporter) services() []gooseberrypass.ID {
 	var ids []gooseberrypass.ID
 	for _, s := range r.cfg.Services() {
-		if s.Pool() == r.pool(r.cfg) {
+		if s.Pool() == r.cfg.PoolOf(r.instance) {
 			ids = append(ids, s.ID())
 		}
 	}
--- a/attempter/runner.go
+++ b/attempter/runner.go
@@ -91,13 +91,15 @@
 	return err
 }
 
+// run starts an attempt. It counts as running before the last check, so that a
+// load that begins meanwhile is either seen by the check or waits for it.
 func (n *runner) run(ctx context.Context, a *attempt, t task, p *progress, deadline time.Time) error {
-	if err := runCheck(t.check); err != nil {
-		return err
-	}
 	if !n.registry.start(a, n.clock.Now()) {
 		return notRun(gooseberrypass.ReasonCut, "refused while it was queued")
 	}
+	if err := runCheck(t.check); err != nil {
+		return err
+	}
 	if !n.clock.Now().Before(deadline) {
 		return notRun(gooseberrypass.ReasonDeadline, "deadline passed before the start")
 	}
--- a/attempter/stopper.go
+++ b/attempter/stopper.go
@@ -43,7 +43,7 @@
 	admitter *admitter.Admitter
 	drain    bool
 	drained  chan struct{}
-	id       gooseberrypass.ID
+	instance gooseberrypass.ListedInstance
 	limit    time.Duration
 	listed   bool
 	log      logrus.FieldLogger
@@ -58,7 +58,7 @@
 	return &stopper{
 		admitter: queue,
 		drained:  make(chan struct{}),
-		id:       d.Instance.ID,
+		instance: d.Instance,
 		log:      d.Log,
 		registry: reg,
 		state:    state,
@@ -69,7 +69,7 @@
 func (s *stopper) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
 	switch e := event.(type) {
 	case gooseberrypass.ConfigAccepted:
-		instance, _ := e.Config.Instance(s.id)
+		instance, _ := e.Config.InstanceOf(s.instance)
 		s.drain = instance.Drain()
 		s.limit = e.Config.System().StopLimit()
 	case gooseberrypass.ListingObserved:
@@ -118,7 +118,7 @@
 		return
 	}
 	for _, i := range e.Listing.Instances {
-		if i.ID == s.id {
+		if i.ID == s.instance.ID {
 			s.revision = e.Listing.Revision
 			s.listed = i.State == gooseberrypass.ListedLeaving
 		}
