Admit attempts only on models that the instance is to serve

A version whose model has left the instance's pool is unloaded by an order that no target announces, so the version gate did not see it coming and an attempt could lose its answer to it. The gate now asks the configuration first; the order follows from the same configuration.

--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/attempter"
 )
 
 func TestAnswerIsWhole(t *testing.T) {
@@ -27,16 +28,18 @@
 	tests := []struct {
 		name    string
 		asked   string
+		pool    gooseberrypass.Pool
 		loading bool
 		targets []gooseberrypass.TargetStatus
 		want    string
 	}{
-		{"version in force", "", false, nil, ""},
-		{"version asked for", "v1", false, nil, ""},
-		{"version not loaded", "v2", false, nil, "not-loaded"},
-		{"load ordered", "", false, []gooseberrypass.TargetStatus{same}, "not-loaded"},
-		{"load seen only", "", true, nil, "not-loaded"},
-		{"another model's load", "", true, []gooseberrypass.TargetStatus{other}, ""},
+		{"version in force", "", "writers", false, nil, ""},
+		{"version asked for", "v1", "writers", false, nil, ""},
+		{"version not loaded", "v2", "writers", false, nil, "not-loaded"},
+		{"model of another pool", "v1", "archive", false, nil, "not-loaded"},
+		{"load ordered", "", "writers", false, []gooseberrypass.TargetStatus{same}, "not-loaded"},
+		{"load seen only", "", "writers", true, nil, "not-loaded"},
+		{"another model's load", "", "writers", true, []gooseberrypass.TargetStatus{other}, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -45,7 +48,7 @@
 			e.generate = func(_ context.Context, o gooseberrypass.GenerateOrder) (gooseberrypass.TokenStream, error) {
 				return replay(tokensOf(o.AttemptID, o.Digest, 2), io.EOF), nil
 			}
-			a := newEngineAgent(t, e)
+			a := newAgent(t, func(d *attempter.Dependencies) { d.Engine, d.Instance.Pool = e, tt.pool })
 			a.targets.set(tt.targets...)
 			m := attemptOf("a-1")
 			if tt.asked != "" {
--- a/attempter/gate.go
+++ b/attempter/gate.go
@@ -16,6 +16,7 @@
 // A gate lets attempts through to versions that the engine has loaded.
 type gate struct {
 	configs    gooseberrypass.ConfigSource
+	instance   gooseberrypass.ListedInstance
 	supervisor *supervisor.Supervisor
 	targets    Targets
 }
@@ -23,12 +24,13 @@
 // admit returns the digest of the version that is to answer: the one asked for,
 // or the configuration's if none was.
 func (g *gate) admit(model gooseberrypass.ID, asked gooseberrypass.Digest) (gooseberrypass.Digest, error) {
-	digest := asked
-	if digest.IsZero() {
-		digest = g.inForce(model)
+	inForce, ok := g.inForce(model)
+	if !ok {
+		return asked, notRun(gooseberrypass.ReasonNotLoaded, "model is not served here")
 	}
+	digest := asked
 	if digest.IsZero() {
-		return digest, notRun(gooseberrypass.ReasonNotLoaded, "no version of the model is configured")
+		digest = inForce
 	}
 	s := g.supervisor.Snapshot()
 	if !s.Up {
@@ -43,13 +45,16 @@
 	return digest, nil
 }
 
-func (g *gate) inForce(model gooseberrypass.ID) gooseberrypass.Digest {
+// inForce returns the digest of the configuration's version. It reports false
+// for a model that the instance is not to serve, which may be unloaded at any
+// time.
+func (g *gate) inForce(model gooseberrypass.ID) (gooseberrypass.Digest, bool) {
 	cfg := g.configs.Config()
 	if cfg == nil {
-		return gooseberrypass.Digest{}
+		return gooseberrypass.Digest{}, false
 	}
-	m, _ := cfg.Model(model)
-	return m.Manifest()
+	m, ok := cfg.Model(model)
+	return m.Manifest(), ok && m.Pool() == cfg.PoolOf(g.instance)
 }
 
 // loading reports whether a load of the model is in progress. A load that the
