Let a call that was sent go on, and name all requests of a lost boot

Cancelling a started call of a plain service broke its connection off and made its outcome unknown, though nothing was taken back by it. It now goes on.

A request that began after the last good reading of a boot and was not yet noticed as cut when the next boot was found was missing from the crash. All requests begun by that reading are named now; an innocent one among them runs alone once.

--- a/attempter/caller.go
+++ b/attempter/caller.go
@@ -29,6 +29,7 @@
 		check:    func() error { return c.admit(gooseberrypass.ID(m.GetService()), m.GetCall()) },
 		class:    m.GetService() + "/" + m.GetCall(),
 		cost:     1,
+		final:    true,
 		digest:   gooseberrypass.Digest(m.GetRequestDigest()),
 		id:       m.GetAttemptId(),
 		life:     lifeOf(m.GetDeadlineMs()),
--- a/attempter/registry.go
+++ b/attempter/registry.go
@@ -49,6 +49,7 @@
 // An attempt is one attempt that is queued or runs.
 type attempt struct {
 	cancel  context.CancelCauseFunc
+	final   bool // cannot be taken back once it has started
 	flight  supervisor.Flight
 	id      string
 	life    time.Duration // time given, in which a copy may come late
@@ -109,7 +110,8 @@
 	return phaseNone, true
 }
 
-// cancelAttempt ends an attempt that is queued or runs.
+// cancelAttempt ends an attempt that is queued or runs, unless it has started
+// and cannot be taken back. It reports whether there is such an attempt.
 func (g *registry) cancelAttempt(id string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -117,7 +119,9 @@
 	if !ok || r.attempt == nil {
 		return false
 	}
-	r.attempt.cancel(errCancelled)
+	if !r.attempt.started || !r.attempt.final {
+		r.attempt.cancel(errCancelled)
+	}
 	return true
 }
 
--- a/attempter/runner.go
+++ b/attempter/runner.go
@@ -16,6 +16,7 @@
 	class    string
 	cost     int64
 	digest   gooseberrypass.Digest // of the request
+	final    bool                  // cannot be taken back once it has started
 	id       string
 	life     time.Duration
 	model    gooseberrypass.ID
@@ -50,6 +51,7 @@
 	defer cancel(nil)
 	a := &attempt{
 		cancel: cancel,
+		final:  t.final,
 		flight: supervisor.Flight{Request: t.digest},
 		id:     t.id,
 		life:   t.life,
--- a/attempter/settle_test.go
+++ b/attempter/settle_test.go
@@ -143,11 +143,11 @@
 	runs    sync.Map
 }
 
-func (h *holding) Call(_ context.Context, c gooseberrypass.ServiceCall) ([]byte, error) {
+func (h *holding) Call(ctx context.Context, c gooseberrypass.ServiceCall) ([]byte, error) {
 	n, _ := h.runs.LoadOrStore(c.AttemptID, &atomic.Int64{})
 	n.(*atomic.Int64).Add(1)
 	<-h.release
-	return []byte("done"), nil
+	return []byte("done"), ctx.Err()
 }
 
 func (h *holding) count(id string) int64 {
@@ -216,6 +216,10 @@
 	if got, want := refuse(t, a, "running"), wire.AttemptState_ATTEMPT_STATE_STARTED; got != want {
 		t.Errorf("got %v for the running one, want %v", got, want)
 	}
+	resp, err := a.Server().Cancel(context.Background(), &wire.CancelRequest{AttemptId: "running"})
+	if err != nil || !resp.GetFound() {
+		t.Errorf("got %v, %v on cancelling the running one, want it found", resp, err)
+	}
 	close(h.release)
 	if got, want := <-outcomes, "answered"; got != want || h.count("queued") != 0 {
 		t.Errorf("got %s and %d runs of the refused one, want %s and none", got, h.count("queued"), want)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -171,7 +171,7 @@
 	old := s.snapshot.Load()
 	restarted := !old.ObservedAt.IsZero() && old.State.BootID != e.State.BootID
 	if restarted {
-		s.crashes.restart(now, old.State.BootID, stuck(s.flights.Flying(), old.ObservedAt))
+		s.crashes.restart(now, old.State.BootID, begunBy(s.pollStart, s.flights.Flying()))
 		if s.cache != nil {
 			s.cache.reset(0)
 		}
@@ -239,10 +239,10 @@
 	s.next = now
 }
 
-// stuck returns the flights that started before the last reading of the old
-// boot and so cannot run on the new one.
-func stuck(flights []Flight, observed time.Time) []Flight {
-	return slices.DeleteFunc(flights, func(f Flight) bool { return !f.Started.Before(observed) })
+// begunBy returns the flights that began by the start of the reading that found
+// a new boot. They belong to the old one, as a new one has nothing loaded yet.
+func begunBy(start time.Time, flights []Flight) []Flight {
+	return slices.DeleteFunc(flights, func(f Flight) bool { return f.Started.After(start) })
 }
 
 // A poll reads the endpoint's state.
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -144,11 +144,15 @@
 				b.tick()
 			}
 		}, [][]string{{"poison"}, {"poison"}}, true},
-		{"stuck on the old boot", func(b *bench) {
-			b.flying = []supervisor.Flight{{Request: request("poison"), Started: b.now.Add(-time.Second)}, {Request: request("new"), Started: b.now.Add(time.Second)}}
+		{"not yet noticed as cut", func(b *bench) {
+			b.flying = []supervisor.Flight{
+				{Request: request("poison"), Started: b.now.Add(-time.Second)},
+				{Request: request("beside"), Started: b.now.Add(time.Millisecond)},
+				{Request: request("new"), Started: b.now.Add(time.Second)},
+			}
 			b.state.BootID = "boot-2"
 			b.tick()
-		}, [][]string{{"poison"}}, true},
+		}, [][]string{{"poison", "beside"}}, true},
 		{"cut, but the engine goes on", func(b *bench) {
 			b.cutOff("slow")
 			b.tick()
