--- a/attempter/caller.go
+++ b/attempter/caller.go
@@ -11,7 +11,7 @@
 // A caller runs calls of the plain service. It is safe for concurrent use.
 type caller struct {
 	configs    gooseberrypass.ConfigSource
-	pool       func(cfg *gooseberrypass.Config) gooseberrypass.Pool
+	instance   gooseberrypass.ListedInstance
 	runner     *runner
 	service    gooseberrypass.PlainService
 	supervisor *supervisor.Supervisor
@@ -29,6 +29,7 @@
 		check:    func() error { return c.admit(gooseberrypass.ID(m.GetService()), m.GetCall()) },
 		class:    m.GetService() + "/" + m.GetCall(),
 		cost:     1,
+		final:    true,
 		digest:   gooseberrypass.Digest(m.GetRequestDigest()),
 		id:       m.GetAttemptId(),
 		life:     lifeOf(m.GetDeadlineMs()),
@@ -48,7 +49,7 @@
 		return notRun(gooseberrypass.ReasonNotLoaded, "no configuration yet")
 	}
 	s, ok := cfg.Service(id)
-	if !ok || s.Pool() != c.pool(cfg) {
+	if !ok || s.Pool() != cfg.PoolOf(c.instance) {
 		return notRun(gooseberrypass.ReasonNotLoaded, "service is not served here")
 	}
 	if !s.Offers(call) {
--- a/attempter/runner.go
+++ b/attempter/runner.go
@@ -16,6 +16,7 @@
 	class    string
 	cost     int64
 	digest   gooseberrypass.Digest // of the request
+	final    bool                  // cannot be taken back once it has started
 	id       string
 	life     time.Duration
 	model    gooseberrypass.ID
@@ -50,6 +51,7 @@
 	defer cancel(nil)
 	a := &attempt{
 		cancel: cancel,
+		final:  t.final,
 		flight: supervisor.Flight{Request: t.digest},
 		id:     t.id,
 		life:   t.life,
@@ -91,13 +93,15 @@
 	return err
 }
 
+// run starts an attempt. It counts as running before the last check, so that a
+// load that begins meanwhile is either seen by the check or waits for it.
 func (n *runner) run(ctx context.Context, a *attempt, t task, p *progress, deadline time.Time) error {
-	if err := runCheck(t.check); err != nil {
-		return err
-	}
 	if !n.registry.start(a, n.clock.Now()) {
 		return notRun(gooseberrypass.ReasonCut, "refused while it was queued")
 	}
+	if err := runCheck(t.check); err != nil {
+		return err
+	}
 	if !n.clock.Now().Before(deadline) {
 		return notRun(gooseberrypass.ReasonDeadline, "deadline passed before the start")
 	}
