--- a/answerer/filters.go
+++ b/answerer/filters.go
@@ -150,10 +150,16 @@
 	return withPriority(cfg, req.WithTarget(id, true).WithMaxTokens(maxTokens(m, req.MaxTokens())), m.Priority()), nil
 }
 
+// defaultMaxTokens is the limit of a request where neither its caller nor its
+// model sets one.
+const defaultMaxTokens = 1024
+
 // maxTokens returns the tokens that a request may have: what its caller wants,
 // under the model's limit.
 func maxTokens(m gooseberrypass.Model, wanted int) int {
 	switch {
+	case wanted <= 0 && m.MaxTokens() <= 0:
+		return defaultMaxTokens
 	case wanted <= 0:
 		return m.MaxTokens()
 	case m.MaxTokens() <= 0:
--- a/quarantiner/metrics.go
+++ b/quarantiner/metrics.go
@@ -3,7 +3,7 @@
 import "github.com/prometheus/client_golang/prometheus"
 
 type metrics struct {
-	crashes     prometheus.Counter
+	crashes     prometheus.Gauge
 	quarantined prometheus.Counter
 	refused     prometheus.Counter
 	suspects    prometheus.Gauge
@@ -11,9 +11,9 @@
 
 func newMetrics(registerer prometheus.Registerer) (*metrics, error) {
 	m := &metrics{
-		crashes: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "gooseberrypass_endpoint_crashes_total",
-			Help: "Crashes of endpoints that agents reported.",
+		crashes: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "gooseberrypass_poison_crashes",
+			Help: "Crashes of endpoints in the last minutes that requests are suspected for.",
 		}),
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gooseberrypass_poison_requests_total",
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -13,8 +14,8 @@
 	"github.com/gooseberrypass/gooseberrypass"
 )
 
-// convictingCrashes is how many crashes a request must have been seen in, the
-// last one alone, to be refused.
+// convictingCrashes is how many crashes a request must have been seen in, one
+// of them alone, to be refused.
 const convictingCrashes = 2
 
 // A snapshot is what traffic goroutines read: immutable.
@@ -72,10 +73,9 @@
 	return q.snapshot.Load().suspects[digest]
 }
 
-// Cut tells that an attempt, which may have run alone, broke off at an endpoint
-// that may have crashed.
-func (q *Quarantiner) Cut(digest gooseberrypass.Digest, at gooseberrypass.ID, alone bool) {
-	q.post(broken{cut: cut{alone: alone, at: at, digest: digest}})
+// Cut tells that an attempt broke off at an endpoint that may have crashed.
+func (q *Quarantiner) Cut(digest gooseberrypass.Digest, at gooseberrypass.ID) {
+	q.post(broken{cut: cut{at: at, digest: digest}})
 }
 
 // Finished tells that a request ran to its end.
@@ -115,6 +115,13 @@
 		changed = q.scores.clear(e.digest)
 	case gooseberrypass.Tick:
 		changed = q.scores.expire(now)
+	default:
+		return nil
+	}
+	for _, digest := range q.scores.convict(now, q.quarantine()) {
+		changed = true
+		q.metrics.quarantined.Inc()
+		q.logger.WithField("request", digest.Short()).Warn("request crashed endpoints, refusing it for a time")
 	}
 	if changed {
 		q.publish()
@@ -123,42 +130,18 @@
 }
 
 func (q *Quarantiner) observe(now time.Time, members []gooseberrypass.Member) bool {
-	gone := q.scores.gone(members)
-	for _, c := range gone {
-		q.score(now, c.digest, c.at, c.alone)
-	}
-	changed := len(gone) > 0
+	changed := q.scores.judgeCuts(now, members)
 	for _, m := range members {
 		if m.Status == nil {
 			continue
 		}
-		for _, crash := range m.Status.Crashes {
-			changed = q.crash(now, m.Listed.ID, crash) || changed
+		for _, report := range m.Status.Crashes {
+			changed = q.scores.note(now, m.Listed.ID, report) || changed
 		}
 	}
 	return changed
 }
 
-func (q *Quarantiner) crash(now time.Time, at gooseberrypass.ID, crash gooseberrypass.Crash) bool {
-	if !q.scores.note(now, at, crash) {
-		return false
-	}
-	q.metrics.crashes.Inc()
-	alone := len(crash.Requests) == 1
-	for _, digest := range crash.Requests {
-		q.score(now, digest, at, alone)
-	}
-	return true
-}
-
-func (q *Quarantiner) score(now time.Time, digest gooseberrypass.Digest, at gooseberrypass.ID, alone bool) {
-	if !q.scores.add(now, digest, at, alone, q.quarantine()) {
-		return
-	}
-	q.metrics.quarantined.Inc()
-	q.logger.WithField("request", digest.Short()).Warn("request crashed endpoints, refusing it for a time")
-}
-
 func (q *Quarantiner) quarantine() time.Duration {
 	cfg := q.config.Config()
 	if cfg == nil {
@@ -168,15 +151,12 @@
 }
 
 func (q *Quarantiner) publish() {
-	s := &snapshot{refused: map[gooseberrypass.Digest]time.Time{}, suspects: map[gooseberrypass.Digest]bool{}}
-	for digest, score := range q.scores.requests {
-		if !score.refusedUntil.IsZero() {
-			s.refused[digest] = score.refusedUntil
-		} else {
-			s.suspects[digest] = true
-		}
+	s := &snapshot{refused: maps.Clone(q.scores.refused), suspects: map[gooseberrypass.Digest]bool{}}
+	for _, c := range q.scores.crashes {
+		maps.Copy(s.suspects, c.requests)
 	}
 	q.snapshot.Store(s)
+	q.metrics.crashes.Set(float64(len(q.scores.crashes)))
 	q.metrics.suspects.Set(float64(len(s.suspects)))
 }
 
--- a/quarantiner/scores.go
+++ b/quarantiner/scores.go
@@ -12,127 +12,203 @@
 	cutMemory   = 30 * time.Second
 	maxCrashes  = 4096
 	maxCuts     = 4096
-	maxRequests = 8192
-	sameCrash   = 10 * time.Second // evidence of one endpoint this close is one crash
+	maxRefused  = 4096
+	maxRequests = 1024 // of one crash
+	sameCrash   = 10 * time.Second
+	settleTime  = time.Second // in which a report of a crash may still grow
 	suspectTime = 10 * time.Minute
 )
 
-// A score is the evidence against one request.
-type score struct {
-	at           gooseberrypass.ID // of the last crash
-	crashes      int
-	last         time.Time
-	refusedUntil time.Time // zero for a suspect
+// A crash is one crash of an endpoint and the requests that are still under
+// suspicion for it.
+type crash struct {
+	at       gooseberrypass.ID
+	cleared  map[gooseberrypass.Digest]bool
+	first    time.Time // when it was first heard of
+	requests map[gooseberrypass.Digest]bool
+}
+
+// alone reports whether one request alone was in flight at the crash.
+func (c *crash) alone(now time.Time) bool {
+	return len(c.requests)+len(c.cleared) == 1 && now.Sub(c.first) >= settleTime
 }
 
 // A cut is an attempt that broke off, until it is known whether its endpoint
 // crashed.
 type cut struct {
-	alone  bool
 	at     gooseberrypass.ID
 	digest gooseberrypass.Digest
 }
 
 // A scores holds the evidence against requests, bounded.
 type scores struct {
-	cuts     map[cut]time.Time
-	requests map[gooseberrypass.Digest]*score
-	seen     map[string]time.Time // crashes by endpoint and id
+	crashes map[string]*crash
+	cuts    map[cut]time.Time
+	refused map[gooseberrypass.Digest]time.Time // until when
 }
 
 func newScores() *scores {
 	return &scores{
-		cuts:     map[cut]time.Time{},
-		requests: map[gooseberrypass.Digest]*score{},
-		seen:     map[string]time.Time{},
+		crashes: map[string]*crash{},
+		cuts:    map[cut]time.Time{},
+		refused: map[gooseberrypass.Digest]time.Time{},
 	}
 }
 
-// note reports whether a crash is new.
-func (s *scores) note(now time.Time, at gooseberrypass.ID, crash gooseberrypass.Crash) bool {
-	id := string(at) + "/" + crash.ID
-	_, old := s.seen[id]
-	if old || len(s.seen) >= maxCrashes {
-		return false
-	}
-	s.seen[id] = now
-	return true
-}
-
-// add scores a request that was in flight at a crash. It reports whether the
-// request is refused from now on.
-func (s *scores) add(now time.Time, digest gooseberrypass.Digest, at gooseberrypass.ID, alone bool, quarantine time.Duration) bool {
-	r, ok := s.requests[digest]
+// note takes in a report of a crash, which may name more requests than an
+// earlier one. It reports whether anything is new.
+func (s *scores) note(now time.Time, at gooseberrypass.ID, report gooseberrypass.Crash) bool {
+	id := string(at) + "/" + report.ID
+	c, ok := s.crashes[id]
 	if !ok {
-		if len(s.requests) >= maxRequests {
+		if len(s.crashes) >= maxCrashes {
 			return false
 		}
-		r = &score{}
-		s.requests[digest] = r
+		c = s.crashOf(now, at)
+		s.crashes[id] = c
 	}
-	if r.at == at && now.Sub(r.last) < sameCrash {
-		return false
+	changed := !ok
+	for _, digest := range report.Requests {
+		changed = c.add(digest) || changed
 	}
-	r.at, r.last = at, now
-	r.crashes++
-	if r.crashes < convictingCrashes || !alone || !r.refusedUntil.IsZero() {
+	return changed
+}
+
+func (c *crash) add(digest gooseberrypass.Digest) bool {
+	if c.requests[digest] || c.cleared[digest] || len(c.requests) >= maxRequests {
 		return false
 	}
-	r.refusedUntil = now.Add(quarantine)
+	c.requests[digest] = true
 	return true
 }
 
+// acquit ends the suspicion of all requests.
+func (c *crash) acquit() {
+	for digest := range c.requests {
+		c.cleared[digest] = true
+	}
+	clear(c.requests)
+}
+
+// crashOf returns the crash that this process inferred of an endpoint a moment
+// ago, in place of which the endpoint's own report comes, or a new one.
+func (s *scores) crashOf(now time.Time, at gooseberrypass.ID) *crash {
+	inferred := inferredID(at)
+	if c, ok := s.crashes[inferred]; ok {
+		delete(s.crashes, inferred)
+		if now.Sub(c.first) < sameCrash {
+			return c
+		}
+	}
+	return &crash{
+		at:       at,
+		cleared:  map[gooseberrypass.Digest]bool{},
+		first:    now,
+		requests: map[gooseberrypass.Digest]bool{},
+	}
+}
+
+// inferredID is the id of the last crash of an endpoint that this process
+// inferred from attempts that broke off.
+func inferredID(at gooseberrypass.ID) string { return "inferred/" + string(at) }
+
 // suspectCut notes an attempt that broke off. It counts once its endpoint is
-// seen to be gone without having reported the crash itself.
+// seen to be gone.
 func (s *scores) suspectCut(now time.Time, c cut) {
 	if len(s.cuts) < maxCuts {
 		s.cuts[c] = now
 	}
 }
 
-// gone takes out and returns the attempts that broke off at endpoints which
-// are gone.
-func (s *scores) gone(members []gooseberrypass.Member) []cut {
+// judgeCuts infers crashes of the endpoints that are gone from the attempts
+// that broke off there. It reports whether there were any.
+func (s *scores) judgeCuts(now time.Time, members []gooseberrypass.Member) bool {
 	if len(s.cuts) == 0 {
-		return nil
+		return false
 	}
-	up := map[gooseberrypass.ID]bool{}
+	up := make(map[gooseberrypass.ID]bool, len(members))
 	for _, m := range members {
 		up[m.Listed.ID] = !m.Silent && m.Status != nil && m.Status.EndpointUp
 	}
-	var gone []cut
+	changed := false
 	for c := range s.cuts {
-		if !up[c.at] {
-			delete(s.cuts, c)
-			gone = append(gone, c)
+		if up[c.at] {
+			continue
 		}
+		delete(s.cuts, c)
+		changed = s.infer(now, c) || changed
 	}
-	return gone
+	return changed
 }
 
-// clear drops the evidence against a request that finished. A refused one
-// stays refused.
-func (s *scores) clear(digest gooseberrypass.Digest) bool {
-	r, ok := s.requests[digest]
-	if !ok || !r.refusedUntil.IsZero() {
+func (s *scores) infer(now time.Time, c cut) bool {
+	for _, known := range s.crashes {
+		if known.at == c.at && now.Sub(known.first) < sameCrash {
+			return known.add(c.digest)
+		}
+	}
+	if len(s.crashes) >= maxCrashes {
 		return false
 	}
-	delete(s.requests, digest)
-	return true
+	inferred := s.crashOf(now, c.at)
+	s.crashes[inferredID(c.at)] = inferred
+	return inferred.add(c.digest)
+}
+
+// convict refuses the requests seen in enough crashes, one of them alone, and
+// returns those newly refused.
+func (s *scores) convict(now time.Time, quarantine time.Duration) []gooseberrypass.Digest {
+	seen := map[gooseberrypass.Digest]int{}
+	alone := map[gooseberrypass.Digest]bool{}
+	for _, c := range s.crashes {
+		for digest := range c.requests {
+			seen[digest]++
+			alone[digest] = alone[digest] || c.alone(now)
+		}
+	}
+	var convicted []gooseberrypass.Digest
+	for digest := range alone {
+		if !alone[digest] || seen[digest] < convictingCrashes || len(s.refused) >= maxRefused {
+			continue
+		}
+		s.clear(digest)
+		s.refused[digest] = now.Add(quarantine)
+		convicted = append(convicted, digest)
+	}
+	return convicted
+}
+
+// clear drops the evidence against a request that finished. It reports whether
+// there was any.
+func (s *scores) clear(digest gooseberrypass.Digest) bool {
+	found := false
+	for _, c := range s.crashes {
+		if c.requests[digest] {
+			delete(c.requests, digest)
+			c.cleared[digest] = true
+			found = true
+		}
+	}
+	return found
 }
 
 // expire forgets what is old.
 func (s *scores) expire(now time.Time) bool {
 	changed := false
-	for digest, r := range s.requests {
-		if now.Sub(r.last) > suspectTime && !now.Before(r.refusedUntil) {
-			delete(s.requests, digest)
+	for id, c := range s.crashes {
+		age := now.Sub(c.first)
+		if age > crashMemory {
+			delete(s.crashes, id)
+		}
+		if age > suspectTime && len(c.requests) > 0 {
+			c.acquit()
 			changed = true
 		}
 	}
-	for id, at := range s.seen {
-		if now.Sub(at) > crashMemory {
-			delete(s.seen, id)
+	for digest, until := range s.refused {
+		if !now.Before(until) {
+			delete(s.refused, digest)
+			changed = true
 		}
 	}
 	for c, at := range s.cuts {
--- a/retrier/dispatcher.go
+++ b/retrier/dispatcher.go
@@ -26,6 +26,8 @@
 	Call(ctx context.Context, to gooseberrypass.ListedInstance, call *wire.CallRequest) (*wire.CallResponse, error)
 	Cancel(ctx context.Context, to gooseberrypass.ListedInstance, attemptID string) error
 	Generate(ctx context.Context, to gooseberrypass.ListedInstance, attempt *wire.Attempt) (FrameStream, error)
-	// Refuse settles attempts and returns the state of each.
-	Refuse(ctx context.Context, to gooseberrypass.ListedInstance, attemptIDs []string) ([]wire.AttemptState, error)
+	// Refuse settles an attempt and returns its state. The attempt was sent when
+	// the agent's status had the given version; it is "refused" only if the
+	// same process answers, as one that started later knows nothing of it.
+	Refuse(ctx context.Context, to gooseberrypass.ListedInstance, attemptID string, version uint64) (wire.AttemptState, error)
 }
--- a/retrier/generate.go
+++ b/retrier/generate.go
@@ -17,33 +17,79 @@
 // stallLimit is how long a stream may pause between two pieces.
 const stallLimit = 15 * time.Second
 
-// generate makes one attempt at a stream of tokens.
-func (r *run) generate(ctx context.Context, ticket *router.Ticket, id string, left time.Duration) *failure {
-	attempt := r.wireAttempt(ticket, id, left)
+// A stream is the answer to one attempt, as it comes.
+type stream struct {
+	cancel  context.CancelFunc
+	checker *frameChecker
+	first   *wire.Frame // read ahead, nil for none
+	frames  FrameStream
+	id      string
+	ticket  *router.Ticket
+	watch   *watchdog
+}
+
+// open sends one attempt. Its stream must be closed.
+func (r *run) open(ctx context.Context, ticket *router.Ticket, attempt *wire.Attempt, wait time.Duration) (*stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watch := startWatchdog(r.retrier.clock, firstWait(left, ticket.Service()), cancel)
-	defer watch.stop()
-	frames, err := r.retrier.dispatcher.Generate(ctx, ticket.Member().Listed, attempt)
+	s := &stream{
+		cancel:  cancel,
+		checker: newFrameChecker(attempt),
+		id:      attempt.GetAttemptId(),
+		ticket:  ticket,
+		watch:   startWatchdog(r.retrier.clock, wait, cancel),
+	}
+	var err error
+	s.frames, err = r.retrier.dispatcher.Generate(ctx, ticket.Member().Listed, attempt)
+	return s, err
+}
+
+// next returns the next frame that belongs to the answer.
+func (s *stream) next() (*wire.Frame, error) {
+	if frame := s.first; frame != nil {
+		s.first = nil
+		return frame, nil
+	}
+	frame, err := s.frames.Next()
 	if err != nil {
-		return r.broken(ticket, watch, err)
+		return nil, cut(err)
+	}
+	return frame, s.checker.check(frame)
+}
+
+func (s *stream) close() {
+	s.watch.stop()
+	s.cancel()
+	if s.frames != nil {
+		_ = s.frames.Close()
 	}
-	defer func() { _ = frames.Close() }()
-	checker := newFrameChecker(attempt)
-	for {
-		frame, err := frames.Next()
-		if err != nil {
-			return r.broken(ticket, watch, cut(err))
+}
+
+// generate makes one attempt at a stream of tokens. The stream may move to
+// other endpoints on its way.
+func (r *run) generate(ctx context.Context, ticket *router.Ticket, id string, left time.Duration) *failure {
+	s, err := r.open(ctx, ticket, r.wireAttempt(ticket, id, left), firstWait(left, ticket.Service()))
+	defer func() { s.close() }()
+	for err == nil {
+		var frame *wire.Frame
+		if frame, err = s.next(); err != nil {
+			break
 		}
-		if err := checker.check(frame); err != nil {
-			r.retrier.metrics.badFrames.Inc()
-			return r.broken(ticket, watch, err)
+		if moved := frame.GetMoved(); moved != nil {
+			s = r.move(ctx, s, moved)
+			continue
 		}
-		done, f := r.deliver(ticket, watch, frame)
+		done, f := r.deliver(s, frame)
 		if done || f != nil {
+			r.finish(ctx, s.ticket, f)
 			return f
 		}
 	}
+	if errors.Is(err, ErrBadFrame) {
+		r.retrier.metrics.badFrames.Inc()
+	}
+	f := r.broken(s.ticket, s.watch, err)
+	r.finish(ctx, s.ticket, f)
+	return f
 }
 
 func (r *run) wireAttempt(ticket *router.Ticket, id string, left time.Duration) *wire.Attempt {
@@ -60,10 +106,6 @@
 		RequestDigest: digest[:],
 		WeightsDigest: weights[:],
 	}
-	if r.resume != nil {
-		attempt.From = r.resume.next
-		attempt.KvCache = r.resume.kvCache
-	}
 	return attempt
 }
 
@@ -75,20 +117,19 @@
 
 // deliver hands an admitted frame to the caller. It reports whether the answer
 // is whole.
-func (r *run) deliver(ticket *router.Ticket, watch *watchdog, frame *wire.Frame) (bool, *failure) {
+func (r *run) deliver(s *stream, frame *wire.Frame) (bool, *failure) {
 	switch kind := frame.GetKind().(type) {
 	case *wire.Frame_Piece:
-		watch.stop()
-		if err := r.start(ticket.Weights()); err != nil {
+		s.watch.stop()
+		if err := r.start(s.ticket.Weights()); err != nil {
 			return false, r.gone(err)
 		}
-		r.resume = nil
 		if err := r.answer.Write(kind.Piece.GetText()); err != nil {
 			return false, r.gone(err)
 		}
-		watch.reset(stallLimit)
+		s.watch.reset(stallLimit)
 	case *wire.Frame_End:
-		if err := r.start(ticket.Weights()); err != nil {
+		if err := r.start(s.ticket.Weights()); err != nil {
 			return false, r.gone(err)
 		}
 		if err := r.answer.End(); err != nil {
@@ -98,10 +139,6 @@
 	case *wire.Frame_Failed:
 		return false, refusal(kind.Failed.GetOutcome(), kind.Failed.GetReason(), kind.Failed.GetDetail(),
 			time.Duration(kind.Failed.GetRetryAfterMs())*time.Millisecond)
-	case *wire.Frame_Moved:
-		r.resume = &resumption{kvCache: kind.Moved.GetKvCache(), next: kind.Moved.GetNext(), weights: ticket.Weights()}
-		r.retrier.metrics.moves.Inc()
-		return false, &failure{result: router.ResultLeaving}
 	}
 	return false, nil
 }
@@ -133,7 +170,7 @@
 	case watch.fired():
 		f.result = router.ResultLate
 	case errors.Is(err, io.ErrUnexpectedEOF):
-		r.retrier.suspects.Cut(r.req.Digest(), ticket.Member().Listed.ID, r.alone())
+		r.retrier.suspects.Cut(r.req.Digest(), ticket.Member().Listed.ID)
 		r.cuts++
 		f.final = r.cuts >= maxCuts
 	}
@@ -161,11 +198,11 @@
 		f.err.Outcome = gooseberrypass.OutcomeUnknown
 	}
 	switch f.err.Reason {
-	case gooseberrypass.ReasonOverloaded, gooseberrypass.ReasonLimited:
+	case gooseberrypass.ReasonLimited, gooseberrypass.ReasonNotLoaded, gooseberrypass.ReasonOverloaded:
 		f.result = router.ResultBusy
 	case gooseberrypass.ReasonLeaving:
 		f.result = router.ResultLeaving
-	case gooseberrypass.ReasonDeadline, gooseberrypass.ReasonNotLoaded:
+	case gooseberrypass.ReasonDeadline:
 		f.result = router.ResultDropped
 	case gooseberrypass.ReasonBadRequest:
 		f.final = true
--- a/retrier/httpdispatcher.go
+++ b/retrier/httpdispatcher.go
@@ -74,16 +74,40 @@
 	return &frameStream{body: response.Body, reader: bufio.NewReaderSize(response.Body, frameBuffer)}, nil
 }
 
-// Refuse implements Dispatcher.
-func (d *HTTPDispatcher) Refuse(ctx context.Context, to gooseberrypass.ListedInstance, attemptIDs []string) ([]wire.AttemptState, error) {
-	answer, err := d.agent(to).Refuse(ctx, &wire.RefuseRequest{AttemptIds: attemptIDs})
+// Refuse implements Dispatcher. The status is read after the refusal, so that
+// an agent which started anew in between is found out.
+func (d *HTTPDispatcher) Refuse(ctx context.Context, to gooseberrypass.ListedInstance, attemptID string, version uint64) (wire.AttemptState, error) {
+	const unknown = wire.AttemptState_ATTEMPT_STATE_UNKNOWN
+	answer, err := d.agent(to).Refuse(ctx, &wire.RefuseRequest{AttemptIds: []string{attemptID}})
 	if err != nil {
-		return nil, errors.Wrap(err, "refuse attempts")
+		return unknown, errors.Wrap(err, "refuse attempt")
 	}
-	if len(answer.GetStates()) != len(attemptIDs) {
-		return nil, errors.Errorf("refuse attempts: %d states for %d attempts", len(answer.GetStates()), len(attemptIDs))
+	if len(answer.GetStates()) != 1 {
+		return unknown, errors.Errorf("refuse attempt: %d states for one attempt", len(answer.GetStates()))
 	}
-	return answer.GetStates(), nil
+	state := answer.GetStates()[0]
+	if state != wire.AttemptState_ATTEMPT_STATE_REFUSED {
+		return state, nil
+	}
+	status, err := d.agent(to).Status(ctx, &wire.StatusRequest{})
+	if err != nil {
+		return unknown, errors.Wrap(err, "refuse attempt")
+	}
+	if status.GetInstance() != string(to.ID) || !sameProcess(version, status.GetVersion()) {
+		return unknown, nil
+	}
+	return state, nil
+}
+
+// maxVersions bounds how far an agent's status version moves on while an
+// attempt is under way. The versions of an agent that starts anew begin at its
+// start in nanoseconds, which is further on than that, or lower.
+const maxVersions = 1_000_000
+
+// sameProcess reports whether two versions of a status, read one after the
+// other, are those of one process.
+func sameProcess(before, after uint64) bool {
+	return before <= after && after-before < maxVersions
 }
 
 func (d *HTTPDispatcher) agent(to gooseberrypass.ListedInstance) wire.Agent {
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -15,11 +15,13 @@
 
 // The bounds of one request.
 const (
-	maxAttempts  = 4
-	maxCuts      = 2           // attempts that may break off without a cause given
-	settleLimit  = time.Second // for the settlement of attempts
-	minFirstWait = 2 * time.Second
-	firstWaits   = 4 // times the usual time of a whole answer
+	maxAttempts = 4
+	// maxAttemptTime is the most time that an agent gives an attempt.
+	maxAttemptTime = 10 * time.Minute
+	maxCuts        = 2           // attempts that may break off without a cause given
+	settleLimit    = time.Second // for the settlement of attempts
+	minFirstWait   = 2 * time.Second
+	firstWaits     = 4 // times the usual time of a whole answer
 )
 
 // A Chooser chooses endpoints. A *router.Router is one.
@@ -32,8 +34,8 @@
 type Suspects interface {
 	// Alone reports whether a request must run alone on its endpoint.
 	Alone(digest gooseberrypass.Digest) bool
-	// Cut tells that an attempt, which may have run alone, broke off.
-	Cut(digest gooseberrypass.Digest, at gooseberrypass.ID, alone bool)
+	// Cut tells that an attempt broke off.
+	Cut(digest gooseberrypass.Digest, at gooseberrypass.ID)
 	// Finished tells that a request ran to its end.
 	Finished(digest gooseberrypass.Digest)
 }
--- a/retrier/run.go
+++ b/retrier/run.go
@@ -21,8 +21,9 @@
 
 // An open attempt is one that was sent and has not been settled.
 type openAttempt struct {
-	id string
-	to gooseberrypass.ListedInstance
+	id      string
+	to      gooseberrypass.ListedInstance
+	version uint64 // of the agent's status when the attempt was sent
 }
 
 // A run is the handling of one request.
@@ -30,24 +31,16 @@
 	answer    gooseberrypass.Answer
 	cuts      int           // attempts that broke off without a cause given
 	delivered bool          // the caller has seen a part of the answer
-	open      []openAttempt // may run or may have run
+	unsettled []openAttempt // may run or may have run
 	req       *gooseberrypass.Request
-	resume    *resumption
 	retrier   *Retrier
 	tried     []gooseberrypass.ID
 }
 
-// A resumption is the state of a stream that moves to another endpoint.
-type resumption struct {
-	kvCache []byte
-	next    int64
-	weights gooseberrypass.Digest
-}
-
 func (r *run) handle(ctx context.Context) error {
 	var last *failure
 	for attempt := range maxAttempts {
-		if attempt > 0 && !r.mayRetry(last) {
+		if attempt > 0 && !r.mayRetry() {
 			break
 		}
 		ticket, err := r.retrier.chooser.Choose(r.query())
@@ -69,17 +62,11 @@
 
 // mayRetry reports whether another attempt is allowed after a failure: nothing
 // of the answer was delivered, and the request is idempotent or has certainly
-// not run. A moved stream goes on without a retry.
-func (r *run) mayRetry(last *failure) bool {
-	if r.delivered && r.resume == nil {
-		return false
-	}
-	if !r.req.Repeatable() && len(r.open) > 0 {
+// not run.
+func (r *run) mayRetry() bool {
+	if r.delivered || !r.req.Repeatable() && len(r.unsettled) > 0 {
 		return false
 	}
-	if last.err == nil {
-		return true
-	}
 	if !r.retrier.budget.spend() {
 		r.retrier.metrics.denied.Inc()
 		return false
@@ -97,10 +84,7 @@
 		Target:   r.req.TargetID(),
 	}
 	if r.req.Kind() == gooseberrypass.RequestGenerate {
-		q.Prefix = router.PrefixHash(r.req.Body())
-	}
-	if r.resume != nil {
-		q.Weights = r.resume.weights
+		q.Prefix = gooseberrypass.PrefixHash(string(r.req.Body()))
 	}
 	return q
 }
@@ -109,20 +93,29 @@
 // whole.
 func (r *run) attempt(ctx context.Context, ticket *router.Ticket) *failure {
 	id := r.retrier.newID()
-	left := r.req.Deadline().Sub(r.retrier.clock.Now())
+	left := min(r.req.Deadline().Sub(r.retrier.clock.Now()), maxAttemptTime)
 	if left <= 0 {
 		ticket.Done(router.ResultDropped)
 		return &failure{err: r.late(), final: true}
 	}
 	r.retrier.metrics.attempts.Inc()
 	to := ticket.Member().Listed
-	r.open = append(r.open, openAttempt{id: id, to: to})
+	r.unsettled = append(r.unsettled, openAttempt{id: id, to: to, version: ticket.Member().Status.Version})
 	var f *failure
 	if r.req.Kind() == gooseberrypass.RequestCall {
 		f = r.call(ctx, ticket, id, left)
 	} else {
 		f = r.generate(ctx, ticket, id, left)
 	}
+	if f != nil {
+		r.afterFailure(ctx, f, id, to)
+	}
+	return f
+}
+
+// finish tells the router what an attempt showed of its endpoint. One that
+// broke because its request ended shows nothing.
+func (r *run) finish(ctx context.Context, ticket *router.Ticket, f *failure) {
 	switch {
 	case f == nil:
 		ticket.Done(router.ResultAnswered)
@@ -131,10 +124,6 @@
 	default:
 		ticket.Done(f.result)
 	}
-	if f != nil && f.err != nil {
-		r.afterFailure(ctx, f, id, to)
-	}
-	return f
 }
 
 // afterFailure settles a failed attempt as far as the next step needs it.
@@ -148,15 +137,15 @@
 		return
 	}
 	r.settle(ctx)
-	if len(r.open) == 0 {
+	if len(r.unsettled) == 0 {
 		f.err.Outcome = gooseberrypass.OutcomeNotRun
 	}
 }
 
 func (r *run) settled(id string) {
-	for i, a := range r.open {
+	for i, a := range r.unsettled {
 		if a.id == id {
-			r.open = append(r.open[:i], r.open[i+1:]...)
+			r.unsettled = append(r.unsettled[:i], r.unsettled[i+1:]...)
 			return
 		}
 	}
@@ -179,56 +168,42 @@
 func (r *run) settle(ctx context.Context) {
 	ctx, done := clockwork.WithTimeout(context.WithoutCancel(ctx), r.retrier.clock, settleLimit)
 	defer done()
-	refused := make([]bool, len(r.open))
+	refused := make([]bool, len(r.unsettled))
 	var wg sync.WaitGroup
-	for i, a := range r.open {
+	for i, a := range r.unsettled {
 		wg.Go(func() {
-			states, err := r.retrier.dispatcher.Refuse(ctx, a.to, []string{a.id})
-			refused[i] = err == nil && len(states) == 1 && states[0] == wire.AttemptState_ATTEMPT_STATE_REFUSED
+			state, err := r.retrier.dispatcher.Refuse(ctx, a.to, a.id, a.version)
+			refused[i] = err == nil && state == wire.AttemptState_ATTEMPT_STATE_REFUSED
 		})
 	}
 	wg.Wait()
-	var open []openAttempt
-	for i, a := range r.open {
+	var unsettled []openAttempt
+	for i, a := range r.unsettled {
 		if !refused[i] {
-			open = append(open, a)
+			unsettled = append(unsettled, a)
 		}
 	}
-	r.open = open
+	r.unsettled = unsettled
 }
 
 // fail returns the typed failure of the request. Its outcome is "not run" only
-// if no attempt is open. choice is the failure to choose an endpoint, if any.
+// if no attempt is open. Without a failed attempt it is the failure to choose
+// an endpoint.
 func (r *run) fail(ctx context.Context, last *failure, choice error) error {
-	if len(r.open) > 0 && !r.delivered {
+	if len(r.unsettled) > 0 && !r.delivered {
 		r.settle(ctx)
 	}
-	var err *gooseberrypass.RequestError
-	switch {
-	case last != nil && last.err != nil:
-		err = last.err
-	case choice != nil:
-		return r.failChoice(choice)
-	default:
-		err = &gooseberrypass.RequestError{Reason: gooseberrypass.ReasonCut, Detail: "the stream moved too often"}
+	if last == nil {
+		return choice
 	}
+	err := last.err
 	err.Outcome = gooseberrypass.OutcomeUnknown
-	if len(r.open) == 0 && !r.delivered {
+	if len(r.unsettled) == 0 && !r.delivered {
 		err.Outcome = gooseberrypass.OutcomeNotRun
 	}
 	return err
 }
 
-func (r *run) failChoice(choice error) error {
-	if !r.delivered {
-		return choice
-	}
-	return &gooseberrypass.RequestError{
-		Detail: "the stream had to move and no endpoint could go on with it: " + choice.Error(),
-		Reason: gooseberrypass.ReasonCut,
-	}
-}
-
 func (r *run) late() *gooseberrypass.RequestError {
 	return &gooseberrypass.RequestError{
 		Detail:  "the deadline passed",
--- a/router/router.go
+++ b/router/router.go
@@ -14,14 +14,6 @@
 	"github.com/gooseberrypass/gooseberrypass"
 )
 
-// prefixBytes is how much of a prompt stands for its cached prefix.
-const prefixBytes = 256
-
-// PrefixHash returns the hash of a prompt's prefix, as cache events name it.
-func PrefixHash(prompt []byte) uint64 {
-	return xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
-}
-
 // A Result is what an attempt showed of its endpoint.
 type Result int
 
--- a/tracker/pacing.go
+++ b/tracker/pacing.go
@@ -19,7 +19,7 @@
 const (
 	listPollLimit   = 5 * time.Second
 	maxListPause    = 5 * time.Minute
-	maxPause        = time.Second
+	maxPause        = 2 * time.Second
 	maxWait         = 20 * time.Second
 	minListPause    = time.Second
 	minPause        = 50 * time.Millisecond
@@ -48,7 +48,7 @@
 // an agent that leaves is heard of within its bound; the agent itself holds
 // back changes of its load.
 func (p pacing) pause() time.Duration {
-	return min(max(p.load/8, minPause), maxPause)
+	return min(max(p.load/2, minPause), maxPause)
 }
 
 // silence is how long a followed agent may go unheard.
