--- a/demonstrator/platform.go
+++ b/demonstrator/platform.go
@@ -13,6 +13,7 @@
 	appendRate     = 300 // appends a second
 	chunkSize      = 1 << 20
 	engineCapacity = 8
+	idlePerHost    = 32
 	listLag        = 500 * time.Millisecond
 	loadLag        = 200 * time.Millisecond
 	loadTime       = 300 * time.Millisecond
@@ -23,27 +24,31 @@
 
 // A platform is the stand-ins of the platform's services, each on its own port.
 type platform struct {
-	clock   gooseberrypass.Clock
-	list    *emulator.InstanceList
-	listURL string
-	log     *emulator.Log
-	logURL  string
-	origin  *emulator.Origin
-	origURL string
-	servers []*emulator.Server
-	service *emulator.PlainService
-	store   *emulator.WeightStore
-	storURL string
+	client   *http.Client
+	clock    gooseberrypass.Clock
+	engines  []*emulator.Engine
+	list     *emulator.InstanceList
+	listURL  string
+	log      *emulator.Log
+	logURL   string
+	origin   *emulator.Origin
+	origURL  string
+	servers  []*emulator.Server
+	services []*emulator.PlainService
+	store    *emulator.WeightStore
+	storURL  string
+	versions map[string]*gooseberrypass.Manifest
 }
 
 func newPlatform(clock gooseberrypass.Clock) *platform {
 	return &platform{
-		clock:   clock,
-		list:    emulator.NewInstanceList(clock, listLag),
-		log:     emulator.NewLog(clock, emulator.LogSettings{AppendRate: appendRate}),
-		origin:  emulator.NewOrigin(clock, 0),
-		service: emulator.NewPlainService(clock, serviceTime),
-		store:   emulator.NewWeightStore(clock, emulator.WeightStoreSettings{ByteRate: storeByteRate}),
+		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerHost}},
+		clock:    clock,
+		list:     emulator.NewInstanceList(clock, listLag),
+		log:      emulator.NewLog(clock, emulator.LogSettings{AppendRate: appendRate}),
+		origin:   emulator.NewOrigin(clock, 0),
+		store:    emulator.NewWeightStore(clock, emulator.WeightStoreSettings{ByteRate: storeByteRate}),
+		versions: map[string]*gooseberrypass.Manifest{},
 	}
 }
 
@@ -78,36 +83,83 @@
 }
 
 // startEngine serves a new engine and returns its base URL.
-func (p *platform) startEngine(client *http.Client, seed uint64) (*emulator.Engine, string, error) {
-	engine := emulator.NewEngine(p.clock, client, emulator.EngineSettings{
+func (p *platform) startEngine(seed uint64) (*emulator.Engine, string, error) {
+	engine := emulator.NewEngine(p.clock, p.client, emulator.EngineSettings{
 		Capacity:    engineCapacity,
 		LoadLag:     loadLag,
 		LoadTime:    loadTime,
 		Seed:        seed,
 		TokenPeriod: tokenPeriod,
 	})
+	p.engines = append(p.engines, engine)
 	url, err := p.serve(engine)
-	if err != nil {
-		_ = engine.Close()
-		return nil, "", err
-	}
-	return engine, url, nil
+	return engine, url, err
 }
 
-// putVersion makes a version of size bytes and puts it at the origin.
-func (p *platform) putVersion(version string, seed uint64, size int) (*gooseberrypass.Manifest, error) {
-	weights := emulator.MakeWeights(seed, size)
+// putVersion puts a version at the origin.
+func (p *platform) putVersion(version string, weights []byte) error {
 	manifest, err := emulator.MakeManifest(modelName, version, gooseberrypass.Digest{}, weights, chunkSize)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	p.origin.Put(modelName, version, manifest.Encoded(), weights)
-	return manifest, nil
+	p.versions[version] = manifest
+	return nil
+}
+
+// newBytes returns the bytes of a version's chunks that are not in another
+// version, "" for none.
+func (p *platform) newBytes(version, other string) int64 {
+	held := map[gooseberrypass.Digest]bool{}
+	if m := p.versions[other]; m != nil {
+		for i := range m.Len() {
+			held[m.Chunk(i).Digest] = true
+		}
+	}
+	var n int64
+	m := p.versions[version]
+	for i := range m.Len() {
+		if c := m.Chunk(i); !held[c.Digest] {
+			n += c.Size
+		}
+	}
+	return n
+}
+
+// doubleRuns returns how many calls that may not be repeated ran more than
+// once.
+func (p *platform) doubleRuns() int {
+	runs := map[string]int{}
+	for _, s := range p.services {
+		for _, r := range s.Runs() {
+			if r.Call == callCharge {
+				runs[r.Key]++
+			}
+		}
+	}
+	double := 0
+	for _, n := range runs {
+		if n > 1 {
+			double++
+		}
+	}
+	return double
+}
+
+// startService serves a new plain service and returns its base URL.
+func (p *platform) startService() (string, error) {
+	s := emulator.NewPlainService(p.clock, serviceTime)
+	p.services = append(p.services, s)
+	return p.serve(s)
 }
 
 // stop ends the stand-ins.
 func (p *platform) stop() {
+	for _, e := range p.engines {
+		_ = e.Close()
+	}
 	for _, s := range p.servers {
 		_ = s.Close()
 	}
+	p.client.CloseIdleConnections()
 }
--- a/looper/looper.go
+++ b/looper/looper.go
@@ -59,6 +59,12 @@
 	return l, nil
 }
 
+// Add adds controllers, which see each event after those added before. It must
+// not be called once the loop runs.
+func (l *Loop) Add(controllers ...gooseberrypass.Controller) {
+	l.controllers = append(l.controllers, controllers...)
+}
+
 // Post queues an event. It returns without queueing once the loop has stopped.
 func (l *Loop) Post(event gooseberrypass.Event) {
 	select {
