Pace polls of the platform's list by what its answers cost

Cause: the pause followed the number of rows, so an unchanged list was asked for as seldom as a changed one. An answer now tells its cost, about 512 bytes if unchanged.

--- a/connector/instancelist.go
+++ b/connector/instancelist.go
@@ -11,6 +11,9 @@
 	"github.com/gooseberrypass/gooseberrypass"
 )
 
+// unchangedCost is about what an answer without a list takes, in bytes.
+const unchangedCost = 512
+
 // An InstanceList is the platform's list of instances. It asks for the list only
 // if that has changed, where the platform gives an entity tag. It is safe for
 // use by several goroutines.
@@ -41,6 +44,7 @@
 	}
 	resp, err := l.client.send(r, http.StatusOK)
 	if tag != "" && statusCode(err) == http.StatusNotModified {
+		kept.Cost = unchangedCost
 		return kept, nil
 	}
 	if err != nil {
@@ -65,6 +69,7 @@
 	if err := json.Unmarshal(body, &listing); err != nil {
 		return gooseberrypass.Listing{}, errors.Wrapf(ErrBadAnswer, "GET /instances: %v", err)
 	}
+	listing.Cost = int64(len(body))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.listing, l.tag = listing, resp.Header.Get("ETag")
--- a/instance.go
+++ b/instance.go
@@ -33,8 +33,9 @@
 }
 
 // A Listing is one answer of the platform's list. It lags, and a later answer
-// may have a lower revision.
+// may have a lower revision. Cost is how many bytes it took to get the answer.
 type Listing struct {
+	Cost      int64            `json:"-"`
 	Instances []ListedInstance `json:"instances"`
 	Revision  uint64           `json:"revision"`
 }
--- a/tracker/pacing.go
+++ b/tracker/pacing.go
@@ -10,7 +10,6 @@
 // The cost of polls and what may be spent on them.
 const (
 	listBudget   = 2 << 10 // bytes a second for the platform's list
-	listRowBytes = 160     // bytes of one row of the list
 	pollBytes    = 700     // bytes of one status poll, both ways, with headers
 	statusBudget = 3 << 10 // bytes a second for status polls
 )
@@ -29,21 +28,26 @@
 
 // A pacing spaces polls out so that they stay within their budget.
 type pacing struct {
-	list time.Duration // from one poll of the list to the next
 	load time.Duration // for which an agent holds back changes of its load
 	wait time.Duration // for which an agent holds a poll without any change
 }
 
-func newPacing(listed, followed int) pacing {
-	list := time.Duration(listed) * listRowBytes * time.Second / listBudget
+func newPacing(followed int) pacing {
 	status := time.Duration(followed) * pollBytes * time.Second / statusBudget
 	return pacing{
-		list: min(max(list, minListPause), maxListPause),
 		load: min(max(status, minPause), maxWait),
 		wait: min(max(status, minWait), maxWait),
 	}
 }
 
+// listPause is the time from an answer of the list to the next poll. It follows
+// what the answer cost, so that an unchanged list, which costs little, is asked
+// for often, and a long one no more often than its budget allows.
+func listPause(listing gooseberrypass.Listing) time.Duration {
+	pause := time.Duration(listing.Cost) * time.Second / listBudget
+	return min(max(pause, minListPause), maxListPause)
+}
+
 // pause is the time between an answer and the next poll. It is short, so that
 // an agent that leaves is heard of within its bound; the agent itself holds
 // back changes of its load.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -75,7 +75,7 @@
 		list:     list,
 		logger:   logger,
 		metrics:  m,
-		pacing:   newPacing(0, 0),
+		pacing:   newPacing(0),
 		peers:    map[gooseberrypass.ID]*peer{},
 		selector: selector,
 	}
@@ -139,7 +139,7 @@
 
 func (t *Tracker) handleListing(now time.Time, e gooseberrypass.ListingObserved) bool {
 	t.listing = false
-	t.nextList = now.Add(t.pacing.list)
+	t.nextList = now.Add(listPause(e.Listing))
 	if !t.useful(e) {
 		return false
 	}
@@ -245,7 +245,7 @@
 		}
 		p.followed = followed
 	}
-	t.pacing = newPacing(len(t.peers), len(selected))
+	t.pacing = newPacing(len(selected))
 	t.metrics.followed.Set(float64(len(selected)))
 }
 
