Notice crashes before an answer begins, and learn from late jobs

The clients of engines and services report a connection that broke before the answer began with the reason upstream. Only the reason cut counted as a sign of a crash, so a crash of a plain service was never noticed, and one of an engine before its headers only by what was still open. Any unknown failure of the endpoint that is no refusal counts now; it names nobody unless the endpoint is unreachable or has another boot id.

A job that did not end in time told nothing about service times, so an endpoint too slow for any job looked as if it had no history and got ever more work. A job that took longer than expected now counts whether it ended or not.

--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -118,7 +118,8 @@
 }
 
 // Finish tells that a running job ended, having cost the given work. whole
-// tells whether it ran to its end, so that its time counts for estimates.
+// tells whether it ran to its end; else its time counts for estimates only if it
+// was longer than expected, as it would have been longer still.
 func (q *Queue) Finish(now time.Time, id string, cost int64, whole bool) []Decision {
 	r, ok := q.running[id]
 	if !ok {
@@ -127,8 +128,8 @@
 	delete(q.running, id)
 	q.solo = false
 	q.level(r.job.Priority).correct(r.job.Account, cost-r.job.Cost)
-	if whole {
-		q.estimator.add(now, r.job, now.Sub(r.started))
+	if took := now.Sub(r.started); whole || took > q.estimator.service(now, r.job) {
+		q.estimator.add(now, r.job, took)
 	}
 	if len(q.running) == 0 && len(q.places) == 0 {
 		q.levels = [priorities]level{}
--- a/admitter/queue_test.go
+++ b/admitter/queue_test.go
@@ -96,6 +96,12 @@
 			j.Deadline = start().Add(2500 * time.Millisecond) // needs a second of waiting and one of service
 			return q.Offer(start().Add(time.Second), j)
 		}, []string{"-tight:deadline"}},
+		{"endpoint too slow for any job to end", 9, func(q *admitter.Queue) []admitter.Decision {
+			q.Finish(start().Add(10*time.Second), "first", 0, false)
+			j := jobOf("next", "a", 4)
+			j.Deadline = start().Add(15 * time.Second)
+			return q.Offer(start().Add(10*time.Second), j)
+		}, []string{"-next:deadline"}},
 		{"queued too long", 9, func(q *admitter.Queue) []admitter.Decision {
 			j := jobOf("late", "a", 4)
 			j.Deadline = start().Add(time.Second)
--- a/attempter/caller.go
+++ b/attempter/caller.go
@@ -73,7 +73,7 @@
 		return answer, nil
 	}
 	e := asRequestError(err)
-	p.cut = ctx.Err() == nil && e.Reason == gooseberrypass.ReasonCut
+	p.cut = cutOff(ctx, err)
 	if ctx.Err() != nil {
 		return nil, interrupted(ctx, e.Outcome != gooseberrypass.OutcomeNotRun)
 	}
--- a/attempter/errors.go
+++ b/attempter/errors.go
@@ -32,6 +32,14 @@
 	return unknown(gooseberrypass.ReasonCut, err.Error())
 }
 
+// cutOff reports whether an error of the endpoint may come from its crash: the
+// endpoint did not refuse, and ctx did not end the exchange.
+func cutOff(ctx context.Context, err error) bool {
+	e := asRequestError(err)
+	return ctx.Err() == nil && e.Outcome == gooseberrypass.OutcomeUnknown &&
+		(e.Reason == gooseberrypass.ReasonCut || e.Reason == gooseberrypass.ReasonUpstream)
+}
+
 // interrupted returns the failure of an attempt whose context ended. ran tells
 // whether the endpoint may have run it.
 func interrupted(ctx context.Context, ran bool) *gooseberrypass.RequestError {
--- a/attempter/generator.go
+++ b/attempter/generator.go
@@ -24,7 +24,7 @@
 
 	maxAttemptSize = MaxKVCache + MaxPrompt + 1<<16
 	// maxBodies bounds the bytes of attempts held in memory at once.
-	maxBodies     = 4 * maxAttemptSize
+	maxBodies     = 2 * maxAttemptSize
 	cancelTimeout = 2 * time.Second
 	exportTimeout = 5 * time.Second
 	// writeGrace is how long after the deadline an answer's end may take.
@@ -149,7 +149,7 @@
 	begun := g.clock.Now()
 	tokens, err := g.engine.Generate(ctx, order)
 	if err != nil {
-		p.cut = cutByEngine(ctx, err)
+		p.cut = cutOff(ctx, err)
 		return g.ended(ctx, err)
 	}
 	defer tokens.Close() //nolint:errcheck // The stream is over either way.
@@ -175,7 +175,7 @@
 	for !s.ended {
 		token, err := tokens.Next()
 		if err != nil {
-			p.cut = cutByEngine(ctx, err)
+			p.cut = cutOff(ctx, err)
 			return unknown(gooseberrypass.ReasonCut, "engine: "+err.Error())
 		}
 		own, err := s.accept(token)
@@ -224,9 +224,3 @@
 	// An engine that cannot be told runs the stream to its end unheard.
 	_ = g.engine.Cancel(ctx, id)
 }
-
-// cutByEngine reports whether an error of the engine's connection was not
-// caused by the end of ctx. A refusal is no cut.
-func cutByEngine(ctx context.Context, err error) bool {
-	return ctx.Err() == nil && asRequestError(err).Reason == gooseberrypass.ReasonCut
-}
--- a/attempter/settle_test.go
+++ b/attempter/settle_test.go
@@ -133,6 +133,42 @@
 	}
 }
 
+// TestCrashBeforeTheAnswerBegins has endpoints that die with a request before
+// they say anything, and others that refuse it.
+func TestCrashBeforeTheAnswerBegins(t *testing.T) {
+	broken := &gooseberrypass.RequestError{Outcome: gooseberrypass.OutcomeUnknown, Reason: gooseberrypass.ReasonUpstream}
+	refused := &gooseberrypass.RequestError{Outcome: gooseberrypass.OutcomeNotRun, Reason: gooseberrypass.ReasonOverloaded}
+	for err, want := range map[*gooseberrypass.RequestError]int{broken: 1, refused: 0} {
+		e := newFakeEngine(1, digestOf("v1"))
+		e.generate = func(context.Context, gooseberrypass.GenerateOrder) (gooseberrypass.TokenStream, error) {
+			return nil, err
+		}
+		a := newEngineAgent(t, e)
+		a.ask(t, attemptOf("a-1"))
+		e.state.BootID = "boot-2"
+		a.tick()
+		if got := len(a.Status().Crashes); got != want {
+			t.Errorf("got %d crashes of the engine after %v, want %d", got, err, want)
+		}
+		down := false
+		a = newServiceAgent(t, "", func(d *attempter.Dependencies) {
+			d.Service = failing{err}
+			d.Probe = func(context.Context) error {
+				if down {
+					return io.EOF
+				}
+				return nil
+			}
+		})
+		call(t, a, grantOf("c-1"))
+		down = true
+		a.tick()
+		if got := len(a.Status().Crashes); got != want {
+			t.Errorf("got %d crashes of the service after %v, want %d", got, err, want)
+		}
+	}
+}
+
 type failing struct{ err error }
 
 func (f failing) Call(context.Context, gooseberrypass.ServiceCall) ([]byte, error) { return nil, f.err }
--- a/supervisor/cache.go
+++ b/supervisor/cache.go
@@ -12,7 +12,7 @@
 	cachePeriod     = time.Second
 	cacheBackoff    = 5 * time.Second
 	cacheTimeout    = 2 * time.Second
-	maxPrefixes     = 128
+	maxPrefixes     = 64
 	maxEventsAtOnce = 4096
 )
 
