--- a/attempter/fakes_test.go
+++ b/attempter/fakes_test.go
@@ -36,6 +36,8 @@
 type fakeEngine struct {
 	generate func(ctx context.Context, order gooseberrypass.GenerateOrder) (gooseberrypass.TokenStream, error)
 
+	slowCancel chan struct{} // if set, a cancellation waits for it
+
 	mu        sync.Mutex
 	cancelled []string
 	kv        []byte
@@ -64,6 +66,9 @@
 }
 
 func (e *fakeEngine) Cancel(_ context.Context, id string) error {
+	if e.slowCancel != nil {
+		<-e.slowCancel
+	}
 	e.set(func(e *fakeEngine) { e.cancelled = append(e.cancelled, id) })
 	return nil
 }
--- a/attempter/framer.go
+++ b/attempter/framer.go
@@ -16,6 +16,7 @@
 type framer struct {
 	attemptID     string
 	control       *http.ResponseController
+	failed        bool
 	requestDigest []byte
 	w             http.ResponseWriter
 }
@@ -33,8 +34,14 @@
 	return f.write(&wire.Frame{Kind: &wire.Frame_End{End: end}})
 }
 
-func (f *framer) failed(e *gooseberrypass.RequestError) error {
-	return f.write(&wire.Frame{Kind: &wire.Frame_Failed{Failed: &wire.Failed{
+// fail ends the answer with a failure, once. A caller that is gone cannot be
+// told.
+func (f *framer) fail(e *gooseberrypass.RequestError) {
+	if f.failed {
+		return
+	}
+	f.failed = true
+	_ = f.write(&wire.Frame{Kind: &wire.Frame_Failed{Failed: &wire.Failed{
 		Detail:       e.Detail,
 		Outcome:      e.Outcome.String(),
 		Reason:       string(e.Reason),
--- a/attempter/generator.go
+++ b/attempter/generator.go
@@ -89,12 +89,9 @@
 	if d := lifeOf(m.GetDeadlineMs()); d > 0 && d <= MaxDeadline {
 		defer f.interruptAfter(g.clock, d+writeGrace)()
 	}
-	err := g.generate(r.Context(), m, f)
-	if err == nil {
-		return
+	if err := g.generate(r.Context(), m, f); err != nil {
+		f.fail(asRequestError(err))
 	}
-	// A caller that is gone cannot be told, so the error of writing is moot.
-	_ = f.failed(asRequestError(err))
 }
 
 func (g *generator) generate(ctx context.Context, m *wire.Attempt, f *framer) error {
@@ -138,8 +135,8 @@
 	}
 }
 
-// stream passes the engine's tokens on. The engine is told to stop if the
-// answer can't be whole.
+// stream passes the engine's tokens on. If the answer can't be whole, the caller
+// is told first, as the engine may be slow to hear that it is to stop.
 func (g *generator) stream(
 	ctx context.Context,
 	p *progress,
@@ -159,8 +156,10 @@
 	if err == nil {
 		return nil
 	}
+	err = g.ended(ctx, err)
+	f.fail(asRequestError(err))
 	g.cancel(ctx, order.AttemptID)
-	return g.ended(ctx, err)
+	return err
 }
 
 func (g *generator) pump(
--- a/attempter/runner.go
+++ b/attempter/runner.go
@@ -11,6 +11,7 @@
 
 // A task is what a runner needs to know of an attempt.
 type task struct {
+	account  gooseberrypass.ID
 	alone    bool
 	check    func() error // last check before the endpoint, may be nil
 	class    string
@@ -20,7 +21,6 @@
 	id       string
 	life     time.Duration
 	model    gooseberrypass.ID
-	account  gooseberrypass.ID
 	priority gooseberrypass.Priority
 	run      func(ctx context.Context, p *progress) error
 }
--- a/attempter/stream_test.go
+++ b/attempter/stream_test.go
@@ -182,8 +182,16 @@
 	e.generate = func(_ context.Context, o gooseberrypass.GenerateOrder) (gooseberrypass.TokenStream, error) {
 		return replay(tokensOf(o.AttemptID, digestOf("v2"), 3), io.EOF), nil
 	}
+	e.slowCancel = make(chan struct{})
 	a := newEngineAgent(t, e)
-	got := a.ask(t, attemptOf("a-1"))
+	got, err := a.send(context.Background(), attemptOf("a-1"))
+	if err != nil || !got.next() {
+		t.Fatalf("got %v, want a frame while the engine is slow to stop", err)
+	}
+	close(e.slowCancel)
+	if got.next() {
+		t.Error("got a second frame, want the failure alone")
+	}
 	if got.text.Len() != 0 || got.digest != nil || got.failed.GetReason() != "not-loaded" || got.failed.GetOutcome() != "unknown" {
 		t.Errorf("got %q, started %x, failed %v, want nothing but unknown for not-loaded", got.text.String(), got.digest, got.failed)
 	}
