--- a/attempter/caller.go
+++ b/attempter/caller.go
@@ -29,8 +29,8 @@
 		check:    func() error { return c.admit(gooseberrypass.ID(m.GetService()), m.GetCall()) },
 		class:    m.GetService() + "/" + m.GetCall(),
 		cost:     1,
-		final:    true,
 		digest:   gooseberrypass.Digest(m.GetRequestDigest()),
+		final:    true,
 		id:       m.GetAttemptId(),
 		life:     lifeOf(m.GetDeadlineMs()),
 		priority: gooseberrypass.Priority(m.GetPriority()),
@@ -73,7 +73,7 @@
 		return answer, nil
 	}
 	e := asRequestError(err)
-	p.cut = ctx.Err() == nil && e.Reason == gooseberrypass.ReasonCut
+	p.cut = cutOff(ctx, err)
 	if ctx.Err() != nil {
 		return nil, interrupted(ctx, e.Outcome != gooseberrypass.OutcomeNotRun)
 	}
--- a/attempter/generator.go
+++ b/attempter/generator.go
@@ -24,7 +24,7 @@
 
 	maxAttemptSize = MaxKVCache + MaxPrompt + 1<<16
 	// maxBodies bounds the bytes of attempts held in memory at once.
-	maxBodies     = 4 * maxAttemptSize
+	maxBodies     = 2 * maxAttemptSize
 	cancelTimeout = 2 * time.Second
 	exportTimeout = 5 * time.Second
 	// writeGrace is how long after the deadline an answer's end may take.
@@ -89,12 +89,9 @@
 	if d := lifeOf(m.GetDeadlineMs()); d > 0 && d <= MaxDeadline {
 		defer f.interruptAfter(g.clock, d+writeGrace)()
 	}
-	err := g.generate(r.Context(), m, f)
-	if err == nil {
-		return
+	if err := g.generate(r.Context(), m, f); err != nil {
+		f.fail(asRequestError(err))
 	}
-	// A caller that is gone cannot be told, so the error of writing is moot.
-	_ = f.failed(asRequestError(err))
 }
 
 func (g *generator) generate(ctx context.Context, m *wire.Attempt, f *framer) error {
@@ -138,8 +135,8 @@
 	}
 }
 
-// stream passes the engine's tokens on. The engine is told to stop if the
-// answer can't be whole.
+// stream passes the engine's tokens on. If the answer can't be whole, the caller
+// is told first, as the engine may be slow to hear that it is to stop.
 func (g *generator) stream(
 	ctx context.Context,
 	p *progress,
@@ -149,7 +146,7 @@
 	begun := g.clock.Now()
 	tokens, err := g.engine.Generate(ctx, order)
 	if err != nil {
-		p.cut = cutByEngine(ctx, err)
+		p.cut = cutOff(ctx, err)
 		return g.ended(ctx, err)
 	}
 	defer tokens.Close() //nolint:errcheck // The stream is over either way.
@@ -159,8 +156,10 @@
 	if err == nil {
 		return nil
 	}
+	err = g.ended(ctx, err)
+	f.fail(asRequestError(err))
 	g.cancel(ctx, order.AttemptID)
-	return g.ended(ctx, err)
+	return err
 }
 
 func (g *generator) pump(
@@ -175,7 +174,7 @@
 	for !s.ended {
 		token, err := tokens.Next()
 		if err != nil {
-			p.cut = cutByEngine(ctx, err)
+			p.cut = cutOff(ctx, err)
 			return unknown(gooseberrypass.ReasonCut, "engine: "+err.Error())
 		}
 		own, err := s.accept(token)
@@ -224,9 +223,3 @@
 	// An engine that cannot be told runs the stream to its end unheard.
 	_ = g.engine.Cancel(ctx, id)
 }
-
-// cutByEngine reports whether an error of the engine's connection was not
-// caused by the end of ctx. A refusal is no cut.
-func cutByEngine(ctx context.Context, err error) bool {
-	return ctx.Err() == nil && asRequestError(err).Reason == gooseberrypass.ReasonCut
-}
