Send claims again that the log refused for its rate

Cause: a claim whose append got 429 was told "not run" at once, although the log certainly did not take it and the caller had time left. Ruled out: a larger rate, as the platform's is given. The claim now waits in the queue until its request's deadline; the pause doubles from 100 ms to 2 s, so that batches grow.

--- a/claimer/events.go
+++ b/claimer/events.go
@@ -15,12 +15,17 @@
 
 // The waits for the log.
 const (
-	appendLimit = 2 * time.Second
-	readSlack   = 2 * time.Second
-	readWait    = 5 * time.Second
-	retryPause  = 500 * time.Millisecond
+	appendLimit      = 2 * time.Second
+	maxOverloadPause = 2 * time.Second
+	overloadPause    = 100 * time.Millisecond // doubled at each refusal
+	readSlack        = 2 * time.Second
+	readWait         = 5 * time.Second
+	retryPause       = 500 * time.Millisecond
 )
 
+// maxOverloads bounds the doublings of overloadPause.
+const maxOverloads = 5
+
 // A verdictKind says how a claim ended.
 type verdictKind int
 
--- a/claimer/partition.go
+++ b/claimer/partition.go
@@ -34,6 +34,7 @@
 	lastRead  time.Time
 	next      gooseberrypass.Offset
 	outgoing  []outgoing
+	overloads int // appends in a row that the log refused for its rate
 	pruned    time.Time
 	reading   bool
 	retryAt   time.Time // of appends, after one failed
@@ -192,36 +193,51 @@
 				close(o.done)
 			}
 		}
+		p.overloads = 0
 		return
 	}
 	p.claimer.metrics.appendsFailed.Inc()
+	if errors.Is(e.err, gooseberrypass.ErrLogOverloaded) {
+		p.sendAgain(now, e.entries)
+		return
+	}
 	p.retryAt = now.Add(retryPause)
-	certain := errors.Is(e.err, gooseberrypass.ErrLogOverloaded)
 	var again []outgoing
 	for _, o := range e.entries {
 		if o.ticket == nil {
 			again = append(again, o)
 			continue
 		}
-		if certain {
-			delete(p.tickets, o.ticket.id)
+		p.giveUp(o.ticket)
+	}
+	p.outgoing = append(again, p.outgoing...)
+}
+
+// sendAgain queues entries that the log certainly did not take, for its rate.
+// The pause doubles as long as the log refuses, so that batches grow and the
+// appends of all entries together come down to what the log takes. A claim
+// waits in the queue until its request's deadline.
+func (p *partition) sendAgain(now time.Time, entries []outgoing) {
+	p.retryAt = now.Add(min(overloadPause<<min(p.overloads, maxOverloads), maxOverloadPause))
+	p.overloads++
+	again := make([]outgoing, 0, len(entries)+len(p.outgoing))
+	for _, o := range entries {
+		if o.ticket == nil || !o.ticket.over {
+			again = append(again, o)
 		}
-		p.giveUp(o.ticket, certain)
 	}
 	p.outgoing = append(again, p.outgoing...)
 }
 
 // giveUp refuses a claim whose append failed. It is never dispatched, whether
 // or not its record stands in the log.
-func (p *partition) giveUp(t *ticket, certain bool) {
+func (p *partition) giveUp(t *ticket) {
 	if t.over {
 		return
 	}
 	t.decide(refused(gooseberrypass.ReasonLogDown, "the log of claims took no append"))
 	delete(p.tickets, t.id)
-	if !certain {
-		p.release(t)
-	}
+	p.release(t)
 }
 
 // read folds in the records that were read and decides the tickets they settle.
