Prove the spread on a model of up to 3,560 processes

The model showed three faults, now mended. And names were told apart by expressions compiled anew for each name.

--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -33,7 +33,7 @@
 	First      gooseberrypass.Offset // first record that the log keeps
 	Next       gooseberrypass.Offset // next record to come
 	Oldest     time.Time             // time of the first record read
-	SnapshotAt time.Time             // time of the latest snapshot read
+	SnapshotAt time.Time             // time of the latest snapshot read that can be started from
 	State      State
 }
 
@@ -43,7 +43,10 @@
 		p.Oldest = r.Time
 	}
 	record, err := Decode(key, r.Body)
-	if err == nil && record.Snapshot != nil && record.Snapshot.LastAccepted >= p.State.lastAccepted && r.Time.After(p.SnapshotAt) {
+	if err != nil || record.Snapshot == nil || !record.Snapshot.usable(r.Offset, p.First) {
+		return
+	}
+	if record.Snapshot.LastAccepted >= p.State.lastAccepted && r.Time.After(p.SnapshotAt) {
 		p.SnapshotAt = r.Time
 	}
 }
--- a/resolver/scheme.go
+++ b/resolver/scheme.go
@@ -1,12 +1,18 @@
 package resolver
 
 import (
-	"regexp"
+	"slices"
+	"strings"
 
 	"github.com/gooseberrypass/gooseberrypass"
 )
 
-const maxNameLength = 256 // bytes
+// The limits of names, in bytes.
+const (
+	maxDigits     = 12
+	maxLetters    = 8
+	maxNameLength = 256
+)
 
 // SchemeOf returns the naming scheme that a name is written in, and false if it
 // fits none.
@@ -15,7 +21,7 @@
 		return "", false
 	}
 	for _, scheme := range Schemes() {
-		if pattern(scheme).MatchString(string(name)) {
+		if fits(string(name), scheme) {
 			return scheme, true
 		}
 	}
@@ -44,13 +50,35 @@
 	}
 }
 
-func pattern(scheme gooseberrypass.Scheme) *regexp.Regexp {
+// fits reports whether a name is written as Shape tells.
+func fits(name string, scheme gooseberrypass.Scheme) bool {
 	switch scheme {
 	case gooseberrypass.SchemeInventory:
-		return regexp.MustCompile(`^[A-Z]{1,8}-[0-9]{1,12}$`)
+		letters, digits, ok := strings.Cut(name, "-")
+		return ok && consists(letters, maxLetters, isUpper) && consists(digits, maxDigits, isDigit)
 	case gooseberrypass.SchemePath:
-		return regexp.MustCompile(`^(/[A-Za-z0-9][A-Za-z0-9._-]*)+$`)
+		rest, ok := strings.CutPrefix(name, "/")
+		return ok && !slices.ContainsFunc(strings.Split(rest, "/"), func(part string) bool { return !isPathPart(part) })
 	default:
-		return regexp.MustCompile(`^[a-z0-9]+([._-][a-z0-9]+)*$`)
+		return !slices.ContainsFunc(strings.FieldsFunc("."+name+".", isWord), func(joint string) bool { return len(joint) != 1 }) &&
+			consists(name, maxNameLength, func(r rune) bool { return isWord(r) || strings.ContainsRune("._-", r) }) &&
+			isWord(rune(name[0])) && isWord(rune(name[len(name)-1]))
 	}
 }
+
+// consists reports whether text is made of at least one and at most n runes of
+// a class.
+func consists(text string, n int, class func(rune) bool) bool {
+	return text != "" && len(text) <= n && !strings.ContainsFunc(text, func(r rune) bool { return !class(r) })
+}
+
+func isPathPart(part string) bool {
+	return consists(part, maxNameLength, func(r rune) bool { return isWord(r) || isUpper(r) || strings.ContainsRune("._-", r) }) &&
+		!strings.ContainsRune("._-", rune(part[0]))
+}
+
+func isDigit(r rune) bool { return r >= '0' && r <= '9' }
+
+func isUpper(r rune) bool { return r >= 'A' && r <= 'Z' }
+
+func isWord(r rune) bool { return isDigit(r) || r >= 'a' && r <= 'z' }
--- a/spreader/exchange.go
+++ b/spreader/exchange.go
@@ -12,14 +12,19 @@
 	"github.com/gooseberrypass/gooseberrypass/wire"
 )
 
-const exchangeTimeout = time.Second
+const (
+	exchangeTimeout = time.Second
+	exchangeTries   = 3 // peers tried in turn
+)
 
 // exchanged is the event that an exchange with a peer has ended.
 type exchanged struct {
 	err      error
 	followUp bool
 	peer     *gooseberrypass.ListedInstance
+	request  *wire.ExchangeRequest
 	response *wire.ExchangeResponse
+	try      int
 }
 
 // EventName implements gooseberrypass.Event.
@@ -40,6 +45,7 @@
 	followUp bool
 	peer     *gooseberrypass.ListedInstance
 	request  *wire.ExchangeRequest
+	try      int
 }
 
 // EffectName implements gooseberrypass.Effect.
@@ -50,7 +56,9 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	response, err := e.client.Exchange(ctx, e.request)
-	return exchanged{err: err, followUp: e.followUp, peer: e.peer, response: response}
+	return exchanged{
+		err: err, followUp: e.followUp, peer: e.peer, request: e.request, response: response, try: e.try,
+	}
 }
 
 // Exchange implements wire.Peer. It waits for the control goroutine.
@@ -110,7 +118,7 @@
 	if e.err != nil {
 		s.metrics.exchanges.WithLabelValues("failed").Inc()
 		s.suspects[e.peer.ID] = now.Add(suspectTime)
-		return nil
+		return s.tryAnother(now, e)
 	}
 	s.metrics.exchanges.WithLabelValues("answered").Inc()
 	delete(s.suspects, e.peer.ID)
@@ -125,6 +133,18 @@
 	return effects
 }
 
+// tryAnother exchanges the same with another peer of the region of one that did
+// not answer.
+func (s *Spreader) tryAnother(now time.Time, e exchanged) []gooseberrypass.Effect {
+	peers := s.view.pick(now, s.rng, e.peer.Region, 1)
+	if e.try+1 >= exchangeTries || e.followUp || len(peers) == 0 || e.request.GetOffset() != uint64(s.state.LastAccepted()) {
+		return nil
+	}
+	again := s.exchange(peers[0], e.request)
+	again.try = e.try + 1
+	return []gooseberrypass.Effect{again}
+}
+
 // take takes over records or a snapshot that a peer sent, if they are newer.
 func (s *Spreader) take(now time.Time, records []*wire.LogRecord, snapshot []byte) []gooseberrypass.Effect {
 	if state, accepted := acceptRecords(s.key, s.state, records); len(accepted) > 0 {
--- a/spreader/ranks.go
+++ b/spreader/ranks.go
@@ -9,13 +9,18 @@
 	"github.com/gooseberrypass/gooseberrypass"
 )
 
-// rank orders ids by a hash of each, so that all processes with the same list
+// maxRanked bounds how many ids are kept, the first of the order. So many are
+// never suspected at once.
+const maxRanked = 64
+
+// ranked orders ids by a hash of each, so that all processes with the same list
 // find the same order, and a change of the list moves few places.
-func rank(salt string, ids []gooseberrypass.ID) {
+func ranked(salt string, ids []gooseberrypass.ID) []gooseberrypass.ID {
 	slices.SortFunc(ids, func(a, b gooseberrypass.ID) int {
 		return cmp.Or(
 			cmp.Compare(xxhash.Sum64String(salt+string(a)), xxhash.Sum64String(salt+string(b))),
 			cmp.Compare(a, b),
 		)
 	})
+	return slices.Clone(ids[:min(len(ids), maxRanked)])
 }
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -20,7 +20,7 @@
 
 const (
 	exchangePeriod = 2 * time.Second
-	homeFanout     = 3
+	homeFanout     = 4
 	readBackoff    = time.Second
 	readWait       = 5 * time.Second
 	startPeriod    = 500 * time.Millisecond
@@ -149,7 +149,7 @@
 	if !now.Before(s.next.exchange) {
 		effects = append(effects, s.compare(now)...)
 	}
-	if s.snapshots.due(now, s.snapshotAge(now), s.state) {
+	if s.gapSince.IsZero() && s.snapshots.due(now, s.snapshotAge(now), s.state) {
 		effects = append(effects, s.appendSnapshot())
 	}
 	for id, until := range s.suspects {
--- /dev/null
+++ b/spreader/spreader_test.go
@@ -0,0 +1,237 @@
+package spreader_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/replayer"
+	"github.com/gooseberrypass/gooseberrypass/spreader"
+	"github.com/gooseberrypass/gooseberrypass/wire"
+)
+
+const (
+	bound  = 6 * time.Second
+	coarse = 2 * time.Second // between ticks of runs that take hours
+	folder = "[system]\nqueue-limit = %d\n"
+)
+
+// A fault is what goes wrong in a run of the model.
+type fault struct {
+	alone bool // no peer reaches another
+	blind bool // only the first region reaches the log
+	dead  int  // one in so many nodes is dead, and listed as live
+}
+
+func (f fault) strike(m *model) {
+	for _, x := range m.order {
+		x.alone = f.alone
+		x.blind = f.blind && x.listed.Region != "r0"
+		x.dead = x.dead || f.dead > 0 && m.rng.IntN(f.dead) == 0
+	}
+}
+
+func TestInForceEverywhereWithinSeconds(t *testing.T) {
+	t.Parallel()
+	for name, f := range map[string]fault{
+		"all well":               {},
+		"a fifth dead":           {dead: 5},
+		"log seen by one region": {blind: true},
+		"both":                   {blind: true, dead: 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(2) {
+				m := newModel(seed, 200, 0)
+				first := m.change(0, fmt.Sprintf(folder, 1))
+				m.until(first, 20*time.Second)
+				if !m.inForce(first) {
+					t.Fatalf("seed %d: the first configuration is not in force", seed)
+				}
+				f.strike(m)
+				got := m.until(m.change(first, fmt.Sprintf(folder, 2)), time.Minute)
+				if got > bound {
+					t.Errorf("seed %d: got %s until in force, want at most %s", seed, got, bound)
+				}
+			}
+		})
+	}
+	// The naive version polls the log and exchanges nothing.
+	m := newModel(1, 200, 0)
+	fault{alone: true, blind: true}.strike(m)
+	if got := m.until(m.change(0, fmt.Sprintf(folder, 1)), time.Minute); got <= bound {
+		t.Errorf("polling: got %s until in force, want more than %s", got, bound)
+	}
+}
+
+func TestRestartOfEverythingAtOnce(t *testing.T) {
+	t.Parallel()
+	m := newModel(1, 60, 0)
+	first := m.change(0, fmt.Sprintf(folder, 1))
+	second := m.change(first, fmt.Sprintf(folder, 2))
+	m.run(10*time.Second, nil)
+	for i := range m.order {
+		m.start(i)
+	}
+	if got := m.until(second, time.Minute); got > bound {
+		t.Errorf("got %s until in force, want at most %s", got, bound)
+	}
+	m.down = true
+	m.start(7)
+	if got := m.until(second, time.Minute); got > bound {
+		t.Errorf("log down: got %s until a new process has it, want at most %s", got, bound)
+	}
+}
+
+func TestLogDownForAnHour(t *testing.T) {
+	t.Parallel()
+	m := newModel(1, 15, 0)
+	first := m.change(0, fmt.Sprintf(folder, 1))
+	m.run(10*time.Second, nil)
+	m.down, m.period = true, coarse
+	m.run(time.Hour, nil)
+	if !m.inForce(first) {
+		t.Error("the configuration is no longer in force")
+	}
+	m.down, m.period = false, period
+	if got := m.until(m.change(first, fmt.Sprintf(folder, 2)), time.Minute); got > bound {
+		t.Errorf("got %s until in force, want at most %s", got, bound)
+	}
+}
+
+// catchUp reads the log as a process does that starts with nothing.
+func catchUp(t *testing.T, m *model) (replayer.Progress, error) {
+	t.Helper()
+	return replayer.New(testKey(), &node{model: m}).CatchUp(t.Context(), replayer.State{}, 0)
+}
+
+// Entries keep the configuration in a log that forgets; without entries, it is
+// lost.
+func TestSnapshotsOutliveRetention(t *testing.T) {
+	t.Parallel()
+	const retention = 10 * time.Minute
+	m := newModel(1, 9, retention)
+	m.period = coarse
+	first := m.change(0, fmt.Sprintf(folder, 1))
+	m.run(4*time.Minute, nil)
+	second := m.change(first, "[system]\n")
+	most := 0
+	for minute := range 60 {
+		m.run(time.Minute, nil)
+		if progress, err := catchUp(t, m); err != nil || progress.State.LastAccepted() != second {
+			t.Fatalf("minute %d: got %d, %v, want %d", minute, progress.State.LastAccepted(), err, second)
+		}
+		most = max(most, len(m.records)+1-int(m.first))
+	}
+	if most > 6 {
+		t.Errorf("got %d records in the log, want at most 6", most)
+	}
+	naive := newModel(1, 9, retention)
+	naive.period = coarse
+	naive.change(0, fmt.Sprintf(folder, 1))
+	for _, x := range naive.order[:6] {
+		x.dead = true
+	}
+	naive.run(30*time.Minute, nil)
+	if _, err := catchUp(t, naive); !errors.Is(err, replayer.ErrGap) {
+		t.Errorf("without snapshots: got %v, want %v", err, replayer.ErrGap)
+	}
+}
+
+// The log is down for longer than it keeps records: an entry appends what it
+// holds, and the highest offset held anywhere is what stays in force.
+func TestOutageLongerThanRetention(t *testing.T) {
+	t.Parallel()
+	m := newModel(1, 15, 10*time.Minute)
+	first := m.change(0, fmt.Sprintf(folder, 1))
+	m.run(10*time.Second, nil)
+	second := m.change(first, fmt.Sprintf(folder, 2))
+	m.run(10*time.Second, nil)
+	m.down, m.period = true, coarse
+	m.run(time.Hour, nil)
+	// Strangers' records push the log past what was folded, and are trimmed.
+	for range 5 {
+		m.append([]byte("stranger"))
+	}
+	m.run(time.Hour, nil)
+	m.down, m.period = false, period
+	m.run(time.Minute, nil)
+	if progress, err := catchUp(t, m); err != nil || progress.State.LastAccepted() != second || !m.inForce(second) {
+		t.Errorf("got %d, %v, want %d", progress.State.LastAccepted(), err, second)
+	}
+	if got := m.until(m.change(second, fmt.Sprintf(folder, 3)), time.Minute); got > bound {
+		t.Errorf("got %s until in force, want at most %s", got, bound)
+	}
+}
+
+// Whatever a peer offers that is older, forged or not to be reached by its
+// records, the offset held never sinks.
+func TestPeerCannotTurnBack(t *testing.T) {
+	t.Parallel()
+	m := newModel(1, 1, 0)
+	x := m.order[0]
+	old, err := replayer.EncodeSnapshot(testKey(), replayer.Snapshot{Files: map[string]string{"a.ini": "old"}, LastAccepted: 1, FoldedThrough: 9})
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := m.change(0, fmt.Sprintf(folder, 1))
+	m.change(first, fmt.Sprintf(folder, 2))
+	m.run(time.Second, nil)
+	record := func(i int) *wire.LogRecord {
+		return &wire.LogRecord{Offset: uint64(i), Body: m.records[i-1].Body}
+	}
+	for name, request := range map[string]*wire.ExchangeRequest{
+		"old snapshot":     {Offset: 1, Snapshot: old},
+		"forged snapshot":  {Offset: 9, Snapshot: []byte(`{"payload":{"snapshot":{"last_accepted":9}}}`)},
+		"change, not snap": {Offset: 9, Snapshot: m.records[0].Body},
+		"old records":      {Offset: 2, Records: []*wire.LogRecord{record(1), record(2)}},
+		"record in a gap":  {Offset: 9, Records: []*wire.LogRecord{{Offset: 9, Body: m.records[0].Body}}},
+		"other files":      {Offset: 2, StateDigest: []byte("other")},
+	} {
+		response, err := x.Exchange(t.Context(), request)
+		m.run(time.Second, nil)
+		if err != nil || response.GetOffset() != 2 || x.Config().Offset() != 2 || x.Config().System().QueueLimit() != 2 {
+			t.Errorf("%s: got %v, %v, in force %d", name, response, err, x.Config().Offset())
+		}
+	}
+	response, err := x.Exchange(t.Context(), &wire.ExchangeRequest{Offset: 1})
+	if err != nil || len(response.GetRecords()) != 1 || response.GetRecords()[0].GetOffset() != 2 {
+		t.Errorf("got %v, %v, want the record that follows 1", response, err)
+	}
+}
+
+func benchmarkSpread(b *testing.B, n int) {
+	b.Helper()
+	var slowest, change time.Duration
+	var idleBytes, idleMessages, changeBytes float64
+	for seed := range uint64(b.N) {
+		m := newModel(seed, n, 0)
+		first := m.change(0, fmt.Sprintf(folder, 1))
+		m.run(20*time.Second, nil)
+		fault{blind: true, dead: 5}.strike(m)
+		m.run(10*time.Second, nil)
+		m.bytes, m.messages = 0, 0
+		const idle = 30 * time.Second
+		m.run(idle, nil)
+		perNodeSecond := float64(n) * 0.8 * idle.Seconds()
+		idleBytes += float64(m.bytes) / perNodeSecond
+		idleMessages += float64(m.messages) / perNodeSecond
+		m.bytes = 0
+		change = m.until(m.change(first, fmt.Sprintf(folder, 2)), time.Minute)
+		changeBytes += float64(m.bytes) / (float64(n) * 0.8)
+		slowest = max(slowest, change)
+	}
+	b.ReportMetric(slowest.Seconds(), "s-worst")
+	b.ReportMetric(idleBytes/float64(b.N), "B/node/s")
+	b.ReportMetric(idleMessages/float64(b.N), "msg/node/s")
+	b.ReportMetric(changeBytes/float64(b.N), "B/node/change")
+}
+
+func BenchmarkSpread200(b *testing.B)  { benchmarkSpread(b, 200) }
+func BenchmarkSpread890(b *testing.B)  { benchmarkSpread(b, 890) }
+func BenchmarkSpread3560(b *testing.B) { benchmarkSpread(b, 3560) }
+
+var _ gooseberrypass.ConfigSource = (*spreader.Spreader)(nil)
--- a/spreader/view.go
+++ b/spreader/view.go
@@ -17,8 +17,8 @@
 
 // A view is what a process needs of the members to spread configurations.
 type view struct {
-	byRegion   map[gooseberrypass.Region][]int // places in members
-	entries    []gooseberrypass.ID             // entries, ranked
+	byRegion   map[gooseberrypass.Region][]int32 // places in members
+	entries    []gooseberrypass.ID               // entries, ranked
 	home       gooseberrypass.Region
 	members    []gooseberrypass.Member
 	regions    []gooseberrypass.Region // the others
@@ -31,7 +31,7 @@
 // not in it; the process itself always is.
 func newView(self Self, members []gooseberrypass.Member, suspects map[gooseberrypass.ID]time.Time) *view {
 	v := &view{
-		byRegion: map[gooseberrypass.Region][]int{},
+		byRegion: map[gooseberrypass.Region][]int32{},
 		home:     self.Region,
 		members:  members,
 		self:     self.ID,
@@ -45,7 +45,7 @@
 		if m.Listed.State != gooseberrypass.ListedLive || m.Silent || m.Listed.ID == self.ID {
 			continue
 		}
-		v.byRegion[m.Listed.Region] = append(v.byRegion[m.Listed.Region], i)
+		v.byRegion[m.Listed.Region] = append(v.byRegion[m.Listed.Region], int32(i))
 		if m.Listed.Region == self.Region {
 			v.candidates = append(v.candidates, m.Listed.ID)
 		}
@@ -53,8 +53,8 @@
 			v.entries = append(v.entries, m.Listed.ID)
 		}
 	}
-	rank("tailer/", v.candidates)
-	rank("snapshot/", v.entries)
+	v.candidates = ranked("tailer/", v.candidates)
+	v.entries = ranked("snapshot/", v.entries)
 	v.regions = slices.DeleteFunc(slices.Sorted(maps.Keys(v.byRegion)), func(r gooseberrypass.Region) bool { return r == v.home })
 	return v
 }
