--- a/attempter/fakes_test.go
+++ b/attempter/fakes_test.go
@@ -36,6 +36,8 @@
 type fakeEngine struct {
 	generate func(ctx context.Context, order gooseberrypass.GenerateOrder) (gooseberrypass.TokenStream, error)
 
+	slowCancel chan struct{} // if set, a cancellation waits for it
+
 	mu        sync.Mutex
 	cancelled []string
 	kv        []byte
@@ -64,6 +66,9 @@
 }
 
 func (e *fakeEngine) Cancel(_ context.Context, id string) error {
+	if e.slowCancel != nil {
+		<-e.slowCancel
+	}
 	e.set(func(e *fakeEngine) { e.cancelled = append(e.cancelled, id) })
 	return nil
 }
@@ -161,12 +166,19 @@
 	targets  *fakeTargets
 }
 
+// A sameNames resolver takes each name for an id.
+type sameNames struct{}
+
+func (sameNames) Resolve(_ gooseberrypass.Kind, name gooseberrypass.Name) (gooseberrypass.ID, bool) {
+	return gooseberrypass.ID(name), true
+}
+
 func section(kind gooseberrypass.Kind, id gooseberrypass.ID, values map[string]any) gooseberrypass.Section {
 	return gooseberrypass.NewSection(kind, id, nil, values)
 }
 
 func configOf(offset gooseberrypass.Offset, version gooseberrypass.Digest, more ...gooseberrypass.Section) *gooseberrypass.Config {
-	return gooseberrypass.NewConfig(offset, nil, append([]gooseberrypass.Section{
+	return gooseberrypass.NewConfig(offset, sameNames{}, append([]gooseberrypass.Section{
 		section(gooseberrypass.KindSystem, "system", map[string]any{"queue-limit": 4096, "stop-limit": 10 * time.Second}),
 		section(gooseberrypass.KindModel, model, map[string]any{"manifest": version, "pool": "writers"}),
 		section(gooseberrypass.KindService, service, map[string]any{
@@ -264,7 +276,7 @@
 	digest []byte
 	end    *wire.End
 	failed *wire.Failed
-	frames int
+	pieces int
 	moved  *wire.Moved
 	reader protodelim.Reader
 	text   strings.Builder
@@ -277,11 +289,11 @@
 		_ = s.body.Close()
 		return false
 	}
-	s.frames++
 	switch k := f.GetKind().(type) {
 	case *wire.Frame_Started:
 		s.digest = k.Started.GetWeightsDigest()
 	case *wire.Frame_Piece:
+		s.pieces++
 		s.text.Write(k.Piece.GetText())
 	case *wire.Frame_End:
 		s.end = k.End
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -99,7 +99,7 @@
 func (d *Demonstrator) start(ctx context.Context) error {
 	d.say("starting stand-ins of the platform, %d agents beside engines, %d beside plain services and %d entries in %d regions",
 		d.settings.Instances, serviceCount, entryCount, len(regions()))
-	if err := d.platform.start(); err != nil {
+	if err := d.platform.start(); err != nil { //nolint:contextcheck // platform.stop ends it
 		return err
 	}
 	if err := d.fleet.start(ctx, d.settings.Instances, d.settings.Seed); err != nil {
@@ -110,9 +110,24 @@
 			return err
 		}
 	}
+	if err := d.awaitMembers(ctx); err != nil {
+		return err
+	}
 	return d.writeFile("10-system.ini", systemFile)
 }
 
+// awaitMembers waits until the platform's list has reached all processes.
+func (d *Demonstrator) awaitMembers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, rolloutLimit)
+	defer cancel()
+	for !d.fleet.known() {
+		if err := d.pause(ctx); err != nil {
+			return errors.Wrap(err, "wait for the list of instances")
+		}
+	}
+	return nil
+}
+
 // putVersion puts a version at the origin that shares a part of its chunks
 // with the other.
 func (d *Demonstrator) putVersion(version string, n int) error {
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -54,7 +54,7 @@
 // entries.
 func (f *fleet) start(ctx context.Context, n int, seed uint64) error {
 	for i := range n {
-		_, url, err := f.platform.startEngine(seed + uint64(i))
+		_, url, err := f.platform.startEngine(seed + uint64(i)) //nolint:contextcheck // platform.stop ends it
 		if err != nil {
 			return err
 		}
@@ -63,7 +63,7 @@
 		}
 	}
 	for i := range serviceCount {
-		url, err := f.platform.startService()
+		url, err := f.platform.startService() //nolint:contextcheck // platform.stop ends it
 		if err != nil {
 			return err
 		}
@@ -162,6 +162,22 @@
 	return urls
 }
 
+// known reports whether all processes know all members.
+func (f *fleet) known() bool {
+	total := len(f.entries) + len(f.agents)
+	for _, e := range f.entries {
+		if len(e.Members()) < total {
+			return false
+		}
+	}
+	for _, a := range f.agents {
+		if len(a.agent.Members()) < total {
+			return false
+		}
+	}
+	return true
+}
+
 // inForce reports whether a configuration is in force in all live processes.
 func (f *fleet) inForce(offset gooseberrypass.Offset) bool {
 	for _, e := range f.entries {
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -18,6 +18,8 @@
 	"github.com/gooseberrypass/gooseberrypass/keeper"
 	"github.com/gooseberrypass/gooseberrypass/listener"
 	"github.com/gooseberrypass/gooseberrypass/loader"
+	"github.com/gooseberrypass/gooseberrypass/roller"
+	"github.com/gooseberrypass/gooseberrypass/tracker"
 	"github.com/gooseberrypass/gooseberrypass/wire"
 )
 
@@ -38,6 +40,15 @@
 // Pressure implements keeper.Pressure.
 func (p pressure) Pressure() float64 { return p() }
 
+// A configHolder gives the configuration of a source that is made later, before
+// the process runs.
+type configHolder struct {
+	source gooseberrypass.ConfigSource
+}
+
+// Config implements gooseberrypass.ConfigSource.
+func (h *configHolder) Config() *gooseberrypass.Config { return h.source.Config() }
+
 // An Agent is an agent process, beside an engine or a plain service.
 type Agent struct {
 	*process
@@ -52,10 +63,12 @@
 // address for other processes is the lock on the endpoint: NewAgent waits for
 // it as long as another process has it.
 func NewAgent(ctx context.Context, settings *Settings, d Dependencies) (*Agent, error) {
-	p, err := newProcess(settings, selectDomain(settings.self), d)
+	var configs configHolder
+	p, err := newProcess(settings, selectPeers(settings.self, &configs), d)
 	if err != nil {
 		return nil, err
 	}
+	configs.source = p.spreader
 	lis, err := loader.Listen(ctx, d.Clock, settings.listen.String())
 	if err != nil {
 		return nil, err
@@ -71,9 +84,6 @@
 // Address returns the address for other processes.
 func (a *Agent) Address() string { return a.system.Address() }
 
-// Config returns the configuration in force, nil before the first.
-func (a *Agent) Config() *gooseberrypass.Config { return a.spreader.Config() }
-
 // Status returns what the agent says of itself. Callers must not change it.
 func (a *Agent) Status() *gooseberrypass.AgentStatus { return a.attempts.Status() }
 
@@ -88,7 +98,7 @@
 			return a.feed.Run(ctx, closeGrace)
 		})
 	}
-	failed, stop := start(services...)
+	failed, stop := start(ctx, services...)
 	a.logger.WithField("address", a.Address()).Info("agent started")
 	var cause error
 	select {
@@ -134,7 +144,7 @@
 		Configs:    a.spreader,
 		Instance:   a.settings.self,
 		Log:        a.logger,
-		Random:     rand.New(rand.NewPCG(a.seed, 0)), //nolint:gosec // spreads polls
+		Random:     rand.New(rand.NewPCG(a.seed, 0)),
 		Registerer: a.registry,
 		Targets:    noTargets{},
 	}
@@ -245,16 +255,15 @@
 	return errors.Wrap(conn.Close(), "probe")
 }
 
-// selectDomain follows the agents of self's pool in its failure domain, whose
-// progress decides when self may load.
-func selectDomain(self gooseberrypass.ListedInstance) func([]gooseberrypass.ListedInstance) []gooseberrypass.ID {
-	return func(listed []gooseberrypass.ListedInstance) []gooseberrypass.ID {
-		var ids []gooseberrypass.ID
-		for _, l := range listed {
-			if l.ID != self.ID && l.Role == gooseberrypass.RoleAgent && l.Pool == self.Pool && l.FailureDomain == self.FailureDomain {
-				ids = append(ids, l.ID)
-			}
+// selectPeers follows the agents whose progress decides when self may load.
+func selectPeers(self gooseberrypass.ListedInstance, configs gooseberrypass.ConfigSource) tracker.Selector {
+	pool := func(l gooseberrypass.ListedInstance) gooseberrypass.Pool {
+		if config := configs.Config(); config != nil {
+			return config.PoolOf(l)
 		}
-		return ids
+		return l.Pool
+	}
+	return func(listed []gooseberrypass.ListedInstance) []gooseberrypass.ID {
+		return roller.Peers(self, listed, pool)
 	}
 }
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -5,7 +5,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/answerer"
 	"github.com/gooseberrypass/gooseberrypass/dialer"
 	"github.com/gooseberrypass/gooseberrypass/listener"
@@ -54,19 +53,16 @@
 // CallersAddress returns the address for callers.
 func (e *Entry) CallersAddress() string { return e.callers.Address() }
 
-// Config returns the configuration in force, nil before the first.
-func (e *Entry) Config() *gooseberrypass.Config { return e.spreader.Config() }
-
 // SystemAddress returns the address for other processes.
 func (e *Entry) SystemAddress() string { return e.system.Address() }
 
 // Run serves until ctx is done, then takes no new request and ends those in
 // progress.
 func (e *Entry) Run(ctx context.Context) error {
-	failed, stopParts := start(e.loop.Run, func(ctx context.Context) error {
+	failed, stopParts := start(ctx, e.loop.Run, func(ctx context.Context) error {
 		return e.system.Run(ctx, closeGrace)
 	})
-	callersFailed, stopCallers := start(func(ctx context.Context) error {
+	callersFailed, stopCallers := start(ctx, func(ctx context.Context) error {
 		return e.callers.Run(ctx, e.settings.grace)
 	})
 	e.logger.WithField("callers", e.CallersAddress()).WithField("system", e.SystemAddress()).Info("entry started")
