--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -23,6 +23,7 @@
 	homeFanout     = 4
 	readBackoff    = time.Second
 	readWait       = 5 * time.Second
+	refreshPeriod  = time.Second
 	startPeriod    = 500 * time.Millisecond
 )
 
@@ -67,9 +68,10 @@
 	key        authenticator.Key
 	log        gooseberrypass.Log
 	logger     logrus.FieldLogger
+	members    []gooseberrypass.Member // newer than the view, nil if none are
 	membership gooseberrypass.Membership
 	metrics    *metrics
-	next       struct{ exchange, read, snapshot time.Time }
+	next       struct{ exchange, read, refresh time.Time }
 	post       func(gooseberrypass.Event)
 	reading    bool
 	replayer   *replayer.Replayer
@@ -120,13 +122,13 @@
 // Handle implements gooseberrypass.Controller.
 func (s *Spreader) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
 	if s.view == nil {
-		s.view = newView(s.self, s.membership.Members(), s.suspects)
+		s.refresh(now, s.membership.Members())
 	}
 	switch e := event.(type) {
 	case gooseberrypass.Tick:
 		return s.tick(now)
 	case gooseberrypass.MembersChanged:
-		s.view = newView(s.self, e.Members, s.suspects)
+		s.members = e.Members
 	case snapshotAppended:
 		s.snapshots.appended(now, e.err)
 	case configBuilt:
@@ -143,6 +145,9 @@
 
 func (s *Spreader) tick(now time.Time) []gooseberrypass.Effect {
 	var effects []gooseberrypass.Effect
+	if s.members != nil && !now.Before(s.next.refresh) {
+		s.refresh(now, s.members)
+	}
 	if !s.reading && !now.Before(s.next.read) && s.readsLog(now) {
 		effects = append(effects, s.read())
 	}
@@ -160,6 +165,14 @@
 	return effects
 }
 
+// refresh takes over a view of the members. Members change more often than
+// their places matter here.
+func (s *Spreader) refresh(now time.Time, members []gooseberrypass.Member) {
+	s.members = nil
+	s.next.refresh = now.Add(refreshPeriod)
+	s.view = newView(s.self, members, s.suspects)
+}
+
 // readsLog reports whether the process reads the log now: as one of its
 // region's tailers, or as an entry that keeps snapshots.
 func (s *Spreader) readsLog(now time.Time) bool {
