--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -36,6 +36,7 @@
 	post     func(gooseberrypass.Event)
 	scores   *scores
 	snapshot atomic.Pointer[snapshot]
+	turns    *turns
 }
 
 // New returns a quarantiner. post hands events to the control loop that runs
@@ -51,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	q := &Quarantiner{clock: clock, config: config, logger: logger, metrics: m, post: post, scores: newScores()}
+	q := &Quarantiner{clock: clock, config: config, logger: logger, metrics: m, post: post, scores: newScores(), turns: newTurns(clock)}
 	q.snapshot.Store(&snapshot{})
 	return q, nil
 }
@@ -75,11 +76,13 @@
 
 // Cut tells that an attempt broke off at an endpoint that may have crashed.
 func (q *Quarantiner) Cut(digest gooseberrypass.Digest, at gooseberrypass.ID) {
+	q.turns.hold(digest)
 	q.post(broken{cut: cut{at: at, digest: digest}})
 }
 
 // Finished tells that a request ran to its end.
 func (q *Quarantiner) Finished(digest gooseberrypass.Digest) {
+	q.turns.unhold(digest)
 	if q.Alone(digest) {
 		q.post(finished{digest: digest})
 	}
@@ -88,19 +91,53 @@
 // Wrap implements gooseberrypass.Filter.
 func (q *Quarantiner) Wrap(next gooseberrypass.Handler) gooseberrypass.Handler {
 	return gooseberrypass.HandlerFunc(func(ctx context.Context, req *gooseberrypass.Request, answer gooseberrypass.Answer) error {
-		until, ok := q.snapshot.Load().refused[req.Digest()]
-		now := q.clock.Now()
-		if !ok || !now.Before(until) {
-			return next.Handle(ctx, req, answer)
+		for {
+			if err := q.refusal(req.Digest()); err != nil {
+				return err
+			}
+			if !q.Alone(req.Digest()) {
+				return next.Handle(ctx, req, answer)
+			}
+			done, wait := q.turns.enter(req.Digest())
+			if done != nil {
+				defer done()
+				return next.Handle(ctx, req, answer)
+			}
+			if err := await(ctx, wait); err != nil {
+				return err
+			}
 		}
-		q.metrics.refused.Inc()
+	})
+}
+
+// refusal returns the failure of a request in quarantine, nil for any other.
+func (q *Quarantiner) refusal(digest gooseberrypass.Digest) error {
+	until, ok := q.snapshot.Load().refused[digest]
+	now := q.clock.Now()
+	if !ok || !now.Before(until) {
+		return nil
+	}
+	q.metrics.refused.Inc()
+	return &gooseberrypass.RequestError{
+		Detail:     "the request crashed endpoints and is refused for a time",
+		Outcome:    gooseberrypass.OutcomeNotRun,
+		Reason:     gooseberrypass.ReasonPoison,
+		RetryAfter: until.Sub(now),
+	}
+}
+
+// await waits for the copy of a suspect that has its turn.
+func await(ctx context.Context, wait <-chan struct{}) error {
+	select {
+	case <-wait:
+		return nil
+	case <-ctx.Done():
 		return &gooseberrypass.RequestError{
-			Detail:     "the request crashed endpoints and is refused for a time",
-			Outcome:    gooseberrypass.OutcomeNotRun,
-			Reason:     gooseberrypass.ReasonPoison,
-			RetryAfter: until.Sub(now),
+			Detail:  "the same request is under suspicion and runs one at a time",
+			Outcome: gooseberrypass.OutcomeNotRun,
+			Reason:  gooseberrypass.ReasonDeadline,
 		}
-	})
+	}
 }
 
 // Handle implements gooseberrypass.Controller.
--- /dev/null
+++ b/quarantiner/quarantiner_test.go
@@ -0,0 +1,268 @@
+package quarantiner_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/quarantiner"
+)
+
+type fixedConfig struct{ config *gooseberrypass.Config }
+
+func (c fixedConfig) Config() *gooseberrypass.Config { return c.config }
+
+// The times of the model.
+const (
+	reportLag  = 500 * time.Millisecond // of a crash to the entries
+	restart    = 5 * time.Second        // of an endpoint
+	runTime    = 200 * time.Millisecond // of a request
+	quarantine = time.Hour
+	endpoints  = 12
+)
+
+// An endpoint runs requests, and crashes under poison with all it runs.
+type endpoint struct {
+	crashes  []gooseberrypass.Crash
+	up       bool
+	inFlight map[gooseberrypass.Digest]chan bool // told whether it finished
+}
+
+// A fleet is some endpoints and the entries in front of them.
+type fleet struct {
+	controlMu sync.Mutex
+	endpoints []*endpoint
+	entries   []*quarantiner.Quarantiner
+	lost      int
+	mu        sync.Mutex
+	rng       *rand.Rand
+}
+
+func newFleet(entries int) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(1, 1))}
+	for range endpoints {
+		f.endpoints = append(f.endpoints, &endpoint{up: true, inFlight: map[gooseberrypass.Digest]chan bool{}})
+	}
+	system := gooseberrypass.NewSection(gooseberrypass.KindSystem, "system", nil, map[string]any{"quarantine": quarantine})
+	cfg := fixedConfig{gooseberrypass.NewConfig(1, nil, []gooseberrypass.Section{system})}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	for range entries {
+		var q *quarantiner.Quarantiner
+		post := func(e gooseberrypass.Event) { f.control(q, e) }
+		q, err := quarantiner.New(clockwork.NewRealClock(), cfg, post, prometheus.NewRegistry(), logger)
+		if err != nil {
+			panic(err)
+		}
+		f.entries = append(f.entries, q)
+	}
+	return f
+}
+
+// control hands an event to an entry's controller, one at a time.
+func (f *fleet) control(q *quarantiner.Quarantiner, e gooseberrypass.Event) {
+	f.controlMu.Lock()
+	defer f.controlMu.Unlock()
+	q.Handle(time.Now(), e)
+}
+
+// report lets all entries see the crashes, a while later.
+func (f *fleet) report() {
+	time.Sleep(reportLag)
+	f.mu.Lock()
+	members := make([]gooseberrypass.Member, 0, len(f.endpoints))
+	for i, e := range f.endpoints {
+		members = append(members, gooseberrypass.Member{
+			Listed: gooseberrypass.ListedInstance{ID: gooseberrypass.ID(fmt.Sprintf("w-%02d", i))},
+			Status: &gooseberrypass.AgentStatus{Crashes: e.crashes, EndpointUp: e.up},
+		})
+	}
+	f.mu.Unlock()
+	for _, q := range f.entries {
+		f.control(q, gooseberrypass.MembersChanged{Members: members})
+	}
+}
+
+// choose returns an endpoint that is up, and empty if the request runs alone.
+func (f *fleet) choose(alone bool) int {
+	for {
+		f.mu.Lock()
+		for _, i := range f.rng.Perm(len(f.endpoints)) {
+			if e := f.endpoints[i]; e.up && (!alone || len(e.inFlight) == 0) {
+				f.mu.Unlock()
+				return i
+			}
+		}
+		f.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// crash takes an endpoint down with all that runs on it.
+func (f *fleet) crash(i int) {
+	f.lost++
+	e := f.endpoints[i]
+	crash := gooseberrypass.Crash{At: time.Now(), ID: fmt.Sprint("crash-", f.lost)}
+	for digest, done := range e.inFlight {
+		crash.Requests = append(crash.Requests, digest)
+		done <- false
+	}
+	clear(e.inFlight)
+	e.up = false
+	e.crashes = append(e.crashes, crash)
+	go f.report()
+	time.AfterFunc(restart, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		e.up = true
+	})
+}
+
+// run makes one attempt and reports whether it finished.
+func (f *fleet) run(digest gooseberrypass.Digest, poison, alone bool) (int, bool) {
+	i := f.choose(alone)
+	done := make(chan bool, 1)
+	f.mu.Lock()
+	f.endpoints[i].inFlight[digest] = done
+	f.mu.Unlock()
+	time.Sleep(runTime)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if poison && f.endpoints[i].inFlight[digest] == done {
+		f.crash(i)
+	}
+	select {
+	case finished := <-done:
+		return i, finished
+	default:
+		delete(f.endpoints[i].inFlight, digest)
+		return i, true
+	}
+}
+
+// handle is the end of an entry's chain: what broke off runs once more, alone
+// unless the chain is naive.
+func (f *fleet) handle(q *quarantiner.Quarantiner, poison, guarded bool) gooseberrypass.Handler {
+	return gooseberrypass.HandlerFunc(func(_ context.Context, req *gooseberrypass.Request, _ gooseberrypass.Answer) error {
+		alone := guarded && q.Alone(req.Digest())
+		for range 2 {
+			at, finished := f.run(req.Digest(), poison, alone)
+			if finished {
+				q.Finished(req.Digest())
+				return nil
+			}
+			q.Cut(req.Digest(), gooseberrypass.ID(fmt.Sprintf("w-%02d", at)))
+			if alone {
+				break
+			}
+			alone = guarded
+		}
+		return errors.New("broke off again")
+	})
+}
+
+func newRequest(body string) *gooseberrypass.Request {
+	return gooseberrypass.NewRequest(gooseberrypass.RequestFields{Body: []byte(body)})
+}
+
+// A tally counts what a siege did.
+type tally struct{ innocentFailed, innocentSent, lost, poisonRefused int }
+
+// siege sends a poison request again and again through different entries, amid
+// innocent requests, some of them equal to one another.
+func siege(t *testing.T, repeats int, guarded bool) tally {
+	t.Helper()
+	var got tally
+	synctest.Test(t, func(*testing.T) {
+		f := newFleet(3)
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		send := func(i int, body string, poison bool) {
+			wg.Go(func() {
+				q := f.entries[i%len(f.entries)]
+				handler := f.handle(q, poison, guarded)
+				if guarded {
+					handler = q.Wrap(handler)
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				defer cancel()
+				err := handler.Handle(ctx, newRequest(body), nil)
+				var failure *gooseberrypass.RequestError
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case poison && errors.As(err, &failure) && failure.Reason == gooseberrypass.ReasonPoison:
+					got.poisonRefused++
+				case !poison && err != nil:
+					got.innocentFailed++
+				}
+			})
+		}
+		for i := range repeats {
+			send(i, "poison", true)
+			for j := range 6 {
+				got.innocentSent++
+				send(i+j, fmt.Sprint("innocent ", (i*6+j)%50), false)
+			}
+			time.Sleep(300 * time.Millisecond)
+			for _, q := range f.entries {
+				f.control(q, gooseberrypass.Tick{})
+			}
+		}
+		wg.Wait()
+		time.Sleep(restart)
+		got.lost = f.lost
+	})
+	return got
+}
+
+// The endpoints lost to one poison request do not grow with its repeats, and
+// innocent requests in flight at a crash are answered elsewhere, now and later.
+// Without the filter each repeat costs endpoints. No log is involved.
+func TestPoisonIsBounded(t *testing.T) {
+	const bound = 10
+	for _, repeats := range []int{20, 200} {
+		got, naive := siege(t, repeats, true), siege(t, repeats, false)
+		t.Logf("%d repeats: %+v, naive %+v", repeats, got, naive)
+		if got.lost > bound || got.poisonRefused < repeats-2*bound || got.innocentFailed > 0 {
+			t.Errorf("%d repeats: got %+v, want at most %d endpoints lost and no innocent failed", repeats, got, bound)
+		}
+		if naive.lost < repeats/2 {
+			t.Errorf("%d repeats: naive version lost %d endpoints: the siege proves nothing", repeats, naive.lost)
+		}
+	}
+}
+
+// A request whose endpoint dies with its agent is suspected on this entry's own
+// evidence, and cleared once it finishes.
+func TestSuspectedWithoutReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1)
+		q, digest := f.entries[0], newRequest("x").Digest()
+		q.Cut(digest, "w-gone")
+		q.Handle(time.Now(), gooseberrypass.MembersChanged{})
+		if !q.Alone(digest) {
+			t.Error("got no suspect, want one")
+		}
+		q.Finished(digest)
+		if q.Alone(digest) {
+			t.Error("got a suspect after it finished")
+		}
+		q.Cut(digest, "w-00")
+		f.report() // the endpoint is up: the connection broke, not the endpoint
+		if q.Alone(digest) {
+			t.Error("got a suspect though its endpoint is up")
+		}
+	})
+}
--- a/retrier/generate.go
+++ b/retrier/generate.go
@@ -171,8 +171,8 @@
 		f.result = router.ResultLate
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		r.retrier.suspects.Cut(r.req.Digest(), ticket.Member().Listed.ID)
+		f.final = r.alone()
 		r.cuts++
-		f.final = r.cuts >= maxCuts
 	}
 	return f
 }
--- /dev/null
+++ b/retrier/whole_test.go
@@ -0,0 +1,115 @@
+package retrier_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/retrier"
+	"github.com/gooseberrypass/gooseberrypass/wire"
+)
+
+// Hundreds of requests at once against engines that swap, double, cut and alter
+// answers: each caller gets its own answer whole, or a typed failure, whereas
+// the naive version hands out wrong answers.
+func TestWholeAnswers(t *testing.T) {
+	const requests = 500
+	m := members{newMember("w-0", ""), newMember("w-1", ""), newMember("w-2", ""), newMember("w-3", "")}
+	engine := &scripted{generate: (&chaos{}).generate}
+	r := newRetrier(t, m, engine, 1, anyChoices)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	answered, naiveWrong := 0, 0
+	for i := range requests {
+		wg.Go(func() {
+			req := newRequest(gooseberrypass.RequestGenerate, strconv.Itoa(i), true)
+			want := strings.Join(wholeText(strconv.Itoa(i)), "")
+			got, plain := &caller{}, &caller{}
+			err := r.Handle(context.Background(), req, got)
+			naiveErr := naive(engine, req, plain)
+			mu.Lock()
+			defer mu.Unlock()
+			var failure *gooseberrypass.RequestError
+			switch {
+			case err == nil && (!got.ended || got.starts != 1 || got.text != want || got.weights != weights()):
+				t.Errorf("got %q of weights %s, ended %v, want %q", got.text, got.weights.Short(), got.ended, want)
+			case err == nil:
+				answered++
+			case !errors.As(err, &failure) || failure.Outcome != gooseberrypass.OutcomeUnknown:
+				t.Errorf("got error %v, want a typed one of outcome unknown", err)
+			case got.ended || !strings.HasPrefix(want, strings.TrimSuffix(got.text, "?")): // the end marker alone shows an altered piece
+				t.Errorf("failed with %q delivered, want a part of %q", got.text, want)
+			}
+			if naiveErr == nil && plain.text != want {
+				naiveWrong++
+			}
+		})
+	}
+	wg.Wait()
+	if naiveWrong == 0 || answered < requests/2 {
+		t.Errorf("naive version wrong %d times, %d answered of %d", naiveWrong, answered, requests)
+	}
+	t.Logf("answered %d of %d; the naive version delivered %d wrong answers", answered, requests, naiveWrong)
+}
+
+// A stream that moves goes on at the same weights from the next piece, and one
+// that no endpoint takes goes on where it was.
+func TestMovedStream(t *testing.T) {
+	tests := []struct {
+		name  string
+		taken bool
+	}{{"taken", true}, {"refused", false}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var first string
+			engine := &scripted{}
+			engine.generate = func(to gooseberrypass.ID, a *wire.Attempt) (retrier.FrameStream, error) {
+				frames := answerTo(a)
+				if a.GetFrom() == 0 {
+					first = a.GetAttemptId()
+					moved := &wire.Frame{AttemptId: a.GetAttemptId(), RequestDigest: a.GetRequestDigest()}
+					moved.Kind = &wire.Frame_Moved{Moved: &wire.Moved{KvCache: []byte("kv of " + to), Next: 2}}
+					frames = append(frames[:3:3], append([]*wire.Frame{moved}, frames[3:]...)...)
+					return &script{end: io.EOF, frames: frames}, nil
+				}
+				if !tt.taken || !strings.HasPrefix(string(a.GetKvCache()), "kv of ") {
+					return nil, errors.New("connection reset")
+				}
+				return &script{end: io.EOF, frames: frames}, nil
+			}
+			r := newRetrier(t, members{newMember("w-0", ""), newMember("w-1", "")}, engine, 1, anyChoices)
+			got, want := &caller{}, "answer to x."
+			if err := r.Handle(context.Background(), newRequest(gooseberrypass.RequestGenerate, "x", true), got); err != nil {
+				t.Fatal(err)
+			}
+			if got.text != want || got.starts != 1 || !got.ended {
+				t.Errorf("got %q, %d starts, want %q", got.text, got.starts, want)
+			}
+			if first == "" {
+				t.Error("no first attempt")
+			}
+		})
+	}
+}
+
+// Retries stay within the budget however many requests fail.
+func TestRetryBudget(t *testing.T) {
+	const requests = 1000
+	attempts := 0
+	engine := &scripted{generate: func(gooseberrypass.ID, *wire.Attempt) (retrier.FrameStream, error) {
+		attempts++
+		return nil, errors.New("connection reset")
+	}}
+	r := newRetrier(t, members{newMember("w-0", ""), newMember("w-1", "")}, engine, 0.1, anyChoices)
+	for i := range requests {
+		_ = r.Handle(context.Background(), newRequest(gooseberrypass.RequestGenerate, strconv.Itoa(i), true), &caller{})
+	}
+	if got, want := attempts, requests+requests/10+10; got > want {
+		t.Errorf("got %d attempts for %d requests, want at most %d", got, requests, want)
+	}
+}
