--- a/attempter/caller.go
+++ b/attempter/caller.go
@@ -11,7 +11,7 @@
 // A caller runs calls of the plain service. It is safe for concurrent use.
 type caller struct {
 	configs    gooseberrypass.ConfigSource
-	pool       func(cfg *gooseberrypass.Config) gooseberrypass.Pool
+	instance   gooseberrypass.ListedInstance
 	runner     *runner
 	service    gooseberrypass.PlainService
 	supervisor *supervisor.Supervisor
@@ -30,6 +30,7 @@
 		class:    m.GetService() + "/" + m.GetCall(),
 		cost:     1,
 		digest:   gooseberrypass.Digest(m.GetRequestDigest()),
+		final:    true,
 		id:       m.GetAttemptId(),
 		life:     lifeOf(m.GetDeadlineMs()),
 		priority: gooseberrypass.Priority(m.GetPriority()),
@@ -48,7 +49,7 @@
 		return notRun(gooseberrypass.ReasonNotLoaded, "no configuration yet")
 	}
 	s, ok := cfg.Service(id)
-	if !ok || s.Pool() != c.pool(cfg) {
+	if !ok || s.Pool() != cfg.PoolOf(c.instance) {
 		return notRun(gooseberrypass.ReasonNotLoaded, "service is not served here")
 	}
 	if !s.Offers(call) {
@@ -72,7 +73,7 @@
 		return answer, nil
 	}
 	e := asRequestError(err)
-	p.cut = ctx.Err() == nil && e.Reason == gooseberrypass.ReasonCut
+	p.cut = cutOff(ctx, err)
 	if ctx.Err() != nil {
 		return nil, interrupted(ctx, e.Outcome != gooseberrypass.OutcomeNotRun)
 	}
--- a/attempter/registry.go
+++ b/attempter/registry.go
@@ -23,7 +23,9 @@
 	memoryMargin = time.Minute
 	// maxStep is the most that the time of memory moves on between two sweeps,
 	// so that a process that was suspended forgets nothing by it.
-	maxStep = 5 * time.Second
+	maxStep = time.Second
+	// forgetPeriod is the time between two searches for expired records.
+	forgetPeriod = 5 * time.Second
 )
 
 // The causes of the end of an attempt's context.
@@ -47,6 +49,7 @@
 // An attempt is one attempt that is queued or runs.
 type attempt struct {
 	cancel  context.CancelCauseFunc
+	final   bool // cannot be taken back once it has started
 	flight  supervisor.Flight
 	id      string
 	life    time.Duration // time given, in which a copy may come late
@@ -68,6 +71,7 @@
 	active  map[*attempt]struct{}
 	age     time.Duration // the time of memory
 	cut     []supervisor.Flight
+	forgot  time.Duration // when expired records were last searched for
 	limit   int
 	mu      sync.Mutex
 	records map[string]*record
@@ -106,7 +110,8 @@
 	return phaseNone, true
 }
 
-// cancelAttempt ends an attempt that is queued or runs.
+// cancelAttempt ends an attempt that is queued or runs, unless it has started
+// and cannot be taken back. It reports whether there is such an attempt.
 func (g *registry) cancelAttempt(id string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -114,7 +119,9 @@
 	if !ok || r.attempt == nil {
 		return false
 	}
-	r.attempt.cancel(errCancelled)
+	if !r.attempt.started || !r.attempt.final {
+		r.attempt.cancel(errCancelled)
+	}
 	return true
 }
 
@@ -199,7 +206,7 @@
 	return true
 }
 
-// sweep forgets the records that have expired.
+// sweep moves the time of memory on and forgets the records that have expired.
 func (g *registry) sweep(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -207,6 +214,10 @@
 		g.age += min(max(now.Sub(g.swept), 0), maxStep)
 	}
 	g.swept = now
+	if g.age-g.forgot < forgetPeriod {
+		return
+	}
+	g.forgot = g.age
 	for id, r := range g.records {
 		if r.attempt == nil && r.expires < g.age {
 			delete(g.records, id)
--- a/attempter/settle_test.go
+++ b/attempter/settle_test.go
@@ -133,6 +133,42 @@
 	}
 }
 
+// TestCrashBeforeTheAnswerBegins has endpoints that die with a request before
+// they say anything, and others that refuse it.
+func TestCrashBeforeTheAnswerBegins(t *testing.T) {
+	broken := &gooseberrypass.RequestError{Outcome: gooseberrypass.OutcomeUnknown, Reason: gooseberrypass.ReasonUpstream}
+	refused := &gooseberrypass.RequestError{Outcome: gooseberrypass.OutcomeNotRun, Reason: gooseberrypass.ReasonOverloaded}
+	for err, want := range map[*gooseberrypass.RequestError]int{broken: 1, refused: 0} {
+		e := newFakeEngine(1, digestOf("v1"))
+		e.generate = func(context.Context, gooseberrypass.GenerateOrder) (gooseberrypass.TokenStream, error) {
+			return nil, err
+		}
+		a := newEngineAgent(t, e)
+		a.ask(t, attemptOf("a-1"))
+		e.state.BootID = "boot-2"
+		a.tick()
+		if got := len(a.Status().Crashes); got != want {
+			t.Errorf("got %d crashes of the engine after %v, want %d", got, err, want)
+		}
+		down := false
+		a = newServiceAgent(t, "", func(d *attempter.Dependencies) {
+			d.Service = failing{err}
+			d.Probe = func(context.Context) error {
+				if down {
+					return io.EOF
+				}
+				return nil
+			}
+		})
+		call(t, a, grantOf("c-1"))
+		down = true
+		a.tick()
+		if got := len(a.Status().Crashes); got != want {
+			t.Errorf("got %d crashes of the service after %v, want %d", got, err, want)
+		}
+	}
+}
+
 type failing struct{ err error }
 
 func (f failing) Call(context.Context, gooseberrypass.ServiceCall) ([]byte, error) { return nil, f.err }
@@ -143,11 +179,11 @@
 	runs    sync.Map
 }
 
-func (h *holding) Call(_ context.Context, c gooseberrypass.ServiceCall) ([]byte, error) {
+func (h *holding) Call(ctx context.Context, c gooseberrypass.ServiceCall) ([]byte, error) {
 	n, _ := h.runs.LoadOrStore(c.AttemptID, &atomic.Int64{})
 	n.(*atomic.Int64).Add(1)
 	<-h.release
-	return []byte("done"), nil
+	return []byte("done"), ctx.Err()
 }
 
 func (h *holding) count(id string) int64 {
@@ -216,6 +252,10 @@
 	if got, want := refuse(t, a, "running"), wire.AttemptState_ATTEMPT_STATE_STARTED; got != want {
 		t.Errorf("got %v for the running one, want %v", got, want)
 	}
+	resp, err := a.Server().Cancel(context.Background(), &wire.CancelRequest{AttemptId: "running"})
+	if err != nil || !resp.GetFound() {
+		t.Errorf("got %v, %v on cancelling the running one, want it found", resp, err)
+	}
 	close(h.release)
 	if got, want := <-outcomes, "answered"; got != want || h.count("queued") != 0 {
 		t.Errorf("got %s and %d runs of the refused one, want %s and none", got, h.count("queued"), want)
