--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -158,6 +158,10 @@
 		if r.config == 0 && d.fleet.inForce(offset) {
 			r.config = now.Sub(begin)
 		}
+		if r.whole == 0 && d.fleet.whole(digest) {
+			r.whole = now.Sub(begin)
+			d.say("%s: every chunk is on every instance after %.1f s", version, r.whole.Seconds())
+		}
 		serving, live := d.fleet.serving(digest)
 		if serving != shown {
 			d.say("%s: %d of %d engines serve it after %.1f s", version, serving, live, now.Sub(begin).Seconds())
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -231,6 +231,25 @@
 	return serving, engines
 }
 
+// whole reports whether all live engines' agents hold a version whole.
+func (f *fleet) whole(digest gooseberrypass.Digest) bool {
+	for _, a := range f.live() {
+		if a.engine && !holdsWhole(a.agent.Status(), digest) {
+			return false
+		}
+	}
+	return true
+}
+
+func holdsWhole(status *gooseberrypass.AgentStatus, digest gooseberrypass.Digest) bool {
+	for _, t := range status.Targets {
+		if t.Digest == digest {
+			return t.Total > 0 && t.Held == t.Total
+		}
+	}
+	return false
+}
+
 // stop ends all processes.
 func (f *fleet) stop() {
 	for _, cancel := range f.stops {
--- a/demonstrator/result.go
+++ b/demonstrator/result.go
@@ -19,6 +19,7 @@
 	origin  int64
 	took    time.Duration
 	version string
+	whole   time.Duration // until every chunk was on every instance
 }
 
 // ideal is the time that the new bytes take on one instance's link.
@@ -53,10 +54,10 @@
 // Write writes a table, and then one line of key=value pairs.
 func (r Result) Write(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(t, "version\tto all, s\tideal, s\torigin copies\tmost on a link\tconfig, s\t")
+	_, _ = fmt.Fprintln(t, "version\tserved by all, s\theld by all, s\tideal, s\torigin copies\tmost on a link\tconfig, s\t")
 	for _, o := range r.rollouts {
-		_, _ = fmt.Fprintf(t, "%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t\n",
-			o.version, o.took.Seconds(), o.ideal().Seconds(), o.originCopies(), o.linkCopies(), o.config.Seconds())
+		_, _ = fmt.Fprintf(t, "%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t\n",
+			o.version, o.took.Seconds(), o.whole.Seconds(), o.ideal().Seconds(), o.originCopies(), o.linkCopies(), o.config.Seconds())
 	}
 	if err := t.Flush(); err != nil {
 		return errors.Wrap(err, "print the table")
