Start an answer again that broke off before the caller saw any of it

An Answer may now take back what it was given; the one for whole answers does until its end, the one for streams never does. A cut in mid-answer also counts as evidence against the request's prompt, as one before it did. Ruled out: resuming the stream elsewhere without its KV cache, which would join two generations.

--- a/answerer/check.go
+++ b/answerer/check.go
@@ -67,6 +67,15 @@
 	return a.next.Write(piece)
 }
 
+// Restart implements gooseberrypass.Restarter.
+func (a *checkedAnswer) Restart() bool {
+	if a.ended || !gooseberrypass.Restart(a.next) {
+		return false
+	}
+	a.started = false
+	return true
+}
+
 // End implements gooseberrypass.Answer.
 func (a *checkedAnswer) End() error {
 	if !a.started || a.ended {
--- a/answerer/stream.go
+++ b/answerer/stream.go
@@ -153,6 +153,13 @@
 	return nil
 }
 
+// Restart implements gooseberrypass.Restarter: the caller gets nothing before
+// the end.
+func (a *wholeAnswer) Restart() bool {
+	a.body = nil
+	return !a.ended
+}
+
 // End implements gooseberrypass.Answer.
 func (a *wholeAnswer) End() error {
 	a.ended = true
@@ -160,6 +167,7 @@
 }
 
 var (
-	_ gooseberrypass.Answer = (*streamAnswer)(nil)
-	_ gooseberrypass.Answer = (*wholeAnswer)(nil)
+	_ gooseberrypass.Answer    = (*streamAnswer)(nil)
+	_ gooseberrypass.Answer    = (*wholeAnswer)(nil)
+	_ gooseberrypass.Restarter = (*wholeAnswer)(nil)
 )
--- a/burner/burner.go
+++ b/burner/burner.go
@@ -201,6 +201,9 @@
 // End implements gooseberrypass.Answer.
 func (a *watchedAnswer) End() error { return a.next.End() }
 
+// Restart implements gooseberrypass.Restarter.
+func (a *watchedAnswer) Restart() bool { return gooseberrypass.Restart(a.next) }
+
 var (
 	_ gooseberrypass.Answer     = (*watchedAnswer)(nil)
 	_ gooseberrypass.Controller = (*Burner)(nil)
--- a/filter.go
+++ b/filter.go
@@ -13,6 +13,20 @@
 	End() error
 }
 
+// A Restarter is an Answer that can forget what it was given, since nothing of
+// it has been delivered.
+type Restarter interface {
+	// Restart reports whether the answer may start again.
+	Restart() bool
+}
+
+// Restart reports whether an answer may start again. An Answer that passes on
+// to another implements Restarter by asking that one.
+func Restart(answer Answer) bool {
+	r, ok := answer.(Restarter)
+	return ok && r.Restart()
+}
+
 // A Handler answers one request. A failure is a *RequestError.
 type Handler interface {
 	Handle(ctx context.Context, req *Request, answer Answer) error
--- a/retrier/generate.go
+++ b/retrier/generate.go
@@ -161,12 +161,12 @@
 		},
 		result: router.ResultFailed,
 	}
+	if r.delivered {
+		f.err.Reason = gooseberrypass.ReasonCut
+	}
 	switch {
 	case errors.Is(err, ErrNotSent):
 		f.err.Outcome = gooseberrypass.OutcomeNotRun
-		return f
-	case r.delivered:
-		f.err.Reason = gooseberrypass.ReasonCut
 	case watch.fired():
 		f.result = router.ResultLate
 	case errors.Is(err, io.ErrUnexpectedEOF):
--- a/retrier/run.go
+++ b/retrier/run.go
@@ -61,10 +61,13 @@
 }
 
 // mayRetry reports whether another attempt is allowed after a failure: nothing
-// of the answer was delivered, and the request is idempotent or has certainly
+// of the answer has reached the caller, and the request is idempotent or has certainly
 // not run.
 func (r *run) mayRetry() bool {
-	if r.delivered || !r.req.Repeatable() && len(r.unsettled) > 0 {
+	if !r.req.Repeatable() && len(r.unsettled) > 0 {
+		return false
+	}
+	if r.delivered && !r.restart() {
 		return false
 	}
 	if !r.retrier.budget.spend() {
@@ -75,6 +78,15 @@
 	return true
 }
 
+// restart takes back what was delivered, if the answer lets it.
+func (r *run) restart() bool {
+	if !gooseberrypass.Restart(r.answer) {
+		return false
+	}
+	r.delivered = false
+	return true
+}
+
 func (r *run) query() router.Query {
 	q := router.Query{
 		Avoid:    r.tried,
