--- a/attempter/regulator.go
+++ b/attempter/regulator.go
@@ -15,7 +15,6 @@
 	registry        *registry
 	serviceCapacity int
 	supervisor      *supervisor.Supervisor
-	up              bool
 }
 
 // Handle implements gooseberrypass.Controller.
@@ -44,10 +43,9 @@
 		capacity = s.State.Load.Capacity
 	}
 	g.admitter.SetCapacity(now, capacity)
-	if g.up && !s.Up {
+	if !s.Up {
 		g.admitter.RefuseQueued(gooseberrypass.ReasonNotLoaded)
 	}
-	g.up = s.Up
 }
 
 var _ gooseberrypass.Controller = (*regulator)(nil)
