Share the links between regions among the instances

Cause: bulk was paced only by each instance's sending rate, so five instances of a region could fill a 20 Mbit/s link that order traffic shares. The reader of a chunk from another region now reads no faster than its share of region-rate, the new setting, among its region's instances; at most two such reads are under way and their deadline grows by what the pacing itself costs. Ruled out: pacing at the sender, who does not know how many others send over the link; a token before each chunk, which lets a whole chunk through at full speed. The test: 8 chunks of 256 KiB at a quarter of 1 MiB/s take 8 s, and 0 s without the setting; reads inside the region do not wait.

--- a/checker/folder.go
+++ b/checker/folder.go
@@ -154,6 +154,7 @@
 			{Name: "origin-region", Type: Word(), Doc: "Region in which the origin stands."},
 			{Name: "quarantine", Type: Duration(0, 365*day), Default: "10m", Doc: "How long a request that crashed engines is refused."},
 			{Name: "queue-limit", Type: Int(1, mostQueue), Default: "64", Doc: "Requests that one agent queues."},
+			{Name: "region-rate", Type: Size(sizeKiB, math.MaxInt64), Doc: "Bytes a second of weights that one region takes from each other region; no limit if empty. Set it below the link's rate, which is shared with live requests."},
 			{Name: "retry-budget", Type: Float(0, 1), Default: "0.1", Doc: "Share of retries among the requests sent."},
 			{Name: "stop-limit", Type: Duration(0, day), Default: "30s", Doc: "How long a planned stop waits for work in progress."},
 		},
--- a/config.go
+++ b/config.go
@@ -176,6 +176,10 @@
 // Quarantine returns how long a request that crashed engines is refused.
 func (s System) Quarantine() time.Duration { return value[time.Duration](s.Section, "quarantine") }
 
+// RegionRate returns the bytes a second of weights that the instances of one
+// region together take from each other region; 0 is no limit.
+func (s System) RegionRate() int64 { return value[int64](s.Section, "region-rate") }
+
 // RetryBudget returns the share of retries, 0 to 1, among requests sent.
 func (s System) RetryBudget() float64 { return value[float64](s.Section, "retry-budget") }
 
--- /dev/null
+++ b/fetcher/farpacer_test.go
@@ -0,0 +1,75 @@
+package fetcher_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/fetcher"
+	"github.com/gooseberrypass/gooseberrypass/keeper"
+)
+
+// A roundTripper answers requests with a handler, without a network, so that
+// time can stand still.
+type roundTripper struct{ handler http.Handler }
+
+func (t roundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	t.handler.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// Reads from other regions share the region's link; reads inside the region do
+// not wait for it.
+func TestFarReadsKeepToTheirShareOfTheLink(t *testing.T) {
+	const (
+		chunks     = 8
+		chunkBytes = 256 << 10
+		instances  = 4
+		regionRate = 1 << 20 // bytes a second
+	)
+	tests := []struct {
+		name string
+		kind fetcher.SourceKind
+		rate int64
+		want time.Duration
+	}{
+		{name: "far", kind: fetcher.SourceFar, rate: regionRate, want: chunks * chunkBytes / (regionRate / instances) * time.Second},
+		{name: "far without a rate", kind: fetcher.SourceFar, want: 0},
+		{name: "near", kind: fetcher.SourceNear, rate: regionRate, want: 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				body := strings.Repeat("x", chunkBytes)
+				serve := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
+				k := keeper.New(1 << 30)
+				k.Pin(map[gooseberrypass.Digest]struct{}{gooseberrypass.DigestOf([]byte(body)): {}})
+				r := fetcher.NewReader(&http.Client{Transport: roundTripper{serve}}, clockwork.NewRealClock(), k, nil, nil)
+				r.SetRegionRate(tt.rate, instances)
+				begin := time.Now()
+				for i := range chunks {
+					done := r.Read(t.Context(), fetcher.Fetch{
+						ID: uint64(i), Kind: tt.kind, Limit: time.Hour, Wait: time.Second,
+						Item: fetcher.Item{Digest: gooseberrypass.DigestOf([]byte(body)), Size: chunkBytes},
+						Peer: gooseberrypass.ListedInstance{Address: "10.0.0.1:7000", Region: "norte"},
+					})
+					if done.Result != fetcher.ResultOK {
+						t.Fatalf("got result %v, error %v", done.Result, done.Err)
+					}
+				}
+				got := time.Since(begin)
+				if slack := tt.want / 10; got < tt.want-slack || got > tt.want+slack {
+					t.Errorf("got %s, want %s", got, tt.want)
+				}
+			})
+		})
+	}
+}
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -196,9 +196,23 @@
 			instances = append(instances, m.Listed)
 		}
 	}
+	f.setRegionRate(instances)
 	f.planner.SetRanking(ranker.New(instances, f.config.System().OriginRegion(), f.planner.settings.Fanout))
 }
 
+// setRegionRate shares the links to other regions among the instances.
+func (f *Fetcher) setRegionRate(instances []gooseberrypass.ListedInstance) {
+	n := 0
+	for _, i := range instances {
+		if i.Region == f.self.Region {
+			n++
+		}
+	}
+	regionRate := f.config.System().RegionRate()
+	f.reader.SetRegionRate(regionRate, n)
+	f.planner.SetFarRate(regionRate / int64(max(n, 1)))
+}
+
 // setPeers tells the planner who says that it holds a wanted version, and who
 // does not know its chunks yet.
 func (f *Fetcher) setPeers() {
--- a/fetcher/planner.go
+++ b/fetcher/planner.go
@@ -11,21 +11,22 @@
 )
 
 const (
-	budgetPause    = time.Second // until the budget is asked again
-	busyPause      = 50 * time.Millisecond
-	lagPatience    = 10 * time.Second // with peers that do not know of the version yet
-	lagPause       = 300 * time.Millisecond
-	maxBusies      = 3
-	maxDemanded    = 1024
-	maxHolderTries = 3
-	mismatchesBad  = 2 // from the origin, until its bytes are held to have changed
-	mismatchPause  = 30 * time.Second
-	mismatchMax    = 10 * time.Minute
-	passPause      = 10 * time.Second // for which one sender is passed over for one item
-	roomPause      = 5 * time.Second
-	sourceMax      = time.Minute
-	sourcePause    = 500 * time.Millisecond
-	waitsPatience  = 4 // first patience, in waits
+	budgetPause      = time.Second // until the budget is asked again
+	busyPause        = 50 * time.Millisecond
+	lagPatience      = 10 * time.Second // with peers that do not know of the version yet
+	lagPause         = 300 * time.Millisecond
+	maxBusies        = 3
+	maxDemanded      = 1024
+	maxHolderTries   = 3
+	pacedFarInFlight = 2 // reads from other regions at once under a rate
+	mismatchesBad    = 2 // from the origin, until its bytes are held to have changed
+	mismatchPause    = 30 * time.Second
+	mismatchMax      = 10 * time.Minute
+	passPause        = 10 * time.Second // for which one sender is passed over for one item
+	roomPause        = 5 * time.Second
+	sourceMax        = time.Minute
+	sourcePause      = 500 * time.Millisecond
+	waitsPatience    = 4 // first patience, in waits
 )
 
 // A Holder tells what is held on this instance.
@@ -48,6 +49,7 @@
 	counts    [sourceKinds]int
 	demanded  []gooseberrypass.Digest
 	estimates [sourceKinds]estimate
+	farRate   int64 // bytes a second from each other region, 0 for no limit
 	flights   map[uint64]*flight
 	holder    Holder
 	holders   map[gooseberrypass.Digest]map[gooseberrypass.ID]struct{}
@@ -104,6 +106,10 @@
 // read from the origin.
 func (p *Planner) SetCopies(copies float64) { p.copies = copies }
 
+// SetFarRate changes the bytes a second that this instance may take from each
+// other region; 0 is no limit.
+func (p *Planner) SetFarRate(farRate int64) { p.farRate = farRate }
+
 // SetPeers tells which instances say that they hold a version whole, and which
 // do not know yet that it is wanted.
 func (p *Planner) SetPeers(digest gooseberrypass.Digest, holders, behind map[gooseberrypass.ID]struct{}) {
@@ -374,6 +380,9 @@
 func (p *Planner) most(kind SourceKind) int {
 	switch kind {
 	case SourceFar:
+		if p.farRate > 0 {
+			return min(p.settings.FarInFlight, pacedFarInFlight)
+		}
 		return p.settings.FarInFlight
 	case SourceStore:
 		return p.settings.StoreInFlight
@@ -416,6 +425,9 @@
 		fetch.Wait = p.settings.Wait
 		fetch.Limit += fetch.Wait
 	}
+	if fetch.Kind == SourceFar {
+		fetch.Limit += p.farTime(it.Size)
+	}
 	if fetch.Kind == SourceOrigin {
 		it.originReads++
 	}
@@ -428,6 +440,15 @@
 	return fetch
 }
 
+// farTime returns how much longer a read from another region may take since this
+// instance itself holds it back.
+func (p *Planner) farTime(size int64) time.Duration {
+	if p.farRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(2*pacedFarInFlight*size) / float64(p.farRate) * float64(time.Second))
+}
+
 // Finish tells what became of a fetch.
 func (p *Planner) Finish(now time.Time, done Done) {
 	f, ok := p.flights[done.ID]
--- a/fetcher/reader.go
+++ b/fetcher/reader.go
@@ -24,6 +24,7 @@
 type Reader struct {
 	client *http.Client
 	clock  gooseberrypass.Clock
+	far    *farPacer
 	keeper *keeper.Keeper
 	origin gooseberrypass.Origin
 	store  gooseberrypass.WeightStore
@@ -37,7 +38,13 @@
 	origin gooseberrypass.Origin,
 	store gooseberrypass.WeightStore,
 ) *Reader {
-	return &Reader{client: client, clock: clock, keeper: keeper, origin: origin, store: store}
+	return &Reader{client: client, clock: clock, far: newFarPacer(), keeper: keeper, origin: origin, store: store}
+}
+
+// SetRegionRate tells the bytes a second that all instances of this region
+// together may take from each other region, and how many instances there are.
+func (r *Reader) SetRegionRate(regionRate int64, instances int) {
+	r.far.setRate(regionRate, instances)
 }
 
 // Read carries out one fetch.
@@ -107,7 +114,11 @@
 	if done.Err = statusError(resp, done); done.Err != nil {
 		return nil, start
 	}
-	body, err := readBody(resp, fetch.Item)
+	var source io.Reader = resp.Body
+	if fetch.Kind == SourceFar {
+		source = r.far.reader(ctx, fetch.Peer.Region, source)
+	}
+	body, err := readBody(source, resp.ContentLength, fetch.Item)
 	done.Err = err
 	return body, start
 }
@@ -138,17 +149,18 @@
 	}
 }
 
-// readBody reads at most one byte more than an item may have.
-func readBody(resp *http.Response, item Item) ([]byte, error) {
+// readBody reads at most one byte more than an item may have. length is what
+// the peer said the body has, negative if nothing.
+func readBody(source io.Reader, length int64, item Item) ([]byte, error) {
 	if item.Manifest {
-		return io.ReadAll(io.LimitReader(resp.Body, item.Size+1))
+		return io.ReadAll(io.LimitReader(source, item.Size+1))
 	}
 	body := make([]byte, item.Size+1)
-	n, err := io.ReadFull(resp.Body, body)
+	n, err := io.ReadFull(source, body)
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		err = nil
 	}
-	if err == nil && resp.ContentLength >= 0 && int64(n) < min(resp.ContentLength, item.Size) {
+	if err == nil && length >= 0 && int64(n) < min(length, item.Size) {
 		err = io.ErrUnexpectedEOF
 	}
 	return body[:n:n], err
