Let an idle endpoint try any job, and bound what an outlier does

One job of a minute raised the estimate of its class so far that an idle endpoint refused every job with a shorter deadline for 30 s. Now a job that finds nothing running starts unless its deadline has passed, a sample counts for at most three times the mean, and one below a third of the mean counts for half.

Two cases of the queue's tests wanted the refusal at an idle endpoint, which was the fault. They now want one job tried and the one beside it refused, and at most 10 jobs of 20 beside it refused before the estimate is right again.

--- a/admitter/estimator.go
+++ b/admitter/estimator.go
@@ -10,7 +10,11 @@
 	// estimateLife is how long an estimate counts without a new sample, so that
 	// a wrong one cannot refuse work for ever.
 	estimateLife = 30 * time.Second
-	maxClasses   = 256
+	// lowWeight is the weight of a new sample far below the mean.
+	lowWeight  = 0.5
+	maxClasses = 256
+	// outlierRatio is how far from the mean a sample is an outlier.
+	outlierRatio = 3
 	// sampleWeight is the weight of a new sample in the running mean.
 	sampleWeight = 0.2
 )
@@ -37,13 +41,19 @@
 	mean time.Duration
 }
 
+// add takes in a measured time. An outlier moves the mean little; one far below
+// the mean, which an outlier may have raised, moves it more.
 func (s *sample) add(now time.Time, d time.Duration) {
-	if s.at.IsZero() || now.Sub(s.at) > estimateLife {
+	old := s.estimate(now)
+	s.at = now
+	switch {
+	case old == 0:
 		s.mean = d
-	} else {
-		s.mean += time.Duration(sampleWeight * float64(d-s.mean))
+	case d < old/outlierRatio:
+		s.mean = old + time.Duration(lowWeight*float64(d-old))
+	default:
+		s.mean = old + time.Duration(sampleWeight*float64(min(d, old*outlierRatio)-old))
 	}
-	s.at = now
 }
 
 func (s *sample) estimate(now time.Time) time.Duration {
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -63,7 +63,7 @@
 		return []Decision{refusal(job.ID, gooseberrypass.ReasonBadRequest, 0)}
 	}
 	wait := q.wait(now, job)
-	if now.Add(wait).Add(q.estimator.service(now, job)).After(job.Deadline) {
+	if q.late(now.Add(wait), job) {
 		return []Decision{refusal(job.ID, gooseberrypass.ReasonDeadline, wait)}
 	}
 	var decisions []Decision
@@ -206,8 +206,14 @@
 	return queued || running
 }
 
-func (q *Queue) late(now time.Time, job Job) bool {
-	return now.Add(q.estimator.service(now, job)).After(job.Deadline)
+// late reports whether job would end too late if it started at start. An idle
+// endpoint tries any job whose deadline has not passed, so that estimates are
+// corrected.
+func (q *Queue) late(start time.Time, job Job) bool {
+	if len(q.running) == 0 {
+		return start.After(job.Deadline)
+	}
+	return start.Add(q.estimator.service(start, job)).After(job.Deadline)
 }
 
 func (q *Queue) level(p gooseberrypass.Priority) *level {
