--- a/attempter/attempter_test.go
+++ b/attempter/attempter_test.go
@@ -65,3 +65,24 @@
 		})
 	}
 }
+
+// TestLoadThatBeginsAtTheLastMoment announces a load after an attempt was
+// admitted: the load must see the attempt run, or the attempt the load.
+func TestLoadThatBeginsAtTheLastMoment(t *testing.T) {
+	e := newFakeEngine(4, digestOf("v1"))
+	f := &freezer{fixedConfig: fixedConfig{configOf(1, digestOf("v1"))}, at: 2}
+	a := newAgent(t, func(d *attempter.Dependencies) { d.Engine, d.Configs = e, f })
+	f.freeze = func() {
+		if got := a.InFlight(model); got != 1 {
+			t.Errorf("got %d in flight at the last check, want 1", got)
+		}
+		a.targets.set(gooseberrypass.TargetStatus{Model: model, Phase: gooseberrypass.PhaseLoading})
+	}
+	got := a.ask(t, attemptOf("a-1"))
+	if got.failed.GetOutcome() != "not run" || got.failed.GetReason() != "not-loaded" || e.runs["a-1"] != 0 {
+		t.Errorf("got failed %v after %d runs, want not run for not-loaded", got.failed, e.runs["a-1"])
+	}
+	if got := a.InFlight(model); got != 0 {
+		t.Errorf("got %d in flight after it, want 0", got)
+	}
+}
