--- /dev/null
+++ b/burner/burner_test.go
@@ -0,0 +1,122 @@
+package burner_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/burner"
+	"github.com/gooseberrypass/gooseberrypass/wire"
+)
+
+type fixedConfig struct{ config *gooseberrypass.Config }
+
+func (c fixedConfig) Config() *gooseberrypass.Config { return c.config }
+
+func newConfig() fixedConfig {
+	objective := func(id gooseberrypass.ID, values map[string]any) gooseberrypass.Section {
+		values["share"] = 0.9
+		return gooseberrypass.NewSection(gooseberrypass.KindObjective, id, nil, values)
+	}
+	return fixedConfig{gooseberrypass.NewConfig(1, nil, []gooseberrypass.Section{
+		objective("all", map[string]any{}),
+		objective("fast", map[string]any{"in-time": 2 * time.Second, "first-token": time.Second}),
+		objective("fitting", map[string]any{"target": gooseberrypass.ID("advice"), "min-priority": 5, "client-account": gooseberrypass.ID("huye")}),
+	})}
+}
+
+type discard struct{}
+
+func (discard) Start(gooseberrypass.Digest) error { return nil }
+func (discard) Write([]byte) error                { return nil }
+func (discard) End() error                        { return nil }
+
+// handle passes one request that takes first and then rest, and fails with err.
+func handle(b *burner.Burner, clock *clockwork.FakeClock, account, target gooseberrypass.ID, first, rest time.Duration, err error) {
+	handler := b.Wrap(gooseberrypass.HandlerFunc(func(_ context.Context, _ *gooseberrypass.Request, a gooseberrypass.Answer) error {
+		clock.Advance(first)
+		_ = a.Start(gooseberrypass.Digest{})
+		clock.Advance(rest)
+		return err
+	}))
+	req := gooseberrypass.NewRequest(gooseberrypass.RequestFields{Priority: 5}).WithAccountID(account).WithTarget(target, true)
+	_ = handler.Handle(context.Background(), req, discard{})
+}
+
+func TestCounts(t *testing.T) {
+	failure := func(reason gooseberrypass.Reason) error { return &gooseberrypass.RequestError{Reason: reason} }
+	clock, registry := clockwork.NewFakeClock(), prometheus.NewRegistry()
+	b, err := burner.New(clock, newConfig(), "entry-1", registry)
+	if err != nil {
+		t.Fatal(err)
+	}
+	handle(b, clock, "huye", "advice", 0, 0, nil)
+	handle(b, clock, "huye", "advice", 0, 3*time.Second, nil)
+	handle(b, clock, "huye", "stock", 2*time.Second, 0, nil)
+	handle(b, clock, "rubavu", "advice", 0, 0, failure(gooseberrypass.ReasonOverloaded))
+	handle(b, clock, "rubavu", "advice", 0, 0, failure(gooseberrypass.ReasonLimited))
+	want := map[string][2]uint64{"all": {4, 1}, "fast": {4, 3}, "fitting": {2, 0}}
+	check := func(window int, want map[string][2]uint64) {
+		t.Helper()
+		got, _ := b.Burn(context.Background(), &wire.BurnRequest{})
+		for _, o := range got.GetObjectives() {
+			w := o.GetWindows()[window]
+			if counts := [2]uint64{w.GetTotal(), w.GetBad()}; counts != want[o.GetObjective()] {
+				t.Errorf("%s over %d s: got %v, want %v", o.GetObjective(), w.GetWindowSeconds(), counts, want[o.GetObjective()])
+			}
+		}
+	}
+	check(0, want)
+	if got, want := testutil.CollectAndCount(b), 12; got != want {
+		t.Errorf("got %d burn rates, want %d", got, want)
+	}
+	clock.Advance(30 * time.Minute)
+	check(0, map[string][2]uint64{})
+	check(1, want)
+	clock.Advance(4 * 24 * time.Hour)
+	check(3, map[string][2]uint64{})
+}
+
+func answer(entry string, total, bad uint64) *wire.BurnResponse {
+	return &wire.BurnResponse{Entry: entry, Objectives: []*wire.BurnObjective{{
+		Objective: "scripts", Share: 0.9,
+		Windows: []*wire.BurnWindow{{WindowSeconds: 300, Total: total, Bad: bad}, {WindowSeconds: 3 * 24 * 3600, Total: total, Bad: bad}},
+	}}}
+}
+
+func TestReport(t *testing.T) {
+	r := burner.NewReport([]*wire.BurnResponse{answer("e-2", 50, 20), answer("e-1", 50, 0)},
+		[]burner.Missing{{Address: "10.0.0.3:7101", Error: "connection refused"}})
+	var table, encoded, picture bytes.Buffer
+	if err := r.WriteTable(&table); err != nil {
+		t.Fatal(err)
+	}
+	want := `OBJECTIVE  SHARE  WINDOW  REQUESTS  BAD  BURN RATE
+scripts    0.9    5m      100       20   2.00
+scripts    0.9    3d      100       20   2.00
+2 entries counted, 1 missing
+missing: 10.0.0.3:7101: connection refused
+`
+	if got := table.String(); got != want {
+		t.Errorf("got\n%swant\n%s", got, want)
+	}
+	if err := r.WriteJSON(&encoded); err != nil || !strings.Contains(encoded.String(), `"address": "10.0.0.3:7101"`) {
+		t.Errorf("got %s, %v, want the missing entry named", encoded.String(), err)
+	}
+	if err := r.WritePlot(&picture, "svg"); err != nil || !strings.Contains(picture.String(), "10.0.0.3:7101") {
+		t.Errorf("got a picture of %d bytes, %v, want the missing entry named", picture.Len(), err)
+	}
+	if _, err := burner.PlotFormat("burn.doc"); err == nil {
+		t.Error("got no error for an unknown format")
+	}
+	if err := burner.NewReport(nil, nil).WritePlot(&picture, "png"); err != nil {
+		t.Errorf("empty report: %v", err)
+	}
+}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -29,6 +29,7 @@
 // A Command line is what kong parses: one field for each command.
 type commandLine struct {
 	Agent    agentCmd    `cmd:"" help:"Run the process beside an endpoint."`
+	Burn     burnCmd     `cmd:"" help:"Report how fast the service-level error budgets burn."`
 	Check    checkCmd    `cmd:"" help:"Check a folder of INI files."`
 	Demo     demoCmd     `cmd:"" help:"Run the main job on stand-ins and measure it."`
 	Emulator emulatorCmd `cmd:"" help:"Run stand-ins of the platform for trials and tests."`
