--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -25,9 +25,8 @@
 
 // A send is one attempt that this process sent to an endpoint.
 type send struct {
-	done     time.Time // zero while in flight
-	priority gooseberrypass.Priority
-	start    time.Time
+	done  time.Time // zero while in flight
+	start time.Time
 }
 
 // An endpoint is this process's own evidence of one endpoint.
@@ -43,8 +42,8 @@
 }
 
 // begin notes an attempt sent at now.
-func (e *endpoint) begin(now time.Time, priority gooseberrypass.Priority) *send {
-	s := &send{priority: priority, start: now}
+func (e *endpoint) begin(now time.Time) *send {
+	s := &send{start: now}
 	e.sends = append(e.sends, s)
 	if e.ejected() {
 		e.probeUntil = now.Add(probeTime)
@@ -87,22 +86,6 @@
 	return float64(max(load, inFlight, 0))
 }
 
-// share is the part of the own sends in flight that a request of the given
-// priority has to wait for.
-func (e *endpoint) share(priority gooseberrypass.Priority) float64 {
-	all, before := 1, 1
-	for _, s := range e.sends {
-		if !s.done.IsZero() {
-			continue
-		}
-		all++
-		if s.priority >= priority {
-			before++
-		}
-	}
-	return float64(before) / float64(all)
-}
-
 // end notes the result of an attempt.
 func (e *endpoint) end(now time.Time, s *send, result Result) {
 	s.done = now
--- a/router/router.go
+++ b/router/router.go
@@ -3,6 +3,7 @@
 package router
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -43,9 +44,10 @@
 	clock     gooseberrypass.Clock
 	config    gooseberrypass.ConfigSource
 	endpoints map[gooseberrypass.ID]*endpoint
+	flights   map[gooseberrypass.ID]*flight // by target
 	members   gooseberrypass.Membership
 	metrics   *metrics
-	mu        sync.Mutex // guards endpoints, prefixes, rng, services
+	mu        sync.Mutex // guards endpoints, flights, prefixes, rng, services
 	prefixes  *prefixes
 	rng       *rand.Rand
 	self      gooseberrypass.ListedInstance
@@ -70,6 +72,7 @@
 		clock:     clock,
 		config:    config,
 		endpoints: map[gooseberrypass.ID]*endpoint{},
+		flights:   map[gooseberrypass.ID]*flight{},
 		members:   members,
 		metrics:   m,
 		prefixes:  newPrefixes(),
@@ -91,14 +94,21 @@
 		return nil, r.noEndpoint(q)
 	}
 	c := candidates[pick(candidates, r.rng)]
-	e := r.endpoint(c.member.Listed.ID)
-	if err := r.inTime(now, q, c, e); err != nil {
+	wait := r.lateWait(now, q, c)
+	if wait > 0 && r.share(q) < 1 {
+		c = r.soonest(q, candidates)
+		wait = r.lateWait(now, q, c)
+	}
+	if wait > 0 {
 		r.metrics.choices.WithLabelValues("late").Inc()
-		return nil, err
+		return nil, tooBusy(wait)
 	}
+	e := r.endpoint(c.member.Listed.ID)
 	r.metrics.choices.WithLabelValues(c.label()).Inc()
 	r.prefixes.put(q.Prefix, c.member.Listed.ID)
-	return &Ticket{endpoint: e, member: c.member, router: r, send: e.begin(now, q.Priority), target: q.Target, weights: c.weights}, nil
+	f := r.flight(q.Target)
+	f.begin(q.Priority)
+	return &Ticket{endpoint: e, flight: f, member: c.member, priority: q.Priority, router: r, send: e.begin(now), target: q.Target, weights: c.weights}, nil
 }
 
 func (c candidate) label() string {
@@ -112,13 +122,44 @@
 	}
 }
 
-// inTime refuses early what would end after its deadline.
-func (r *Router) inTime(now time.Time, q Query, c candidate, e *endpoint) error {
-	service := r.services[q.Target]
-	wait := c.expectedWait(e.share(q.Priority), service)
-	if q.Deadline.IsZero() || wait == 0 || !now.Add(wait+service).After(q.Deadline) {
-		return nil
+// share is the part of the load that q has to wait for, as far as this
+// process's own sends tell.
+func (r *Router) share(q Query) float64 { return r.flight(q.Target).share(q.Priority) }
+
+func (r *Router) flight(target gooseberrypass.ID) *flight {
+	f, ok := r.flights[target]
+	if !ok {
+		f = &flight{}
+		r.flights[target] = f
 	}
+	return f
+}
+
+// expectedWait is how long q waits at a candidate before it runs.
+func (r *Router) expectedWait(q Query, c candidate) time.Duration {
+	return c.expectedWait(r.share(q), r.services[q.Target])
+}
+
+// lateWait returns the time that q would wait at a candidate if that makes it
+// end after its deadline, else 0.
+func (r *Router) lateWait(now time.Time, q Query, c candidate) time.Duration {
+	wait := r.expectedWait(q, c)
+	if q.Deadline.IsZero() || wait == 0 || !now.Add(wait+r.services[q.Target]).After(q.Deadline) {
+		return 0
+	}
+	return wait
+}
+
+// soonest returns the candidate at which q waits least. Only requests that
+// outrank others are sent there against the choice: for the rest, leaving the
+// endpoint that has their prefix costs more answers than it saves.
+func (r *Router) soonest(q Query, candidates []candidate) candidate {
+	return slices.MinFunc(candidates, func(a, b candidate) int {
+		return cmp.Compare(r.expectedWait(q, a), r.expectedWait(q, b))
+	})
+}
+
+func tooBusy(wait time.Duration) error {
 	return &gooseberrypass.RequestError{
 		Detail:     "every endpoint is too busy to answer before the deadline",
 		Outcome:    gooseberrypass.OutcomeNotRun,
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -10,8 +10,10 @@
 // A Ticket is the permission to send one attempt to an endpoint.
 type Ticket struct {
 	endpoint *endpoint
+	flight   *flight
 	member   gooseberrypass.Member
 	once     sync.Once
+	priority gooseberrypass.Priority
 	router   *Router
 	send     *send
 	target   gooseberrypass.ID
@@ -42,6 +44,7 @@
 	defer r.mu.Unlock()
 	before := t.endpoint.ejected()
 	t.endpoint.end(now, t.send, result)
+	t.flight.end(t.priority)
 	if !before && t.endpoint.ejected() {
 		r.metrics.ejections.Inc()
 	}
