Read from each other region in turn under a rate

Ruled out: fewer places, which idle when a chunk is on its way. The demo now has region-rate set, as its users' links are shared.

--- a/demonstrator/folder.go
+++ b/demonstrator/folder.go
@@ -5,6 +5,7 @@
 bulk-rate = 8MiB
 max-unavailable = 0.34
 origin-region = centro
+region-rate = 4MiB
 
 [service licensing]
 inventory-name = SRV-0007
--- a/fetcher/farpacer.go
+++ b/fetcher/farpacer.go
@@ -17,13 +17,20 @@
 // share of the link between the two. All instances of a region take about
 // equally much from outside, so each may take an equal share of the rate.
 type farPacer struct {
-	mu       sync.Mutex
-	limit    rate.Limit
-	limiters map[gooseberrypass.Region]*rate.Limiter
+	limit rate.Limit
+	links map[gooseberrypass.Region]*farLink
+	mu    sync.Mutex
+}
+
+// A farLink is the share of the link to one region. One body at a time is read
+// over it under a limit, so that each is there as soon as may be.
+type farLink struct {
+	limiter *rate.Limiter
+	turn    chan struct{}
 }
 
 func newFarPacer() *farPacer {
-	return &farPacer{limit: rate.Inf, limiters: map[gooseberrypass.Region]*rate.Limiter{}}
+	return &farPacer{limit: rate.Inf, links: map[gooseberrypass.Region]*farLink{}}
 }
 
 // setRate shares regionRate bytes a second among a region's instances; 0 is no
@@ -35,21 +42,35 @@
 	if regionRate > 0 {
 		p.limit = rate.Limit(float64(regionRate) / float64(max(instances, 1)))
 	}
-	for _, l := range p.limiters {
-		l.SetLimit(p.limit)
+	for _, l := range p.links {
+		l.limiter.SetLimit(p.limit)
 	}
 }
 
-// reader returns body, read no faster than the link's share allows.
-func (p *farPacer) reader(ctx context.Context, region gooseberrypass.Region, body io.Reader) io.Reader {
+// link returns the link to a region.
+func (p *farPacer) link(region gooseberrypass.Region) *farLink {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l, ok := p.limiters[region]
+	l, ok := p.links[region]
 	if !ok {
-		l = rate.NewLimiter(p.limit, farPiece)
-		p.limiters[region] = l
+		l = &farLink{limiter: rate.NewLimiter(p.limit, farPiece), turn: make(chan struct{}, 1)}
+		p.links[region] = l
+	}
+	return l
+}
+
+// begin waits for the turn to read a body and returns what ends the turn.
+// Without a limit all have their turn at once.
+func (l *farLink) begin(ctx context.Context) (func(), error) {
+	if l.limiter.Limit() == rate.Inf {
+		return func() {}, nil
+	}
+	select {
+	case l.turn <- struct{}{}:
+		return func() { <-l.turn }, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	return &pacedReader{body: body, ctx: ctx, limiter: l}
 }
 
 // A pacedReader reads as fast as a limiter allows.
--- a/fetcher/planner.go
+++ b/fetcher/planner.go
@@ -18,7 +18,7 @@
 	maxBusies        = 3
 	maxDemanded      = 1024
 	maxHolderTries   = 3
-	pacedFarInFlight = 2 // reads from other regions at once under a rate
+	pacedFarInFlight = 4 // reads from one other region at once under a rate
 	mismatchesBad    = 2 // from the origin, until its bytes are held to have changed
 	mismatchPause    = 30 * time.Second
 	mismatchMax      = 10 * time.Minute
@@ -337,7 +337,7 @@
 	default:
 		fetch.Kind = SourceOrigin
 	}
-	if p.counts[fetch.Kind] >= p.most(fetch.Kind) || now.Before(p.outside[fetch.Kind].until) {
+	if p.full(fetch) || now.Before(p.outside[fetch.Kind].until) {
 		return starts
 	}
 	if fetch.Kind == SourceOrigin && !p.mayReadOrigin(now, it) {
@@ -377,12 +377,25 @@
 	return true
 }
 
+// full reports whether no more reads may be started beside those under way. Under
+// a rate, reads from one region do not take the place of those from another, as
+// each region has its own link.
+func (p *Planner) full(fetch Fetch) bool {
+	if fetch.Kind != SourceFar || p.farRate <= 0 {
+		return p.counts[fetch.Kind] >= p.most(fetch.Kind)
+	}
+	n := 0
+	for _, f := range p.flights {
+		if f.fetch.Kind == SourceFar && f.fetch.Peer.Region == fetch.Peer.Region {
+			n++
+		}
+	}
+	return n >= pacedFarInFlight
+}
+
 func (p *Planner) most(kind SourceKind) int {
 	switch kind {
 	case SourceFar:
-		if p.farRate > 0 {
-			return min(p.settings.FarInFlight, pacedFarInFlight)
-		}
 		return p.settings.FarInFlight
 	case SourceStore:
 		return p.settings.StoreInFlight
--- a/fetcher/reader.go
+++ b/fetcher/reader.go
@@ -114,10 +114,26 @@
 	if done.Err = statusError(resp, done); done.Err != nil {
 		return nil, start
 	}
-	var source io.Reader = resp.Body
 	if fetch.Kind == SourceFar {
-		source = r.far.reader(ctx, fetch.Peer.Region, source)
+		return r.readFar(ctx, resp, fetch, done)
 	}
+	body, err := readBody(resp.Body, resp.ContentLength, fetch.Item)
+	done.Err = err
+	return body, start
+}
+
+// readFar reads a body from another region, in its turn. It returns the body and
+// the time at which its turn came.
+func (r *Reader) readFar(ctx context.Context, resp *http.Response, fetch Fetch, done *Done) ([]byte, time.Time) {
+	link := r.far.link(fetch.Peer.Region)
+	end, err := link.begin(ctx)
+	start := r.clock.Now()
+	if err != nil {
+		done.Err = err
+		return nil, start
+	}
+	defer end()
+	source := &pacedReader{body: resp.Body, ctx: ctx, limiter: link.limiter}
 	body, err := readBody(source, resp.ContentLength, fetch.Item)
 	done.Err = err
 	return body, start
