Prove distribution under faults in a link model and over sockets

Only transfers inside a region have a tight limit now; silence of a peer is told by its missing answer head. An item no longer waits for a slot at a weight store that does not answer.

--- a/fetcher/estimate.go
+++ b/fetcher/estimate.go
@@ -25,7 +25,7 @@
 	if !e.seen {
 		return initial
 	}
-	return min(max(2*e.mean+4*e.dev, least), most)
+	return min(max(4*e.mean+8*e.dev, least), most)
 }
 
 // stretch makes room after a transfer that took longer than its limit, so that
--- /dev/null
+++ b/fetcher/linkmodel_test.go
@@ -0,0 +1,391 @@
+package fetcher_test
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/fetcher"
+	"github.com/gooseberrypass/gooseberrypass/ranker"
+)
+
+const (
+	chunkBytes = 4 << 20
+	farRate    = 20e6 / 8.0 // bytes a second between two regions, each way
+	latency    = time.Millisecond
+	linkRate   = 1e9 / 8.0 / 4 // bytes a second of an instance's link
+)
+
+// A planner is a fetcher.Planner or a naive one.
+type planner interface {
+	Finish(now time.Time, done fetcher.Done)
+	Plan(now time.Time) ([]fetcher.Fetch, []uint64)
+}
+
+// A link sends in turn. A zero rate is no limit.
+type link struct {
+	bytes float64
+	free  time.Time
+	rate  float64
+}
+
+// take returns when a transfer that is ready at now starts and ends.
+func (l *link) take(now time.Time, size int64) (time.Time, time.Time) {
+	if l.bytes += float64(size); l.rate == 0 {
+		return now, now
+	}
+	start := now
+	if l.free.After(now) {
+		start = l.free
+	}
+	l.free = start.Add(time.Duration(float64(size) / l.rate * float64(time.Second)))
+	return start, l.free
+}
+
+// A node is an instance. Its planner sees it as the holder of its chunks.
+type node struct {
+	dead, frozen bool
+	demand       func(gooseberrypass.Digest)
+	down, up     link
+	held         map[gooseberrypass.Digest][]byte
+	listed       gooseberrypass.ListedInstance
+	model        *linkModel
+	open         map[uint64]bool
+	planner      planner
+	waiting      map[gooseberrypass.Digest][]func()
+}
+
+func (n *node) Chunk(d gooseberrypass.Digest) ([]byte, error) { return n.held[d], nil }
+func (n *node) Has(d gooseberrypass.Digest) bool              { _, ok := n.held[d]; return ok }
+func (n *node) Limit() int64                                  { return 1 << 40 }
+
+type event struct {
+	at  time.Time
+	run func()
+	seq int
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// A linkModel is instances, an origin and the links between them, on a fake
+// clock.
+type linkModel struct {
+	clock    *clockwork.FakeClock
+	cut      gooseberrypass.Region // from the other regions
+	events   events
+	far      map[[2]gooseberrypass.Region]*link
+	manifest *gooseberrypass.Manifest
+	nodes    map[gooseberrypass.ID]*node
+	order    []*node
+	origin   link
+	results  map[string]int
+	seq      int
+	start    time.Time
+}
+
+func newLinkModel(chunks, nodes int, regions ...gooseberrypass.Region) *linkModel {
+	m := &linkModel{
+		clock: clockwork.NewFakeClock(), far: map[[2]gooseberrypass.Region]*link{},
+		nodes: map[gooseberrypass.ID]*node{}, origin: link{rate: linkRate}, results: map[string]int{},
+	}
+	m.start = m.clock.Now()
+	list := make([]gooseberrypass.Chunk, chunks)
+	for i := range list {
+		list[i] = gooseberrypass.Chunk{Digest: gooseberrypass.DigestOf(binary.BigEndian.AppendUint32(nil, uint32(i))), Size: chunkBytes}
+	}
+	m.manifest, _ = gooseberrypass.NewManifest("m", "1", gooseberrypass.Digest{}, list)
+	for i := range nodes {
+		n := &node{
+			down: link{rate: linkRate}, held: map[gooseberrypass.Digest][]byte{}, model: m, open: map[uint64]bool{},
+			up: link{rate: linkRate}, waiting: map[gooseberrypass.Digest][]func(){},
+		}
+		n.listed = gooseberrypass.ListedInstance{ID: gooseberrypass.ID("i" + strconv.Itoa(i)), Region: regions[i%len(regions)]}
+		m.nodes[n.listed.ID], m.order = n, append(m.order, n)
+	}
+	return m
+}
+
+// use gives each node a planner of the system. list gives the instances that a
+// node knows of.
+func (m *linkModel) use(list func(i int) []gooseberrypass.ListedInstance) {
+	rankings := map[int]*ranker.Ranking{}
+	for i, n := range m.order {
+		p := fetcher.NewPlanner(n.listed.ID, n, false, uint64(i), fetcher.Settings{})
+		instances := list(i)
+		if rankings[len(instances)] == nil || len(instances) != len(m.order) {
+			rankings[len(instances)] = ranker.New(instances, m.order[0].listed.Region, 2)
+		}
+		p.SetRanking(rankings[len(instances)])
+		p.SetCopies(4)
+		p.SetWants([]fetcher.Want{{Digest: m.manifest.Digest(), OriginName: "m", Version: "1"}})
+		n.planner, n.demand = p, p.Demand
+	}
+}
+
+func (m *linkModel) all(int) []gooseberrypass.ListedInstance {
+	list := make([]gooseberrypass.ListedInstance, 0, len(m.order))
+	for _, n := range m.order {
+		list = append(list, n.listed)
+	}
+	return list
+}
+
+// some leaves a tenth of the instances out, another one for each node.
+func (m *linkModel) some(i int) []gooseberrypass.ListedInstance {
+	rng := rand.New(rand.NewPCG(uint64(i), 1))
+	var list []gooseberrypass.ListedInstance
+	for j, n := range m.order {
+		if j == i || rng.Float64() > 0.1 {
+			list = append(list, n.listed)
+		}
+	}
+	return list
+}
+
+func (m *linkModel) after(d time.Duration, run func()) { m.at(m.clock.Now().Add(d), run) }
+
+func (m *linkModel) at(at time.Time, run func()) {
+	m.seq++
+	heap.Push(&m.events, event{at: at, run: run, seq: m.seq})
+}
+
+// run plays until every live node is whole or limit has passed, and returns the
+// time it took, in copies of the version over an instance's link.
+func (m *linkModel) run(limit time.Duration) float64 {
+	for _, n := range m.order {
+		m.tick(n)
+	}
+	for len(m.events) > 0 && !m.whole() {
+		e := heap.Pop(&m.events).(event)
+		if e.at.Sub(m.start) > limit {
+			break
+		}
+		if d := e.at.Sub(m.clock.Now()); d > 0 {
+			m.clock.Advance(d)
+		}
+		e.run()
+	}
+	return m.clock.Since(m.start).Seconds() * linkRate / float64(m.manifest.Size())
+}
+
+func (m *linkModel) whole() bool {
+	for i := len(m.order) - 1; i >= 0; i-- {
+		if n := m.order[i]; !n.dead && !n.frozen && len(n.held) <= m.manifest.Len() {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *linkModel) tick(n *node) {
+	if n.dead {
+		return
+	}
+	m.plan(n)
+	m.after(time.Second, func() { m.tick(n) })
+}
+
+func (m *linkModel) plan(n *node) {
+	if n.dead || n.frozen {
+		return
+	}
+	starts, _ := n.planner.Plan(m.clock.Now())
+	for _, f := range starts {
+		n.open[f.ID] = true
+		m.after(f.Limit, func() { m.finish(n, f, fetcher.ResultTimeout, m.clock.Now()) })
+		m.after(latency, func() { m.request(n, f) })
+	}
+}
+
+func (m *linkModel) request(n *node, f fetcher.Fetch) {
+	if f.Kind == fetcher.SourceOrigin {
+		if n.listed.Region == m.order[0].listed.Region || n.listed.Region != m.cut {
+			m.transfer(&m.origin, m.order[0].listed.Region, nil, n, f)
+		}
+		return
+	}
+	peer := m.nodes[f.Peer.ID]
+	cut := n.listed.Region != peer.listed.Region && (m.cut == n.listed.Region || m.cut == peer.listed.Region)
+	switch {
+	case peer.dead:
+		m.after(latency, func() { m.finish(n, f, fetcher.ResultUnreachable, m.clock.Now()) })
+	case peer.frozen || cut: // silent
+		m.after(f.Wait+2*time.Second, func() { m.finish(n, f, fetcher.ResultTimeout, m.clock.Now()) })
+	case peer.Has(f.Item.Digest):
+		m.serve(peer, n, f, m.clock.Now().Add(f.Wait))
+	default:
+		until := m.clock.Now().Add(f.Wait)
+		peer.waiting[f.Item.Digest] = append(peer.waiting[f.Item.Digest], func() { m.serve(peer, n, f, until) })
+		m.after(f.Wait, func() {
+			if !peer.Has(f.Item.Digest) && !peer.frozen {
+				m.finish(n, f, fetcher.ResultPending, m.clock.Now())
+			}
+		})
+		if peer.demand != nil {
+			peer.demand(f.Item.Digest)
+			m.plan(peer)
+		}
+	}
+}
+
+// serve sends a chunk if its turn comes before until.
+func (m *linkModel) serve(peer, n *node, f fetcher.Fetch, until time.Time) {
+	switch {
+	case !n.open[f.ID]:
+	case peer.up.free.After(until):
+		m.at(until, func() { m.finish(n, f, fetcher.ResultBusy, until) })
+	default:
+		m.transfer(&peer.up, peer.listed.Region, peer, n, f)
+	}
+}
+
+// transfer sends a chunk over each link on its way; a link takes it up when the
+// one before has started.
+func (m *linkModel) transfer(up *link, from gooseberrypass.Region, peer, n *node, f fetcher.Fetch) {
+	size := f.Item.Size
+	if f.Item.Manifest {
+		size = int64(len(m.manifest.Encoded()))
+	}
+	sends, upEnd := up.take(m.clock.Now(), size)
+	began := sends // a peer's answer is timed from its head on, the origin's from the request on
+	if peer == nil {
+		began = m.clock.Now()
+	}
+	m.at(sends, func() {
+		far := m.link(from, n.listed.Region)
+		start, farEnd := far.take(m.clock.Now(), size)
+		m.at(start, func() {
+			_, end := n.down.take(m.clock.Now(), size)
+			m.at(latest(upEnd, farEnd, end).Add(latency), func() {
+				cut := from != n.listed.Region && (m.cut == from || m.cut == n.listed.Region)
+				if !cut && (peer == nil || !peer.dead && !peer.frozen) {
+					m.finish(n, f, fetcher.ResultOK, began)
+				}
+			})
+		})
+	})
+}
+
+func latest(first time.Time, more ...time.Time) time.Time {
+	for _, t := range more {
+		if t.After(first) {
+			first = t
+		}
+	}
+	return first
+}
+
+func (m *linkModel) link(from, to gooseberrypass.Region) *link {
+	key := [2]gooseberrypass.Region{from, to}
+	if m.far[key] == nil {
+		m.far[key] = &link{}
+		if from != to {
+			m.far[key].rate = farRate
+		}
+	}
+	return m.far[key]
+}
+
+func (m *linkModel) finish(n *node, f fetcher.Fetch, result fetcher.Result, began time.Time) {
+	if !n.open[f.ID] || n.dead {
+		return
+	}
+	delete(n.open, f.ID)
+	if result == fetcher.ResultOK {
+		n.held[f.Item.Digest] = nil
+		if f.Item.Manifest {
+			n.held[f.Item.Digest] = m.manifest.Encoded()
+		}
+	}
+	m.results[f.Kind.String()+" "+result.String()]++
+	n.planner.Finish(m.clock.Now(), fetcher.Done{
+		Bytes: f.Item.Size, ID: f.ID, Result: result, Took: m.clock.Now().Sub(began),
+	})
+	for _, serve := range n.waiting[f.Item.Digest] {
+		if n.Has(f.Item.Digest) {
+			serve()
+		}
+	}
+	if n.Has(f.Item.Digest) {
+		delete(n.waiting, f.Item.Digest)
+	}
+	m.plan(n)
+}
+
+// originCopies returns the copies read from the origin.
+func (m *linkModel) originCopies() float64 { return m.origin.bytes / float64(m.manifest.Size()) }
+
+// linkCopies returns the copies on the fullest link of an instance.
+func (m *linkModel) linkCopies() float64 {
+	most := 0.0
+	for _, n := range m.order {
+		most = max(most, n.up.bytes, n.down.bytes)
+	}
+	return most / float64(m.manifest.Size())
+}
+
+// A naive planner takes every chunk in order from one parent, or from the
+// origin without one, and tries again when that fails.
+type naive struct {
+	flights map[uint64]int
+	kind    fetcher.SourceKind
+	last    uint64
+	m       *linkModel
+	missing []int
+	parent  gooseberrypass.ListedInstance
+	retryAt time.Time
+}
+
+func (m *linkModel) useNaive(parent func(i int) *node) {
+	for i, n := range m.order {
+		p := &naive{flights: map[uint64]int{}, kind: fetcher.SourceOrigin, m: m}
+		if from := parent(i); from != nil {
+			p.kind, p.parent = fetcher.SourceNear, from.listed
+		}
+		for c := range m.manifest.Len() {
+			p.missing = append(p.missing, c)
+		}
+		n.planner = p
+		n.held[m.manifest.Digest()] = nil
+	}
+}
+
+func (p *naive) Finish(now time.Time, done fetcher.Done) {
+	if done.Result != fetcher.ResultOK {
+		p.retryAt = now.Add(time.Second)
+		p.missing = append(p.missing, p.flights[done.ID])
+	}
+	delete(p.flights, done.ID)
+}
+
+func (p *naive) Plan(now time.Time) ([]fetcher.Fetch, []uint64) {
+	var starts []fetcher.Fetch
+	for len(p.missing) > 0 && len(p.flights) < 8 && !now.Before(p.retryAt) {
+		c := p.missing[0]
+		p.missing = p.missing[1:]
+		p.last++
+		p.flights[p.last] = c
+		starts = append(starts, fetcher.Fetch{
+			ID: p.last, Item: fetcher.Item{Digest: p.m.manifest.Chunk(c).Digest, Size: chunkBytes},
+			Kind: p.kind, Limit: time.Hour, Peer: p.parent, Wait: time.Minute,
+		})
+	}
+	return starts, nil
+}
--- a/fetcher/planner.go
+++ b/fetcher/planner.go
@@ -25,6 +25,7 @@
 	roomPause      = 5 * time.Second
 	sourceMax      = time.Minute
 	sourcePause    = 500 * time.Millisecond
+	storeLimits    = 4 // most, in least limits
 	waitsPatience  = 4 // first patience, in waits
 )
 
@@ -40,28 +41,29 @@
 // Equal calls with an equal seed give equal decisions. It is not safe for use by
 // several goroutines.
 type Planner struct {
-	avoid     *avoider
-	behind    map[gooseberrypass.Digest]map[gooseberrypass.ID]struct{}
-	budget    budget
-	cancels   []uint64
-	copies    float64 // that may be read from the origin, the first included
-	counts    [sourceKinds]int
-	demanded  []gooseberrypass.Digest
-	estimates [sourceKinds]estimate
-	flights   map[uint64]*flight
-	holder    Holder
-	holders   map[gooseberrypass.Digest]map[gooseberrypass.ID]struct{}
-	items     map[gooseberrypass.Digest]*item
-	last      uint64
-	outside   [sourceKinds]backoff
-	pins      map[gooseberrypass.Digest]struct{} // nil after a change
-	ranking   *ranker.Ranking
-	rng       *rand.Rand
-	self      gooseberrypass.ID
-	settings  Settings
-	store     bool
-	versions  []*version
-	whole     estimate // from the first try of an item to its end
+	avoid      *avoider
+	behind     map[gooseberrypass.Digest]map[gooseberrypass.ID]struct{}
+	budget     budget
+	cancels    []uint64
+	copies     float64 // that may be read from the origin, the first included
+	counts     [sourceKinds]int
+	demanded   []gooseberrypass.Digest
+	estimates  [sourceKinds]estimate
+	flights    map[uint64]*flight
+	holder     Holder
+	holders    map[gooseberrypass.Digest]map[gooseberrypass.ID]struct{}
+	items      map[gooseberrypass.Digest]*item
+	last       uint64
+	outside    [sourceKinds]backoff
+	pins       map[gooseberrypass.Digest]struct{} // nil after a change
+	ranking    *ranker.Ranking
+	rng        *rand.Rand
+	self       gooseberrypass.ID
+	settings   Settings
+	store      bool
+	storeAsked time.Time // for the first time
+	versions   []*version
+	whole      estimate // from the first try of an item to its end
 }
 
 type flight struct {
@@ -264,7 +266,9 @@
 
 // Demand tells that another instance waits for an item, which goes first then.
 func (p *Planner) Demand(digest gooseberrypass.Digest) {
-	if len(p.demanded) < maxDemanded {
+	it, ok := p.items[digest]
+	if ok && !it.held && !it.demanded && len(p.demanded) < maxDemanded {
+		it.demanded = true
 		p.demanded = append(p.demanded, digest)
 	}
 }
@@ -326,7 +330,7 @@
 	case hop.Parent != nil:
 		fetch.Kind, fetch.Peer = kindOf(hop.Far), *hop.Parent
 	case p.findHolder(now, it, &fetch):
-	case p.store && !it.storeTried && !now.Before(p.outside[SourceStore].until):
+	case p.asksStore(now, it):
 		fetch.Kind = SourceStore
 	default:
 		fetch.Kind = SourceOrigin
@@ -340,6 +344,20 @@
 	return append(starts, p.start(now, it, fetch, hop.Rank))
 }
 
+// asksStore reports whether an item is to be read from the weight store. Items
+// wait for their turn there only while the store answers, or for one limit until
+// its first answer.
+func (p *Planner) asksStore(now time.Time, it *item) bool {
+	if !p.store || it.storeTried || now.Before(p.outside[SourceStore].until) {
+		return false
+	}
+	if p.storeAsked.IsZero() {
+		p.storeAsked = now
+	}
+	answers := p.estimates[SourceStore].seen || now.Sub(p.storeAsked) < p.settings.MinLimit
+	return answers && p.outside[SourceStore].strikes == 0 || p.counts[SourceStore] < p.settings.StoreInFlight
+}
+
 func kindOf(far bool) SourceKind {
 	if far {
 		return SourceFar
@@ -411,7 +429,7 @@
 func (p *Planner) start(now time.Time, it *item, fetch Fetch, rank int) Fetch {
 	p.last++
 	fetch.ID = p.last
-	fetch.Limit = p.estimates[fetch.Kind].limit(p.settings.InitialLimit, p.settings.MinLimit, p.settings.MaxLimit)
+	fetch.Limit = p.limit(fetch.Kind)
 	if fetch.Kind == SourceNear || fetch.Kind == SourceFar {
 		fetch.Wait = p.settings.Wait
 		fetch.Limit += fetch.Wait
@@ -428,6 +446,19 @@
 	return fetch
 }
 
+// limit returns how long a transfer may take. Only inside a region are links
+// alike enough that a slow transfer tells of a slow sender.
+func (p *Planner) limit(kind SourceKind) time.Duration {
+	least := p.settings.MinLimit
+	if kind == SourceStore {
+		return p.estimates[kind].limit(storeLimits*least, least, storeLimits*least)
+	}
+	if kind != SourceNear {
+		least = p.settings.InitialLimit
+	}
+	return p.estimates[kind].limit(p.settings.InitialLimit, least, p.settings.MaxLimit)
+}
+
 // Finish tells what became of a fetch.
 func (p *Planner) Finish(now time.Time, done Done) {
 	f, ok := p.flights[done.ID]
--- a/fetcher/settings.go
+++ b/fetcher/settings.go
@@ -21,9 +21,9 @@
 const (
 	defaultFanout       = 2
 	defaultInFlight     = 4
-	defaultInitialLimit = 20 * time.Second
-	defaultMaxLimit     = 2 * time.Minute
-	defaultMinLimit     = time.Second
+	defaultInitialLimit = time.Minute
+	defaultMaxLimit     = 5 * time.Minute
+	defaultMinLimit     = 2 * time.Second
 	defaultWait         = 5 * time.Second
 	windowBase          = 16
 	windowPerDoubling   = 6
--- a/fetcher/version.go
+++ b/fetcher/version.go
@@ -55,6 +55,7 @@
 	Item
 	asked       time.Time // first try since the last change of plan
 	busies      int
+	demanded    bool
 	err         string
 	flying      bool
 	held        bool
--- a/loader/harness_test.go
+++ b/loader/harness_test.go
@@ -48,7 +48,7 @@
 }
 
 func model(id gooseberrypass.ID, version string, digest gooseberrypass.Digest, more map[string]any) gooseberrypass.Section {
-	values := map[string]any{"manifest": digest, "origin-name": string(id), "pool": "gpu", "version": version}
+	values := map[string]any{"fenced": true, "manifest": digest, "origin-name": string(id), "pool": "gpu", "version": version}
 	for key, value := range more {
 		values[key] = value
 	}
@@ -60,7 +60,7 @@
 type origin struct {
 	mu        sync.Mutex
 	read      int64
-	corrupt   func(model, version string, offset int64, body []byte) ([]byte, error)
+	corrupt   func(ctx context.Context, model, version string, offset int64, body []byte) ([]byte, error)
 	manifests map[string]*gooseberrypass.Manifest
 	weights   map[string][]byte
 }
@@ -95,13 +95,13 @@
 	return m.Encoded(), nil
 }
 
-func (o *origin) ReadRange(_ context.Context, model, version string, offset, size int64) ([]byte, error) {
+func (o *origin) ReadRange(ctx context.Context, model, version string, offset, size int64) ([]byte, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.read += size
 	body := o.weights[model+version][offset : offset+size]
 	if o.corrupt != nil {
-		return o.corrupt(model, version, offset, bytes.Clone(body))
+		return o.corrupt(ctx, model, version, offset, bytes.Clone(body))
 	}
 	return body, nil
 }
@@ -225,10 +225,13 @@
 // soon; no test depends on how long they are.
 func newAgent(tb testing.TB, id int, region string, o gooseberrypass.Origin, store gooseberrypass.WeightStore, wrap func(http.Handler) http.Handler) *agent {
 	tb.Helper()
-	a := &agent{
-		done: make(chan struct{}), registry: prometheus.NewRegistry(),
-		engine: &engine{state: gooseberrypass.EngineState{BootID: "1"}},
-	}
+	return startAgent(tb, id, region, o, store, wrap, &engine{state: gooseberrypass.EngineState{BootID: "1"}})
+}
+
+// startAgent starts an agent beside an engine that may be running already.
+func startAgent(tb testing.TB, id int, region string, o gooseberrypass.Origin, store gooseberrypass.WeightStore, wrap func(http.Handler) http.Handler, e *engine) *agent {
+	tb.Helper()
+	a := &agent{done: make(chan struct{}), engine: e, registry: prometheus.NewRegistry()}
 	mux := http.NewServeMux()
 	a.chunks = httptest.NewServer(mux)
 	a.listed = gooseberrypass.ListedInstance{
@@ -353,6 +356,8 @@
 	}
 }
 
+func newClock() *clockwork.FakeClock { return clockwork.NewFakeClock() }
+
 func randomWeights(seed uint64, chunks int) []byte {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	weights := make([]byte, chunks*chunkSize)
--- /dev/null
+++ b/loader/store_test.go
@@ -0,0 +1,70 @@
+package loader_test
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// A store keeps chunks in memory. answer may spoil what it returns.
+type store struct {
+	answer func(ctx context.Context, body []byte) ([]byte, error)
+	chunks sync.Map
+}
+
+func (s *store) Chunk(ctx context.Context, digest gooseberrypass.Digest) ([]byte, error) {
+	body, ok := s.chunks.Load(digest)
+	if !ok {
+		return nil, gooseberrypass.ErrChunkNotHeld
+	}
+	return s.answer(ctx, bytes.Clone(body.([]byte)))
+}
+
+func (s *store) PutChunk(_ context.Context, digest gooseberrypass.Digest, body []byte) error {
+	s.chunks.Store(digest, body)
+	return nil
+}
+
+func TestWeightStoreHelpsAndIsNotNeeded(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(ctx context.Context, body []byte) ([]byte, error)
+		most   float64 // origin copies
+	}{
+		{"good", func(_ context.Context, body []byte) ([]byte, error) { return body, nil }, 0},
+		{"corrupt", func(_ context.Context, body []byte) ([]byte, error) { return body[1:], nil }, 1.1},
+		{"rate limited", func(context.Context, []byte) ([]byte, error) { return nil, gooseberrypass.ErrSourceBusy }, 1.1},
+		{"silent", func(ctx context.Context, _ []byte) ([]byte, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}, 1.1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			o, s := &origin{}, &store{answer: tt.answer}
+			weights := randomWeights(30, 32)
+			m := o.publish(t, "jingles", "1", weights, gooseberrypass.Digest{})
+			s.chunks.Store(m.Digest(), m.Encoded())
+			for i := range m.Len() {
+				s.chunks.Store(m.Chunk(i).Digest, weights[m.Offset(i):m.Offset(i)+m.Chunk(i).Size])
+			}
+			f := &fleet{}
+			for i := range 3 {
+				f.agents = append(f.agents, newAgent(t, i, "centro", o, s, nil))
+			}
+			f.round()
+			for _, a := range f.agents {
+				a.accept(config(1, model("jingles", "1", m.Digest(), nil)))
+			}
+			f.until(t, "all serve", serve(f.agents, "jingles", m.Digest()))
+			f.wantLoaded(t, weights)
+			if got := o.copies(len(weights)); got > tt.most {
+				t.Errorf("got %.2f origin copies, want at most %.2f", got, tt.most)
+			}
+		})
+	}
+}
