--- a/commander/commander.go
+++ b/commander/commander.go
@@ -11,6 +11,8 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
+
+	"github.com/gooseberrypass/gooseberrypass/emulator"
 )
 
 // The exit statuses.
@@ -26,8 +28,18 @@
 
 // A Command line is what kong parses: one field for each command.
 type commandLine struct {
-	Pack    packCmd    `cmd:"" help:"Make the manifest of a weights file."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Agent    agentCmd    `cmd:"" help:"Run the process beside an endpoint."`
+	Burn     burnCmd     `cmd:"" help:"Report how fast the service-level error budgets burn."`
+	Check    checkCmd    `cmd:"" help:"Check a folder of INI files."`
+	Demo     demoCmd     `cmd:"" help:"Run the main job on stand-ins and measure it."`
+	Emulator emulatorCmd `cmd:"" help:"Run stand-ins of the platform for trials and tests."`
+	Entry    entryCmd    `cmd:"" help:"Run a process for callers."`
+	Merge    mergeCmd    `cmd:"" help:"Print the merge of a folder, with the place of each value."`
+	Pack     packCmd     `cmd:"" help:"Make the manifest of a weights file."`
+	Publish  publishCmd  `cmd:"" help:"Publish a folder of INI files."`
+	Pull     pullCmd     `cmd:"" help:"Write the accepted files to a folder."`
+	Status   statusCmd   `cmd:"" help:"Show what each instance serves and how far a rollout is."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
 // A Streams holds the standard streams that commands read and write.
@@ -69,6 +81,7 @@
 		kong.BindTo(ctx, (*context.Context)(nil)),
 		kong.Bind(streams{stderr: stderr, stdin: stdin, stdout: stdout}),
 		kong.UsageOnError(),
+		kong.Vars{"crash_mark": emulator.DefaultCrashMark},
 	)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "gooseberrypass:", err)
--- a/request.go
+++ b/request.go
@@ -17,16 +17,17 @@
 
 // RequestFields are the fields of a new Request.
 type RequestFields struct {
-	Account   Name
-	Body      []byte // prompt, or body of the call
-	Call      string
-	Deadline  time.Time
-	ID        string
-	Key       string // idempotency key, a UUIDv7
-	Kind      RequestKind
-	MaxTokens int
-	Priority  Priority
-	Target    Name
+	Account    Name
+	AccountKey string // key of the client account, as the caller sent it
+	Body       []byte // prompt, or body of the call
+	Call       string
+	Deadline   time.Time
+	ID         string
+	Key        string // idempotency key, a UUIDv7
+	Kind       RequestKind
+	MaxTokens  int
+	Priority   Priority
+	Target     Name
 }
 
 // A Request is one request of a caller. Filters that resolve a part of it pass
@@ -47,6 +48,9 @@
 // Account returns the client account as the caller named it.
 func (r *Request) Account() Name { return r.fields.Account }
 
+// AccountKey returns the client account's key as the caller sent it.
+func (r *Request) AccountKey() string { return r.fields.AccountKey }
+
 // AccountID returns the resolved client account.
 func (r *Request) AccountID() ID { return r.accountID }
 
@@ -91,6 +95,7 @@
 func (r *Request) WithAccountID(id ID) *Request {
 	c := *r
 	c.accountID = id
+	c.digest = c.resolvedDigest()
 	return &c
 }
 
@@ -101,6 +106,13 @@
 	return &c
 }
 
+// WithMaxTokens returns a copy with another limit of tokens.
+func (r *Request) WithMaxTokens(n int) *Request {
+	c := *r
+	c.fields.MaxTokens = n
+	return &c
+}
+
 // WithPriority returns a copy with another priority.
 func (r *Request) WithPriority(priority Priority) *Request {
 	c := *r
@@ -114,9 +126,23 @@
 	c := *r
 	c.targetID = id
 	c.repeatable = repeatable
+	c.digest = c.resolvedDigest()
 	return &c
 }
 
+// resolvedDigest returns the digest over what has been resolved, so that it
+// does not depend on the scheme of the names a caller used.
+func (r *Request) resolvedDigest() Digest {
+	f := r.fields
+	if r.accountID != "" {
+		f.Account = Name(r.accountID)
+	}
+	if r.targetID != "" {
+		f.Target = Name(r.targetID)
+	}
+	return requestDigest(f)
+}
+
 func requestDigest(f RequestFields) Digest {
 	h := sha256.New()
 	for _, part := range [][]byte{[]byte(f.Account), []byte(f.Target), []byte(f.Call), f.Body} {
