Announce large changes and let peers pull them

A push carried the change itself, so each process got a large one from all who pushed to it, and the links between regions carried one copy for nearly every process. Now records over 4 KiB are announced by offset, a process that is behind pulls them from one peer at a time, and about eight processes of a region push to each other region, in place of all.

--- a/spreader/exchange.go
+++ b/spreader/exchange.go
@@ -14,13 +14,14 @@
 
 const (
 	exchangeTimeout = time.Second
-	exchangeTries   = 3 // peers tried in turn
+	exchangeTries   = 3       // peers tried in turn
+	inlineLimit     = 4 << 10 // bytes of records pushed unasked
+	pullPatience    = 5 * time.Second
 )
 
 // exchanged is the event that an exchange with a peer has ended.
 type exchanged struct {
 	err      error
-	followUp bool
 	peer     *gooseberrypass.ListedInstance
 	request  *wire.ExchangeRequest
 	response *wire.ExchangeResponse
@@ -41,11 +42,10 @@
 
 // An exchangeEffect compares offsets with a peer.
 type exchangeEffect struct {
-	client   wire.Peer
-	followUp bool
-	peer     *gooseberrypass.ListedInstance
-	request  *wire.ExchangeRequest
-	try      int
+	client  wire.Peer
+	peer    *gooseberrypass.ListedInstance
+	request *wire.ExchangeRequest
+	try     int
 }
 
 // EffectName implements gooseberrypass.Effect.
@@ -57,7 +57,7 @@
 	defer cancel()
 	response, err := e.client.Exchange(ctx, e.request)
 	return exchanged{
-		err: err, followUp: e.followUp, peer: e.peer, request: e.request, response: response, try: e.try,
+		err: err, peer: e.peer, request: e.request, response: response, try: e.try,
 	}
 }
 
@@ -88,36 +88,54 @@
 	}
 }
 
-// fill returns a request that brings a peer from an offset to the state.
-func (s *Spreader) fill(since gooseberrypass.Offset) *wire.ExchangeRequest {
+// announce returns a request that tells of the state, and brings a peer from
+// an offset to it if that takes few bytes.
+func (s *Spreader) announce(since gooseberrypass.Offset) *wire.ExchangeRequest {
 	request := s.request()
-	if records, ok := s.history.after(since); ok {
+	records, ok := s.history.after(since)
+	size := 0
+	for _, r := range records {
+		size += len(r.GetBody())
+	}
+	if ok && size <= inlineLimit {
 		request.Records = records
-	} else {
-		request.Snapshot = s.peerSnapshot()
 	}
 	return request
 }
 
+// fill adds to a response what brings a peer from an offset to the state.
+func (s *Spreader) fill(response *wire.ExchangeResponse, since gooseberrypass.Offset) {
+	records, ok := s.history.after(since)
+	if !ok {
+		response.Snapshot = s.peerSnapshot()
+		return
+	}
+	response.Records = records
+}
+
 // answer answers a peer and takes over what it brought.
 func (s *Spreader) answer(now time.Time, e exchangeReceived) []gooseberrypass.Effect {
 	effects := s.take(now, e.request.GetRecords(), e.request.GetSnapshot())
 	offset := gooseberrypass.Offset(e.request.GetOffset())
 	s.compareDigests(offset, e.request.GetStateDigest(), e.request.GetSender())
+	if offset > s.state.LastAccepted() {
+		effects = append(effects, s.pull(now, gooseberrypass.ID(e.request.GetSender()))...)
+	}
 	response := &wire.ExchangeResponse{Offset: uint64(s.state.LastAccepted()), StateDigest: s.stateDigest()}
 	if offset < s.state.LastAccepted() {
-		fill := s.fill(offset)
-		response.Records, response.Snapshot = fill.Records, fill.Snapshot
+		s.fill(response, offset)
 	}
 	e.reply <- response
 	return effects
 }
 
-// settleExchange takes over what a peer answered, and sends it what it lacks.
+// settleExchange takes over what a peer answered. A peer that lacks something
+// gets it by an exchange of its own.
 func (s *Spreader) settleExchange(now time.Time, e exchanged) []gooseberrypass.Effect {
 	if e.err != nil {
 		s.metrics.exchanges.WithLabelValues("failed").Inc()
 		s.suspects[e.peer.ID] = now.Add(suspectTime)
+		s.pulledUntil = time.Time{}
 		return s.tryAnother(now, e)
 	}
 	s.metrics.exchanges.WithLabelValues("answered").Inc()
@@ -125,19 +143,25 @@
 	effects := s.take(now, e.response.GetRecords(), e.response.GetSnapshot())
 	offset := gooseberrypass.Offset(e.response.GetOffset())
 	s.compareDigests(offset, e.response.GetStateDigest(), string(e.peer.ID))
-	if offset < s.state.LastAccepted() && !e.followUp {
-		followUp := s.exchange(e.peer, s.fill(offset))
-		followUp.followUp = true
-		effects = append(effects, followUp)
-	}
 	return effects
 }
 
+// pull gets what this process lacks from a peer that is ahead, unless it is
+// already getting it from another.
+func (s *Spreader) pull(now time.Time, id gooseberrypass.ID) []gooseberrypass.Effect {
+	peer := s.view.find(id)
+	if peer == nil || now.Before(s.pulledUntil) {
+		return nil
+	}
+	s.pulledUntil = now.Add(pullPatience)
+	return []gooseberrypass.Effect{s.exchange(peer, s.request())}
+}
+
 // tryAnother exchanges the same with another peer of the region of one that did
 // not answer.
 func (s *Spreader) tryAnother(now time.Time, e exchanged) []gooseberrypass.Effect {
 	peers := s.view.pick(now, s.rng, e.peer.Region, 1)
-	if e.try+1 >= exchangeTries || e.followUp || len(peers) == 0 || e.request.GetOffset() != uint64(s.state.LastAccepted()) {
+	if e.try+1 >= exchangeTries || len(peers) == 0 || e.request.GetOffset() != uint64(s.state.LastAccepted()) {
 		return nil
 	}
 	again := s.exchange(peers[0], e.request)
--- a/spreader/model_test.go
+++ b/spreader/model_test.go
@@ -60,6 +60,7 @@
 // has the dead as live.
 type model struct {
 	bytes     int
+	crossed   int           // bytes between regions
 	delay     time.Duration // that the running effect has cost
 	down      bool          // the log
 	first     gooseberrypass.Offset
@@ -172,19 +173,26 @@
 
 func (c call) Exchange(ctx context.Context, request *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
 	m := c.from.model
-	m.messages++
-	m.bytes += proto.Size(request)
+	c.count(request)
 	if c.to.dead || c.to.alone || c.from.alone || c.from.dead {
 		m.delay = lost
 		return nil, errors.New("no answer")
 	}
 	response, err := c.to.Exchange(ctx, request)
 	m.delay = hop
-	m.messages++
-	m.bytes += proto.Size(response)
+	c.count(response)
 	return response, err
 }
 
+func (c call) count(message proto.Message) {
+	m := c.from.model
+	m.messages++
+	m.bytes += proto.Size(message)
+	if c.from.listed.Region != c.to.listed.Region {
+		m.crossed += proto.Size(message)
+	}
+}
+
 // Append implements gooseberrypass.Log.
 func (x *node) Append(_ context.Context, _ gooseberrypass.Stream, body []byte) (gooseberrypass.Offset, error) {
 	if x.blind || x.model.down {
@@ -221,7 +229,7 @@
 
 // change appends a change of the whole folder, as a publisher would.
 func (m *model) change(base gooseberrypass.Offset, text string) gooseberrypass.Offset {
-	body, err := replayer.EncodeChange(testKey(), replayer.Change{Base: base, Files: map[string]string{"a.ini": text}, ID: text})
+	body, err := replayer.EncodeChange(testKey(), replayer.Change{Base: base, Files: map[string]string{"a.ini": text}, ID: strconv.Itoa(len(m.records))})
 	if err != nil {
 		panic(err)
 	}
--- a/spreader/reading.go
+++ b/spreader/reading.go
@@ -61,16 +61,16 @@
 	return configBuilt{check: checker.Build(parser.NewFolder("folder", e.state.Files()), e.state.LastAccepted())}
 }
 
-// An announce tells all controllers of a configuration.
-type announce struct {
+// An announcement tells all controllers of a configuration.
+type announcement struct {
 	config *gooseberrypass.Config
 }
 
 // EffectName implements gooseberrypass.Effect.
-func (announce) EffectName() string { return "config-announce" }
+func (announcement) EffectName() string { return "config-announce" }
 
 // Run implements gooseberrypass.Effect.
-func (e announce) Run(context.Context) gooseberrypass.Event {
+func (e announcement) Run(context.Context) gooseberrypass.Event {
 	return gooseberrypass.ConfigAccepted{Config: e.config}
 }
 
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -24,6 +24,7 @@
 	readBackoff    = time.Second
 	readWait       = 5 * time.Second
 	refreshPeriod  = time.Second
+	regionPushers  = 8 // of a region, on average, push to each other region
 	startPeriod    = 500 * time.Millisecond
 )
 
@@ -59,29 +60,30 @@
 // A Spreader is the controller of the configuration in force. It is a
 // ConfigSource for the traffic goroutines and a wire.Peer for other processes.
 type Spreader struct {
-	config     atomic.Pointer[gooseberrypass.Config]
-	dial       Dial
-	digest     []byte    // of state, once it was asked for
-	encoded    []byte    // snapshot of state for peers, once it was asked for
-	gapSince   time.Time // when the log was first found trimmed past the state
-	history    history
-	key        authenticator.Key
-	log        gooseberrypass.Log
-	logger     logrus.FieldLogger
-	members    []gooseberrypass.Member // newer than the view, nil if none are
-	membership gooseberrypass.Membership
-	metrics    *metrics
-	next       struct{ exchange, read, refresh time.Time }
-	post       func(gooseberrypass.Event)
-	reading    bool
-	replayer   *replayer.Replayer
-	retention  time.Duration
-	rng        *rand.Rand
-	self       Self
-	snapshots  snapshots
-	state      replayer.State
-	suspects   map[gooseberrypass.ID]time.Time
-	view       *view
+	config      atomic.Pointer[gooseberrypass.Config]
+	dial        Dial
+	digest      []byte    // of state, once it was asked for
+	encoded     []byte    // snapshot of state for peers, once it was asked for
+	gapSince    time.Time // when the log was first found trimmed past the state
+	history     history
+	key         authenticator.Key
+	log         gooseberrypass.Log
+	logger      logrus.FieldLogger
+	members     []gooseberrypass.Member // newer than the view, nil if none are
+	membership  gooseberrypass.Membership
+	metrics     *metrics
+	next        struct{ exchange, read, refresh time.Time }
+	post        func(gooseberrypass.Event)
+	pulledUntil time.Time // until when another pull has to wait
+	reading     bool
+	replayer    *replayer.Replayer
+	retention   time.Duration
+	rng         *rand.Rand
+	self        Self
+	snapshots   snapshots
+	state       replayer.State
+	suspects    map[gooseberrypass.ID]time.Time
+	view        *view
 }
 
 // New returns the spreader of a process. It is to be run by a control loop;
@@ -209,6 +211,7 @@
 		return nil
 	}
 	s.state, s.digest, s.encoded = state, nil, nil
+	s.pulledUntil = time.Time{}
 	for _, a := range records {
 		s.history.add(a)
 	}
@@ -218,10 +221,12 @@
 
 // push sends the newest records to a few peers at once.
 func (s *Spreader) push(now time.Time, since gooseberrypass.Offset) []gooseberrypass.Effect {
-	request := s.fill(since)
+	request := s.announce(since)
 	peers := s.view.pick(now, s.rng, s.self.Region, homeFanout)
 	for _, region := range s.view.regions {
-		peers = append(peers, s.view.pick(now, s.rng, region, 1)...)
+		if s.rng.IntN(len(s.view.byRegion[s.view.home])+1) < regionPushers {
+			peers = append(peers, s.view.pick(now, s.rng, region, 1)...)
+		}
 	}
 	effects := make([]gooseberrypass.Effect, 0, len(peers)+1)
 	for _, peer := range peers {
@@ -239,7 +244,7 @@
 	s.config.Store(config)
 	s.metrics.ignored.Set(float64(check.Ignored()))
 	s.logger.WithFields(logrus.Fields{"offset": config.Offset(), "ignored": check.Ignored()}).Info("configuration in force")
-	return []gooseberrypass.Effect{announce{config: config}}
+	return []gooseberrypass.Effect{announcement{config: config}}
 }
 
 var (
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -203,10 +204,13 @@
 	}
 }
 
-func benchmarkSpread(b *testing.B, n int) {
+// benchmarkSpread spreads a change of so many bytes to n nodes, a fifth of them
+// dead and the log in sight of one region.
+func benchmarkSpread(b *testing.B, n, size int) {
 	b.Helper()
+	padding := strings.Repeat("# a comment of some length, as operators write\n", size/47)
 	var slowest, change time.Duration
-	var idleBytes, idleMessages, changeBytes float64
+	var idleBytes, idleMessages, changeBytes, crossed float64
 	for seed := range uint64(b.N) {
 		m := newModel(seed, n, 0)
 		first := m.change(0, fmt.Sprintf(folder, 1))
@@ -219,19 +223,28 @@
 		perNodeSecond := float64(n) * 0.8 * idle.Seconds()
 		idleBytes += float64(m.bytes) / perNodeSecond
 		idleMessages += float64(m.messages) / perNodeSecond
-		m.bytes = 0
-		change = m.until(m.change(first, fmt.Sprintf(folder, 2)), time.Minute)
+		m.bytes, m.crossed = 0, 0
+		change = m.until(m.change(first, fmt.Sprintf(folder, 2)+padding), time.Minute)
 		changeBytes += float64(m.bytes) / (float64(n) * 0.8)
+		crossed += float64(m.crossed)
 		slowest = max(slowest, change)
 	}
 	b.ReportMetric(slowest.Seconds(), "s-worst")
 	b.ReportMetric(idleBytes/float64(b.N), "B/node/s")
 	b.ReportMetric(idleMessages/float64(b.N), "msg/node/s")
 	b.ReportMetric(changeBytes/float64(b.N), "B/node/change")
+	if size > 0 {
+		// The ideal is one copy of the change for each node, and one for each of
+		// the two regions that do not see the log.
+		b.ReportMetric(changeBytes/float64(b.N)/float64(size), "x-ideal")
+		b.ReportMetric(crossed/float64(b.N)/float64(2*size), "link-copies")
+	}
 }
 
-func BenchmarkSpread200(b *testing.B)  { benchmarkSpread(b, 200) }
-func BenchmarkSpread890(b *testing.B)  { benchmarkSpread(b, 890) }
-func BenchmarkSpread3560(b *testing.B) { benchmarkSpread(b, 3560) }
+func BenchmarkSpread200(b *testing.B)      { benchmarkSpread(b, 200, 0) }
+func BenchmarkSpread890(b *testing.B)      { benchmarkSpread(b, 890, 0) }
+func BenchmarkSpread3560(b *testing.B)     { benchmarkSpread(b, 3560, 0) }
+func BenchmarkSpreadLarge200(b *testing.B) { benchmarkSpread(b, 200, 64<<10) }
+func BenchmarkSpreadLarge890(b *testing.B) { benchmarkSpread(b, 890, 64<<10) }
 
 var _ gooseberrypass.ConfigSource = (*spreader.Spreader)(nil)
--- a/spreader/view.go
+++ b/spreader/view.go
@@ -115,6 +115,15 @@
 	return picked
 }
 
+// find returns the member with an id, nil if there is none.
+func (v *view) find(id gooseberrypass.ID) *gooseberrypass.ListedInstance {
+	i := slices.IndexFunc(v.members, func(m gooseberrypass.Member) bool { return m.Listed.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return &v.members[i].Listed
+}
+
 // any returns a random member of any region, nil if there is none.
 func (v *view) any(now time.Time, rng *rand.Rand) *gooseberrypass.ListedInstance {
 	regions := slices.Concat(v.regions, []gooseberrypass.Region{v.home})
