--- a/retrier/generate.go
+++ b/retrier/generate.go
@@ -161,18 +161,18 @@
 		},
 		result: router.ResultFailed,
 	}
+	if r.delivered {
+		f.err.Reason = gooseberrypass.ReasonCut
+	}
 	switch {
 	case errors.Is(err, ErrNotSent):
 		f.err.Outcome = gooseberrypass.OutcomeNotRun
-		return f
-	case r.delivered:
-		f.err.Reason = gooseberrypass.ReasonCut
 	case watch.fired():
 		f.result = router.ResultLate
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		r.retrier.suspects.Cut(r.req.Digest(), ticket.Member().Listed.ID)
+		f.final = r.alone()
 		r.cuts++
-		f.final = r.cuts >= maxCuts
 	}
 	return f
 }
