--- a/replayer/replayer_test.go
+++ b/replayer/replayer_test.go
@@ -152,6 +152,14 @@
 	})
 }
 
+// canStart reports whether a log holds a snapshot and all that follows on it.
+func canStart(log *fakeLog) bool {
+	return slices.ContainsFunc(log.records[log.first-1:], func(r gooseberrypass.Record) bool {
+		decoded, err := replayer.Decode(testKey(), r.Body)
+		return err == nil && decoded.Snapshot != nil && decoded.Snapshot.FoldedThrough+1 >= log.first
+	})
+}
+
 // A reader may read at any moment, fall behind the log's retention, and start
 // anew; it comes to the naive fold's state of everything, or tells of the gap.
 func TestReplayAgreesWithNaiveFoldWhateverWasTrimmed(t *testing.T) {
@@ -171,6 +179,9 @@
 				t.Fatalf("got last accepted %d, had %d", progress.State.LastAccepted(), state.LastAccepted())
 			}
 			if errors.Is(err, replayer.ErrGap) {
+				if state.FoldedThrough()+1 >= log.first || canStart(log) {
+					t.Fatalf("got %v, though the log can be folded from %d", err, log.first)
+				}
 				state = progress.State
 				continue
 			}
@@ -213,6 +224,29 @@
 	}
 }
 
+// Entries that went on across a gap appended what they held, which differs.
+func TestReaderTakesTheHighestSnapshotAndNeverALowerOne(t *testing.T) {
+	log := &fakeLog{first: 7, page: 1, records: make([]gooseberrypass.Record, 6)}
+	for _, last := range []gooseberrypass.Offset{3, 5, 4} {
+		_, _ = log.Append(context.Background(), "", must(replayer.EncodeSnapshot(testKey(), replayer.Snapshot{
+			Files: map[string]string{"a": strconv.Itoa(int(last))}, FoldedThrough: 6, LastAccepted: last,
+		})))
+	}
+	r := replayer.New(testKey(), log)
+	progress, err := r.CatchUp(context.Background(), replayer.State{}, 0)
+	if err != nil || progress.State.LastAccepted() != 5 || progress.State.Files()["a"] != "5" {
+		t.Errorf("got %v at %d, %v, want the snapshot of 5", progress.State.Files(), progress.State.LastAccepted(), err)
+	}
+	held := replayer.NewState(replayer.Snapshot{Files: map[string]string{"a": "x"}, FoldedThrough: 5, LastAccepted: 5})
+	if log.records = log.records[:7]; held.LastAccepted() != 5 {
+		t.Fatal("bad state")
+	}
+	progress, err = r.CatchUp(context.Background(), held, 0)
+	if !errors.Is(err, replayer.ErrGap) || progress.State.Digest() != held.Digest() {
+		t.Errorf("got %d, %v, want %d kept", progress.State.LastAccepted(), err, held.LastAccepted())
+	}
+}
+
 func TestDecodeRefuses(t *testing.T) {
 	good := must(replayer.EncodeChange(testKey(), replayer.Change{Base: 3, Files: map[string]string{"a": "x"}, ID: "1"}))
 	for name, body := range map[string][]byte{
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -25,6 +25,7 @@
 	alone bool // no peer reaches another
 	blind bool // only the first region reaches the log
 	dead  int  // one in so many nodes is dead, and listed as live
+	large bool // the change is one of 64 KiB
 }
 
 func (f fault) strike(m *model) {
@@ -42,6 +43,7 @@
 		"a fifth dead":           {dead: 5},
 		"log seen by one region": {blind: true},
 		"both":                   {blind: true, dead: 5},
+		"large change":           {blind: true, dead: 5, large: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -53,10 +55,18 @@
 					t.Fatalf("seed %d: the first configuration is not in force", seed)
 				}
 				f.strike(m)
-				got := m.until(m.change(first, fmt.Sprintf(folder, 2)), time.Minute)
+				text := fmt.Sprintf(folder, 2)
+				if f.large {
+					text += strings.Repeat("# a comment\n", 64<<10/12)
+				}
+				m.bytes = 0
+				got := m.until(m.change(first, text), time.Minute)
 				if got > bound {
 					t.Errorf("seed %d: got %s until in force, want at most %s", seed, got, bound)
 				}
+				if most := 3 * 200 * len(text) / 2; f.large && m.bytes > most {
+					t.Errorf("seed %d: got %d bytes, want at most %d, which is one copy and a half for each", seed, m.bytes, most)
+				}
 			}
 		})
 	}
@@ -160,6 +170,12 @@
 	m.run(time.Hour, nil)
 	m.down, m.period = false, period
 	m.run(time.Minute, nil)
+	for _, r := range m.records[7:] {
+		decoded, err := replayer.Decode(testKey(), r.Body)
+		if err != nil || decoded.Snapshot.FoldedThrough < 7 || r.Offset > 12 {
+			t.Errorf("offset %d: got %+v, %v, want a snapshot to start from, and few of them", r.Offset, decoded.Snapshot, err)
+		}
+	}
 	if progress, err := catchUp(t, m); err != nil || progress.State.LastAccepted() != second || !m.inForce(second) {
 		t.Errorf("got %d, %v, want %d", progress.State.LastAccepted(), err, second)
 	}
