Prove membership and shares of limits

Leaving within 3 s by an agent's own word or the list's, one or a whole failure domain; frozen instances; the list down, empty, older or shorter; an own pause. Two faults found by the tests and mended: a shorter list shrank the silence limit under polls already in flight, so that instances which served were dropped; and a list that counts anew was never believed again.

--- a/tracker/capacity_test.go
+++ b/tracker/capacity_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -44,7 +45,7 @@
 // the agents followed, and the heap.
 func BenchmarkMembers(b *testing.B) {
 	for _, n := range []int{100, 400, 1600, 3560} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
 			listing := capacityListing(n)
 			self := listing.Instances[0]
 			logger := logrus.New()
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -19,11 +19,15 @@
 // tracker concludes that this process was paused, not its peers.
 const maxStall = time.Second
 
+// oldLimit is how long lists older than the last one are passed over.
+const oldLimit = time.Minute
+
 // A Dialer returns the client of the agent at an address.
 type Dialer func(address string) wire.Agent
 
 // A peer is one instance that the tracker knows.
 type peer struct {
+	due      time.Time // when the poll in flight should have been answered
 	failures int
 	followed bool
 	heard    time.Time
@@ -40,6 +44,7 @@
 	agents    map[gooseberrypass.ID]wire.Agent
 	clock     gooseberrypass.Clock
 	dial      Dialer
+	followed  map[gooseberrypass.ID]*peer
 	lastTick  time.Time
 	list      gooseberrypass.InstanceList
 	listing   bool // a poll of the list is in flight
@@ -52,6 +57,7 @@
 	revision  uint64
 	selector  Selector
 	unhealthy bool // the last poll of the list failed or was useless
+	usefulAt  time.Time
 }
 
 // New returns a tracker of the instances in list. It follows the status of the
@@ -72,6 +78,7 @@
 		agents:   map[gooseberrypass.ID]wire.Agent{},
 		clock:    clock,
 		dial:     dial,
+		followed: map[gooseberrypass.ID]*peer{},
 		list:     list,
 		logger:   logger,
 		metrics:  m,
@@ -113,14 +120,12 @@
 	paused := !t.lastTick.IsZero() && stall > maxStall
 	t.lastTick = now
 	changed := false
-	for id, p := range t.peers {
-		if !p.followed {
-			continue
-		}
+	for id, p := range t.followed {
 		if paused {
+			p.due = p.due.Add(stall)
 			p.heard = p.heard.Add(stall)
 		}
-		silent := now.Sub(p.heard) > t.pacing.silence()
+		silent := now.Sub(p.heard) > t.pacing.silence() && (p.failures > 0 || now.After(p.due))
 		if silent != p.silent {
 			p.silent = silent
 			changed = true
@@ -140,7 +145,7 @@
 func (t *Tracker) handleListing(now time.Time, e gooseberrypass.ListingObserved) bool {
 	t.listing = false
 	t.nextList = now.Add(listPause(e.Listing))
-	if !t.useful(e) {
+	if !t.useful(now, e) {
 		return false
 	}
 	t.revision = e.Listing.Revision
@@ -164,16 +169,19 @@
 }
 
 // useful reports whether a listing tells anything: an empty one, or one from
-// before the last, leaves in place what serves.
-func (t *Tracker) useful(e gooseberrypass.ListingObserved) bool {
+// before the last, leaves in place what serves. Where nothing but old ones has
+// come for long, the platform has begun to count anew.
+func (t *Tracker) useful(now time.Time, e gooseberrypass.ListingObserved) bool {
 	cause := ""
 	switch {
 	case e.Err != nil:
 		cause = "failed"
 	case len(e.Listing.Instances) == 0:
 		cause = "empty"
-	case e.Listing.Revision < t.revision:
+	case e.Listing.Revision < t.revision && now.Sub(t.usefulAt) < oldLimit:
 		cause = "old"
+	default:
+		t.usefulAt = now
 	}
 	if cause != "" {
 		t.metrics.listings.WithLabelValues(cause).Inc()
@@ -225,6 +233,7 @@
 
 func (t *Tracker) forget(id gooseberrypass.ID) {
 	delete(t.peers, id)
+	delete(t.followed, id)
 	delete(t.agents, id)
 }
 
@@ -239,14 +248,17 @@
 			p.heard = now
 			p.silent = false
 		}
-		if !followed {
-			p.status = nil
-			delete(t.agents, id)
-		}
 		p.followed = followed
+		if followed {
+			t.followed[id] = p
+			continue
+		}
+		p.status = nil
+		delete(t.followed, id)
+		delete(t.agents, id)
 	}
-	t.pacing = newPacing(len(selected))
-	t.metrics.followed.Set(float64(len(selected)))
+	t.pacing = newPacing(len(t.followed))
+	t.metrics.followed.Set(float64(len(t.followed)))
 }
 
 func (t *Tracker) handleStatus(now time.Time, e StatusObserved) bool {
@@ -286,12 +298,14 @@
 		t.listing = true
 		effects = append(effects, listPoll{clock: t.clock, list: t.list, limit: listPollLimit})
 	}
-	for id, p := range t.peers {
-		if !p.followed || p.polling {
+	for id, p := range t.followed {
+		if p.polling {
 			continue
 		}
 		p.polling = true
-		effects = append(effects, t.poll(id, p))
+		poll := t.poll(id, p)
+		p.due = now.Add(poll.pause + poll.limit)
+		effects = append(effects, poll)
 	}
 	return effects
 }
--- /dev/null
+++ b/tracker/tracker_test.go
@@ -0,0 +1,316 @@
+package tracker_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/looper"
+	"github.com/gooseberrypass/gooseberrypass/tracker"
+	"github.com/gooseberrypass/gooseberrypass/wire"
+)
+
+// A fakeAgent answers status polls; its version grows with each change. Under
+// load each poll finds a new one.
+type fakeAgent struct {
+	wire.Agent
+	changed chan struct{}
+	frozen  bool
+	id      gooseberrypass.ID
+	mu      sync.Mutex
+	polls   int
+	status  gooseberrypass.AgentStatus
+}
+
+func newAgent(id gooseberrypass.ID) *fakeAgent {
+	return &fakeAgent{changed: make(chan struct{}), id: id, status: gooseberrypass.AgentStatus{EndpointUp: true, Version: 1}}
+}
+
+func (a *fakeAgent) set(change func(a *fakeAgent)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	change(a)
+	a.status.Version++
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+func (a *fakeAgent) Status(ctx context.Context, r *wire.StatusRequest) (*wire.StatusResponse, error) {
+	timer := time.NewTimer(time.Duration(r.GetWaitMs()) * time.Millisecond)
+	defer timer.Stop()
+	a.mu.Lock()
+	a.polls++
+	for {
+		changed, frozen := a.changed, a.frozen
+		if !frozen && (a.status.Version != r.GetVersion() || r.GetWaitMs() == 0) {
+			break
+		}
+		a.mu.Unlock()
+		expired := timer.C
+		if frozen {
+			expired = nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-changed:
+		case <-expired:
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return a.response(), nil
+		}
+		a.mu.Lock()
+	}
+	defer a.mu.Unlock()
+	return a.response(), nil
+}
+
+func (a *fakeAgent) response() *wire.StatusResponse {
+	return tracker.StatusToWire(gooseberrypass.ListedInstance{ID: a.id}, &a.status, time.Now())
+}
+
+// A platform is the list of instances, and the agents behind it.
+type platform struct {
+	agents  map[string]*fakeAgent
+	err     error
+	listing gooseberrypass.Listing
+	mu      sync.Mutex
+}
+
+func newPlatform(agents int) *platform {
+	p := &platform{agents: map[string]*fakeAgent{}, listing: gooseberrypass.Listing{Revision: 5}}
+	for i := range agents {
+		id := gooseberrypass.ID(fmt.Sprintf("w-%02d", i))
+		p.agents[string(id)] = newAgent(id)
+		p.listing.Instances = append(p.listing.Instances, gooseberrypass.ListedInstance{
+			Address: string(id), FailureDomain: gooseberrypass.FailureDomain([]string{"a", "b", "c"}[i%3]), ID: id,
+			Role: gooseberrypass.RoleAgent, State: gooseberrypass.ListedLive,
+		})
+	}
+	return p
+}
+
+func (p *platform) List(context.Context) (gooseberrypass.Listing, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return gooseberrypass.Listing{Instances: slices.Clone(p.listing.Instances), Revision: p.listing.Revision}, p.err
+}
+
+func (p *platform) set(change func(p *platform)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(p)
+}
+
+// follow runs a tracker over a platform, with all that happens in the bubble of
+// a test, and stops it at the end.
+func follow(t *testing.T, agents int, test func(*platform, *tracker.Tracker)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform(agents)
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		clock, registry := clockwork.NewRealClock(), prometheus.NewRegistry()
+		dial := func(address string) wire.Agent { return p.agents[address] }
+		tr, err := tracker.New(clock, p, dial, tracker.SelectAll("self"), registry, logger)
+		if err != nil {
+			t.Fatal(err)
+		}
+		loop, err := looper.New(clock, registry, 100*time.Millisecond, tr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = loop.Run(ctx) })
+		time.Sleep(3 * time.Second)
+		test(p, tr)
+		cancel()
+		wg.Wait()
+	})
+}
+
+// working returns how many members take work.
+func working(tr *tracker.Tracker) int {
+	n := 0
+	for _, m := range tr.Members() {
+		if m.TakesWork() {
+			n++
+		}
+	}
+	return n
+}
+
+func check(t *testing.T, tr *tracker.Tracker, within time.Duration, want int) {
+	t.Helper()
+	time.Sleep(within)
+	if got := working(tr); got != want {
+		t.Errorf("got %d members that take work, want %d", got, want)
+	}
+}
+
+const agentCount = 18
+
+// A leaving instance, or a whole failure domain of them, takes no new work
+// within 3 s, by its own word or by the list's.
+func TestLeaving(t *testing.T) {
+	const bound = 3 * time.Second
+	leave := func(a *fakeAgent) { a.status.Leaving = true }
+	t.Run("one", func(t *testing.T) {
+		follow(t, agentCount, func(p *platform, tr *tracker.Tracker) {
+			check(t, tr, 0, agentCount)
+			p.agents["w-00"].set(leave)
+			check(t, tr, bound, agentCount-1)
+		})
+	})
+	t.Run("failure domain", func(t *testing.T) {
+		follow(t, agentCount, func(p *platform, tr *tracker.Tracker) {
+			for i := 0; i < agentCount; i += 3 {
+				p.agents[fmt.Sprintf("w-%02d", i)].set(leave)
+			}
+			check(t, tr, bound, agentCount*2/3)
+		})
+	})
+	t.Run("listed", func(t *testing.T) {
+		follow(t, agentCount, func(p *platform, tr *tracker.Tracker) {
+			p.set(func(p *platform) {
+				p.listing.Instances[0].State = gooseberrypass.ListedLeaving
+				p.listing.Revision++
+			})
+			check(t, tr, bound, agentCount-1)
+		})
+	})
+}
+
+// A frozen instance is found by its silence, and is back once it answers.
+func TestSilence(t *testing.T) {
+	follow(t, agentCount, func(p *platform, tr *tracker.Tracker) {
+		p.agents["w-00"].set(func(a *fakeAgent) { a.frozen = true })
+		check(t, tr, 10*time.Second, agentCount-1)
+		p.agents["w-00"].set(func(a *fakeAgent) { a.frozen = false })
+		check(t, tr, 10*time.Second, agentCount)
+	})
+}
+
+// What serves goes on serving, whatever the list says of it, until it falls
+// silent itself.
+func TestUselessList(t *testing.T) {
+	tests := map[string]func(p *platform){
+		"down":  func(p *platform) { p.err = errors.New("down") },
+		"empty": func(p *platform) { p.listing = gooseberrypass.Listing{Revision: 9} },
+		"older": func(p *platform) {
+			p.listing.Instances, p.listing.Revision = p.listing.Instances[:2], 4
+		},
+		"shorter": func(p *platform) {
+			p.listing.Instances, p.listing.Revision = p.listing.Instances[:2], 9
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			follow(t, agentCount, func(p *platform, tr *tracker.Tracker) {
+				p.set(change)
+				check(t, tr, 30*time.Second, agentCount)
+				p.agents["w-17"].set(func(a *fakeAgent) { a.frozen = true })
+				check(t, tr, 10*time.Second, agentCount-1)
+			})
+		})
+	}
+}
+
+// A list that has begun to count anew is believed after a while.
+func TestListCountsAnew(t *testing.T) {
+	follow(t, 2, func(p *platform, tr *tracker.Tracker) {
+		p.set(func(p *platform) {
+			p.listing.Revision = 1
+			p.listing.Instances[0].State = gooseberrypass.ListedLeaving
+		})
+		check(t, tr, 10*time.Second, 2)
+		check(t, tr, 2*time.Minute, 1)
+	})
+}
+
+// After a pause of this process no member is taken for silent: the deadlines
+// that passed say nothing of them.
+func TestOwnPause(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := newPlatform(1)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	dial := func(address string) wire.Agent { return p.agents[address] }
+	tr, err := tracker.New(clock, p, dial, tracker.SelectAll("self"), prometheus.NewRegistry(), logger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := clock.Now()
+	tr.Handle(now, gooseberrypass.Tick{})
+	tr.Handle(now, gooseberrypass.ListingObserved{Listing: p.listing})
+	tr.Handle(now, tracker.StatusObserved{Address: "w-00", ID: "w-00", Status: &gooseberrypass.AgentStatus{EndpointUp: true}})
+	tr.Handle(now.Add(time.Hour), gooseberrypass.Tick{})
+	if got := working(tr); got != 1 {
+		t.Errorf("after a pause: got %d members that take work, want 1", got)
+	}
+	for i := range 100 {
+		tr.Handle(now.Add(time.Hour+time.Duration(i)*100*time.Millisecond), gooseberrypass.Tick{})
+	}
+	if got := working(tr); got != 0 {
+		t.Errorf("after real silence: got %d members that take work, want 0", got)
+	}
+}
+
+// Polls stay within the budget though every agent publishes a new load each
+// second, as often as agents do, and none holds such changes back.
+func TestPollBudget(t *testing.T) {
+	const seconds, pollBytes, budget = 60, 700, 5 << 10
+	follow(t, agentCount, func(p *platform, _ *tracker.Tracker) {
+		for range seconds {
+			for _, a := range p.agents {
+				a.set(func(a *fakeAgent) { a.status.Load.Running++ })
+			}
+			time.Sleep(time.Second)
+		}
+		polls := 0
+		for _, a := range p.agents {
+			a.set(func(a *fakeAgent) { polls += a.polls })
+		}
+		t.Logf("%d B/s of status polls", polls*pollBytes/seconds)
+		if got := polls * pollBytes / seconds; got > budget {
+			t.Errorf("got %d B/s of status polls, want at most %d", got, budget)
+		}
+	})
+}
+
+// An entry's subset does not grow with the fleet, and no agent is left out.
+func TestSubset(t *testing.T) {
+	listed := capacityListing(1000).Instances
+	followers := map[gooseberrypass.ID]int{}
+	most := 0
+	for _, l := range listed {
+		if l.Role != gooseberrypass.RoleEntry {
+			continue
+		}
+		ids := tracker.SelectSubset(l, 12)(listed)
+		most = max(most, len(ids))
+		for _, id := range ids {
+			followers[id]++
+		}
+	}
+	if most > 4*12+40 {
+		t.Errorf("got %d agents followed by one entry, want at most %d", most, 4*12+40)
+	}
+	for _, l := range listed {
+		if l.Role == gooseberrypass.RoleAgent && followers[l.ID] < 2 {
+			t.Errorf("got %d followers of %s, want 2 or more", followers[l.ID], l.ID)
+		}
+	}
+}
