--- a/tracker/pacing.go
+++ b/tracker/pacing.go
@@ -18,7 +18,7 @@
 const (
 	listPollLimit   = 5 * time.Second
 	maxListPause    = 5 * time.Minute
-	maxPause        = 2500 * time.Millisecond
+	maxPause        = 2800 * time.Millisecond
 	maxWait         = 20 * time.Second
 	minListPause    = time.Second
 	minPause        = 50 * time.Millisecond
@@ -52,7 +52,7 @@
 // an agent that leaves is heard of within its bound; the agent itself holds
 // back changes of its load.
 func (p pacing) pause() time.Duration {
-	return min(max(p.load*3/5, minPause), maxPause)
+	return min(max(p.load*2/3, minPause), maxPause)
 }
 
 // silence is how long a followed agent may go unheard.
