--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "endpoint")
 	}
-	counts, err := newMetrics(d.Registerer)
+	counts, err := newMetrics(d.Registerer, reg)
 	if err != nil {
 		return nil, errors.Wrap(err, "attempts")
 	}
--- a/attempter/export_test.go
+++ b/attempter/export_test.go
@@ -33,7 +33,7 @@
 func (r *Registry) Finish(id string, notRun bool) { r.registry.finish(r.attempts[id], notRun) }
 
 // Len returns the number of attempts known.
-func (r *Registry) Len() int { return r.registry.len() }
+func (r *Registry) Len() int { return r.registry.known() }
 
 // Refuse reports whether the attempt is refused for good.
 func (r *Registry) Refuse(id string) bool { return r.registry.refuse(id) == phaseRefused }
--- a/attempter/metrics.go
+++ b/attempter/metrics.go
@@ -9,7 +9,7 @@
 	strays     prometheus.Counter
 }
 
-func newMetrics(registerer prometheus.Registerer) (*metrics, error) {
+func newMetrics(registerer prometheus.Registerer, reg *registry) (*metrics, error) {
 	m := &metrics{
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberrypass_attempts_total",
@@ -29,7 +29,11 @@
 			Help: "Tokens passed over for belonging to another stream or coming twice.",
 		}),
 	}
-	for _, c := range []prometheus.Collector{m.attempts, m.firstToken, m.moves, m.strays} {
+	known := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "gooseberrypass_attempts_known",
+		Help: "Attempts in progress or remembered.",
+	}, func() float64 { return float64(reg.known()) })
+	for _, c := range []prometheus.Collector{m.attempts, m.firstToken, known, m.moves, m.strays} {
 		if err := registerer.Register(c); err != nil {
 			return nil, err
 		}
--- a/attempter/registry.go
+++ b/attempter/registry.go
@@ -145,7 +145,14 @@
 	g.remember(k, a.life, notRun || a.phase != phaseStarted)
 }
 
-// len returns the number of attempts known.
+// known returns the number of attempts in progress or remembered.
+func (g *registry) known() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.len()
+}
+
+// len is known for callers that hold the lock.
 func (g *registry) len() int { return len(g.active) + len(g.ended) }
 
 // phaseOf returns how far an attempt is.
