Order a load only after admission was seen to be stopped

Cause: the loader could give the order in the same step in which it stopped the admission of requests to the version before, so the count of requests in progress was read before the stop could be seen, and an answer in progress could be lost to the reload (none could be mixed: every token's digest is checked). Found by reading.

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -279,8 +279,9 @@
 }
 
 // mayLeave stops the admission of requests to the version before, once this
-// instance's wave has come. An instance that serves no version of the model has
-// nothing to leave.
+// instance's wave has come, and reports whether it had been stopped before: only
+// then do the requests in progress count all that were admitted. An instance
+// that serves no version of the model has nothing to leave.
 func (l *Loader) mayLeave(now time.Time, t *target) bool {
 	if !t.leavingAt.IsZero() {
 		return true
@@ -295,7 +296,7 @@
 		}
 	}
 	t.leavingAt = now
-	return true
+	return !l.view.servesAny(t.model.ID())
 }
 
 // peers returns the other instances of the pool.
