Run the main job and its failures over separate processes

Fakes at the interfaces cannot show that the parts fit.

Addresses follow from the process's id and the test's name in 127.0.0.0/8, since settings need them before the process starts; a free port asked of the kernel can be taken by another before that. Children die with the test process and are killed by id.

--- /dev/null
+++ b/commander/deployment_test.go
@@ -0,0 +1,527 @@
+package commander_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/connector"
+	"github.com/gooseberrypass/gooseberrypass/emulator"
+)
+
+const (
+	awaitLimit  = time.Minute // of each wait for a state
+	chunkSize   = 256 << 10   // bytes
+	pollPeriod  = 20 * time.Millisecond
+	weightsSize = 4 << 20 // bytes
+)
+
+// A child is one process of a deployment.
+type child struct {
+	args   []string
+	cmd    *exec.Cmd
+	ended  chan struct{} // closed when the process has ended
+	name   string
+	url    string // of a stand-in, or of an agent or entry for other processes
+	caller string // URL of an entry for callers
+}
+
+// signal sends a signal to the process by its id.
+func (c *child) signal(t *testing.T, s os.Signal) {
+	t.Helper()
+	if err := c.cmd.Process.Signal(s); err != nil {
+		t.Fatalf("signal %s: %v", c.name, err)
+	}
+}
+
+// awaitEnd waits until the process has ended and returns its exit status.
+func (c *child) awaitEnd(t *testing.T) int {
+	t.Helper()
+	await(t, c.name+" to end", func() error {
+		select {
+		case <-c.ended:
+			return nil
+		default:
+			return errors.New("still runs")
+		}
+	})
+	return c.cmd.ProcessState.ExitCode()
+}
+
+// await polls until condition returns nil.
+func await(t *testing.T, what string, condition func() error) {
+	t.Helper()
+	err := errors.New("never tried")
+	for deadline := time.Now().Add(awaitLimit); time.Now().Before(deadline); time.Sleep(pollPeriod) {
+		if err = condition(); err == nil {
+			return
+		}
+	}
+	t.Fatalf("waited %s for %s: %v", awaitLimit, what, err)
+}
+
+// A deployment is the whole system as separate processes on loopback
+// addresses of its own, on stand-ins of the platform.
+type deployment struct {
+	agents  []*child // those of the engines, then that of the service
+	client  *http.Client
+	dir     string
+	engines []*child
+	entries []*child
+	folder  string
+	list    *child
+	log     *child
+	origin  *child
+	port    int
+	program string
+	service *child
+	t       *testing.T // of the whole test, whose end ends the processes
+}
+
+// newDeployment builds the program and starts a log, an origin, a list, a
+// plain service, an engine for each of engineArgs, an agent for each endpoint
+// and two entries.
+func newDeployment(t *testing.T, engineArgs ...[]string) *deployment {
+	t.Helper()
+	d := &deployment{
+		client: &http.Client{Transport: &http.Transport{}, Timeout: awaitLimit},
+		dir:    t.TempDir(),
+		port:   20000,
+		t:      t,
+	}
+	t.Cleanup(d.client.CloseIdleConnections)
+	d.program = filepath.Join(d.dir, "gooseberrypass")
+	build := exec.Command("go", "build", "-o", d.program, "../cmd/gooseberrypass")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	d.write(t, "key", "shared secret")
+	d.log = d.startStandIn(t, "log", "--append-rate", "300")
+	d.origin = d.startStandIn(t, "origin")
+	d.list = d.startStandIn(t, "list", "--lag", "200ms")
+	d.service = d.startStandIn(t, "service")
+	for _, args := range engineArgs {
+		d.engines = append(d.engines, d.startStandIn(t, "engine", append([]string{"--load-lag", "0s"}, args...)...))
+	}
+	for i, engine := range d.engines {
+		d.agents = append(d.agents, d.startAgent(t, fmt.Sprintf("writer-%d", i), "pool = writers\nengine = "+engine.url))
+	}
+	d.agents = append(d.agents, d.startAgent(t, "licences", "pool = licences\nservice = "+d.service.url))
+	for i := range 2 {
+		d.entries = append(d.entries, d.startEntry(t, fmt.Sprintf("entry-%d", i)))
+	}
+	d.writeFolder(t)
+	return d
+}
+
+func (d *deployment) write(t *testing.T, name, body string) string {
+	t.Helper()
+	path := filepath.Join(d.dir, name)
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, []byte(body), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// newAddress returns an address that nothing else uses: an IP number of
+// 127.0.0.0/8 that follows from this process's id and the test's name, and a port
+// of its own below those that the kernel gives out.
+func (d *deployment) newAddress() string {
+	d.port++
+	name := xxhash.Sum64String(d.t.Name())
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+os.Getpid()&0x7f, name>>8&0xff, 1+name&0x7f, d.port)
+}
+
+// start starts the program. Whatever becomes of the test, it is ended by its id.
+func (d *deployment) start(t *testing.T, name string, stdout io.Writer, args ...string) *child {
+	t.Helper()
+	c := &child{args: args, cmd: exec.Command(d.program, args...), ended: make(chan struct{}), name: name}
+	logPath := filepath.Join(d.dir, fmt.Sprintf("%s-%d.log", name, time.Now().UnixNano()))
+	logFile, err := os.Create(logPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.cmd.Stderr, c.cmd.Stdout = logFile, stdout
+	c.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := c.cmd.Start(); err != nil {
+		t.Fatalf("start %s: %v", name, err)
+	}
+	go func() {
+		defer close(c.ended)
+		_ = c.cmd.Wait()
+		_ = logFile.Close()
+	}()
+	d.t.Cleanup(func() {
+		_ = c.cmd.Process.Kill() // ends a stopped process too
+		<-c.ended
+		if d.t.Failed() {
+			text, _ := os.ReadFile(logPath)
+			d.t.Logf("%s:\n%s", name, text[max(0, len(text)-4096):])
+		}
+	})
+	return c
+}
+
+func (d *deployment) startStandIn(t *testing.T, kind string, args ...string) *child {
+	t.Helper()
+	reader, writer := io.Pipe()
+	c := d.start(t, kind, writer, append([]string{"emulator", kind}, args...)...)
+	line, err := bufio.NewReader(reader).ReadString('\n')
+	address, ok := strings.CutPrefix(strings.TrimSpace(line), "listening ")
+	if err != nil || !ok {
+		t.Fatalf("%s: got %q and error %v, want its address", kind, line, err)
+	}
+	c.url = "http://" + address
+	return c
+}
+
+func (d *deployment) settings(t *testing.T, name, address, section string) string {
+	t.Helper()
+	return d.write(t, name+".ini", fmt.Sprintf(`[process]
+instance = %s
+region = centro
+failure-domain = centro
+listen = %s
+shared-key-file = key
+[platform]
+log = %s
+instance-list = %s
+origin = %s
+%s
+`, name, address, d.log.url, d.list.url, d.origin.url, section))
+}
+
+func (d *deployment) startAgent(t *testing.T, name, keys string) *child {
+	t.Helper()
+	address := d.newAddress()
+	path := d.settings(t, name, address, "[agent]\n"+keys)
+	pool := strings.Fields(keys)[2]
+	c := d.start(t, name, nil, "agent", "--settings", path)
+	c.url = "http://" + address
+	d.enlist(t, gooseberrypass.ListedInstance{
+		Address: address, FailureDomain: "centro", ID: gooseberrypass.ID(name),
+		Pool: gooseberrypass.Pool(pool), Region: "centro", Role: gooseberrypass.RoleAgent, State: gooseberrypass.ListedLive,
+	})
+	return c
+}
+
+func (d *deployment) startEntry(t *testing.T, name string) *child {
+	t.Helper()
+	address, callers := d.newAddress(), d.newAddress()
+	path := d.settings(t, name, address, "[entry]\ncallers-listen = "+callers)
+	c := d.start(t, name, nil, "entry", "--settings", path)
+	c.url, c.caller = "http://"+address, "http://"+callers
+	d.enlist(t, gooseberrypass.ListedInstance{
+		Address: address, FailureDomain: "centro", ID: gooseberrypass.ID(name),
+		Region: "centro", Role: gooseberrypass.RoleEntry, State: gooseberrypass.ListedLive,
+	})
+	return c
+}
+
+// restart starts a process anew that has ended, with the same settings.
+func (d *deployment) restart(t *testing.T, c *child) *child {
+	t.Helper()
+	n := d.start(t, c.name, nil, c.args...)
+	n.url, n.caller = c.url, c.caller
+	return n
+}
+
+func (d *deployment) enlist(t *testing.T, row gooseberrypass.ListedInstance) {
+	t.Helper()
+	body, err := json.Marshal(row)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.put(t, d.list.url+"/instances/"+string(row.ID), body)
+}
+
+func (d *deployment) put(t *testing.T, url string, body []byte) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := d.client.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		t.Fatalf("PUT %s: status %d", url, resp.StatusCode)
+	}
+}
+
+// setFaults switches the faults of a stand-in.
+func (d *deployment) setFaults(t *testing.T, c *child, faults emulator.Faults) {
+	t.Helper()
+	body, err := json.Marshal(faults)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.put(t, c.url+"/faults", body)
+}
+
+// putVersion gives the origin the weights that a seed makes and returns their
+// manifest's digest.
+func (d *deployment) putVersion(t *testing.T, version string, seed uint64) gooseberrypass.Digest {
+	t.Helper()
+	weights := emulator.MakeWeights(seed, weightsSize)
+	manifest, err := emulator.MakeManifest("jingle-writer", version, gooseberrypass.Digest{}, weights, chunkSize)
+	if err != nil {
+		t.Fatal(err)
+	}
+	url := d.origin.url + "/models/jingle-writer/versions/" + version
+	d.put(t, url+"/weights", weights)
+	d.put(t, url+"/manifest", manifest.Encoded())
+	return manifest.Digest()
+}
+
+func (d *deployment) writeFolder(t *testing.T) {
+	t.Helper()
+	d.folder = filepath.Join(d.dir, "folder")
+	d.write(t, "folder/10-system.ini", "[system]\norigin-region = centro\n")
+	d.write(t, "folder/30-services.ini", `[service licensing]
+pool = licences
+repeatable-calls = lookup
+unrepeatable-calls = charge
+`)
+	d.write(t, "folder/40-accounts.ini", "[client-account radio-norte]\ninventory-name = ACC-0001\n")
+}
+
+// publish writes the model's version to the folder and publishes it.
+func (d *deployment) publish(t *testing.T, version, keys string) {
+	t.Helper()
+	d.write(t, "folder/20-models.ini", fmt.Sprintf(`[model jingle-writer]
+inventory-name = MDL-0042
+path-name = /fonoteca/scripts/jingle-writer
+pool = writers
+version = %s
+%s
+`, version, keys))
+	cmd := exec.CommandContext(t.Context(), d.program, "publish", d.folder,
+		"--log", d.log.url, "--origin", d.origin.url, "--shared-key-file", filepath.Join(d.dir, "key"))
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("publish: %v\n%s", err, out)
+	}
+}
+
+// state returns the state of the i-th engine.
+func (d *deployment) state(t *testing.T, i int) (gooseberrypass.EngineState, error) {
+	t.Helper()
+	return connector.NewEngine(d.client, d.engines[i].url).State(t.Context())
+}
+
+// awaitEngine waits until the i-th engine serves a version and nothing else.
+func (d *deployment) awaitEngine(t *testing.T, i int, digest gooseberrypass.Digest) {
+	t.Helper()
+	await(t, fmt.Sprintf("engine %d to load %s", i, digest.Short()), func() error {
+		state, err := d.state(t, i)
+		if err != nil {
+			return err
+		}
+		if len(state.Loaded) != 1 || state.Loaded[0].Digest != digest {
+			return errors.Errorf("loaded %+v", state.Loaded)
+		}
+		return nil
+	})
+}
+
+// awaitLoaded waits until every engine serves a version and nothing else.
+func (d *deployment) awaitLoaded(t *testing.T, digest gooseberrypass.Digest) {
+	t.Helper()
+	for i := range d.engines {
+		d.awaitEngine(t, i, digest)
+	}
+}
+
+// running returns the index of the one engine that runs a request.
+func (d *deployment) running(t *testing.T) int {
+	t.Helper()
+	found := -1
+	await(t, "an engine to run the request", func() error {
+		for i := range d.engines {
+			if state, err := d.state(t, i); err == nil && state.Load.Running > 0 {
+				found = i
+				return nil
+			}
+		}
+		return errors.New("none does")
+	})
+	return found
+}
+
+// runs returns the runs that the plain service counted of a key.
+func (d *deployment) runs(t *testing.T, key string) int {
+	t.Helper()
+	resp, err := d.client.Get(d.service.url + "/runs?key=" + key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var runs []emulator.Run
+	if err := json.NewDecoder(resp.Body).Decode(&runs); err != nil {
+		t.Fatal(err)
+	}
+	return len(runs)
+}
+
+// A reply is what a caller reads. Failures have a reason.
+type reply struct {
+	Body    []byte `json:"body"`
+	Detail  string `json:"detail"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+	Text    string `json:"text"`
+	Weights string `json:"weights"`
+}
+
+// post sends a caller's request to an entry.
+func (d *deployment) post(ctx context.Context, entry *child, path, key string, body []byte) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, entry.caller+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Client-Account", "radio-norte")
+	r.Header.Set("Content-Type", "application/json")
+	if strings.HasPrefix(path, "/v1/services/") {
+		r.Header.Set("Content-Type", "application/octet-stream")
+	}
+	if key != "" {
+		r.Header["Idempotency-Key"] = []string{key}
+	}
+	return d.client.Do(r)
+}
+
+func (d *deployment) reply(ctx context.Context, entry *child, path, key string, body []byte) (reply, error) {
+	resp, err := d.post(ctx, entry, path, key, body)
+	if err != nil {
+		return reply{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer reply
+	err = json.NewDecoder(resp.Body).Decode(&answer)
+	return answer, errors.Wrapf(err, "status %d", resp.StatusCode)
+}
+
+func generateBody(model, prompt string, n int, stream bool) []byte {
+	body, _ := json.Marshal(map[string]any{"max_tokens": n, "model": model, "prompt": prompt, "stream": stream})
+	return body
+}
+
+// generate asks for a whole answer.
+func (d *deployment) generate(ctx context.Context, entry *child, model, prompt string, n int) (reply, error) {
+	return d.reply(ctx, entry, "/v1/generate", "", generateBody(model, prompt, n, false))
+}
+
+// call calls the licensing service.
+func (d *deployment) call(ctx context.Context, entry *child, call, key string) (reply, error) {
+	return d.reply(ctx, entry, "/v1/services/licensing/calls/"+call, key, []byte("grant"))
+}
+
+func newKey(t *testing.T) string {
+	t.Helper()
+	key, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key.String()
+}
+
+// whole returns why an answer is not the whole text of one of the versions.
+func (r reply) whole(prompt string, n int, versions ...gooseberrypass.Digest) error {
+	if r.Outcome != "answered" {
+		return errors.Errorf("%s (%s): %s", r.Outcome, r.Reason, r.Detail)
+	}
+	for _, digest := range versions {
+		if r.Weights == digest.String() && r.Text == emulator.Text(digest, prompt, n) {
+			return nil
+		}
+	}
+	return errors.Errorf("text %q of %s is not whole", r.Text, r.Weights)
+}
+
+// awaitAnswer waits until an entry gives a whole answer of a version.
+func (d *deployment) awaitAnswer(t *testing.T, entry *child, model string, digest gooseberrypass.Digest) {
+	t.Helper()
+	await(t, entry.name+" to answer for "+model, func() error {
+		answer, err := d.generate(t.Context(), entry, model, "noon", 8)
+		if err != nil {
+			return err
+		}
+		return answer.whole("noon", 8, digest)
+	})
+}
+
+// A tokenStream reads a streamed answer as server-sent events.
+type tokenStream struct {
+	events *bufio.Scanner
+	reply  reply
+}
+
+// openStream asks for a streamed answer and reads its first piece.
+func (d *deployment) openStream(t *testing.T, entry *child, prompt string, n int) *tokenStream {
+	t.Helper()
+	resp, err := d.post(t.Context(), entry, "/v1/generate", "", generateBody("jingle-writer", prompt, n, true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.t.Cleanup(func() { _ = resp.Body.Close() })
+	s := &tokenStream{events: bufio.NewScanner(resp.Body)}
+	for s.reply.Text == "" {
+		if event := s.next(t); event != "start" && event != "piece" {
+			t.Fatalf("got event %q before the first piece: %+v", event, s.reply)
+		}
+	}
+	return s
+}
+
+// next reads one event and returns its name, "" at the end.
+func (s *tokenStream) next(t *testing.T) string {
+	t.Helper()
+	name := ""
+	for s.events.Scan() {
+		line := s.events.Text()
+		if event, ok := strings.CutPrefix(line, "event: "); ok {
+			name = event
+		}
+		if data, ok := strings.CutPrefix(line, "data: "); ok {
+			text := s.reply.Text
+			s.reply.Text = ""
+			if err := json.Unmarshal([]byte(data), &s.reply); err != nil {
+				t.Fatalf("event %s: %v", name, err)
+			}
+			s.reply.Text = text + s.reply.Text
+			return name
+		}
+	}
+	return ""
+}
+
+// rest reads the stream to its end and returns its last event.
+func (s *tokenStream) rest(t *testing.T) string {
+	t.Helper()
+	last := ""
+	for event := s.next(t); event != ""; event = s.next(t) {
+		last = event
+	}
+	return last
+}
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -83,6 +83,7 @@
 	mux.HandleFunc("DELETE /attempts/{id}", e.deleteAttempt)
 	mux.HandleFunc("GET /attempts/{id}/kv", e.getKV)
 	mux.HandleFunc("GET /cache-events", e.getCacheEvents)
+	mux.HandleFunc("GET /crashes", e.getCrashes)
 	mux.HandleFunc("GET /state", e.getState)
 	mux.HandleFunc("POST /generate", e.generate)
 	mux.HandleFunc("POST /orders", e.postOrder)
@@ -135,6 +136,14 @@
 	return e.boots - 1
 }
 
+type crashesDocument struct {
+	Crashes int `json:"crashes"`
+}
+
+func (e *Engine) getCrashes(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, crashesDocument{Crashes: e.Crashes()})
+}
+
 // LoadError returns why the last load failed, nil if it did not.
 func (e *Engine) LoadError() error {
 	e.mu.Lock()
