--- /dev/null
+++ b/keeper/handler_test.go
@@ -0,0 +1,142 @@
+package keeper_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/keeper"
+)
+
+func newHandler(t *testing.T, k *keeper.Keeper, rate int64, pressure keeper.Pressure) (*keeper.Handler, *http.ServeMux) {
+	t.Helper()
+	h, err := keeper.NewHandler(k, keeper.NewPacer(func() int64 { return rate }, pressure), prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(keeper.Pattern, h)
+	mux.Handle(keeper.WeightsPattern, keeper.NewWeightsHandler(k))
+	return h, mux
+}
+
+func get(mux *http.ServeMux, path string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, http.NoBody))
+	return w
+}
+
+func TestHandlerStatuses(t *testing.T) {
+	held, wanted, other := []byte("held"), gooseberrypass.DigestOf([]byte("wanted")), gooseberrypass.DigestOf([]byte("other"))
+	k := keeper.New(100)
+	k.Pin(map[gooseberrypass.Digest]struct{}{wanted: {}})
+	if err := k.Put(gooseberrypass.DigestOf(held), held); err != nil {
+		t.Fatal(err)
+	}
+	h, mux := newHandler(t, k, 0, nil)
+	heldPath := "/chunks/" + gooseberrypass.DigestOf(held).String()
+	tests := []struct {
+		name, path string
+		status     int
+		state      string
+	}{
+		{"held", heldPath, http.StatusOK, ""},
+		{"wanted", "/chunks/" + wanted.String(), http.StatusServiceUnavailable, keeper.StatePending},
+		{"wanted, with a wait", "/chunks/" + wanted.String() + "?wait=1ms", http.StatusServiceUnavailable, keeper.StatePending},
+		{"neither", "/chunks/" + other.String(), http.StatusNotFound, ""},
+		{"bad digest", "/chunks/x", http.StatusBadRequest, ""},
+		{"bad wait", heldPath + "?wait=soon", http.StatusBadRequest, ""},
+		{"weights not whole", "/weights/" + wanted.String(), http.StatusNotFound, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := get(mux, tt.path)
+			if got.Code != tt.status || got.Header().Get(keeper.StateHeader) != tt.state {
+				t.Errorf("got %d %q, want %d %q", got.Code, got.Header().Get(keeper.StateHeader), tt.status, tt.state)
+			}
+			if tt.status == http.StatusServiceUnavailable && got.Header().Get("Retry-After") == "" {
+				t.Error("got no Retry-After")
+			}
+		})
+	}
+	if err := h.Stop(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got := get(mux, heldPath).Code; got != http.StatusServiceUnavailable {
+		t.Errorf("got %d after the stop, want %d", got, http.StatusServiceUnavailable)
+	}
+}
+
+type pressure float64
+
+func (p pressure) Pressure() float64 { return float64(p) }
+
+// TestPacingYieldsToLiveRequests sends 1 MiB at 256 KiB/s on a fake clock.
+func TestPacingYieldsToLiveRequests(t *testing.T) {
+	body := make([]byte, 1<<20)
+	tests := []struct {
+		name     string
+		pressure keeper.Pressure
+		least    time.Duration
+		most     time.Duration
+	}{
+		{"none", nil, 3500 * time.Millisecond, 4 * time.Second},
+		{"half", pressure(0.5), 7 * time.Second, 8 * time.Second},
+		{"full", pressure(1), 35 * time.Second, 40 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := keeper.NewPacer(func() int64 { return 256 << 10 }, tt.pressure)
+				start := time.Now()
+				if _, err := p.Send(t.Context(), io.Discard, body); err != nil {
+					t.Fatal(err)
+				}
+				if got := time.Since(start); got < tt.least || got > tt.most {
+					t.Errorf("got %s, want %s to %s", got, tt.least, tt.most)
+				}
+			})
+		})
+	}
+}
+
+// TestStopEndsUploadsInProgress stops in the middle of a paced upload, which
+// goes on to its end, while a request that waits for a chunk is let go.
+func TestStopEndsUploadsInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		body := make([]byte, 1<<20)
+		wanted := gooseberrypass.DigestOf([]byte("wanted"))
+		k := keeper.New(2 << 20)
+		k.Pin(map[gooseberrypass.Digest]struct{}{wanted: {}})
+		if err := k.Put(gooseberrypass.DigestOf(body), body); err != nil {
+			t.Fatal(err)
+		}
+		h, mux := newHandler(t, k, 256<<10, nil)
+		upload, wait := make(chan int, 1), make(chan int, 1)
+		go func() { upload <- get(mux, "/chunks/"+gooseberrypass.DigestOf(body).String()).Body.Len() }()
+		go func() { wait <- get(mux, "/chunks/"+wanted.String()+"?wait=1m").Code }()
+		time.Sleep(time.Second)
+
+		short, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := h.Stop(short); err == nil {
+			t.Error("got no error though an upload is in progress")
+		}
+		if got := <-wait; got != http.StatusServiceUnavailable {
+			t.Errorf("got %d for the waiting request, want %d", got, http.StatusServiceUnavailable)
+		}
+		if err := h.Stop(t.Context()); err != nil {
+			t.Error(err)
+		}
+		if got := <-upload; got != len(body) {
+			t.Errorf("got %d bytes of the upload in progress, want %d", got, len(body))
+		}
+	})
+}
--- /dev/null
+++ b/roller/rollout_test.go
@@ -0,0 +1,205 @@
+package roller_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/roller"
+)
+
+const (
+	loadSteps   = 5 // that an engine needs to load
+	maxShare    = 0.2
+	rolloutSeed = 7
+	statusLag   = 3 // steps by which the view of others is old
+	steps       = 400
+)
+
+// A worker is an instance of a rollout played step by step.
+type worker struct {
+	domain  gooseberrypass.FailureDomain
+	id      gooseberrypass.ID
+	loading int // steps left
+	newer   bool
+}
+
+func (w *worker) serving() bool { return w.loading == 0 }
+
+// rollout plays a rollout over domains and returns the least share of a failure
+// domain in service, and whether everyone has the version. Each instance sees
+// the others as they were up to statusLag steps ago.
+func rollout(domains []int, share float64, seed uint64, decide func(self gooseberrypass.ID, view []roller.Candidate) bool) (float64, bool) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	var workers []*worker
+	for d, n := range domains {
+		for range n {
+			workers = append(workers, &worker{
+				domain: gooseberrypass.FailureDomain(strconv.Itoa(d)), id: gooseberrypass.ID("i" + strconv.Itoa(len(workers))),
+			})
+		}
+	}
+	var history [][]roller.Candidate
+	least := 1.0
+	for range steps {
+		now := make([]roller.Candidate, 0, len(workers))
+		for _, w := range workers {
+			now = append(now, roller.Candidate{FailureDomain: w.domain, Finished: w.newer, ID: w.id, Serving: w.serving()})
+		}
+		history = append(history, now)
+		for i, w := range workers {
+			if w.loading > 0 {
+				w.loading--
+				w.newer = w.loading == 0
+				continue
+			}
+			view := append([]roller.Candidate(nil), history[max(0, len(history)-1-rng.IntN(statusLag+1))]...)
+			view[i] = now[i]
+			if !w.newer && decide(w.id, view) {
+				w.loading = loadSteps
+			}
+		}
+		least = min(least, leastServing(workers, len(domains)))
+	}
+	for _, w := range workers {
+		if !w.newer {
+			return least, false
+		}
+	}
+	return least, true
+}
+
+func leastServing(workers []*worker, domains int) float64 {
+	serving, all := make([]float64, domains), make([]float64, domains)
+	for _, w := range workers {
+		d, _ := strconv.Atoi(string(w.domain))
+		all[d]++
+		if w.serving() {
+			serving[d]++
+		}
+	}
+	least := 1.0
+	for d := range all {
+		if all[d] > 1 {
+			least = min(least, serving[d]/all[d])
+		}
+	}
+	return least
+}
+
+// TestWavesKeepTheFloor compares waves with a rollout where everyone goes as
+// soon as it can, with views of each other that are old.
+func TestWavesKeepTheFloor(t *testing.T) {
+	digest := gooseberrypass.DigestOf([]byte("v2"))
+	domains := []int{5, 5, 5}
+	least, done := rollout(domains, maxShare, rolloutSeed, func(self gooseberrypass.ID, view []roller.Candidate) bool {
+		return roller.Allowed(self, digest, view, maxShare)
+	})
+	naive, _ := rollout(domains, 1, rolloutSeed, func(gooseberrypass.ID, []roller.Candidate) bool { return true })
+	if !done || least < 1-maxShare {
+		t.Errorf("got finished %v, least share in service %.2f, want true and %.2f", done, least, 1-maxShare)
+	}
+	if naive > 0 {
+		t.Errorf("got %.2f in service when all go at once, want 0", naive)
+	}
+}
+
+func TestWavesKeepTheFloorInAnyFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains := rapid.SliceOfN(rapid.IntRange(1, 8), 1, 4).Draw(t, "domains")
+		share := rapid.Float64Range(0, 0.9).Draw(t, "share")
+		digest := gooseberrypass.DigestOf([]byte(rapid.String().Draw(t, "version")))
+		least, done := rollout(domains, share, rapid.Uint64().Draw(t, "seed"), func(self gooseberrypass.ID, view []roller.Candidate) bool {
+			return roller.Allowed(self, digest, view, share)
+		})
+		if !done {
+			t.Fatal("the rollout did not finish")
+		}
+		floor := 1.0
+		for _, n := range domains {
+			if n > 1 {
+				floor = min(floor, 1-float64(max(1, int(share*float64(n))))/float64(n))
+			}
+		}
+		if least < floor-1e-9 {
+			t.Fatalf("got %.2f of a failure domain in service, want at least %.2f", least, floor)
+		}
+	})
+}
+
+func TestSingleInstancesGoOneAfterAnother(t *testing.T) {
+	digest := gooseberrypass.DigestOf([]byte("v2"))
+	var view []roller.Candidate
+	for i := range 3 {
+		name := strconv.Itoa(i)
+		view = append(view, roller.Candidate{FailureDomain: gooseberrypass.FailureDomain(name), ID: gooseberrypass.ID(name), Serving: true})
+	}
+	for left := range len(view) {
+		var allowed []int
+		for i, c := range view {
+			if !c.Finished && roller.Allowed(c.ID, digest, view, maxShare) {
+				allowed = append(allowed, i)
+			}
+		}
+		if len(allowed) != 1 {
+			t.Fatalf("got %d instances allowed after %d, want 1", len(allowed), left)
+		}
+		view[allowed[0]].Finished = true
+	}
+	if !roller.Allowed("0", digest, view[:1], maxShare) {
+		t.Error("got a lone instance refused, want it allowed")
+	}
+}
+
+func member(id gooseberrypass.ID, change func(m *gooseberrypass.Member)) gooseberrypass.Member {
+	m := gooseberrypass.Member{
+		Listed: gooseberrypass.ListedInstance{ID: id, State: gooseberrypass.ListedLive},
+		Status: &gooseberrypass.AgentStatus{EndpointUp: true, Loaded: []gooseberrypass.LoadedVersion{{Model: "m"}}},
+	}
+	change(&m)
+	return m
+}
+
+func TestWatcherPassesOverTheDeadAndTheStuck(t *testing.T) {
+	digest := gooseberrypass.DigestOf([]byte("v2"))
+	target := func(phase gooseberrypass.Phase) []gooseberrypass.TargetStatus {
+		return []gooseberrypass.TargetStatus{{Digest: digest, Model: "m", Phase: phase}}
+	}
+	members := []gooseberrypass.Member{
+		member("silent", func(m *gooseberrypass.Member) { m.Silent = true }),
+		member("leaving", func(m *gooseberrypass.Member) { m.Status.Leaving = true }),
+		member("down", func(m *gooseberrypass.Member) { m.Status.EndpointUp = false }),
+		member("crashed-by-it", func(m *gooseberrypass.Member) {
+			m.Status.EndpointUp, m.Status.Loaded, m.Status.Targets = false, nil, target(gooseberrypass.PhaseFailed)
+		}),
+		member("stuck", func(m *gooseberrypass.Member) { m.Status.Targets = target(gooseberrypass.PhaseFetching) }),
+		member("waiting", func(m *gooseberrypass.Member) { m.Status.Targets = target(gooseberrypass.PhaseWaiting) }),
+		member("failed-in-service", func(m *gooseberrypass.Member) { m.Status.Targets = target(gooseberrypass.PhaseFailed) }),
+	}
+	now := time.Unix(1_800_000_000, 0)
+	w := roller.NewWatcher(time.Minute)
+	w.Candidates(now, members, "m", digest)
+	got := w.Candidates(now.Add(2*time.Minute), members, "m", digest)
+	want := []roller.Candidate{
+		{ID: "crashed-by-it"},
+		{ID: "stuck", PassedOver: true, Serving: true},
+		{ID: "waiting", Serving: true},
+		{ID: "failed-in-service", PassedOver: true, Serving: true},
+	}
+	if len(got) != len(want) {
+		t.Fatalf("got %+v, want %+v", got, want)
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Errorf("got %+v, want %+v", got[i], want[i])
+		}
+	}
+	self := append(got[:1:1], roller.Candidate{ID: "self", Serving: true})
+	if roller.Allowed("self", digest, self, maxShare) {
+		t.Error("got a version that crashed an engine allowed on the next one, want it held")
+	}
+}
