Back off from a version that crashes its engine

An engine that started anew during a load got the order again at once, so a version that crashes it would have kept it down. That now counts as a failed order. A refused order returns the version before to service until the next try; the phase is loading as long as requests are held off; one failed reading of the engine's state changes nothing; a version that does not fit in the chunk memory says so and goes on when the limit is raised.

--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -142,6 +142,7 @@
 		}
 		f.config = e.Config
 		f.keeper.SetLimit(e.Config.System().ChunkMemory())
+		f.planner.Activate()
 		f.planner.SetCopies(e.Config.System().OriginBudget())
 		f.setRanking(now)
 	case gooseberrypass.MembersChanged:
--- a/fetcher/planner.go
+++ b/fetcher/planner.go
@@ -131,7 +131,7 @@
 	for _, w := range wants {
 		p.versions = append(p.versions, p.newVersion(w, old))
 	}
-	p.activate()
+	p.Activate()
 	for id, f := range p.flights {
 		if _, ok := p.items[f.item.Digest]; !ok {
 			p.cancels = append(p.cancels, id)
@@ -203,30 +203,26 @@
 	return it
 }
 
-// activate lets the versions go ahead that fit in memory together.
-func (p *Planner) activate() {
+// Activate lets the versions go ahead that fit in memory together. It is to be
+// called when the limit has changed.
+func (p *Planner) Activate() {
 	p.pins = nil
 	counted := map[gooseberrypass.Digest]struct{}{}
 	var bytes int64
-	for i, v := range p.versions {
-		v.active = true
+	for _, v := range p.versions {
+		v.active, v.noRoom = true, ""
 		if v.manifest == nil {
 			continue
 		}
-		need := int64(len(v.manifest.Encoded()))
-		for _, it := range v.items[1:] {
-			if _, ok := counted[it.Digest]; !ok {
-				need += it.Size
-			}
+		alone, beside := v.need(counted)
+		v.active = bytes+beside <= p.holder.Limit()
+		if alone > p.holder.Limit() {
+			v.noRoom = fmt.Sprintf("the version needs %d bytes of chunk memory, the limit is %d", alone, p.holder.Limit())
 		}
-		v.active = bytes+need <= p.holder.Limit()
 		if !v.active {
-			if need > p.holder.Limit() && i == 0 {
-				v.err = fmt.Sprintf("version needs %d bytes of chunk memory, the limit is %d", need, p.holder.Limit())
-			}
 			continue
 		}
-		bytes += need
+		bytes += beside
 		for _, it := range v.items[1:] {
 			counted[it.Digest] = struct{}{}
 		}
@@ -526,7 +522,7 @@
 func (p *Planner) arrived(v *version, it *item) {
 	if it.Manifest && v.want.Digest == it.Digest && v.manifest == nil {
 		p.open(v, nil)
-		p.activate()
+		p.Activate()
 		return
 	}
 	if v.manifest == nil || it.Manifest {
--- a/fetcher/version.go
+++ b/fetcher/version.go
@@ -1,6 +1,7 @@
 package fetcher
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/gooseberrypass/gooseberrypass"
@@ -32,12 +33,13 @@
 	first    int     // no item before this index is missing
 	manifest *gooseberrypass.Manifest
 	missing  int
+	noRoom   string // why it does not fit in memory
 	total    int
 	want     Want
 }
 
 func (v *version) progress() Progress {
-	p := Progress{Err: v.err, Manifest: v.manifest}
+	p := Progress{Err: cmp.Or(v.err, v.noRoom), Manifest: v.manifest}
 	if v.manifest != nil {
 		p.Held, p.Total = v.total-v.missing, v.total
 	}
@@ -49,6 +51,20 @@
 	return p
 }
 
+// need returns the bytes of memory that the version needs, alone and beside the
+// items counted already.
+func (v *version) need(counted map[gooseberrypass.Digest]struct{}) (int64, int64) {
+	alone := int64(len(v.manifest.Encoded()))
+	beside := alone
+	for _, it := range v.items[1:] {
+		alone += it.Size
+		if _, ok := counted[it.Digest]; !ok {
+			beside += it.Size
+		}
+	}
+	return alone, beside
+}
+
 // An item is the state of one thing to be fetched. Versions that share a chunk
 // share its item.
 type item struct {
--- a/loader/engineview.go
+++ b/loader/engineview.go
@@ -10,6 +10,7 @@
 // An engineView is what this process knows of its engine.
 type engineView struct {
 	known   bool // the last observation was good
+	seen    bool // an observation was made, good or not
 	settled bool // no order of an earlier process can be under way any more
 	since   time.Time
 	state   gooseberrypass.EngineState
@@ -18,6 +19,7 @@
 // observe takes in an observation. The view is settled once the engine has not
 // changed nor loaded for settleTime, or at once if it refuses old fences.
 func (v *engineView) observe(now time.Time, e gooseberrypass.EngineObserved, fenced bool) {
+	v.seen = true
 	if e.Err != nil {
 		v.known = false
 		return
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -170,7 +170,7 @@
 			t.succeed()
 		case t.orderedAt.IsZero():
 		case t.orderedBoot != l.view.state.BootID:
-			t.orderedAt = time.Time{} // started anew: the order is lost
+			t.fail(now, "the engine started anew while it loaded the version")
 		case !l.view.state.Loading && now.Sub(t.orderedAt) > confirmTime:
 			t.fail(now, "the engine took the order and did not load the version")
 		case now.Sub(t.orderedAt) > loadLimit:
@@ -184,11 +184,15 @@
 	}
 }
 
-// fetch tells the fetcher which versions are wanted and not loaded.
+// fetch tells the fetcher which versions are wanted and not loaded. It waits for
+// the first observation of the engine, which may have them from before.
 func (l *Loader) fetch(now time.Time) []gooseberrypass.Effect {
+	if !l.view.seen {
+		return nil
+	}
 	var wants []fetcher.Want
 	for _, t := range l.targets {
-		if !l.drained() && (!l.view.known || !l.view.serves(t.model.ID(), t.digest())) {
+		if !l.drained() && !l.view.serves(t.model.ID(), t.digest()) {
 			wants = append(wants, t.want())
 		}
 	}
@@ -387,16 +391,16 @@
 	p := l.versions.Progress(t.digest())
 	s := gooseberrypass.TargetStatus{Digest: t.digest(), Held: p.Held, Model: t.model.ID(), Total: p.Total}
 	switch {
-	case l.view.known && l.view.serves(t.model.ID(), t.digest()):
+	case l.view.serves(t.model.ID(), t.digest()):
 		s.Phase = gooseberrypass.PhaseServing
+	case !t.orderedAt.IsZero(), !t.leavingAt.IsZero():
+		s.Phase = gooseberrypass.PhaseLoading
 	case p.Err != "":
 		s.Err, s.Phase = p.Err, gooseberrypass.PhaseFailed
 	case t.mismatch() != "":
 		s.Err, s.Phase = t.mismatch(), gooseberrypass.PhaseFailed
 	case t.err != "":
 		s.Err, s.Phase = t.err, gooseberrypass.PhaseFailed
-	case !t.orderedAt.IsZero(), !t.leavingAt.IsZero():
-		s.Phase = gooseberrypass.PhaseLoading
 	case p.Whole():
 		s.Phase = gooseberrypass.PhaseWaiting
 	default:
--- a/loader/target.go
+++ b/loader/target.go
@@ -83,9 +83,11 @@
 	}
 }
 
+// fail notes why an order failed. The version before, if the engine still has
+// it, is served again until the next try.
 func (t *target) fail(now time.Time, err string) {
 	t.err = err
-	t.orderedAt = time.Time{}
+	t.leavingAt, t.orderedAt = time.Time{}, time.Time{}
 	t.retryAt = now.Add(min(retryBase<<min(t.strikes, maxShift), retryMax))
 	t.strikes++
 }
