Let the others hear of an instance that goes on before it leaves service

Cause: TestOriginBytesChangedUnderName once saw a request refused as not loaded: all three engines of a failure domain were ordered to load at the same second. Others pass over an instance whose version failed or stands still. When the same trouble ends for all at once, each still passes over the others by what it heard before, so all leave together; the rule that no more than the permitted number are out holds only for instances that were never passed over. An instance that was now waits 6 s after its version is whole again. Ruled out: not passing over failed instances, which would stop a rollout at the first of them. TestAllFailTogetherAndRecoverTogether, with a lag of 2 s: 3 of 3 out at once before, 1 after, and all three serve the new version in the end.

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -269,6 +269,7 @@
 	}
 	p := l.versions.Progress(t.digest())
 	t.manifest = p.Manifest
+	t.noteProgress(now, p)
 	if !p.Whole() || t.mismatch() != "" || l.view.state.Loading || !l.baseLoaded(t) || !l.mayLeave(now, t) {
 		return nil
 	}
@@ -291,6 +292,9 @@
 		return true
 	}
 	if l.view.servesAny(t.model.ID()) {
+		if !t.heardOf(now) {
+			return false
+		}
 		candidates := l.watcher.Candidates(now, l.peers(), t.model.ID(), t.digest())
 		candidates = append(candidates, roller.Candidate{
 			FailureDomain: l.self.FailureDomain, ID: l.self.ID, Serving: true,
--- a/loader/target.go
+++ b/loader/target.go
@@ -10,15 +10,28 @@
 	"github.com/gooseberrypass/gooseberrypass/fetcher"
 )
 
+// hearingTime is how long it takes at most until others have heard of a change
+// of phase.
+const hearingTime = 6 * time.Second
+
+// stillLimit is how long the fetching of a version may stand still until this
+// instance takes itself for passed over. It is shorter than stallLimit, by which
+// others judge, since they hear late.
+const stillLimit = stallLimit / 2
+
 // A target is a version that the configuration wants this instance to serve.
 type target struct {
 	base        gooseberrypass.Digest // pinned manifest of the base, zero for a model
-	err         string                // why the last order failed, "" after a good one
+	err         string                // why the last order failed, "" from the next try on
+	held        int                   // chunks, at the last step
 	leavingAt   time.Time             // when requests stopped being admitted, zero if they are
 	manifest    *gooseberrypass.Manifest
 	model       gooseberrypass.Model
+	movedAt     time.Time // when held last changed
 	orderedAt   time.Time // when the engine took the order, zero if it has none
 	orderedBoot string    // the engine's boot id then
+	passedOver  bool      // others may have gone on without this instance
+	readyAt     time.Time // since when the version is whole and may be loaded
 	retryAt     time.Time
 	strikes     int
 }
@@ -92,7 +105,30 @@
 	t.strikes++
 }
 
+// noteProgress follows how far the version is. Others pass over an instance whose
+// version failed or stands still.
+func (t *target) noteProgress(now time.Time, p fetcher.Progress) {
+	if p.Held != t.held || t.movedAt.IsZero() {
+		t.held, t.movedAt = p.Held, now
+	}
+	still := !p.Whole() && now.Sub(t.movedAt) > stillLimit
+	if p.Err != "" || t.err != "" || still {
+		t.passedOver, t.readyAt = true, time.Time{}
+	}
+	if p.Whole() && t.readyAt.IsZero() {
+		t.readyAt = now
+	}
+	t.err = ""
+}
+
+// heardOf reports whether the others can have heard that this instance waits for
+// its wave again. Until then they and it might leave service together.
+func (t *target) heardOf(now time.Time) bool {
+	return !t.passedOver || !t.readyAt.IsZero() && now.Sub(t.readyAt) >= hearingTime
+}
+
 func (t *target) succeed() {
+	t.passedOver, t.readyAt = false, time.Time{}
 	t.err, t.strikes = "", 0
 	t.leavingAt, t.orderedAt, t.retryAt = time.Time{}, time.Time{}, time.Time{}
 }
