--- a/parser/file.go
+++ b/parser/file.go
@@ -111,6 +111,9 @@
 		r.find(n, "", fault)
 		return
 	}
+	if text := strings.TrimSpace(line); text == "" || text[0] == '#' || text[0] == ';' {
+		return
+	}
 	parsed, err := ini.LoadSources(ini.LoadOptions{
 		IgnoreContinuation:       true,
 		KeyValueDelimiters:       "=",
--- a/spreader/model_test.go
+++ b/spreader/model_test.go
@@ -52,6 +52,7 @@
 	alone  bool // reaches no peer
 	blind  bool // does not reach the log
 	dead   bool
+	held   func(gooseberrypass.Effect) bool // takes effects out, if set
 	listed gooseberrypass.ListedInstance
 	model  *model
 }
@@ -160,6 +161,9 @@
 	}
 	m := x.model
 	for _, effect := range x.Handle(m.now, event) {
+		if x.held != nil && x.held(effect) {
+			continue
+		}
 		m.after(hop, func() {
 			m.delay = 0
 			answer := effect.Run(context.Background())
--- a/spreader/reading.go
+++ b/spreader/reading.go
@@ -82,6 +82,7 @@
 // settleRead takes over what was read and reads on.
 func (s *Spreader) settleRead(now time.Time, e logRead) []gooseberrypass.Effect {
 	s.reading = false
+	s.current = e.err == nil
 	effects := s.adopt(now, e.progress.State, e.progress.Accepted)
 	s.snapshots.read(now, e.progress)
 	switch {
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -61,6 +61,7 @@
 // ConfigSource for the traffic goroutines and a wire.Peer for other processes.
 type Spreader struct {
 	config      atomic.Pointer[gooseberrypass.Config]
+	current     bool // the last read of the log came to its end
 	dial        Dial
 	digest      []byte    // of state, once it was asked for
 	encoded     []byte    // snapshot of state for peers, once it was asked for
@@ -156,7 +157,7 @@
 	if !now.Before(s.next.exchange) {
 		effects = append(effects, s.compare(now)...)
 	}
-	if s.gapSince.IsZero() && s.snapshots.due(now, s.snapshotAge(now), s.state) {
+	if s.current && s.snapshots.due(now, s.snapshotAge(now), s.state) {
 		effects = append(effects, s.appendSnapshot())
 	}
 	for id, until := range s.suspects {
