--- a/retrier/generate.go
+++ b/retrier/generate.go
@@ -198,10 +198,12 @@
 		f.err.Outcome = gooseberrypass.OutcomeUnknown
 	}
 	switch f.err.Reason {
-	case gooseberrypass.ReasonLimited, gooseberrypass.ReasonNotLoaded, gooseberrypass.ReasonOverloaded:
+	case gooseberrypass.ReasonLimited, gooseberrypass.ReasonOverloaded:
 		f.result = router.ResultBusy
 	case gooseberrypass.ReasonLeaving:
 		f.result = router.ResultLeaving
+	case gooseberrypass.ReasonNotLoaded:
+		f.result = router.ResultUnready
 	case gooseberrypass.ReasonDeadline:
 		f.result = router.ResultDropped
 	case gooseberrypass.ReasonBadRequest:
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -13,6 +13,7 @@
 	leavingTime     = 5 * time.Second        // after a refusal for leaving
 	maxEjection     = time.Minute
 	minEjection     = 2 * time.Second
+	unreadyTime     = 2 * time.Second // after a refusal for the version
 	probeTime       = 5 * time.Second // for which one probe may be under way
 	maxEjectedShare = 0.5             // of a pool's endpoints
 )
@@ -39,6 +40,7 @@
 	probeUntil   time.Time
 	sends        []*send
 	service      time.Duration // moving average of an attempt's time
+	unreadyUntil time.Time
 }
 
 // begin notes an attempt sent at now.
@@ -104,6 +106,8 @@
 	case ResultLate:
 		e.observe(now.Sub(s.start))
 		e.fail(now)
+	case ResultUnready:
+		e.unreadyUntil = now.Add(unreadyTime)
 	case ResultDropped:
 	}
 	e.probeUntil = time.Time{}
--- a/router/router.go
+++ b/router/router.go
@@ -26,6 +26,7 @@
 	ResultFailed          // broke, or answered wrongly
 	ResultLate            // did not answer in time
 	ResultLeaving         // refused as leaving
+	ResultUnready         // refused as not having the version loaded
 )
 
 // A Query asks for an endpoint.
@@ -201,7 +202,7 @@
 		c := r.candidate(now, q, m, e, weights)
 		all = append(all, c)
 		switch {
-		case slices.Contains(q.Avoid, m.Listed.ID):
+		case slices.Contains(q.Avoid, m.Listed.ID) || now.Before(e.unreadyUntil):
 		case !e.ejected() || c.probe:
 			good = append(good, c)
 		default:
@@ -263,6 +264,9 @@
 	if q.Kind == gooseberrypass.RequestCall {
 		return none, slices.Contains(m.Status.Services, q.Target)
 	}
+	if loading(q.Target, m) {
+		return none, false
+	}
 	pinned := r.pinned(q.Target)
 	for _, want := range []gooseberrypass.Digest{q.Weights, pinned} {
 		if !want.IsZero() && m.Status.Serves(q.Target, want) {
@@ -280,6 +284,14 @@
 	return none, false
 }
 
+// loading reports whether a member is replacing its version of a model, during
+// which it takes no work for it.
+func loading(model gooseberrypass.ID, m gooseberrypass.Member) bool {
+	return slices.ContainsFunc(m.Status.Targets, func(t gooseberrypass.TargetStatus) bool {
+		return t.Model == model && t.Phase == gooseberrypass.PhaseLoading
+	})
+}
+
 func (r *Router) pinned(model gooseberrypass.ID) gooseberrypass.Digest {
 	cfg := r.config.Config()
 	if cfg == nil {
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -72,6 +72,8 @@
 		return "late"
 	case ResultLeaving:
 		return "leaving"
+	case ResultUnready:
+		return "unready"
 	default:
 		return "dropped"
 	}
