--- a/retrier/metrics.go
+++ b/retrier/metrics.go
@@ -16,7 +16,7 @@
 		return prometheus.NewCounter(prometheus.CounterOpts{Name: "gooseberrypass_" + name, Help: help})
 	}
 	m := &metrics{
-		attempts:    counter("attempts_total", "Attempts sent to endpoints."),
+		attempts:    counter("sent_attempts_total", "Attempts sent to endpoints."),
 		badFrames:   counter("bad_frames_total", "Answers discarded as crossed, cut or made by other weights."),
 		denied:      counter("retries_denied_total", "Retries not made for want of budget."),
 		lostCancels: counter("cancels_lost_total", "Cancellations that an agent did not confirm."),
