--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,6 +25,7 @@
 	alone bool // no peer reaches another
 	blind bool // only the first region reaches the log
 	dead  int  // one in so many nodes is dead, and listed as live
+	large bool // the change is one of 64 KiB
 }
 
 func (f fault) strike(m *model) {
@@ -41,6 +43,7 @@
 		"a fifth dead":           {dead: 5},
 		"log seen by one region": {blind: true},
 		"both":                   {blind: true, dead: 5},
+		"large change":           {blind: true, dead: 5, large: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -52,10 +55,18 @@
 					t.Fatalf("seed %d: the first configuration is not in force", seed)
 				}
 				f.strike(m)
-				got := m.until(m.change(first, fmt.Sprintf(folder, 2)), time.Minute)
+				text := fmt.Sprintf(folder, 2)
+				if f.large {
+					text += strings.Repeat("# a comment\n", 64<<10/12)
+				}
+				m.bytes = 0
+				got := m.until(m.change(first, text), time.Minute)
 				if got > bound {
 					t.Errorf("seed %d: got %s until in force, want at most %s", seed, got, bound)
 				}
+				if most := 3 * 200 * len(text) / 2; f.large && m.bytes > most {
+					t.Errorf("seed %d: got %d bytes, want at most %d, which is one copy and a half for each", seed, m.bytes, most)
+				}
 			}
 		})
 	}
@@ -159,6 +170,12 @@
 	m.run(time.Hour, nil)
 	m.down, m.period = false, period
 	m.run(time.Minute, nil)
+	for _, r := range m.records[7:] {
+		decoded, err := replayer.Decode(testKey(), r.Body)
+		if err != nil || decoded.Snapshot.FoldedThrough < 7 || r.Offset > 12 {
+			t.Errorf("offset %d: got %+v, %v, want a snapshot to start from, and few of them", r.Offset, decoded.Snapshot, err)
+		}
+	}
 	if progress, err := catchUp(t, m); err != nil || progress.State.LastAccepted() != second || !m.inForce(second) {
 		t.Errorf("got %d, %v, want %d", progress.State.LastAccepted(), err, second)
 	}
@@ -203,10 +220,13 @@
 	}
 }
 
-func benchmarkSpread(b *testing.B, n int) {
+// benchmarkSpread spreads a change of so many bytes to n nodes, a fifth of them
+// dead and the log in sight of one region.
+func benchmarkSpread(b *testing.B, n, size int) {
 	b.Helper()
+	padding := strings.Repeat("# a comment of some length, as operators write\n", size/47)
 	var slowest, change time.Duration
-	var idleBytes, idleMessages, changeBytes float64
+	var idleBytes, idleMessages, changeBytes, crossed float64
 	for seed := range uint64(b.N) {
 		m := newModel(seed, n, 0)
 		first := m.change(0, fmt.Sprintf(folder, 1))
@@ -219,19 +239,28 @@
 		perNodeSecond := float64(n) * 0.8 * idle.Seconds()
 		idleBytes += float64(m.bytes) / perNodeSecond
 		idleMessages += float64(m.messages) / perNodeSecond
-		m.bytes = 0
-		change = m.until(m.change(first, fmt.Sprintf(folder, 2)), time.Minute)
+		m.bytes, m.crossed = 0, 0
+		change = m.until(m.change(first, fmt.Sprintf(folder, 2)+padding), time.Minute)
 		changeBytes += float64(m.bytes) / (float64(n) * 0.8)
+		crossed += float64(m.crossed)
 		slowest = max(slowest, change)
 	}
 	b.ReportMetric(slowest.Seconds(), "s-worst")
 	b.ReportMetric(idleBytes/float64(b.N), "B/node/s")
 	b.ReportMetric(idleMessages/float64(b.N), "msg/node/s")
 	b.ReportMetric(changeBytes/float64(b.N), "B/node/change")
+	if size > 0 {
+		// The ideal is one copy of the change for each node, and one for each of
+		// the two regions that do not see the log.
+		b.ReportMetric(changeBytes/float64(b.N)/float64(size), "x-ideal")
+		b.ReportMetric(crossed/float64(b.N)/float64(2*size), "link-copies")
+	}
 }
 
-func BenchmarkSpread200(b *testing.B)  { benchmarkSpread(b, 200) }
-func BenchmarkSpread890(b *testing.B)  { benchmarkSpread(b, 890) }
-func BenchmarkSpread3560(b *testing.B) { benchmarkSpread(b, 3560) }
+func BenchmarkSpread200(b *testing.B)      { benchmarkSpread(b, 200, 0) }
+func BenchmarkSpread890(b *testing.B)      { benchmarkSpread(b, 890, 0) }
+func BenchmarkSpread3560(b *testing.B)     { benchmarkSpread(b, 3560, 0) }
+func BenchmarkSpreadLarge200(b *testing.B) { benchmarkSpread(b, 200, 64<<10) }
+func BenchmarkSpreadLarge890(b *testing.B) { benchmarkSpread(b, 890, 64<<10) }
 
 var _ gooseberrypass.ConfigSource = (*spreader.Spreader)(nil)
