Let a request wait while no endpoint has its version loaded

Cause: TestMainJob, with three engines that reload one after another within a second, had 14 requests refused as not loaded: the entries' views lag, every attempt was refused for certain, and the retry budget was spent in milliseconds. Ruled out: free retries without a pause, which would be a storm when all endpoints are down. Refused for load or leaving is answered as before.

--- a/retrier/metrics.go
+++ b/retrier/metrics.go
@@ -9,6 +9,7 @@
 	lostCancels prometheus.Counter
 	moves       prometheus.Counter
 	retries     prometheus.Counter
+	waits       prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) (*metrics, error) {
@@ -22,8 +23,9 @@
 		lostCancels: counter("cancels_lost_total", "Cancellations that an agent did not confirm."),
 		moves:       counter("streams_moved_total", "Streams resumed at another endpoint."),
 		retries:     counter("retries_total", "Attempts after the first of a request."),
+		waits:       counter("rollout_waits_total", "Pauses of requests while no endpoint had a version loaded."),
 	}
-	for _, c := range []prometheus.Collector{m.attempts, m.badFrames, m.denied, m.lostCancels, m.moves, m.retries} {
+	for _, c := range []prometheus.Collector{m.attempts, m.badFrames, m.denied, m.lostCancels, m.moves, m.retries, m.waits} {
 		if err := registerer.Register(c); err != nil {
 			return nil, err
 		}
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -15,10 +15,12 @@
 
 // The bounds of one request.
 const (
-	maxAttempts = 4
+	maxAttempts = 4 // before a pause
 	// maxAttemptTime is the most time that an agent gives an attempt.
 	maxAttemptTime = 10 * time.Minute
-	maxCuts        = 2           // attempts that may break off without a cause given
+	maxCuts        = 2                      // attempts that may break off without a cause given
+	firstPause     = 100 * time.Millisecond // doubled up to lastPause
+	lastPause      = 1600 * time.Millisecond
 	settleLimit    = time.Second // for the settlement of attempts
 	minFirstWait   = 2 * time.Second
 	firstWaits     = 4 // times the usual time of a whole answer
--- a/retrier/run.go
+++ b/retrier/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/router"
@@ -37,7 +38,49 @@
 	tried     []gooseberrypass.ID
 }
 
+// handle tries until the request is answered or has failed. In a rollout the
+// views of this process lag, so that for a moment all endpoints may refuse: such
+// a request, of which nothing has run, waits and is tried anew.
 func (r *run) handle(ctx context.Context) error {
+	pause := firstPause
+	for {
+		err := r.try(ctx)
+		if err == nil || pause > lastPause || !r.mayWait(err) || !r.wait(ctx, pause) {
+			return err
+		}
+		r.retrier.metrics.waits.Inc()
+		r.tried = nil
+		pause *= 2
+	}
+}
+
+// mayWait reports whether a failed request may be tried anew after a pause: its
+// endpoints are changing and nothing of it has run or may run.
+func (r *run) mayWait(err error) bool {
+	var failure *gooseberrypass.RequestError
+	if r.delivered || len(r.unsettled) > 0 || !errors.As(err, &failure) || failure.Outcome != gooseberrypass.OutcomeNotRun {
+		return false
+	}
+	return failure.Reason == gooseberrypass.ReasonNotLoaded
+}
+
+// wait pauses and reports whether there is still time for the request.
+func (r *run) wait(ctx context.Context, pause time.Duration) bool {
+	if r.retrier.clock.Now().Add(pause).After(r.req.Deadline()) {
+		return false
+	}
+	timer := r.retrier.clock.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.Chan():
+		return true
+	}
+}
+
+// try makes attempts one after another.
+func (r *run) try(ctx context.Context) error {
 	var last *failure
 	for attempt := range maxAttempts {
 		if attempt > 0 && !r.mayRetry() {
