Count the readers of the log in the model

The load on the log does not grow with the fleet: 11.4, 9.8 and 11.2 readers at 200, 890 and 3,560 processes, of 160, 712 and 2,848 if all live ones read it (go test ./spreader -run xxx -bench Spread -benchtime 5x).

--- a/spreader/model_test.go
+++ b/spreader/model_test.go
@@ -55,6 +55,7 @@
 	held   func(gooseberrypass.Effect) bool // takes effects out, if set
 	listed gooseberrypass.ListedInstance
 	model  *model
+	reads  int // of the log
 }
 
 // A model runs spreaders on a fake clock. All see the same list, which still
@@ -216,6 +217,7 @@
 	_ context.Context, _ gooseberrypass.Stream, from gooseberrypass.Offset, _ time.Duration,
 ) (gooseberrypass.Batch, error) {
 	m := x.model
+	x.reads++
 	if x.blind || m.down {
 		m.delay = lost
 		return gooseberrypass.Batch{}, gooseberrypass.ErrLogUnavailable
@@ -231,6 +233,18 @@
 	return gooseberrypass.Batch{First: m.first, Next: next, Records: m.records[min(from, next)-1:]}, nil
 }
 
+// readers returns how many live nodes have read the log since the last call.
+func (m *model) readers() int {
+	n := 0
+	for _, x := range m.order {
+		if !x.dead && x.reads > 0 {
+			n++
+		}
+		x.reads = 0
+	}
+	return n
+}
+
 // change appends a change of the whole folder, as a publisher would.
 func (m *model) change(base gooseberrypass.Offset, text string) gooseberrypass.Offset {
 	body, err := replayer.EncodeChange(testKey(), replayer.Change{Base: base, Files: map[string]string{"a.ini": text}, ID: strconv.Itoa(len(m.records))})
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -262,7 +262,7 @@
 	b.Helper()
 	padding := strings.Repeat("# a comment of some length, as operators write\n", size/47)
 	var slowest, change time.Duration
-	var idleBytes, idleMessages, changeBytes, crossed float64
+	var idleBytes, idleMessages, changeBytes, crossed, readers float64
 	for seed := range uint64(b.N) {
 		m := newModel(seed, n, 0)
 		first := m.change(0, fmt.Sprintf(folder, 1))
@@ -270,11 +270,13 @@
 		fault{blind: true, dead: 5}.strike(m)
 		m.run(10*time.Second, nil)
 		m.bytes, m.messages = 0, 0
+		m.readers()
 		const idle = 30 * time.Second
 		m.run(idle, nil)
 		perNodeSecond := float64(n) * 0.8 * idle.Seconds()
 		idleBytes += float64(m.bytes) / perNodeSecond
 		idleMessages += float64(m.messages) / perNodeSecond
+		readers += float64(m.readers())
 		m.bytes, m.crossed = 0, 0
 		change = m.until(m.change(first, fmt.Sprintf(folder, 2)+padding), time.Minute)
 		changeBytes += float64(m.bytes) / (float64(n) * 0.8)
@@ -285,6 +287,9 @@
 	b.ReportMetric(idleBytes/float64(b.N), "B/node/s")
 	b.ReportMetric(idleMessages/float64(b.N), "msg/node/s")
 	b.ReportMetric(changeBytes/float64(b.N), "B/node/change")
+	// The naive version has all live nodes read the log.
+	b.ReportMetric(readers/float64(b.N), "log-readers")
+	b.ReportMetric(float64(n)*0.8/(readers/float64(b.N)), "x-naive")
 	if size > 0 {
 		// The ideal is one copy of the change for each node, and one for each of
 		// the two regions that do not see the log.
