--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -73,7 +73,7 @@
 	if err := d.check(); err != nil {
 		return nil, err
 	}
-	reg := newRegistry(maxRecords, reservedRecords)
+	reg := newRegistry(maxKnown, reserved)
 	queue, err := admitter.New(d.Clock, d.Registerer, admitter.NewQueue(defaultQueueLimit, 0))
 	if err != nil {
 		return nil, errors.Wrap(err, "admission queue")
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "endpoint")
 	}
-	counts, err := newMetrics(d.Registerer)
+	counts, err := newMetrics(d.Registerer, reg)
 	if err != nil {
 		return nil, errors.Wrap(err, "attempts")
 	}
--- a/fetcher/planner.go
+++ b/fetcher/planner.go
@@ -11,21 +11,23 @@
 )
 
 const (
-	budgetPause    = time.Second // until the budget is asked again
-	busyPause      = 50 * time.Millisecond
-	lagPatience    = 10 * time.Second // with peers that do not know of the version yet
-	lagPause       = 300 * time.Millisecond
-	maxBusies      = 3
-	maxDemanded    = 1024
-	maxHolderTries = 3
-	mismatchesBad  = 2 // from the origin, until its bytes are held to have changed
-	mismatchPause  = 30 * time.Second
-	mismatchMax    = 10 * time.Minute
-	passPause      = 10 * time.Second // for which one sender is passed over for one item
-	roomPause      = 5 * time.Second
-	sourceMax      = time.Minute
-	sourcePause    = 500 * time.Millisecond
-	waitsPatience  = 4 // first patience, in waits
+	budgetPause      = time.Second // until the budget is asked again
+	busyPause        = 50 * time.Millisecond
+	lagPatience      = 10 * time.Second // with peers that do not know of the version yet
+	lagPause         = 300 * time.Millisecond
+	maxBusies        = 3
+	maxDemanded      = 1024
+	maxHolderTries   = 3
+	pacedFarInFlight = 4 // reads from one other region at once under a rate
+	mismatchesBad    = 2 // from the origin, until its bytes are held to have changed
+	mismatchPause    = 30 * time.Second
+	mismatchMax      = 10 * time.Minute
+	passPause        = 10 * time.Second // for which one sender is passed over for one item
+	roomPause        = 5 * time.Second
+	sourceMax        = time.Minute
+	sourcePause      = 500 * time.Millisecond
+	storeLimits      = 4 // most, in least limits
+	waitsPatience    = 4 // first patience, in waits
 )
 
 // A Holder tells what is held on this instance.
@@ -40,28 +42,30 @@
 // Equal calls with an equal seed give equal decisions. It is not safe for use by
 // several goroutines.
 type Planner struct {
-	avoid     *avoider
-	behind    map[gooseberrypass.Digest]map[gooseberrypass.ID]struct{}
-	budget    budget
-	cancels   []uint64
-	copies    float64 // that may be read from the origin, the first included
-	counts    [sourceKinds]int
-	demanded  []gooseberrypass.Digest
-	estimates [sourceKinds]estimate
-	flights   map[uint64]*flight
-	holder    Holder
-	holders   map[gooseberrypass.Digest]map[gooseberrypass.ID]struct{}
-	items     map[gooseberrypass.Digest]*item
-	last      uint64
-	outside   [sourceKinds]backoff
-	pins      map[gooseberrypass.Digest]struct{} // nil after a change
-	ranking   *ranker.Ranking
-	rng       *rand.Rand
-	self      gooseberrypass.ID
-	settings  Settings
-	store     bool
-	versions  []*version
-	whole     estimate // from the first try of an item to its end
+	avoid      *avoider
+	behind     map[gooseberrypass.Digest]map[gooseberrypass.ID]struct{}
+	budget     budget
+	cancels    []uint64
+	copies     float64 // that may be read from the origin, the first included
+	counts     [sourceKinds]int
+	demanded   []gooseberrypass.Digest
+	estimates  [sourceKinds]estimate
+	farRate    int64 // bytes a second from each other region, 0 for no limit
+	flights    map[uint64]*flight
+	holder     Holder
+	holders    map[gooseberrypass.Digest]map[gooseberrypass.ID]struct{}
+	items      map[gooseberrypass.Digest]*item
+	last       uint64
+	outside    [sourceKinds]backoff
+	pins       map[gooseberrypass.Digest]struct{} // nil after a change
+	ranking    *ranker.Ranking
+	rng        *rand.Rand
+	self       gooseberrypass.ID
+	settings   Settings
+	store      bool
+	storeAsked time.Time // for the first time
+	versions   []*version
+	whole      estimate // from the first try of an item to its end
 }
 
 type flight struct {
@@ -104,6 +108,10 @@
 // read from the origin.
 func (p *Planner) SetCopies(copies float64) { p.copies = copies }
 
+// SetFarRate changes the bytes a second that this instance may take from each
+// other region; 0 is no limit.
+func (p *Planner) SetFarRate(farRate int64) { p.farRate = farRate }
+
 // SetPeers tells which instances say that they hold a version whole, and which
 // do not know yet that it is wanted.
 func (p *Planner) SetPeers(digest gooseberrypass.Digest, holders, behind map[gooseberrypass.ID]struct{}) {
@@ -264,7 +272,9 @@
 
 // Demand tells that another instance waits for an item, which goes first then.
 func (p *Planner) Demand(digest gooseberrypass.Digest) {
-	if len(p.demanded) < maxDemanded {
+	it, ok := p.items[digest]
+	if ok && !it.held && !it.demanded && len(p.demanded) < maxDemanded {
+		it.demanded = true
 		p.demanded = append(p.demanded, digest)
 	}
 }
@@ -326,12 +336,12 @@
 	case hop.Parent != nil:
 		fetch.Kind, fetch.Peer = kindOf(hop.Far), *hop.Parent
 	case p.findHolder(now, it, &fetch):
-	case p.store && !it.storeTried && !now.Before(p.outside[SourceStore].until):
+	case p.asksStore(now, it):
 		fetch.Kind = SourceStore
 	default:
 		fetch.Kind = SourceOrigin
 	}
-	if p.counts[fetch.Kind] >= p.most(fetch.Kind) || now.Before(p.outside[fetch.Kind].until) {
+	if p.full(fetch) || now.Before(p.outside[fetch.Kind].until) {
 		return starts
 	}
 	if fetch.Kind == SourceOrigin && !p.mayReadOrigin(now, it) {
@@ -340,6 +350,20 @@
 	return append(starts, p.start(now, it, fetch, hop.Rank))
 }
 
+// asksStore reports whether an item is to be read from the weight store. Items
+// wait for their turn there only while the store answers, or for one limit until
+// its first answer.
+func (p *Planner) asksStore(now time.Time, it *item) bool {
+	if !p.store || it.storeTried || now.Before(p.outside[SourceStore].until) {
+		return false
+	}
+	if p.storeAsked.IsZero() {
+		p.storeAsked = now
+	}
+	answers := p.estimates[SourceStore].seen || now.Sub(p.storeAsked) < p.settings.MinLimit
+	return answers && p.outside[SourceStore].strikes == 0 || p.counts[SourceStore] < p.settings.StoreInFlight
+}
+
 func kindOf(far bool) SourceKind {
 	if far {
 		return SourceFar
@@ -371,6 +395,22 @@
 	return true
 }
 
+// full reports whether no more reads may be started beside those under way. Under
+// a rate, reads from one region do not take the place of those from another, as
+// each region has its own link.
+func (p *Planner) full(fetch Fetch) bool {
+	if fetch.Kind != SourceFar || p.farRate <= 0 {
+		return p.counts[fetch.Kind] >= p.most(fetch.Kind)
+	}
+	n := 0
+	for _, f := range p.flights {
+		if f.fetch.Kind == SourceFar && f.fetch.Peer.Region == fetch.Peer.Region {
+			n++
+		}
+	}
+	return n >= pacedFarInFlight
+}
+
 func (p *Planner) most(kind SourceKind) int {
 	switch kind {
 	case SourceFar:
@@ -411,11 +451,14 @@
 func (p *Planner) start(now time.Time, it *item, fetch Fetch, rank int) Fetch {
 	p.last++
 	fetch.ID = p.last
-	fetch.Limit = p.estimates[fetch.Kind].limit(p.settings.InitialLimit, p.settings.MinLimit, p.settings.MaxLimit)
+	fetch.Limit = p.limit(fetch.Kind)
 	if fetch.Kind == SourceNear || fetch.Kind == SourceFar {
 		fetch.Wait = p.settings.Wait
 		fetch.Limit += fetch.Wait
 	}
+	if fetch.Kind == SourceFar {
+		fetch.Limit += p.farTime(it.Size)
+	}
 	if fetch.Kind == SourceOrigin {
 		it.originReads++
 	}
@@ -428,6 +471,28 @@
 	return fetch
 }
 
+// limit returns how long a transfer may take. Only inside a region are links
+// alike enough that a slow transfer tells of a slow sender.
+func (p *Planner) limit(kind SourceKind) time.Duration {
+	least := p.settings.MinLimit
+	if kind == SourceStore {
+		return p.estimates[kind].limit(storeLimits*least, least, storeLimits*least)
+	}
+	if kind != SourceNear {
+		least = p.settings.InitialLimit
+	}
+	return p.estimates[kind].limit(p.settings.InitialLimit, least, p.settings.MaxLimit)
+}
+
+// farTime returns how much longer a read from another region may take since this
+// instance itself holds it back.
+func (p *Planner) farTime(size int64) time.Duration {
+	if p.farRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(2*pacedFarInFlight*size) / float64(p.farRate) * float64(time.Second))
+}
+
 // Finish tells what became of a fetch.
 func (p *Planner) Finish(now time.Time, done Done) {
 	f, ok := p.flights[done.ID]
