--- a/parser/file.go
+++ b/parser/file.go
@@ -118,7 +118,7 @@
 		IgnoreContinuation:       true,
 		KeyValueDelimiters:       "=",
 		SpaceBeforeInlineComment: true,
-	}, []byte(line))
+	}, []byte(line+"\n"))
 	if err != nil {
 		r.find(n, "", "not a [section], a key = value or a # comment")
 		return
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -31,6 +31,7 @@
 		"no value":           {"[a]\nword\n", "f:2: [a] not a [section], a key = value or a # comment"},
 		"open section":       {"[a\n", "f:1: not a [section], a key = value or a # comment"},
 		"open quote":         {"[a]\nk = \"\"\"x\n", "f:2: [a] not a [section], a key = value or a # comment"},
+		"only open quotes":   {"[a]\nk = \"\"\"", "f:2: [a] not a [section], a key = value or a # comment"},
 		"text after section": {"[a] b\n", "f:1: not a section header: want [title] alone on its line"},
 		"good":               {"\uFEFF# c\r\n[a]  ; c\r\nk = 1 # c\r\n", ""},
 	} {
