Give a folder that cannot be read status 2 in all commands

publish and pull ended with 1 where check and merge ended with 2. A script command checks statuses, as testscript alone tells only 0 from others.

--- a/commander/checkcmd.go
+++ b/commander/checkcmd.go
@@ -27,7 +27,7 @@
 func readChecked(ctx context.Context, dir string, stderr io.Writer) (*checker.Check, error) {
 	folder, err := parser.ReadFolder(ctx, clockwork.NewRealClock(), dir)
 	if err != nil {
-		return nil, &ExitError{Err: err, Status: ExitBadUsage}
+		return nil, folderError(err)
 	}
 	check := checker.Build(folder, 0)
 	if len(check.Findings()) == 0 {
--- a/commander/publishcmd.go
+++ b/commander/publishcmd.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gooseberrypass/gooseberrypass/parser"
 	"github.com/gooseberrypass/gooseberrypass/publisher"
 )
 
@@ -34,11 +35,20 @@
 		return printFindings(faulty.Findings, std.stderr)
 	}
 	if err != nil {
-		return err
+		return folderError(err)
 	}
 	return printResult(result, std.stdout)
 }
 
+// folderError gives the error of a folder that cannot be read its exit status.
+func folderError(err error) error {
+	var unreadable *parser.FolderError
+	if errors.As(err, &unreadable) {
+		return &ExitError{Err: err, Status: ExitBadUsage}
+	}
+	return err
+}
+
 // writeFolderLines tells what became of the files of the operator's folder.
 func writeFolderLines(b *strings.Builder, result *publisher.Result) {
 	for _, name := range result.Brought {
--- a/commander/pullcmd.go
+++ b/commander/pullcmd.go
@@ -23,7 +23,7 @@
 	}
 	result, err := p.Pull(ctx, c.Dir)
 	if err != nil {
-		return err
+		return folderError(err)
 	}
 	var b strings.Builder
 	writeFolderLines(&b, result)
--- a/commander/script_test.go
+++ b/commander/script_test.go
@@ -8,10 +8,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/gooseberrypass/gooseberrypass/commander"
@@ -29,14 +31,16 @@
 // they have
 //
 //	start NAME ARG...  starts gooseberrypass, awaits "listening" and sets $NAME to its URL
+//	status N PROGRAM ARG...  runs a program, which must exit with status N
 //	stop NAME          ends what start started by SIGTERM; it must exit with status 0
 //	http METHOD URL [FILE [RANGE]]  sends the file's bytes and prints status and body
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"http":  scriptHTTP,
-			"start": scriptStart,
-			"stop":  scriptStop,
+			"http":   scriptHTTP,
+			"start":  scriptStart,
+			"status": scriptStatus,
+			"stop":   scriptStop,
 		},
 		Dir: filepath.Join("testdata", "script"),
 		Setup: func(env *testscript.Env) error {
@@ -77,6 +81,22 @@
 	processes(ts)[args[0]] = cmd
 }
 
+func scriptStatus(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: status N PROGRAM ARG...")
+	}
+	status := 0
+	var exit *exec.ExitError
+	if err := ts.Exec(args[1], args[2:]...); errors.As(err, &exit) {
+		status = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got, want := strconv.Itoa(status), args[0]; got != want {
+		ts.Fatalf("got status %s, want %s", got, want)
+	}
+}
+
 func scriptStop(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 1 || processes(ts)[args[0]] == nil {
 		ts.Fatalf("usage: stop NAME, of a started process")
--- a/parser/folder.go
+++ b/parser/folder.go
@@ -26,6 +26,17 @@
 // ErrFolderChanging is returned for a folder that changed each time it was read.
 var ErrFolderChanging = errors.New("folder is being written")
 
+// A FolderError is returned for a folder that cannot be read.
+type FolderError struct {
+	Err error
+}
+
+// Error implements error.
+func (e *FolderError) Error() string { return "read folder: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *FolderError) Unwrap() error { return e.Err }
+
 // A Folder is what one folder held at one moment.
 type Folder struct {
 	files    map[string]string
@@ -39,8 +50,8 @@
 }
 
 // ReadFolder reads a folder that others may be writing: it returns what it held
-// when two reads, a settling time apart, gave the same files and bytes. The
-// error is for a folder that cannot be read; a file that cannot is a finding.
+// when two reads, a settling time apart, gave the same files and bytes. The error
+// is a *FolderError, or that of ctx; a file that cannot be read is a finding.
 func ReadFolder(ctx context.Context, clock gooseberrypass.Clock, dir string) (*Folder, error) {
 	before, err := readOnce(dir)
 	if err != nil {
@@ -61,7 +72,7 @@
 		}
 		before = after
 	}
-	return nil, errors.Wrap(ErrFolderChanging, dir)
+	return nil, &FolderError{Err: errors.Wrap(ErrFolderChanging, dir)}
 }
 
 // Files returns the bytes of each file by its name.
@@ -104,7 +115,7 @@
 func readOnce(dir string) (reading, error) {
 	entries, err := os.ReadDir(dir)
 	if err != nil {
-		return reading{}, errors.Wrap(err, "read folder")
+		return reading{}, &FolderError{Err: err}
 	}
 	r := reading{folder: NewFolder(dir, map[string]string{}), times: map[string]time.Time{}}
 	for _, entry := range entries {
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -149,7 +149,7 @@
 	if len(findings) != 1 || findings[0].File != "c.ini" {
 		t.Errorf("got %v, want c.ini not to be readable", findings)
 	}
-	if _, err := parser.ReadFolder(t.Context(), clock, filepath.Join(dir, "none")); !os.IsNotExist(errors.Cause(err)) {
+	if _, err := parser.ReadFolder(t.Context(), clock, filepath.Join(dir, "none")); !errors.Is(err, os.ErrNotExist) {
 		t.Errorf("got %v, want no such folder", err)
 	}
 }
