--- a/tracker/convert.go
+++ b/tracker/convert.go
@@ -19,6 +19,10 @@
 	maxTargets        = 256
 )
 
+// maxLoadAge stands for the age of a load report that is older, or was never
+// made.
+const maxLoadAge = 24 * time.Hour
+
 // ErrBadStatus is returned for a status from the wire that breaks its limits.
 var ErrBadStatus = errors.New("bad agent status")
 
@@ -34,7 +38,7 @@
 		FailureDomain:  string(self.FailureDomain),
 		Instance:       string(self.ID),
 		Leaving:        status.Leaving,
-		LoadAgeMs:      max(0, now.Sub(status.Load.At).Milliseconds()),
+		LoadAgeMs:      min(max(0, now.Sub(status.Load.At)), maxLoadAge).Milliseconds(),
 		Pool:           string(self.Pool),
 		Queued:         int64(status.Load.Queued),
 		Region:         string(self.Region),
@@ -81,7 +85,7 @@
 		EndpointUp:     m.GetEndpointUp(),
 		Leaving:        m.GetLeaving(),
 		Load: gooseberrypass.EngineLoad{
-			At:       now.Add(-time.Duration(m.GetLoadAgeMs()) * time.Millisecond),
+			At:       now.Add(-time.Duration(min(m.GetLoadAgeMs(), maxLoadAge.Milliseconds())) * time.Millisecond),
 			Capacity: int(m.GetCapacity()),
 			Queued:   int(m.GetQueued()),
 			Running:  int(m.GetRunning()),
--- a/tracker/pacing.go
+++ b/tracker/pacing.go
@@ -11,19 +11,19 @@
 const (
 	listBudget   = 2 << 10 // bytes a second for the platform's list
 	pollBytes    = 700     // bytes of one status poll, both ways, with headers
-	statusBudget = 3 << 10 // bytes a second for status polls
+	statusBudget = 4608    // bytes a second for status polls
 )
 
 // The bounds of pauses and waits.
 const (
 	listPollLimit   = 5 * time.Second
 	maxListPause    = 5 * time.Minute
-	maxPause        = 2800 * time.Millisecond
 	maxWait         = 20 * time.Second
 	minListPause    = time.Second
 	minPause        = 50 * time.Millisecond
 	minWait         = 2 * time.Second
 	pollAnswerLimit = 1500 * time.Millisecond
+	retryPause      = 2 * time.Second // after a poll that failed
 )
 
 // A pacing spaces polls out so that they stay within their budget.
@@ -48,12 +48,11 @@
 	return min(max(pause, minListPause), maxListPause)
 }
 
-// pause is the time between an answer and the next poll. It is short, so that
-// an agent that leaves is heard of within its bound; the agent itself holds
-// back changes of its load.
-func (p pacing) pause() time.Duration {
-	return min(max(p.load*2/3, minPause), maxPause)
-}
+// pause is the time between an answer and the next poll. It alone keeps the
+// polls within their budget, as an agent need not hold back its load. At the
+// sizes of one pool an agent that leaves is so heard of within 3 s; where more
+// are followed it takes longer, and the agent's own refusals tell meanwhile.
+func (p pacing) pause() time.Duration { return p.load }
 
 // silence is how long a followed agent may go unheard.
 func (p pacing) silence() time.Duration {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -326,7 +326,7 @@
 		wait:     t.pacing.wait,
 	}
 	if p.failures > 0 {
-		poll.pause = maxPause
+		poll.pause = retryPause
 		poll.limit = minWait
 		poll.wait = 0
 		return poll
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -272,22 +272,31 @@
 // second, as often as agents do, and none holds such changes back.
 func TestPollBudget(t *testing.T) {
 	const seconds, pollBytes, budget = 60, 700, 5 << 10
-	follow(t, agentCount, func(p *platform, _ *tracker.Tracker) {
-		for range seconds {
+	for _, agents := range []int{agentCount, 100} {
+		follow(t, agents, func(p *platform, _ *tracker.Tracker) {
+			polls := 0
+			count := func(a *fakeAgent) { polls += a.polls }
+			change := func(a *fakeAgent) {
+				a.status.Load.Running++
+				a.polls = 0
+			}
 			for _, a := range p.agents {
-				a.set(func(a *fakeAgent) { a.status.Load.Running++ })
+				a.set(change)
 			}
-			time.Sleep(time.Second)
-		}
-		polls := 0
-		for _, a := range p.agents {
-			a.set(func(a *fakeAgent) { polls += a.polls })
-		}
-		t.Logf("%d B/s of status polls", polls*pollBytes/seconds)
-		if got := polls * pollBytes / seconds; got > budget {
-			t.Errorf("got %d B/s of status polls, want at most %d", got, budget)
-		}
-	})
+			for range seconds {
+				for _, a := range p.agents {
+					a.set(count)
+					a.set(change)
+				}
+				time.Sleep(time.Second)
+			}
+			got := polls * pollBytes / seconds
+			t.Logf("%d agents: %d B/s of status polls", agents, got)
+			if got > budget {
+				t.Errorf("%d agents: got %d B/s of status polls, want at most %d", agents, got, budget)
+			}
+		})
+	}
 }
 
 // An entry's subset does not grow with the fleet, and no agent is left out.
