Bound the endpoints that one request breaks, and record calls whose caller left

Two faults found by reading. An agent that outlives its engine reports "unknown: cut" itself; the retrier took that for any failure and sent the request to up to four engines. It counts as a cut now: one more attempt, alone (TestBreakingRequestRunsTwice, four attempts before). And a caller that left ended its call's context, so the outcome was recorded as unknown though the service went on; the call now runs to its deadline and its outcome is kept (TestCallerLeaves fails without).

A failure told after the start of an answer is never "not run".

--- a/claimer/cases_test.go
+++ b/claimer/cases_test.go
@@ -156,6 +156,23 @@
 	})
 }
 
+// The caller leaves while its call runs: the outcome is recorded all the same.
+func TestCallerLeaves(t *testing.T) {
+	in(t, 2, false, func(t *testing.T, w *world) {
+		t.Helper()
+		key := newKey()
+		left := w.send(w.entries[0], key, "1", time.Minute)
+		synctest.Wait()
+		left.cancel()
+		w.serve(nil)
+		again := w.send(w.entries[1], key, "1", time.Minute)
+		check(t, again, answered, "")
+		if got := w.runs[key]; got != 1 {
+			t.Errorf("got %d runs, want 1", got)
+		}
+	})
+}
+
 // An entry is killed at each step of a call; the same key, sent to another
 // entry, never runs again where the first may have run.
 func TestKilledAtEachStep(t *testing.T) {
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
@@ -202,12 +203,16 @@
 }
 
 // dispatch makes the call of a claim that won, unless its time has passed
-// meanwhile, and records what became of it before the caller is told.
+// meanwhile, and records what became of it before the caller is told. It does
+// so also if the caller leaves, who may ask for the outcome later.
 func (c *Claimer) dispatch(ctx context.Context, t *ticket, req *gooseberrypass.Request, answer gooseberrypass.Answer, next gooseberrypass.Handler) error {
-	if ctx.Err() != nil || !c.clock.Now().Before(req.Deadline()) {
+	left := req.Deadline().Sub(c.clock.Now())
+	if ctx.Err() != nil || left <= 0 {
 		c.post(claimAbandoned{ticket: t})
 		return keyError(gooseberrypass.ReasonDeadline, "the deadline passed before the call was made")
 	}
+	ctx, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), c.clock, left)
+	defer cancel()
 	held := &heldAnswer{}
 	err := next.Handle(ctx, req, held)
 	if err == nil && !held.ended {
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -102,12 +102,17 @@
 }
 
 // call is the way to the service: it waits for the test to decide.
-func (w *world) call(_ context.Context, s *submission, a gooseberrypass.Answer) error {
+func (w *world) call(ctx context.Context, s *submission, a gooseberrypass.Answer) error {
 	decided := make(chan error, 1)
 	w.mu.Lock()
 	w.calls = append(w.calls, decided)
 	w.mu.Unlock()
-	err := <-decided
+	var err error
+	select {
+	case err = <-decided:
+	case <-ctx.Done(): // the service goes on
+		err = cutOff()
+	}
 	var failure *gooseberrypass.RequestError
 	if errors.As(err, &failure) && failure.Outcome == gooseberrypass.OutcomeNotRun {
 		return err
--- a/retrier/call.go
+++ b/retrier/call.go
@@ -38,7 +38,9 @@
 		return r.broken(ticket, watch, err)
 	}
 	if gooseberrypass.ParseOutcome(response.GetOutcome()) != gooseberrypass.OutcomeAnswered {
-		return refusal(response.GetOutcome(), response.GetReason(), response.GetDetail(), 0)
+		f := refusal(response.GetOutcome(), response.GetReason(), response.GetDetail(), 0)
+		r.afterCut(ticket, f)
+		return f
 	}
 	return r.deliverCall(response.GetBody())
 }
--- a/retrier/generate.go
+++ b/retrier/generate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync/atomic"
 	"time"
 
@@ -137,12 +136,33 @@
 		}
 		return true, nil
 	case *wire.Frame_Failed:
-		return false, refusal(kind.Failed.GetOutcome(), kind.Failed.GetReason(), kind.Failed.GetDetail(),
-			time.Duration(kind.Failed.GetRetryAfterMs())*time.Millisecond)
+		return false, r.failed(s, kind.Failed)
 	}
 	return false, nil
 }
 
+// failed is the failure that a frame tells. After the start of an answer it is
+// never "not run".
+func (r *run) failed(s *stream, frame *wire.Failed) *failure {
+	f := refusal(frame.GetOutcome(), frame.GetReason(), frame.GetDetail(), time.Duration(frame.GetRetryAfterMs())*time.Millisecond)
+	if s.checker.started {
+		f.err.Outcome = gooseberrypass.OutcomeUnknown
+	}
+	r.afterCut(s.ticket, f)
+	return f
+}
+
+// afterCut notes an attempt that broke off, as its endpoint may have crashed
+// for it: the request then runs once more, alone, and no more than that.
+func (r *run) afterCut(ticket *router.Ticket, f *failure) {
+	if f.err.Reason != gooseberrypass.ReasonCut || f.err.Outcome == gooseberrypass.OutcomeNotRun {
+		return
+	}
+	r.retrier.suspects.Cut(r.req.Digest(), ticket.Member().Listed.ID)
+	f.final = r.alone()
+	r.cuts++
+}
+
 // start tells the caller which version answers, once.
 func (r *run) start(weights gooseberrypass.Digest) error {
 	if r.delivered {
@@ -161,18 +181,18 @@
 		},
 		result: router.ResultFailed,
 	}
-	if r.delivered {
-		f.err.Reason = gooseberrypass.ReasonCut
-	}
 	switch {
 	case errors.Is(err, ErrNotSent):
 		f.err.Outcome = gooseberrypass.OutcomeNotRun
 	case watch.fired():
 		f.result = router.ResultLate
-	case errors.Is(err, io.ErrUnexpectedEOF):
-		r.retrier.suspects.Cut(r.req.Digest(), ticket.Member().Listed.ID)
-		f.final = r.alone()
-		r.cuts++
+	case errors.Is(err, ErrBadFrame), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+	default:
+		f.err.Reason = gooseberrypass.ReasonCut
+		r.afterCut(ticket, f)
+	}
+	if r.delivered {
+		f.err.Reason = gooseberrypass.ReasonCut
 	}
 	return f
 }
--- a/retrier/whole_test.go
+++ b/retrier/whole_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -97,6 +98,45 @@
 	}
 }
 
+// A request that breaks its endpoint each time, told by the agent or by the
+// connection, costs two endpoints, the second of which it has for itself.
+func TestBreakingRequestRunsTwice(t *testing.T) {
+	told := func(a *wire.Attempt, _ int) (retrier.FrameStream, error) {
+		f := &wire.Frame{AttemptId: a.GetAttemptId(), RequestDigest: a.GetRequestDigest()}
+		f.Kind = &wire.Frame_Failed{Failed: &wire.Failed{Outcome: "unknown", Reason: string(gooseberrypass.ReasonCut)}}
+		return &script{end: io.EOF, frames: []*wire.Frame{answerTo(a)[0], f}}, nil
+	}
+	tests := map[string]func(a *wire.Attempt, n int) (retrier.FrameStream, error){
+		"told":  told,
+		"end":   func(*wire.Attempt, int) (retrier.FrameStream, error) { return &script{end: io.EOF}, nil },
+		"reset": func(*wire.Attempt, int) (retrier.FrameStream, error) { return nil, errors.New("connection reset") },
+		"first reset": func(a *wire.Attempt, n int) (retrier.FrameStream, error) {
+			if n == 1 {
+				return nil, errors.New("connection reset")
+			}
+			return told(a, n)
+		},
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			var alone []bool
+			engine := &scripted{generate: func(_ gooseberrypass.ID, a *wire.Attempt) (retrier.FrameStream, error) {
+				alone = append(alone, a.GetAlone())
+				return answer(a, len(alone))
+			}}
+			r := newRetrier(t, members{newMember("w-0", ""), newMember("w-1", ""), newMember("w-2", "")}, engine, 1, anyChoices)
+			err := r.Handle(context.Background(), newRequest(gooseberrypass.RequestGenerate, "x", true), &caller{})
+			var failure *gooseberrypass.RequestError
+			if !errors.As(err, &failure) || failure.Outcome != gooseberrypass.OutcomeUnknown {
+				t.Errorf("got error %v, want one of outcome unknown", err)
+			}
+			if want := []bool{false, true}; !slices.Equal(alone, want) {
+				t.Errorf("got attempts alone %v, want %v", alone, want)
+			}
+		})
+	}
+}
+
 // Retries stay within the budget however many requests fail.
 func TestRetryBudget(t *testing.T) {
 	const requests = 1000
