--- a/answerer/entry_test.go
+++ b/answerer/entry_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -109,6 +110,38 @@
 	return api.Failure{}
 }
 
+// What cannot be decoded is refused with a typed body before anything runs.
+func TestBadBodies(t *testing.T) {
+	_, url := startEntry(t, newLog(), members{})
+	tests := []struct {
+		name, body string
+		status     int
+	}{
+		{"not JSON", "{", http.StatusBadRequest},
+		{"unknown field", `{"model":"m","prompt":"p","x":1}`, http.StatusBadRequest},
+		{"too long", `{"model":"m","prompt":"` + strings.Repeat("x", 9<<20) + `"}`, http.StatusRequestEntityTooLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r, err := http.NewRequest(http.MethodPost, url+"/v1/generate", strings.NewReader(tt.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Header.Set("Content-Type", "application/json")
+			r.Header.Set("Client-Account", "radio")
+			res, err := http.DefaultClient.Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = res.Body.Close() }()
+			body, _ := io.ReadAll(res.Body)
+			if res.StatusCode != tt.status || !strings.Contains(string(body), `"outcome":"not run"`) {
+				t.Errorf("got %d %s, want %d, not run", res.StatusCode, body, tt.status)
+			}
+		})
+	}
+}
+
 func TestFailures(t *testing.T) {
 	client, _ := startEntry(t, newLog(), members{})
 	tests := []struct {
--- a/retrier/dispatcher.go
+++ b/retrier/dispatcher.go
@@ -12,6 +12,10 @@
 // ErrNotSent is wrapped by the error of a dispatch of which no byte was sent.
 var ErrNotSent = errors.New("nothing was sent")
 
+// ErrStatus is wrapped by the error of a dispatch that was answered with an
+// error status, which settles nothing about the attempt.
+var ErrStatus = errors.New("answered with an error status")
+
 // A FrameStream returns the frames of the answer to one attempt, in the order
 // in which they came. It checks nothing but their encoding.
 type FrameStream interface {
--- a/retrier/generate.go
+++ b/retrier/generate.go
@@ -186,6 +186,8 @@
 		f.err.Outcome = gooseberrypass.OutcomeNotRun
 	case watch.fired():
 		f.result = router.ResultLate
+	case errors.Is(err, ErrStatus):
+		f.result = router.ResultBusy
 	case errors.Is(err, ErrBadFrame), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 	default:
 		f.err.Reason = gooseberrypass.ReasonCut
--- a/retrier/httpdispatcher.go
+++ b/retrier/httpdispatcher.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
@@ -42,6 +43,10 @@
 func (d *HTTPDispatcher) Call(ctx context.Context, to gooseberrypass.ListedInstance, call *wire.CallRequest) (*wire.CallResponse, error) {
 	ctx, connected := traceConnection(ctx)
 	answer, err := d.agent(to).Call(ctx, call)
+	var status twirp.Error
+	if errors.As(err, &status) && status.Code() != twirp.Internal {
+		return nil, errors.Wrapf(ErrStatus, "call service: %v", err)
+	}
 	return answer, sentError(err, connected, "call service")
 }
 
@@ -69,7 +74,7 @@
 	}
 	if response.StatusCode != http.StatusOK {
 		_ = response.Body.Close()
-		return nil, errors.Errorf("send attempt: status %s", response.Status)
+		return nil, errors.Wrapf(ErrStatus, "send attempt: %s", response.Status)
 	}
 	return &frameStream{body: response.Body, reader: bufio.NewReaderSize(response.Body, frameBuffer)}, nil
 }
--- a/retrier/whole_test.go
+++ b/retrier/whole_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -137,6 +139,23 @@
 	}
 }
 
+// An error status is no sign that the request broke anything.
+func TestErrorStatusIsNoCut(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	to := gooseberrypass.ListedInstance{Address: server.Listener.Addr().String()}
+	d := retrier.NewHTTPDispatcher(server.Client())
+	_, generateErr := d.Generate(context.Background(), to, &wire.Attempt{})
+	_, callErr := d.Call(context.Background(), to, &wire.CallRequest{})
+	for _, err := range []error{generateErr, callErr} {
+		if !errors.Is(err, retrier.ErrStatus) {
+			t.Errorf("got error %v, want one that wraps ErrStatus", err)
+		}
+	}
+}
+
 // Retries stay within the budget however many requests fail.
 func TestRetryBudget(t *testing.T) {
 	const requests = 1000
