Ask a peer again that refused a chunk and may have learned of it since

Seen under load: TestWeightStoreHelpsAndIsNotNeeded read 1.12 to 1.16 copies from the origin in 4 of about 12 runs. A peer's 404, sent before it had the configuration, was handled after its status told that it had, and counted as final. A peer that knows of the version is now passed over after its second refusal only.

--- a/fetcher/planner.go
+++ b/fetcher/planner.go
@@ -18,6 +18,7 @@
 	maxBusies        = 3
 	maxDemanded      = 1024
 	maxHolderTries   = 3
+	maxRefusals      = 2 // by a peer that knows of the version
 	mismatchesBad    = 2 // from the origin, until its bytes are held to have changed
 	mismatchPause    = 30 * time.Second
 	mismatchMax      = 10 * time.Minute
@@ -547,11 +548,7 @@
 			it.pass(id, now.Add(passPause))
 		}
 	case ResultNotHeld:
-		if _, ok := p.behind[it.owner][id]; ok && now.Sub(it.asked) < lagPatience {
-			it.retryAt = now.Add(p.jitter(lagPause))
-			return
-		}
-		it.pass(id, now.Add(passPause))
+		p.refused(now, it, id)
 	case ResultPending:
 		patience := p.patience(f.rank)
 		if now.Sub(it.asked) > patience {
@@ -569,6 +566,22 @@
 	}
 }
 
+// refused takes in that a peer neither holds an item nor wants it. A peer that
+// does not know of the version yet is asked again, as is one that may have
+// learned of it since it answered.
+func (p *Planner) refused(now time.Time, it *item, id gooseberrypass.ID) {
+	_, behind := p.behind[it.owner][id]
+	if !behind {
+		it.refusals++
+	}
+	if it.refusals < maxRefusals && now.Sub(it.asked) < lagPatience {
+		it.retryAt = now.Add(p.jitter(lagPause))
+		return
+	}
+	it.refusals = 0
+	it.pass(id, now.Add(passPause))
+}
+
 // patience returns how long an instance waits for a sender that waits itself.
 // It grows with the depth, so that the first below a stuck sender steps in and
 // the others go on waiting for it.
--- a/fetcher/version.go
+++ b/fetcher/version.go
@@ -80,6 +80,7 @@
 	originReads int
 	owner       gooseberrypass.Digest // manifest of a version it belongs to
 	passed      map[gooseberrypass.ID]time.Time
+	refusals    int
 	retryAt     time.Time
 	storeTried  bool
 }
--- a/loader/orders_test.go
+++ b/loader/orders_test.go
@@ -33,6 +33,7 @@
 // TestVersionThatCrashesItsEngineBacksOff has the engine start anew after each
 // order.
 func TestVersionThatCrashesItsEngineBacksOff(t *testing.T) {
+	t.Parallel()
 	e := &loadingEngine{}
 	l, _ := newLoader(t, e, nil)
 	orders := 0
@@ -62,6 +63,7 @@
 // TestRequestsEndBeforeTheLoadAndResumeAfterARefusal has a version served with a
 // request in progress when a newer one is to be loaded.
 func TestRequestsEndBeforeTheLoadAndResumeAfterARefusal(t *testing.T) {
+	t.Parallel()
 	busy := 1
 	l, digest := newLoader(t, &refusingEngine{}, func(gooseberrypass.ID) int { return busy })
 	old := gooseberrypass.LoadedVersion{Digest: gooseberrypass.DigestOf([]byte("v1")), Model: "jingles"}
@@ -94,6 +96,7 @@
 
 // TestEngineReadErrorChangesNothing has one reading of the engine's state fail.
 func TestEngineReadErrorChangesNothing(t *testing.T) {
+	t.Parallel()
 	l, digest := newLoader(t, &loadingEngine{}, nil)
 	served := gooseberrypass.LoadedVersion{Digest: digest, Model: "jingles"}
 	l.Handle(start(), observed("1", served))
@@ -108,6 +111,7 @@
 // TestNewerFenceAtTheEngine has the engine follow a configuration that this
 // process has not got yet.
 func TestNewerFenceAtTheEngine(t *testing.T) {
+	t.Parallel()
 	l, _ := newLoader(t, &loadingEngine{}, nil)
 	event := observed("1")
 	event.State.Fence = 3
