--- a/commander/deployment_test.go
+++ b/commander/deployment_test.go
@@ -43,7 +43,7 @@
 }
 
 // signal sends a signal to the process by its id.
-func (c *child) signal(t *testing.T, s os.Signal) {
+func (c *child) signal(t testing.TB, s os.Signal) {
 	t.Helper()
 	if err := c.cmd.Process.Signal(s); err != nil {
 		t.Fatalf("signal %s: %v", c.name, err)
@@ -51,7 +51,7 @@
 }
 
 // awaitEnd waits until the process has ended and returns its exit status.
-func (c *child) awaitEnd(t *testing.T) int {
+func (c *child) awaitEnd(t testing.TB) int {
 	t.Helper()
 	await(t, c.name+" to end", func() error {
 		select {
@@ -65,7 +65,7 @@
 }
 
 // await polls until condition returns nil.
-func await(t *testing.T, what string, condition func() error) {
+func await(t testing.TB, what string, condition func() error) {
 	t.Helper()
 	err := errors.New("never tried")
 	for deadline := time.Now().Add(awaitLimit); time.Now().Before(deadline); time.Sleep(pollPeriod) {
@@ -91,13 +91,13 @@
 	port    int
 	program string
 	service *child
-	t       *testing.T // of the whole test, whose end ends the processes
+	t       testing.TB // of the whole test, whose end ends the processes
 }
 
 // newDeployment builds the program and starts a log, an origin, a list, a
 // plain service, an engine for each of engineArgs, an agent for each endpoint
 // and two entries.
-func newDeployment(t *testing.T, engineArgs ...[]string) *deployment {
+func newDeployment(t testing.TB, engineArgs ...[]string) *deployment {
 	t.Helper()
 	d := &deployment{
 		client: &http.Client{Transport: &http.Transport{}, Timeout: awaitLimit},
@@ -130,7 +130,7 @@
 	return d
 }
 
-func (d *deployment) write(t *testing.T, name, body string) string {
+func (d *deployment) write(t testing.TB, name, body string) string {
 	t.Helper()
 	path := filepath.Join(d.dir, name)
 	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
@@ -152,7 +152,7 @@
 }
 
 // start starts the program. Whatever becomes of the test, it is ended by its id.
-func (d *deployment) start(t *testing.T, name string, stdout io.Writer, args ...string) *child {
+func (d *deployment) start(t testing.TB, name string, stdout io.Writer, args ...string) *child {
 	t.Helper()
 	c := &child{args: args, cmd: exec.Command(d.program, args...), ended: make(chan struct{}), name: name}
 	logPath := filepath.Join(d.dir, fmt.Sprintf("%s-%d.log", name, time.Now().UnixNano()))
@@ -181,7 +181,7 @@
 	return c
 }
 
-func (d *deployment) startStandIn(t *testing.T, kind string, args ...string) *child {
+func (d *deployment) startStandIn(t testing.TB, kind string, args ...string) *child {
 	t.Helper()
 	reader, writer := io.Pipe()
 	c := d.start(t, kind, writer, append([]string{"emulator", kind}, args...)...)
@@ -194,7 +194,7 @@
 	return c
 }
 
-func (d *deployment) settings(t *testing.T, name, address, section string) string {
+func (d *deployment) settings(t testing.TB, name, address, section string) string {
 	t.Helper()
 	return d.write(t, name+".ini", fmt.Sprintf(`[process]
 instance = %s
@@ -210,7 +210,7 @@
 `, name, address, d.log.url, d.list.url, d.origin.url, section))
 }
 
-func (d *deployment) startAgent(t *testing.T, name, keys string) *child {
+func (d *deployment) startAgent(t testing.TB, name, keys string) *child {
 	t.Helper()
 	address := d.newAddress()
 	path := d.settings(t, name, address, "[agent]\n"+keys)
@@ -224,7 +224,7 @@
 	return c
 }
 
-func (d *deployment) startEntry(t *testing.T, name string) *child {
+func (d *deployment) startEntry(t testing.TB, name string) *child {
 	t.Helper()
 	address, callers := d.newAddress(), d.newAddress()
 	path := d.settings(t, name, address, "[entry]\ncallers-listen = "+callers)
@@ -238,14 +238,14 @@
 }
 
 // restart starts a process anew that has ended, with the same settings.
-func (d *deployment) restart(t *testing.T, c *child) *child {
+func (d *deployment) restart(t testing.TB, c *child) *child {
 	t.Helper()
 	n := d.start(t, c.name, nil, c.args...)
 	n.url, n.caller = c.url, c.caller
 	return n
 }
 
-func (d *deployment) enlist(t *testing.T, row gooseberrypass.ListedInstance) {
+func (d *deployment) enlist(t testing.TB, row gooseberrypass.ListedInstance) {
 	t.Helper()
 	body, err := json.Marshal(row)
 	if err != nil {
@@ -254,7 +254,7 @@
 	d.put(t, d.list.url+"/instances/"+string(row.ID), body)
 }
 
-func (d *deployment) put(t *testing.T, url string, body []byte) {
+func (d *deployment) put(t testing.TB, url string, body []byte) {
 	t.Helper()
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url, bytes.NewReader(body))
 	if err != nil {
@@ -271,7 +271,7 @@
 }
 
 // setFaults switches the faults of a stand-in.
-func (d *deployment) setFaults(t *testing.T, c *child, faults emulator.Faults) {
+func (d *deployment) setFaults(t testing.TB, c *child, faults emulator.Faults) {
 	t.Helper()
 	body, err := json.Marshal(faults)
 	if err != nil {
@@ -282,7 +282,7 @@
 
 // putVersion gives the origin the weights that a seed makes and returns their
 // manifest's digest.
-func (d *deployment) putVersion(t *testing.T, version string, seed uint64) gooseberrypass.Digest {
+func (d *deployment) putVersion(t testing.TB, version string, seed uint64) gooseberrypass.Digest {
 	t.Helper()
 	weights := emulator.MakeWeights(seed, weightsSize)
 	manifest, err := emulator.MakeManifest("jingle-writer", version, gooseberrypass.Digest{}, weights, chunkSize)
@@ -295,7 +295,7 @@
 	return manifest.Digest()
 }
 
-func (d *deployment) writeFolder(t *testing.T) {
+func (d *deployment) writeFolder(t testing.TB) {
 	t.Helper()
 	d.folder = filepath.Join(d.dir, "folder")
 	d.write(t, "folder/10-system.ini", "[system]\norigin-region = centro\n")
@@ -308,7 +308,7 @@
 }
 
 // publish writes the model's version to the folder and publishes it.
-func (d *deployment) publish(t *testing.T, version, keys string) {
+func (d *deployment) publish(t testing.TB, version, keys string) {
 	t.Helper()
 	d.write(t, "folder/20-models.ini", fmt.Sprintf(`[model jingle-writer]
 inventory-name = MDL-0042
@@ -325,13 +325,13 @@
 }
 
 // state returns the state of the i-th engine.
-func (d *deployment) state(t *testing.T, i int) (gooseberrypass.EngineState, error) {
+func (d *deployment) state(t testing.TB, i int) (gooseberrypass.EngineState, error) {
 	t.Helper()
 	return connector.NewEngine(d.client, d.engines[i].url).State(t.Context())
 }
 
 // awaitEngine waits until the i-th engine serves a version and nothing else.
-func (d *deployment) awaitEngine(t *testing.T, i int, digest gooseberrypass.Digest) {
+func (d *deployment) awaitEngine(t testing.TB, i int, digest gooseberrypass.Digest) {
 	t.Helper()
 	await(t, fmt.Sprintf("engine %d to load %s", i, digest.Short()), func() error {
 		state, err := d.state(t, i)
@@ -346,7 +346,7 @@
 }
 
 // awaitLoaded waits until every engine serves a version and nothing else.
-func (d *deployment) awaitLoaded(t *testing.T, digest gooseberrypass.Digest) {
+func (d *deployment) awaitLoaded(t testing.TB, digest gooseberrypass.Digest) {
 	t.Helper()
 	for i := range d.engines {
 		d.awaitEngine(t, i, digest)
@@ -354,7 +354,7 @@
 }
 
 // running returns the index of the one engine that runs a request.
-func (d *deployment) running(t *testing.T) int {
+func (d *deployment) running(t testing.TB) int {
 	t.Helper()
 	found := -1
 	await(t, "an engine to run the request", func() error {
@@ -370,7 +370,7 @@
 }
 
 // runs returns the runs that the plain service counted of a key.
-func (d *deployment) runs(t *testing.T, key string) int {
+func (d *deployment) runs(t testing.TB, key string) int {
 	t.Helper()
 	resp, err := d.client.Get(d.service.url + "/runs?key=" + key)
 	if err != nil {
@@ -437,7 +437,7 @@
 	return d.reply(ctx, entry, "/v1/services/licensing/calls/"+call, key, []byte("grant"))
 }
 
-func newKey(t *testing.T) string {
+func newKey(t testing.TB) string {
 	t.Helper()
 	key, err := uuid.NewV7()
 	if err != nil {
@@ -460,7 +460,7 @@
 }
 
 // awaitAnswer waits until an entry gives a whole answer of a version.
-func (d *deployment) awaitAnswer(t *testing.T, entry *child, model string, digest gooseberrypass.Digest) {
+func (d *deployment) awaitAnswer(t testing.TB, entry *child, model string, digest gooseberrypass.Digest) {
 	t.Helper()
 	await(t, entry.name+" to answer for "+model, func() error {
 		answer, err := d.generate(t.Context(), entry, model, "noon", 8)
@@ -478,7 +478,7 @@
 }
 
 // openStream asks for a streamed answer and reads its first piece.
-func (d *deployment) openStream(t *testing.T, entry *child, prompt string, n int) *tokenStream {
+func (d *deployment) openStream(t testing.TB, entry *child, prompt string, n int) *tokenStream {
 	t.Helper()
 	resp, err := d.post(t.Context(), entry, "/v1/generate", "", generateBody("jingle-writer", prompt, n, true))
 	if err != nil {
@@ -495,7 +495,7 @@
 }
 
 // next reads one event and returns its name, "" at the end.
-func (s *tokenStream) next(t *testing.T) string {
+func (s *tokenStream) next(t testing.TB) string {
 	t.Helper()
 	name := ""
 	for s.events.Scan() {
@@ -517,7 +517,7 @@
 }
 
 // rest reads the stream to its end and returns its last event.
-func (s *tokenStream) rest(t *testing.T) string {
+func (s *tokenStream) rest(t testing.TB) string {
 	t.Helper()
 	last := ""
 	for event := s.next(t); event != ""; event = s.next(t) {
--- a/commander/settingsflag.go
+++ b/commander/settingsflag.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 	"strings"
 
 	"github.com/jonboulle/clockwork"
@@ -14,6 +15,10 @@
 	"github.com/gooseberrypass/gooseberrypass/runner"
 )
 
+// gcPercent is how far the heap of a process may grow before it is collected, in
+// percent. An instance has little memory to spare and collecting costs little.
+const gcPercent = 40
+
 // A settingsFlag names the settings file of a process.
 type settingsFlag struct {
 	Settings string `help:"Settings file, INI." placeholder:"FILE" required:"" type:"path"`
@@ -31,6 +36,9 @@
 	if err != nil {
 		return nil, runner.Dependencies{}, &ExitError{Err: err, Status: ExitBadUsage}
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	logger := logrus.New()
 	logger.SetOutput(std.stderr)
 	level, err := logrus.ParseLevel(settings.LogLevel())
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -21,7 +21,9 @@
 	ClassAttempt  Class = "attempt"
 	ClassBulk     Class = "bulk"
 	ClassControl  Class = "control"
+	ClassEndpoint Class = "endpoint" // on the instance itself
 	ClassPlatform Class = "platform"
+	ClassServed   Class = "served" // calls of other processes
 )
 
 // The limits of connections.
@@ -40,13 +42,13 @@
 	key   authenticator.Key
 }
 
-// New returns a dialer whose clients carry key, except those of
-// ClassPlatform.
+// New returns a dialer whose clients carry key, except those of ClassEndpoint
+// and ClassPlatform.
 func New(key authenticator.Key, registerer prometheus.Registerer) (*Dialer, error) {
 	d := &Dialer{
 		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberrypass_connection_bytes_total",
-			Help: "Bytes on connections that this process opened.",
+			Help: "Bytes on connections between processes and to the platform.",
 		}, []string{"class", "direction"}),
 		key: key,
 	}
@@ -76,12 +78,38 @@
 		ReadBufferSize:         writeReadBufferSize,
 		WriteBufferSize:        writeReadBufferSize,
 	}
-	if class == ClassPlatform {
+	if class == ClassEndpoint || class == ClassPlatform {
 		return &http.Client{Transport: transport}
 	}
 	return &http.Client{Transport: d.key.Transport(transport)}
 }
 
+// Listener returns lis with the bytes of its connections counted as
+// ClassServed.
+func (d *Dialer) Listener(lis net.Listener) net.Listener {
+	return countedListener{
+		Listener: lis,
+		in:       d.bytes.WithLabelValues(string(ClassServed), "in"),
+		out:      d.bytes.WithLabelValues(string(ClassServed), "out"),
+	}
+}
+
+// A countedListener counts the bytes of the connections it accepts.
+type countedListener struct {
+	net.Listener
+	in  prometheus.Counter
+	out prometheus.Counter
+}
+
+// Accept implements net.Listener.
+func (l countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{Conn: conn, in: l.in, out: l.out}, nil
+}
+
 // A countedConn counts the bytes of a connection.
 type countedConn struct {
 	net.Conn
@@ -103,4 +131,7 @@
 	return n, err
 }
 
-var _ net.Conn = countedConn{}
+var (
+	_ net.Conn     = countedConn{}
+	_ net.Listener = countedListener{}
+)
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -24,12 +24,18 @@
 	server *http.Server
 }
 
-// Listen binds address and returns a listener for handler.
-func Listen(ctx context.Context, address string, handler http.Handler) (*Listener, error) {
+// Bind binds address.
+func Bind(ctx context.Context, address string) (net.Listener, error) {
 	var cfg net.ListenConfig
 	lis, err := cfg.Listen(ctx, "tcp", address)
+	return lis, errors.Wrapf(err, "listen on %s", address)
+}
+
+// Listen binds address and returns a listener for handler.
+func Listen(ctx context.Context, address string, handler http.Handler) (*Listener, error) {
+	lis, err := Bind(ctx, address)
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", address)
+		return nil, err
 	}
 	return New(lis, handler), nil
 }
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -163,7 +163,7 @@
 		a.loop.Add(a.weights.Controllers()...)
 	}
 	a.loop.Add(a.attempts.Controllers()...)
-	a.system = listener.New(lis, a.systemHandler(a.endpointReady, a.routes()...))
+	a.system = listener.New(a.dialer.Listener(lis), a.systemHandler(a.endpointReady, a.routes()...))
 	return nil
 }
 
@@ -172,7 +172,7 @@
 	if err != nil {
 		return errors.Wrap(err, "address of the service")
 	}
-	d.Service = connector.NewPlainService(a.dialer.Client(dialer.ClassPlatform), a.settings.service)
+	d.Service = connector.NewPlainService(a.dialer.Client(dialer.ClassEndpoint), a.settings.service)
 	d.Probe = func(ctx context.Context) error {
 		return probe(ctx, u.Host)
 	}
@@ -180,7 +180,7 @@
 }
 
 func (a *Agent) addEngine(ctx context.Context, d *attempter.Dependencies) error {
-	a.engine = connector.NewEngine(a.dialer.Client(dialer.ClassPlatform), a.settings.engine)
+	a.engine = connector.NewEngine(a.dialer.Client(dialer.ClassEndpoint), a.settings.engine)
 	var config net.ListenConfig
 	feed, err := config.Listen(ctx, "tcp", a.settings.weightsFrom.String())
 	if err != nil {
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -84,10 +84,11 @@
 func (e *Entry) bind(ctx context.Context) error {
 	server := wire.NewEntryServer(e.entry)
 	handler := e.systemHandler(e.ready, listener.Route{Handler: server, Pattern: server.PathPrefix()})
-	var err error
-	if e.system, err = listener.Listen(ctx, e.settings.listen.String(), handler); err != nil {
+	lis, err := listener.Bind(ctx, e.settings.listen.String())
+	if err != nil {
 		return err
 	}
+	e.system = listener.New(e.dialer.Listener(lis), handler)
 	e.callers, err = listener.Listen(ctx, e.settings.callers.String(), e.entry.Handler())
 	if err != nil {
 		_ = e.system.Close()
