Count refused records and log a divergence once

Records that the shared key does not prove were passed over silently, and a divergence was logged with each exchange. A read that began before a push came in also made the history of records start anew.

--- a/spreader/exchange.go
+++ b/spreader/exchange.go
@@ -171,7 +171,11 @@
 
 // take takes over records or a snapshot that a peer sent, if they are newer.
 func (s *Spreader) take(now time.Time, records []*wire.LogRecord, snapshot []byte) []gooseberrypass.Effect {
-	if state, accepted := acceptRecords(s.key, s.state, records); len(accepted) > 0 {
+	state, accepted, err := acceptRecords(s.key, s.state, records)
+	if err != nil {
+		s.metrics.exchanges.WithLabelValues("refused").Inc()
+	}
+	if len(accepted) > 0 {
 		return s.adopt(now, state, accepted)
 	}
 	if len(snapshot) == 0 {
@@ -191,6 +195,10 @@
 		return
 	}
 	s.metrics.divergences.Inc()
+	if s.divergedAt == offset {
+		return
+	}
+	s.divergedAt = offset
 	s.logger.WithField("peer", peer).WithField("offset", offset).Error("peer holds other files at the same offset")
 }
 
--- a/spreader/history.go
+++ b/spreader/history.go
@@ -18,11 +18,17 @@
 	size    int // bytes
 }
 
-// add adds an accepted record. One that does not follow on the last starts the
-// history anew.
+// add adds an accepted record, unless it is there. One that does not follow on
+// the last starts the history anew.
 func (h *history) add(a replayer.Accepted) {
-	if n := len(h.records); n > 0 && h.records[n-1].Record.Offset != a.Change.Base {
-		h.records, h.size = nil, 0
+	if n := len(h.records); n > 0 {
+		last := h.records[n-1].Record.Offset
+		if a.Record.Offset <= last {
+			return
+		}
+		if a.Change.Base != last {
+			h.records, h.size = nil, 0
+		}
 	}
 	h.records = append(h.records, a)
 	h.size += len(a.Record.Body)
@@ -51,14 +57,18 @@
 }
 
 // acceptRecords returns the state after records that a peer accepted, in their
-// order, and those that changed it.
+// order, and those that changed it. The error is that of the first bad record,
+// which ends the records.
 func acceptRecords(
 	key authenticator.Key, s replayer.State, records []*wire.LogRecord,
-) (replayer.State, []replayer.Accepted) {
+) (replayer.State, []replayer.Accepted, error) {
 	var accepted []replayer.Accepted
 	for _, r := range records {
 		decoded, err := replayer.Decode(key, r.GetBody())
-		if err != nil || decoded.Snapshot != nil {
+		if err != nil {
+			return s, accepted, err
+		}
+		if decoded.Snapshot != nil {
 			continue
 		}
 		next, ok := s.Accept(gooseberrypass.Offset(r.GetOffset()), decoded.Change)
@@ -67,5 +77,5 @@
 			accepted = append(accepted, replayer.Accepted{Change: decoded.Change, Record: recordOf(r)})
 		}
 	}
-	return s, accepted
+	return s, accepted, nil
 }
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -63,9 +63,10 @@
 	config      atomic.Pointer[gooseberrypass.Config]
 	current     bool // the last read of the log came to its end
 	dial        Dial
-	digest      []byte    // of state, once it was asked for
-	encoded     []byte    // snapshot of state for peers, once it was asked for
-	gapSince    time.Time // when the log was first found trimmed past the state
+	digest      []byte                // of state, once it was asked for
+	divergedAt  gooseberrypass.Offset // at which a divergence was logged last
+	encoded     []byte                // snapshot of state for peers, once it was asked for
+	gapSince    time.Time             // when the log was first found trimmed past the state
 	history     history
 	key         authenticator.Key
 	log         gooseberrypass.Log
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -241,6 +241,7 @@
 		"forged snapshot":  {Offset: 9, Snapshot: []byte(`{"payload":{"snapshot":{"last_accepted":9}}}`)},
 		"change, not snap": {Offset: 9, Snapshot: m.records[0].Body},
 		"old records":      {Offset: 2, Records: []*wire.LogRecord{record(1), record(2)}},
+		"forged record":    {Offset: 9, Records: []*wire.LogRecord{{Offset: 9, Body: []byte(`{"payload":{"base":2}}`)}}},
 		"record in a gap":  {Offset: 9, Records: []*wire.LogRecord{{Offset: 9, Body: m.records[0].Body}}},
 		"other files":      {Offset: 2, StateDigest: []byte("other")},
 	} {
