--- a/fetcher/planner.go
+++ b/fetcher/planner.go
@@ -18,6 +18,7 @@
 	maxBusies        = 3
 	maxDemanded      = 1024
 	maxHolderTries   = 3
+	maxRefusals      = 2 // by a peer that knows of the version
 	pacedFarInFlight = 4 // reads from one other region at once under a rate
 	mismatchesBad    = 2 // from the origin, until its bytes are held to have changed
 	mismatchPause    = 30 * time.Second
@@ -131,7 +132,7 @@
 	for _, w := range wants {
 		p.versions = append(p.versions, p.newVersion(w, old))
 	}
-	p.activate()
+	p.Activate()
 	for id, f := range p.flights {
 		if _, ok := p.items[f.item.Digest]; !ok {
 			p.cancels = append(p.cancels, id)
@@ -203,30 +204,26 @@
 	return it
 }
 
-// activate lets the versions go ahead that fit in memory together.
-func (p *Planner) activate() {
+// Activate lets the versions go ahead that fit in memory together. It is to be
+// called when the limit has changed.
+func (p *Planner) Activate() {
 	p.pins = nil
 	counted := map[gooseberrypass.Digest]struct{}{}
 	var bytes int64
-	for i, v := range p.versions {
-		v.active = true
+	for _, v := range p.versions {
+		v.active, v.noRoom = true, ""
 		if v.manifest == nil {
 			continue
 		}
-		need := int64(len(v.manifest.Encoded()))
-		for _, it := range v.items[1:] {
-			if _, ok := counted[it.Digest]; !ok {
-				need += it.Size
-			}
+		alone, beside := v.need(counted)
+		v.active = bytes+beside <= p.holder.Limit()
+		if alone > p.holder.Limit() {
+			v.noRoom = fmt.Sprintf("the version needs %d bytes of chunk memory, the limit is %d", alone, p.holder.Limit())
 		}
-		v.active = bytes+need <= p.holder.Limit()
 		if !v.active {
-			if need > p.holder.Limit() && i == 0 {
-				v.err = fmt.Sprintf("version needs %d bytes of chunk memory, the limit is %d", need, p.holder.Limit())
-			}
 			continue
 		}
-		bytes += need
+		bytes += beside
 		for _, it := range v.items[1:] {
 			counted[it.Digest] = struct{}{}
 		}
@@ -539,7 +536,7 @@
 func (p *Planner) arrived(v *version, it *item) {
 	if it.Manifest && v.want.Digest == it.Digest && v.manifest == nil {
 		p.open(v, nil)
-		p.activate()
+		p.Activate()
 		return
 	}
 	if v.manifest == nil || it.Manifest {
@@ -564,11 +561,7 @@
 			it.pass(id, now.Add(passPause))
 		}
 	case ResultNotHeld:
-		if _, ok := p.behind[it.owner][id]; ok && now.Sub(it.asked) < lagPatience {
-			it.retryAt = now.Add(p.jitter(lagPause))
-			return
-		}
-		it.pass(id, now.Add(passPause))
+		p.refused(now, it, id)
 	case ResultPending:
 		patience := p.patience(f.rank)
 		if now.Sub(it.asked) > patience {
@@ -586,6 +579,22 @@
 	}
 }
 
+// refused takes in that a peer neither holds an item nor wants it. A peer that
+// does not know of the version yet is asked again, as is one that may have
+// learned of it since it answered.
+func (p *Planner) refused(now time.Time, it *item, id gooseberrypass.ID) {
+	_, behind := p.behind[it.owner][id]
+	if !behind {
+		it.refusals++
+	}
+	if it.refusals < maxRefusals && now.Sub(it.asked) < lagPatience {
+		it.retryAt = now.Add(p.jitter(lagPause))
+		return
+	}
+	it.refusals = 0
+	it.pass(id, now.Add(passPause))
+}
+
 // patience returns how long an instance waits for a sender that waits itself.
 // It grows with the depth, so that the first below a stuck sender steps in and
 // the others go on waiting for it.
--- a/retrier/metrics.go
+++ b/retrier/metrics.go
@@ -9,6 +9,7 @@
 	lostCancels prometheus.Counter
 	moves       prometheus.Counter
 	retries     prometheus.Counter
+	waits       prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) (*metrics, error) {
@@ -16,14 +17,15 @@
 		return prometheus.NewCounter(prometheus.CounterOpts{Name: "gooseberrypass_" + name, Help: help})
 	}
 	m := &metrics{
-		attempts:    counter("attempts_total", "Attempts sent to endpoints."),
+		attempts:    counter("sent_attempts_total", "Attempts sent to endpoints."),
 		badFrames:   counter("bad_frames_total", "Answers discarded as crossed, cut or made by other weights."),
 		denied:      counter("retries_denied_total", "Retries not made for want of budget."),
 		lostCancels: counter("cancels_lost_total", "Cancellations that an agent did not confirm."),
 		moves:       counter("streams_moved_total", "Streams resumed at another endpoint."),
 		retries:     counter("retries_total", "Attempts after the first of a request."),
+		waits:       counter("rollout_waits_total", "Pauses of requests while no endpoint had a version loaded."),
 	}
-	for _, c := range []prometheus.Collector{m.attempts, m.badFrames, m.denied, m.lostCancels, m.moves, m.retries} {
+	for _, c := range []prometheus.Collector{m.attempts, m.badFrames, m.denied, m.lostCancels, m.moves, m.retries, m.waits} {
 		if err := registerer.Register(c); err != nil {
 			return nil, err
 		}
