--- a/retrier/move.go
+++ b/retrier/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/gooseberrypass/gooseberrypass/router"
@@ -16,7 +17,7 @@
 // frame has come, else the old one, which goes on until it is ended.
 func (r *run) move(ctx context.Context, old *stream, moved *wire.Moved) *stream {
 	q := r.query()
-	q.Avoid = append(q.Avoid, old.ticket.Member().Listed.ID)
+	q.Avoid = append(slices.Clone(q.Avoid), old.ticket.Member().Listed.ID)
 	q.Weights = old.ticket.Weights()
 	ticket, err := r.retrier.chooser.Choose(q)
 	left := r.req.Deadline().Sub(r.retrier.clock.Now())
