Give up an attempt for good once its time has passed

A frame that came just as its attempt was given up was still delivered, and the rest of its answer was cut. TestLateAnswer fails without the check.

--- a/retrier/generate.go
+++ b/retrier/generate.go
@@ -16,6 +16,9 @@
 // stallLimit is how long a stream may pause between two pieces.
 const stallLimit = 15 * time.Second
 
+// errLate is the failure of an attempt that was given up before its frame came.
+var errLate = errors.New("no frame in time")
+
 // A stream is the answer to one attempt, as it comes.
 type stream struct {
 	cancel  context.CancelFunc
@@ -70,7 +73,10 @@
 	defer func() { s.close() }()
 	for err == nil {
 		var frame *wire.Frame
-		if frame, err = s.next(); err != nil {
+		if frame, err = s.next(); err == nil && s.watch.fired() {
+			err = errLate
+		}
+		if err != nil {
 			break
 		}
 		if moved := frame.GetMoved(); moved != nil {
--- a/retrier/whole_test.go
+++ b/retrier/whole_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/retrier"
@@ -139,6 +141,53 @@
 	}
 }
 
+// A lateEngine answers in a second, but for the attempts whose answers come only
+// once they were given up.
+type lateEngine struct {
+	*scripted
+	attempts int
+	late     bool
+}
+
+func (e *lateEngine) Generate(ctx context.Context, _ gooseberrypass.ListedInstance, a *wire.Attempt) (retrier.FrameStream, error) {
+	e.attempts++
+	if e.late {
+		e.late = false
+		return &lateStream{ctx: ctx, script: script{end: io.EOF, frames: answerTo(a)}}, nil
+	}
+	time.Sleep(time.Second)
+	return &script{end: io.EOF, frames: answerTo(a)}, nil
+}
+
+type lateStream struct {
+	ctx context.Context
+	script
+}
+
+func (s *lateStream) Next() (*wire.Frame, error) {
+	<-s.ctx.Done()
+	return s.script.Next()
+}
+
+// An answer that comes after its attempt was given up is not mixed with that of
+// the next one.
+func TestLateAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &lateEngine{scripted: &scripted{}}
+		r := newRetrier(t, members{newMember("w-0", ""), newMember("w-1", "")}, engine, 1, anyChoices)
+		for i := range 10 {
+			engine.late, engine.attempts = i > 0, 0
+			got, begin := &caller{}, time.Now()
+			if err := r.Handle(context.Background(), newRequest(gooseberrypass.RequestGenerate, "x", true), got); err != nil {
+				t.Fatal(err)
+			}
+			if got.text != "answer to x." || got.starts != 1 || i > 0 && engine.attempts != 2 || time.Since(begin) > 10*time.Second {
+				t.Errorf("got %q, %d starts, %d attempts in %v, want the answer of the second", got.text, got.starts, engine.attempts, time.Since(begin))
+			}
+		}
+	})
+}
+
 // An error status is no sign that the request broke anything.
 func TestErrorStatusIsNoCut(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
