--- a/loader/loader.go
+++ b/loader/loader.go
@@ -170,7 +170,7 @@
 			t.succeed()
 		case t.orderedAt.IsZero():
 		case t.orderedBoot != l.view.state.BootID:
-			t.orderedAt = time.Time{} // started anew: the order is lost
+			t.fail(now, "the engine started anew while it loaded the version")
 		case !l.view.state.Loading && now.Sub(t.orderedAt) > confirmTime:
 			t.fail(now, "the engine took the order and did not load the version")
 		case now.Sub(t.orderedAt) > loadLimit:
@@ -184,11 +184,15 @@
 	}
 }
 
-// fetch tells the fetcher which versions are wanted and not loaded.
+// fetch tells the fetcher which versions are wanted and not loaded. It waits for
+// the first observation of the engine, which may have them from before.
 func (l *Loader) fetch(now time.Time) []gooseberrypass.Effect {
+	if !l.view.seen {
+		return nil
+	}
 	var wants []fetcher.Want
 	for _, t := range l.targets {
-		if !l.drained() && (!l.view.known || !l.view.serves(t.model.ID(), t.digest())) {
+		if !l.drained() && !l.view.serves(t.model.ID(), t.digest()) {
 			wants = append(wants, t.want())
 		}
 	}
@@ -265,6 +269,7 @@
 	}
 	p := l.versions.Progress(t.digest())
 	t.manifest = p.Manifest
+	t.noteProgress(now, p)
 	if !p.Whole() || t.mismatch() != "" || l.view.state.Loading || !l.baseLoaded(t) || !l.mayLeave(now, t) {
 		return nil
 	}
@@ -279,13 +284,17 @@
 }
 
 // mayLeave stops the admission of requests to the version before, once this
-// instance's wave has come. An instance that serves no version of the model has
-// nothing to leave.
+// instance's wave has come, and reports whether it had been stopped before: only
+// then do the requests in progress count all that were admitted. An instance
+// that serves no version of the model has nothing to leave.
 func (l *Loader) mayLeave(now time.Time, t *target) bool {
 	if !t.leavingAt.IsZero() {
 		return true
 	}
 	if l.view.servesAny(t.model.ID()) {
+		if !t.heardOf(now) {
+			return false
+		}
 		candidates := l.watcher.Candidates(now, l.peers(), t.model.ID(), t.digest())
 		candidates = append(candidates, roller.Candidate{
 			FailureDomain: l.self.FailureDomain, ID: l.self.ID, Serving: true,
@@ -295,7 +304,7 @@
 		}
 	}
 	t.leavingAt = now
-	return true
+	return !l.view.servesAny(t.model.ID())
 }
 
 // peers returns the other instances of the pool.
@@ -387,16 +396,16 @@
 	p := l.versions.Progress(t.digest())
 	s := gooseberrypass.TargetStatus{Digest: t.digest(), Held: p.Held, Model: t.model.ID(), Total: p.Total}
 	switch {
-	case l.view.known && l.view.serves(t.model.ID(), t.digest()):
+	case l.view.serves(t.model.ID(), t.digest()):
 		s.Phase = gooseberrypass.PhaseServing
+	case !t.orderedAt.IsZero(), !t.leavingAt.IsZero():
+		s.Phase = gooseberrypass.PhaseLoading
 	case p.Err != "":
 		s.Err, s.Phase = p.Err, gooseberrypass.PhaseFailed
 	case t.mismatch() != "":
 		s.Err, s.Phase = t.mismatch(), gooseberrypass.PhaseFailed
 	case t.err != "":
 		s.Err, s.Phase = t.err, gooseberrypass.PhaseFailed
-	case !t.orderedAt.IsZero(), !t.leavingAt.IsZero():
-		s.Phase = gooseberrypass.PhaseLoading
 	case p.Whole():
 		s.Phase = gooseberrypass.PhaseWaiting
 	default:
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -31,6 +31,7 @@
 		"no value":           {"[a]\nword\n", "f:2: [a] not a [section], a key = value or a # comment"},
 		"open section":       {"[a\n", "f:1: not a [section], a key = value or a # comment"},
 		"open quote":         {"[a]\nk = \"\"\"x\n", "f:2: [a] not a [section], a key = value or a # comment"},
+		"only open quotes":   {"[a]\nk = \"\"\"", "f:2: [a] not a [section], a key = value or a # comment"},
 		"text after section": {"[a] b\n", "f:1: not a section header: want [title] alone on its line"},
 		"good":               {"\uFEFF# c\r\n[a]  ; c\r\nk = 1 # c\r\n", ""},
 	} {
@@ -148,7 +149,7 @@
 	if len(findings) != 1 || findings[0].File != "c.ini" {
 		t.Errorf("got %v, want c.ini not to be readable", findings)
 	}
-	if _, err := parser.ReadFolder(t.Context(), clock, filepath.Join(dir, "none")); !os.IsNotExist(errors.Cause(err)) {
+	if _, err := parser.ReadFolder(t.Context(), clock, filepath.Join(dir, "none")); !errors.Is(err, os.ErrNotExist) {
 		t.Errorf("got %v, want no such folder", err)
 	}
 }
