--- a/fetcher/budget.go
+++ b/fetcher/budget.go
@@ -17,14 +17,19 @@
 	spent float64
 }
 
-// take draws size bytes of the most that may be drawn in budgetRefill, and
-// reports whether they were there.
-func (b *budget) take(size int64, most float64, now time.Time) bool {
+// covers reports whether size bytes may be drawn of the most that may be drawn
+// in budgetRefill.
+func (b *budget) covers(size int64, most float64, now time.Time) bool {
 	if !b.at.IsZero() {
 		b.spent = max(0, b.spent-most*now.Sub(b.at).Seconds()/budgetRefill.Seconds())
 	}
 	b.at = now
-	if b.spent+float64(size) > most {
+	return b.spent+float64(size) <= most
+}
+
+// take draws size bytes if the budget covers them, and reports whether it did.
+func (b *budget) take(size int64, most float64, now time.Time) bool {
+	if !b.covers(size, most, now) {
 		return false
 	}
 	b.spent += float64(size)
--- a/fetcher/estimate.go
+++ b/fetcher/estimate.go
@@ -28,6 +28,14 @@
 	return min(max(4*e.mean+8*e.dev, least), most)
 }
 
+// usual returns a time in which most transfers end; initial before the first.
+func (e *estimate) usual(initial, least, most time.Duration) time.Duration {
+	if !e.seen {
+		return initial
+	}
+	return min(max(e.mean+4*e.dev, least), most)
+}
+
 // stretch makes room after a transfer that took longer than its limit, so that
 // a link that became slower for all is not mistaken for slow senders for ever.
 func (e *estimate) stretch() {
--- a/fetcher/linkmodel_test.go
+++ b/fetcher/linkmodel_test.go
@@ -64,6 +64,17 @@
 func (n *node) Has(d gooseberrypass.Digest) bool              { _, ok := n.held[d]; return ok }
 func (n *node) Limit() int64                                  { return 1 << 40 }
 
+// offers reports whether the node waits for a chunk itself.
+func (n *node) offers(d gooseberrypass.Digest) bool {
+	p, ok := n.planner.(*fetcher.Planner)
+	if !ok {
+		return true
+	}
+	pins, _ := p.Pins()
+	_, ok = pins[d]
+	return ok
+}
+
 type event struct {
 	at  time.Time
 	run func()
@@ -133,7 +144,7 @@
 			rankings[len(instances)] = ranker.New(instances, m.order[0].listed.Region, 2)
 		}
 		p.SetRanking(rankings[len(instances)])
-		p.SetCopies(4)
+		p.SetCopies(1.5) // the default
 		p.SetWants([]fetcher.Want{{Digest: m.manifest.Digest(), OriginName: "m", Version: "1"}})
 		n.planner, n.demand = p, p.Demand
 	}
@@ -230,6 +241,8 @@
 		m.after(f.Wait+2*time.Second, func() { m.finish(n, f, fetcher.ResultTimeout, m.clock.Now()) })
 	case peer.Has(f.Item.Digest):
 		m.serve(peer, n, f, m.clock.Now().Add(f.Wait))
+	case !peer.offers(f.Item.Digest):
+		m.after(latency, func() { m.finish(n, f, fetcher.ResultNotHeld, m.clock.Now()) })
 	default:
 		until := m.clock.Now().Add(f.Wait)
 		peer.waiting[f.Item.Digest] = append(peer.waiting[f.Item.Digest], func() { m.serve(peer, n, f, until) })
--- a/fetcher/planner.go
+++ b/fetcher/planner.go
@@ -18,12 +18,14 @@
 	maxBusies        = 3
 	maxDemanded      = 1024
 	maxHolderTries   = 3
+	maxProbes        = 2 // of later ranks before the origin is read once more
 	maxRefusals      = 2 // by a peer that knows of the version
 	pacedFarInFlight = 4 // reads from one other region at once under a rate
 	mismatchesBad    = 2 // from the origin, until its bytes are held to have changed
 	mismatchPause    = 30 * time.Second
 	mismatchMax      = 10 * time.Minute
 	passPause        = 10 * time.Second // for which one sender is passed over for one item
+	probePause       = 50 * time.Millisecond
 	roomPause        = 5 * time.Second
 	sourceMax        = time.Minute
 	sourcePause      = 500 * time.Millisecond
@@ -230,7 +232,7 @@
 	}
 }
 
-// Pins returns the digests that must be kept once they are held, and whether
+// Pins returns the digests that are offered and must be kept once held, and whether
 // they have changed since the last call. Callers must not change the map.
 func (p *Planner) Pins() (map[gooseberrypass.Digest]struct{}, bool) {
 	if p.pins != nil {
@@ -242,7 +244,9 @@
 			continue
 		}
 		for _, it := range v.items {
-			pins[it.Digest] = struct{}{}
+			if it.held || !it.resigned {
+				pins[it.Digest] = struct{}{}
+			}
 		}
 	}
 	p.pins = pins
@@ -341,7 +345,7 @@
 	if p.full(fetch) || now.Before(p.outside[fetch.Kind].until) {
 		return starts
 	}
-	if fetch.Kind == SourceOrigin && !p.mayReadOrigin(now, it) {
+	if fetch.Kind == SourceOrigin && !p.isFirstRead(it) && !p.probe(now, it, &fetch) && !p.drawBudget(now, it) {
 		return starts
 	}
 	return append(starts, p.start(now, it, fetch, hop.Rank))
@@ -421,36 +425,64 @@
 	}
 }
 
-// mayReadOrigin reports whether an item may be read from the origin: the first
-// in rank may once, all else draws on the budget.
-func (p *Planner) mayReadOrigin(now time.Time, it *item) bool {
-	if it.originReads == 0 && p.ranking.Hop(p.self, it.Index, it.Digest, nil).Parent == nil {
-		return true
-	}
-	v := p.version(it.owner)
-	size, chunk := it.Size, it.Size
-	if v != nil && v.manifest != nil {
-		size, chunk = v.manifest.Size(), v.manifest.Chunk(0).Size
+// isFirstRead reports whether an item may be read from the origin without the
+// budget: the first in rank may once. A manifest is a few KB.
+func (p *Planner) isFirstRead(it *item) bool {
+	return it.Manifest || it.originReads == 0 && p.ranking.Hop(p.self, it.Index, it.Digest, nil).Parent == nil
+}
+
+// probe sets the peer of a fetch to an instance that may have the item though it
+// ranks later, before an item is read from the origin once more. A few are asked;
+// all of them are, one after another, when the budget is spent.
+func (p *Planner) probe(now time.Time, it *item, fetch *Fetch) bool {
+	if it.probes >= maxProbes && p.budget.covers(it.Size, p.share(now, it), now) {
+		return false
 	}
-	if it.Manifest {
-		return true // a few KB; bounded by its backoff
+	peer, far := p.ranking.Find(p.self, it.Digest, func(id gooseberrypass.ID) bool {
+		return id != p.self && !p.excludes(it, id, now)
+	})
+	if peer == nil {
+		return false
 	}
-	instances := p.ranking.Len() - p.avoid.count(now)
-	if p.budget.take(it.Size, share(p.copies-1, size, chunk, instances), now) {
+	it.probes++
+	fetch.Kind, fetch.Peer, fetch.probe = kindOf(far), *peer, true
+	return true
+}
+
+// drawBudget reports whether the budget covers a read from the origin, and draws
+// it. Else the item is not offered to others any more, so that the next in rank
+// steps in with its own budget.
+func (p *Planner) drawBudget(now time.Time, it *item) bool {
+	if p.budget.take(it.Size, p.share(now, it), now) {
 		return true
 	}
+	if !it.resigned {
+		it.resigned, p.pins = true, nil
+	}
 	it.retryAt = now.Add(p.jitter(budgetPause))
 	it.passed = nil
 	it.holderTries = 0
 	return false
 }
 
+// share returns the bytes that this instance may read from the origin beyond the
+// first copy.
+func (p *Planner) share(now time.Time, it *item) float64 {
+	size, chunk := it.Size, it.Size
+	if v := p.version(it.owner); v != nil && v.manifest != nil {
+		size, chunk = v.manifest.Size(), v.manifest.Chunk(0).Size
+	}
+	return share(p.copies-1, size, chunk, p.ranking.Len()-p.avoid.count(now))
+}
+
 func (p *Planner) start(now time.Time, it *item, fetch Fetch, rank int) Fetch {
 	p.last++
 	fetch.ID = p.last
 	fetch.Limit = p.limit(fetch.Kind)
 	if fetch.Kind == SourceNear || fetch.Kind == SourceFar {
-		fetch.Wait = p.settings.Wait
+		if !fetch.probe {
+			fetch.Wait = p.settings.Wait
+		}
 		fetch.Limit += fetch.Wait
 	}
 	if fetch.Kind == SourceFar {
@@ -524,6 +556,9 @@
 	p.outside[f.fetch.Kind] = backoff{}
 	p.avoid.clear(f.fetch.Peer.ID)
 	it.held, it.err, it.passed = true, "", nil
+	if it.resigned {
+		it.resigned, p.pins = false, nil
+	}
 	if p.items[it.Digest] != it {
 		return
 	}
@@ -552,6 +587,11 @@
 
 func (p *Planner) failPeer(now time.Time, f *flight, done Done) {
 	it, id := f.item, f.fetch.Peer.ID
+	if f.fetch.probe && (done.Result == ResultBusy || done.Result == ResultNotHeld || done.Result == ResultPending) {
+		it.pass(id, now.Add(passPause))
+		it.retryAt = now.Add(p.jitter(probePause))
+		return
+	}
 	switch done.Result {
 	case ResultBusy:
 		it.busies++
@@ -600,7 +640,7 @@
 // the others go on waiting for it.
 func (p *Planner) patience(rank int) time.Duration {
 	wait := p.settings.Wait
-	return p.whole.limit(waitsPatience*wait, wait, p.settings.MaxLimit) * time.Duration(1+bits.Len(uint(rank)))
+	return p.whole.usual(waitsPatience*wait, wait, p.settings.MaxLimit) * time.Duration(1+bits.Len(uint(rank)))
 }
 
 func (p *Planner) failStore(now time.Time, f *flight, done Done) {
--- a/fetcher/source.go
+++ b/fetcher/source.go
@@ -57,6 +57,8 @@
 	Limit time.Duration // for the whole try
 	Peer  gooseberrypass.ListedInstance
 	Wait  time.Duration // how long a peer may hold the request
+
+	probe bool // of a peer that ranks later
 }
 
 // A Result is what became of a Fetch.
--- a/fetcher/version.go
+++ b/fetcher/version.go
@@ -80,7 +80,9 @@
 	originReads int
 	owner       gooseberrypass.Digest // manifest of a version it belongs to
 	passed      map[gooseberrypass.ID]time.Time
+	probes      int
 	refusals    int
+	resigned    bool // left to the next in rank for want of budget
 	retryAt     time.Time
 	storeTried  bool
 }
