Hold back the load from readers of a status that want it seldom

Cause: an agent beside 14 others spent 5697 B/s without any request, since its peers' polls cost it as much as its own; and an entry that polled soon again to hear of a leaving agent got each change of the load as well. Agents now honour load_wait_ms: a reader hears at once of all but the load, the chunks held and the cache. Agents follow their peers without the load, within 1 KB/s. The pause after an answer is 50 ms again, as the agent keeps the polls within their budget; the fake agent of that test holds back as agents do now, which a test of the agent's side shows.

--- a/attempter/reporter.go
+++ b/attempter/reporter.go
@@ -31,6 +31,7 @@
 
 type publication struct {
 	replaced chan struct{} // closed when there is a newer one
+	standing uint64        // version of the last that differs in more than load
 	status   *gooseberrypass.AgentStatus
 }
 
@@ -49,7 +50,7 @@
 	}
 	// Versions of an agent that starts anew differ from its predecessor's.
 	first := uint64(d.Clock.Now().UnixNano())
-	r.published.Store(newPublication(&gooseberrypass.AgentStatus{Version: first}))
+	r.published.Store(newPublication(&gooseberrypass.AgentStatus{Version: first}, first))
 	return r
 }
 
@@ -65,18 +66,23 @@
 	}
 	next := r.status(now)
 	old := r.published.Load()
-	if sameStanding(old.status, next) && (now.Sub(r.updated) < loadPeriod || sameLoad(old.status, next)) {
+	same := sameStanding(old.status, next)
+	if same && (now.Sub(r.updated) < loadPeriod || sameLoad(old.status, next)) {
 		return nil
 	}
 	r.updated = now
 	next.Version = old.status.Version + 1
-	r.published.Store(newPublication(next))
+	standing := next.Version
+	if same {
+		standing = old.standing
+	}
+	r.published.Store(newPublication(next, standing))
 	close(old.replaced)
 	return nil
 }
 
-func newPublication(status *gooseberrypass.AgentStatus) *publication {
-	return &publication{replaced: make(chan struct{}), status: status}
+func newPublication(status *gooseberrypass.AgentStatus, standing uint64) *publication {
+	return &publication{replaced: make(chan struct{}), standing: standing, status: status}
 }
 
 func (r *reporter) status(now time.Time) *gooseberrypass.AgentStatus {
--- a/attempter/server.go
+++ b/attempter/server.go
@@ -79,22 +79,28 @@
 	}
 }
 
-// Status implements wire.Agent.
+// Status implements wire.Agent. It waits for a version that the reader has not
+// got, and holds back changes of the load as long as the reader wants.
 func (s *server) Status(ctx context.Context, m *wire.StatusRequest) (*wire.StatusResponse, error) {
-	wait := time.Duration(min(m.GetWaitMs(), maxStatusWait.Milliseconds())) * time.Millisecond
+	wait := statusWait(m.GetWaitMs())
 	if m.GetVersion() == 0 || wait <= 0 {
 		return s.reporter.response(s.clock.Now()), nil
 	}
-	timer := s.clock.NewTimer(wait)
-	defer timer.Stop()
+	over := s.clock.NewTimer(wait)
+	defer over.Stop()
+	loadDue := s.clock.NewTimer(statusWait(m.GetLoadWaitMs()))
+	defer loadDue.Stop()
+	due := m.GetLoadWaitMs() <= 0
 	for {
 		p := s.reporter.published.Load()
-		if p.status.Version != m.GetVersion() {
+		if p.standing > m.GetVersion() || p.status.Version < m.GetVersion() || due && p.status.Version != m.GetVersion() {
 			return s.reporter.response(s.clock.Now()), nil
 		}
 		select {
 		case <-p.replaced:
-		case <-timer.Chan():
+		case <-loadDue.Chan():
+			due = true
+		case <-over.Chan():
 			return s.reporter.response(s.clock.Now()), nil
 		case <-ctx.Done():
 			return nil, twirp.NewError(twirp.Canceled, "status no longer wanted")
@@ -102,4 +108,9 @@
 	}
 }
 
+// statusWait returns a wait that a reader asked for, within its bound.
+func statusWait(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxStatusWait.Milliseconds())) * time.Millisecond
+}
+
 var _ wire.Agent = (*server)(nil)
--- a/attempter/stop_test.go
+++ b/attempter/stop_test.go
@@ -260,6 +260,45 @@
 	}
 }
 
+// A reader that wants the load seldom hears of all else at once.
+func TestStatusHoldsBackLoad(t *testing.T) {
+	e := newFakeEngine(3, digestOf("v1"))
+	a := newEngineAgent(t, e)
+	hold := func(chunks int) {
+		a.targets.set(gooseberrypass.TargetStatus{Digest: digestOf("v2"), Held: chunks, Model: model, Phase: gooseberrypass.PhaseFetching, Total: 9})
+		a.tick()
+	}
+	hold(1)
+	version := a.load(t).GetVersion()
+	poll := func() <-chan *wire.StatusResponse {
+		got := make(chan *wire.StatusResponse, 1)
+		go func() {
+			s, _ := a.Server().Status(context.Background(), &wire.StatusRequest{LoadWaitMs: 4000, Version: version, WaitMs: 9000})
+			got <- s
+		}()
+		_ = a.clock.BlockUntilContext(context.Background(), 2)
+		return got
+	}
+	got := poll()
+	hold(2)
+	select {
+	case s := <-got:
+		t.Fatalf("got version %d at once, want the load held back", s.GetVersion())
+	default:
+	}
+	a.clock.Advance(4 * time.Second)
+	s := <-got
+	if s.GetVersion() == version {
+		t.Errorf("got version %d after the wait for the load, want a later one", s.GetVersion())
+	}
+	version = s.GetVersion()
+	got = poll()
+	a.handle(gooseberrypass.StopRequested{})
+	if s := <-got; !s.GetLeaving() {
+		t.Error("got no word of the stop at once")
+	}
+}
+
 func TestPressureFollowsLatency(t *testing.T) {
 	e := newFakeEngine(1, digestOf("v1"))
 	var latency time.Duration
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -64,7 +64,7 @@
 // it as long as another process has it.
 func NewAgent(ctx context.Context, settings *Settings, d Dependencies) (*Agent, error) {
 	var configs configHolder
-	p, err := newProcess(settings, selectPeers(settings.self, &configs), d)
+	p, err := newProcess(settings, selectPeers(settings.self, &configs), d, tracker.WithoutLoad())
 	if err != nil {
 		return nil, err
 	}
--- a/runner/process.go
+++ b/runner/process.go
@@ -52,7 +52,7 @@
 	tracker  *tracker.Tracker
 }
 
-func newProcess(settings *Settings, selector tracker.Selector, d Dependencies) (*process, error) {
+func newProcess(settings *Settings, selector tracker.Selector, d Dependencies, options ...tracker.Option) (*process, error) {
 	p := &process{
 		clock:    d.Clock,
 		logger:   d.Logger.WithField("instance", settings.self.ID),
@@ -78,18 +78,18 @@
 	}
 	p.platform = p.dialer.Client(dialer.ClassPlatform)
 	p.log = connector.NewLog(p.platform, settings.logURL)
-	return p, p.addMembership(selector)
+	return p, p.addMembership(selector, options...)
 }
 
 // addMembership makes the parts that follow members and configuration.
-func (p *process) addMembership(selector tracker.Selector) error {
+func (p *process) addMembership(selector tracker.Selector, options ...tracker.Option) error {
 	control := p.dialer.Client(dialer.ClassControl)
 	list := connector.NewInstanceList(p.platform, p.settings.listURL)
 	dial := func(address string) wire.Agent {
 		return wire.NewAgentProtobufClient("http://"+address, control)
 	}
 	var err error
-	p.tracker, err = tracker.New(p.clock, list, dial, selector, p.registry, p.logger)
+	p.tracker, err = tracker.New(p.clock, list, dial, selector, p.registry, p.logger, options...)
 	if err != nil {
 		return errors.Wrap(err, "tracker")
 	}
--- a/tracker/pacing.go
+++ b/tracker/pacing.go
@@ -11,7 +11,10 @@
 const (
 	listBudget   = 2 << 10 // bytes a second for the platform's list
 	pollBytes    = 700     // bytes of one status poll, both ways, with headers
-	statusBudget = 4608    // bytes a second for status polls
+	statusBudget = 4 << 10 // bytes a second for status polls
+	// standingBudget is for a process that needs no load: it is polled by others
+	// as much as it polls them.
+	standingBudget = 1 << 10
 )
 
 // The bounds of pauses and waits.
@@ -21,6 +24,7 @@
 	maxWait         = 20 * time.Second
 	minListPause    = time.Second
 	minPause        = 50 * time.Millisecond
+	minStandingWait = 5 * time.Second
 	minWait         = 2 * time.Second
 	pollAnswerLimit = 1500 * time.Millisecond
 	retryPause      = 2 * time.Second // after a poll that failed
@@ -32,7 +36,12 @@
 	wait time.Duration // for which an agent holds a poll without any change
 }
 
-func newPacing(followed int) pacing {
+func newPacing(followed int, withoutLoad bool) pacing {
+	if withoutLoad {
+		wait := time.Duration(followed) * pollBytes * time.Second / standingBudget
+		wait = min(max(wait, minStandingWait), maxWait)
+		return pacing{load: wait, wait: wait}
+	}
 	status := time.Duration(followed) * pollBytes * time.Second / statusBudget
 	return pacing{
 		load: min(max(status, minPause), maxWait),
@@ -48,11 +57,10 @@
 	return min(max(pause, minListPause), maxListPause)
 }
 
-// pause is the time between an answer and the next poll. It alone keeps the
-// polls within their budget, as an agent need not hold back its load. At the
-// sizes of one pool an agent that leaves is so heard of within 3 s; where more
-// are followed it takes longer, and the agent's own refusals tell meanwhile.
-func (p pacing) pause() time.Duration { return p.load }
+// pause is the time between an answer and the next poll. It is short, so that
+// an agent that leaves is heard of at once: the agent itself holds back changes
+// of its load, which keeps the polls within their budget.
+func (p pacing) pause() time.Duration { return minPause }
 
 // silence is how long a followed agent may go unheard.
 func (p pacing) silence() time.Duration {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -58,6 +58,17 @@
 	selector  Selector
 	unhealthy bool // the last poll of the list failed or was useless
 	usefulAt  time.Time
+
+	withoutLoad bool // load of the agents is not needed
+}
+
+// An Option changes a new Tracker.
+type Option func(*Tracker)
+
+// WithoutLoad makes a tracker follow what agents serve but not their load, which
+// costs much less.
+func WithoutLoad() Option {
+	return func(t *Tracker) { t.withoutLoad = true }
 }
 
 // New returns a tracker of the instances in list. It follows the status of the
@@ -69,6 +80,7 @@
 	selector Selector,
 	registerer prometheus.Registerer,
 	logger logrus.FieldLogger,
+	options ...Option,
 ) (*Tracker, error) {
 	m, err := newMetrics(registerer)
 	if err != nil {
@@ -82,10 +94,13 @@
 		list:     list,
 		logger:   logger,
 		metrics:  m,
-		pacing:   newPacing(0),
 		peers:    map[gooseberrypass.ID]*peer{},
 		selector: selector,
 	}
+	for _, option := range options {
+		option(t)
+	}
+	t.pacing = newPacing(0, t.withoutLoad)
 	t.members.Store(&[]gooseberrypass.Member{})
 	return t, nil
 }
@@ -257,7 +272,7 @@
 		delete(t.followed, id)
 		delete(t.agents, id)
 	}
-	t.pacing = newPacing(len(t.followed))
+	t.pacing = newPacing(len(t.followed), t.withoutLoad)
 	t.metrics.followed.Set(float64(len(t.followed)))
 }
 
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -21,8 +21,8 @@
 	"github.com/gooseberrypass/gooseberrypass/wire"
 )
 
-// A fakeAgent answers status polls; its version grows with each change. Under
-// load each poll finds a new one.
+// A fakeAgent answers status polls; its version grows with each change. It holds
+// back changes of its load as long as the reader wants.
 type fakeAgent struct {
 	wire.Agent
 	changed chan struct{}
@@ -30,7 +30,9 @@
 	id      gooseberrypass.ID
 	mu      sync.Mutex
 	polls   int
-	status  gooseberrypass.AgentStatus
+	// standing is the version of the last change of more than the load.
+	standing uint64
+	status   gooseberrypass.AgentStatus
 }
 
 func newAgent(id gooseberrypass.ID) *fakeAgent {
@@ -42,18 +44,42 @@
 	defer a.mu.Unlock()
 	change(a)
 	a.status.Version++
+	a.standing = a.status.Version
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
 
+// setLoad changes the load alone.
+func (a *fakeAgent) setLoad(running int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.status.Load.Running = running
+	a.status.Version++
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// polled returns how often the agent was polled since the last call.
+func (a *fakeAgent) polled() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := a.polls
+	a.polls = 0
+	return n
+}
+
 func (a *fakeAgent) Status(ctx context.Context, r *wire.StatusRequest) (*wire.StatusResponse, error) {
 	timer := time.NewTimer(time.Duration(r.GetWaitMs()) * time.Millisecond)
 	defer timer.Stop()
+	load := time.NewTimer(time.Duration(r.GetLoadWaitMs()) * time.Millisecond)
+	defer load.Stop()
+	due := r.GetLoadWaitMs() == 0
 	a.mu.Lock()
 	a.polls++
 	for {
 		changed, frozen := a.changed, a.frozen
-		if !frozen && (a.status.Version != r.GetVersion() || r.GetWaitMs() == 0) {
+		news := a.standing > r.GetVersion() || due && a.status.Version != r.GetVersion()
+		if !frozen && (news || r.GetWaitMs() == 0 || r.GetVersion() == 0) {
 			break
 		}
 		a.mu.Unlock()
@@ -65,6 +91,8 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-changed:
+		case <-load.C:
+			due = true
 		case <-expired:
 			a.mu.Lock()
 			defer a.mu.Unlock()
@@ -269,24 +297,20 @@
 }
 
 // Polls stay within the budget though every agent publishes a new load each
-// second, as often as agents do, and none holds such changes back.
+// second, as often as agents do.
 func TestPollBudget(t *testing.T) {
 	const seconds, pollBytes, budget = 60, 700, 5 << 10
 	for _, agents := range []int{agentCount, 100} {
 		follow(t, agents, func(p *platform, _ *tracker.Tracker) {
 			polls := 0
-			count := func(a *fakeAgent) { polls += a.polls }
-			change := func(a *fakeAgent) {
-				a.status.Load.Running++
-				a.polls = 0
-			}
 			for _, a := range p.agents {
-				a.set(change)
+				a.setLoad(1)
+				a.polled()
 			}
-			for range seconds {
+			for i := range seconds {
 				for _, a := range p.agents {
-					a.set(count)
-					a.set(change)
+					polls += a.polled()
+					a.setLoad(2 + i)
 				}
 				time.Sleep(time.Second)
 			}
