--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -1,11 +1,9 @@
 package fetcher
 
 import (
-	"context"
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
@@ -14,9 +12,6 @@
 	"github.com/gooseberrypass/gooseberrypass/ranker"
 )
 
-// storePutLimit bounds one copy of a chunk to the weight store.
-const storePutLimit = time.Minute
-
 // listPatience is how long after the first configuration a fetcher waits for a
 // list of instances that has its own in it. One that fetched earlier would
 // believe to be the first in rank, as would every other after a cold start.
@@ -290,145 +285,4 @@
 	return []gooseberrypass.Effect{watchEffect{demands: f.keeper.Demands()}}
 }
 
-// A FetchDone is the event that a fetch has ended.
-type FetchDone struct {
-	Done  Done
-	Fetch Fetch
-}
-
-// EventName implements gooseberrypass.Event.
-func (FetchDone) EventName() string { return "fetch-done" }
-
-type fetchEffect struct {
-	fetch  Fetch
-	reader *Reader
-	stop   <-chan struct{}
-}
-
-// EffectName implements gooseberrypass.Effect.
-func (fetchEffect) EffectName() string { return "fetch" }
-
-// Run implements gooseberrypass.Effect.
-func (e fetchEffect) Run(ctx context.Context) gooseberrypass.Event {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	ended := make(chan struct{})
-	defer close(ended)
-	go func() {
-		select {
-		case <-e.stop:
-			cancel()
-		case <-ended:
-		}
-	}()
-	return FetchDone{Done: e.reader.Read(ctx, e.fetch), Fetch: e.fetch}
-}
-
-// A demandSeen is the event that other instances wait for items.
-type demandSeen struct {
-	digests []gooseberrypass.Digest
-}
-
-// EventName implements gooseberrypass.Event.
-func (demandSeen) EventName() string { return "chunk-demand" }
-
-type watchEffect struct {
-	demands <-chan gooseberrypass.Digest
-}
-
-// EffectName implements gooseberrypass.Effect.
-func (watchEffect) EffectName() string { return "watch-demand" }
-
-// Run implements gooseberrypass.Effect.
-func (e watchEffect) Run(ctx context.Context) gooseberrypass.Event {
-	var seen demandSeen
-	select {
-	case <-ctx.Done():
-		return nil
-	case digest := <-e.demands:
-		seen.digests = append(seen.digests, digest)
-	}
-	for range maxDemanded {
-		select {
-		case digest := <-e.demands:
-			seen.digests = append(seen.digests, digest)
-		default:
-			return seen
-		}
-	}
-	return seen
-}
-
-// A putDone is the event that a copy to the weight store has ended.
-type putDone struct{}
-
-// EventName implements gooseberrypass.Event.
-func (putDone) EventName() string { return "store-put-done" }
-
-type putEffect struct {
-	digest gooseberrypass.Digest
-	keeper *keeper.Keeper
-	store  gooseberrypass.WeightStore
-}
-
-// EffectName implements gooseberrypass.Effect.
-func (putEffect) EffectName() string { return "store-put" }
-
-// Run implements gooseberrypass.Effect. A copy that fails is left out.
-func (e putEffect) Run(ctx context.Context) gooseberrypass.Event {
-	ctx, cancel := context.WithTimeout(ctx, storePutLimit)
-	defer cancel()
-	if body, err := e.keeper.Chunk(e.digest); err == nil {
-		_ = e.store.PutChunk(ctx, e.digest, body)
-	}
-	return putDone{}
-}
-
-// labelSource names the source in metrics and log lines.
-const labelSource = "source"
-
-// metrics counts what was read.
-type metrics struct {
-	bytes       *prometheus.CounterVec
-	corruptions *prometheus.CounterVec
-	results     *prometheus.CounterVec
-}
-
-func newMetrics(registerer prometheus.Registerer) (*metrics, error) {
-	m := &metrics{
-		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "gooseberrypass_fetch_bytes_total",
-			Help: "Bytes of weights read, by source and by the region of the peer.",
-		}, []string{labelSource, "region"}),
-		corruptions: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "gooseberrypass_chunk_corruptions_total",
-			Help: "Chunks dropped because their bytes did not match their digest.",
-		}, []string{labelSource}),
-		results: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "gooseberrypass_fetch_results_total",
-			Help: "Ended reads of chunks, by source and result.",
-		}, []string{labelSource, "result"}),
-	}
-	for _, c := range []prometheus.Collector{m.bytes, m.corruptions, m.results} {
-		if err := registerer.Register(c); err != nil {
-			return nil, errors.Wrap(err, "register fetch metrics")
-		}
-	}
-	return m, nil
-}
-
-func (m *metrics) observe(e FetchDone) {
-	kind := e.Fetch.Kind.String()
-	m.bytes.WithLabelValues(kind, string(e.Fetch.Peer.Region)).Add(float64(e.Done.Bytes))
-	m.results.WithLabelValues(kind, e.Done.Result.String()).Inc()
-	if e.Done.Result == ResultCorrupt {
-		m.corruptions.WithLabelValues(kind).Inc()
-	}
-}
-
-var (
-	_ gooseberrypass.Controller = (*Fetcher)(nil)
-	_ gooseberrypass.Effect     = fetchEffect{}
-	_ gooseberrypass.Effect     = putEffect{}
-	_ gooseberrypass.Effect     = watchEffect{}
-)
+var _ gooseberrypass.Controller = (*Fetcher)(nil)
