--- a/loader/loader.go
+++ b/loader/loader.go
@@ -269,6 +269,7 @@
 	}
 	p := l.versions.Progress(t.digest())
 	t.manifest = p.Manifest
+	t.noteProgress(now, p)
 	if !p.Whole() || t.mismatch() != "" || l.view.state.Loading || !l.baseLoaded(t) || !l.mayLeave(now, t) {
 		return nil
 	}
@@ -283,13 +284,17 @@
 }
 
 // mayLeave stops the admission of requests to the version before, once this
-// instance's wave has come. An instance that serves no version of the model has
-// nothing to leave.
+// instance's wave has come, and reports whether it had been stopped before: only
+// then do the requests in progress count all that were admitted. An instance
+// that serves no version of the model has nothing to leave.
 func (l *Loader) mayLeave(now time.Time, t *target) bool {
 	if !t.leavingAt.IsZero() {
 		return true
 	}
 	if l.view.servesAny(t.model.ID()) {
+		if !t.heardOf(now) {
+			return false
+		}
 		candidates := l.watcher.Candidates(now, l.peers(), t.model.ID(), t.digest())
 		candidates = append(candidates, roller.Candidate{
 			FailureDomain: l.self.FailureDomain, ID: l.self.ID, Serving: true,
@@ -299,7 +304,7 @@
 		}
 	}
 	t.leavingAt = now
-	return true
+	return !l.view.servesAny(t.model.ID())
 }
 
 // peers returns the other instances of the pool.
--- a/parser/file.go
+++ b/parser/file.go
@@ -111,11 +111,14 @@
 		r.find(n, "", fault)
 		return
 	}
+	if text := strings.TrimSpace(line); text == "" || text[0] == '#' || text[0] == ';' {
+		return
+	}
 	parsed, err := ini.LoadSources(ini.LoadOptions{
 		IgnoreContinuation:       true,
 		KeyValueDelimiters:       "=",
 		SpaceBeforeInlineComment: true,
-	}, []byte(line))
+	}, []byte(line+"\n"))
 	if err != nil {
 		r.find(n, "", "not a [section], a key = value or a # comment")
 		return
