Hold the copies of a request that broke off, and trust the agent's report

Cause: a request that crashed engines was sent again through the same entry before the report of the crash had come, and ran at once, since only known suspects wait for their turn; and innocent requests that met the engine while it was down were added to the crash that its agent had reported with the suspect alone, so that the suspect was never seen alone and not convicted. Copies of a request that broke off now wait up to 5 s for the report, whoever is suspected, and a reported crash is what its agent says.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -95,13 +95,16 @@
 			if err := q.refusal(req.Digest()); err != nil {
 				return err
 			}
-			if !q.Alone(req.Digest()) {
+			wait := q.turns.held(req.Digest())
+			if wait == nil && !q.Alone(req.Digest()) {
 				return next.Handle(ctx, req, answer)
 			}
-			done, wait := q.turns.enter(req.Digest())
-			if done != nil {
-				defer done()
-				return next.Handle(ctx, req, answer)
+			if wait == nil {
+				var done func()
+				if done, wait = q.turns.enter(req.Digest()); done != nil {
+					defer done()
+					return next.Handle(ctx, req, answer)
+				}
 			}
 			if err := await(ctx, wait); err != nil {
 				return err
--- a/quarantiner/scores.go
+++ b/quarantiner/scores.go
@@ -25,6 +25,7 @@
 	at       gooseberrypass.ID
 	cleared  map[gooseberrypass.Digest]bool
 	first    time.Time // when it was first heard of
+	reported bool      // by the endpoint's agent, who knows what was in flight
 	requests map[gooseberrypass.Digest]bool
 }
 
@@ -65,6 +66,7 @@
 			return false
 		}
 		c = s.crashOf(now, at)
+		c.reported = true
 		s.crashes[id] = c
 	}
 	changed := !ok
@@ -90,20 +92,21 @@
 	clear(c.requests)
 }
 
-// crashOf returns the crash that this process inferred of an endpoint a moment
-// ago, in place of which the endpoint's own report comes, or a new one.
+// crashOf returns a new crash of an endpoint, in place of one that this process
+// inferred a moment ago.
 func (s *scores) crashOf(now time.Time, at gooseberrypass.ID) *crash {
+	first := now
 	inferred := inferredID(at)
 	if c, ok := s.crashes[inferred]; ok {
 		delete(s.crashes, inferred)
 		if now.Sub(c.first) < sameCrash {
-			return c
+			first = c.first
 		}
 	}
 	return &crash{
 		at:       at,
 		cleared:  map[gooseberrypass.Digest]bool{},
-		first:    now,
+		first:    first,
 		requests: map[gooseberrypass.Digest]bool{},
 	}
 }
@@ -144,7 +147,8 @@
 func (s *scores) infer(now time.Time, c cut) bool {
 	for _, known := range s.crashes {
 		if known.at == c.at && now.Sub(known.first) < sameCrash {
-			return known.add(c.digest)
+			// Requests that came just after the crash broke off too.
+			return !known.reported && known.add(c.digest)
 		}
 	}
 	if len(s.crashes) >= maxCrashes {
--- a/quarantiner/turns.go
+++ b/quarantiner/turns.go
@@ -11,10 +11,14 @@
 // the report of the crash to come.
 const holdTime = 5 * time.Second
 
-// A turn is the run of one copy of a suspect.
+// maxTurns bounds the requests whose copies wait. Copies of others do not.
+const maxTurns = 4096
+
+// A turn is the run of one copy of a request, and the wait of the others.
 type turn struct {
 	done chan struct{} // closed when the next copy may run
 	held bool          // broke off, and nothing finished since
+	idle bool          // the copy that broke off did not run in its turn
 }
 
 // A turns lets the copies of a suspect run one after the other.
@@ -56,20 +60,55 @@
 func (t *turns) end(digest gooseberrypass.Digest, mine *turn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.remove(digest, mine)
+}
+
+// remove ends a turn once. mu is held.
+func (t *turns) remove(digest gooseberrypass.Digest, mine *turn) {
+	if t.running[digest] != mine {
+		return
+	}
 	delete(t.running, digest)
 	close(mine.done)
 }
 
-// hold tells that the copy which has its turn broke off.
-func (t *turns) hold(digest gooseberrypass.Digest) { t.setHeld(digest, true) }
+// hold tells that a copy broke off. If it was not known for a suspect, and so had
+// no turn, the others wait all the same until it is known whether it is one.
+func (t *turns) hold(digest gooseberrypass.Digest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	running, ok := t.running[digest]
+	switch {
+	case ok:
+		running.held = true
+	case len(t.running) < maxTurns:
+		mine := &turn{done: make(chan struct{}), held: true, idle: true}
+		t.running[digest] = mine
+		t.clock.AfterFunc(holdTime, func() { t.end(digest, mine) })
+	}
+}
 
-// unhold tells that it finished after all.
-func (t *turns) unhold(digest gooseberrypass.Digest) { t.setHeld(digest, false) }
+// unhold tells that the copy that broke off finished after all.
+func (t *turns) unhold(digest gooseberrypass.Digest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	running, ok := t.running[digest]
+	if !ok {
+		return
+	}
+	running.held = false
+	if running.idle {
+		t.remove(digest, running)
+	}
+}
 
-func (t *turns) setHeld(digest gooseberrypass.Digest, held bool) {
+// held returns the channel to wait on if a copy broke off a moment ago, nil if
+// none did.
+func (t *turns) held(digest gooseberrypass.Digest) <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if running, ok := t.running[digest]; ok {
-		running.held = held
+	if running, ok := t.running[digest]; ok && running.held {
+		return running.done
 	}
+	return nil
 }
