Leave out of a crash the requests that met the dead endpoint

Cause: requests admitted after an engine had died broke off too and were reported as in flight at its crash, so that a suspect which ran alone did not look alone and was not convicted until it had crashed two more engines. A cut now carries its time and is noted before the next request may start; what began after the first cut is left out. The new case fails without the change.

--- a/attempter/registry.go
+++ b/attempter/registry.go
@@ -177,12 +177,14 @@
 	g.ended[k] = ending{expires: uint32(expires), refused: refused}
 }
 
-// reportCut notes that the connection of a running attempt was cut.
-func (g *registry) reportCut(a *attempt) {
+// reportCut notes that the connection of a running attempt was cut now.
+func (g *registry) reportCut(now time.Time, a *attempt) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.cut) < maxCut {
-		g.cut = append(g.cut, a.flight)
+		flight := a.flight
+		flight.Cut = now
+		g.cut = append(g.cut, flight)
 	}
 }
 
--- a/attempter/runner.go
+++ b/attempter/runner.go
@@ -86,10 +86,10 @@
 	}
 	p := &progress{waited: permit.Waited()}
 	err = n.run(ctx, a, t, p, deadline)
-	permit.End(p.cost, err == nil)
-	if p.cut {
-		n.registry.reportCut(a)
+	if p.cut { // before the next attempt may start
+		n.registry.reportCut(n.clock.Now(), a)
 	}
+	permit.End(p.cost, err == nil)
 	return err
 }
 
--- a/supervisor/crashes.go
+++ b/supervisor/crashes.go
@@ -21,6 +21,7 @@
 	count    int
 	cuts     []gooseberrypass.Digest
 	cutAt    time.Time // of the last cut
+	firstCut time.Time // since the endpoint was last seen alive
 	instance gooseberrypass.ID
 	list     []gooseberrypass.Crash
 	open     bool   // further cuts belong to the last crash
@@ -37,7 +38,7 @@
 // service has no boot id, so its crash stands.
 func (c *crashes) alive(start time.Time, boot string) {
 	if !start.Before(c.cutAt) {
-		c.cuts = nil
+		c.cuts, c.firstCut = nil, time.Time{}
 	}
 	if c.open && boot != "" {
 		c.list = slices.DeleteFunc(c.list, func(k gooseberrypass.Crash) bool { return k.ID == c.openID })
@@ -48,7 +49,7 @@
 // cut tells that connections of the endpoint were cut.
 func (c *crashes) cut(now time.Time, boot string, flights []Flight) {
 	for _, f := range flights {
-		if len(c.cuts) < maxSuspects {
+		if len(c.cuts) < maxSuspects && !c.cameAfter(f) {
 			c.cuts = append(c.cuts, f.Request)
 		}
 	}
@@ -58,6 +59,18 @@
 	}
 }
 
+// cameAfter reports whether a request began when the endpoint had cut others
+// already: it met a dead endpoint and had no part in its death.
+func (c *crashes) cameAfter(f Flight) bool {
+	if f.Cut.IsZero() {
+		return false
+	}
+	if c.firstCut.IsZero() || f.Cut.Before(c.firstCut) {
+		c.firstCut = f.Cut
+	}
+	return f.Started.After(c.firstCut)
+}
+
 func (c *crashes) cutting() bool { return len(c.cuts) > 0 }
 
 // recent returns the crashes kept, the oldest first.
@@ -74,7 +87,7 @@
 		c.cuts = append(c.cuts, f.Request)
 	}
 	c.record(now, boot)
-	c.open = false
+	c.open, c.firstCut = false, time.Time{}
 }
 
 // unreachable tells that the endpoint can't be read.
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -29,8 +29,10 @@
 // probe tells by the error alone whether it is up.
 type Probe func(ctx context.Context) (gooseberrypass.EngineState, error)
 
-// A Flight is a request that runs on the endpoint.
+// A Flight is a request that runs on the endpoint. Cut is when its connection was
+// cut, zero if it was not.
 type Flight struct {
+	Cut     time.Time
 	Request gooseberrypass.Digest
 	Started time.Time
 }
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -123,6 +123,15 @@
 			b.cutOff("beside")
 			b.tick()
 		}, [][]string{{"poison", "beside"}}, false},
+		{"met the dead endpoint", func(b *bench) {
+			b.err = errors.New("connection refused")
+			b.cutOff("poison")
+			b.cut[0].Cut = b.now.Add(10 * time.Millisecond)
+			b.cutOff("beside")
+			b.cut[1].Started = b.now.Add(20 * time.Millisecond)
+			b.cut[1].Cut = b.now.Add(30 * time.Millisecond)
+			b.tick()
+		}, [][]string{{"poison"}}, false},
 		{"restarted between two readings", func(b *bench) {
 			b.cutOff("poison")
 			b.state.BootID = "boot-2"
