--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -12,8 +12,9 @@
 	"github.com/gooseberrypass/gooseberrypass"
 )
 
-// maxOrders bounds the rank orders that a ranking remembers.
-const maxOrders = 8192
+// maxRemembered bounds the places in rank orders that a ranking remembers, of 4
+// bytes each.
+const maxRemembered = 1 << 20
 
 // A Hop tells from whom an instance takes a chunk. Parent is nil for an
 // instance that reads the chunk from outside the pool.
@@ -26,13 +27,14 @@
 // A Ranking ranks the instances of one list for any chunk. It never changes and
 // is safe for use by several goroutines.
 type Ranking struct {
-	fanout  int
-	home    int // index of the origin's region, -1 if no instance is in it
-	mu      sync.Mutex
-	orders  map[orderKey][]int32
-	place   map[gooseberrypass.ID]place
-	regions []region
-	remote  []int // indexes of the other regions
+	fanout     int
+	home       int // index of the origin's region, -1 if no instance is in it
+	mu         sync.Mutex
+	orders     map[orderKey][]int32
+	place      map[gooseberrypass.ID]place
+	regions    []region
+	remembered int   // places in orders
+	remote     []int // indexes of the other regions
 }
 
 type place struct {
@@ -170,8 +172,9 @@
 	slices.SortFunc(order, func(a, b int32) int {
 		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(a, b))
 	})
-	if len(r.orders) >= maxOrders {
+	if r.remembered += len(order); r.remembered > maxRemembered {
 		clear(r.orders)
+		r.remembered = len(order)
 	}
 	r.orders[key] = order
 	return order
