--- a/loader/passedover_test.go
+++ b/loader/passedover_test.go
@@ -48,8 +48,8 @@
 	old := gooseberrypass.LoadedVersion{Digest: gooseberrypass.DigestOf([]byte("v1")), Model: "jingles"}
 	loaded := gooseberrypass.LoadedVersion{Digest: m.Digest(), Model: "jingles"}
 
-	var loaders []*loader.Loader
-	var listed []gooseberrypass.ListedInstance
+	loaders := make([]*loader.Loader, 0, instances)
+	listed := make([]gooseberrypass.ListedInstance, 0, instances)
 	orderedAt := make([]time.Time, instances)
 	for i := range instances {
 		self := gooseberrypass.ListedInstance{
@@ -68,7 +68,7 @@
 		if at == recovery {
 			trouble = ""
 		}
-		var members []gooseberrypass.Member
+		members := make([]gooseberrypass.Member, 0, len(loaders))
 		out := 0
 		served = 0
 		for i, l := range loaders {
