--- a/loader/faults_test.go
+++ b/loader/faults_test.go
@@ -63,6 +63,9 @@
 			}
 			f.until(t, "all serve", serve(f.agents, "jingles", m.Digest()))
 			f.wantLoaded(t, weights)
+			if way != "stalled" && naiveRead(t, f.agents[0], m.Chunk(0).Digest) {
+				t.Error("a read that verifies nothing got the right bytes: the fault does not show")
+			}
 			if got := o.copies(len(weights)); got > 4 {
 				t.Errorf("got %.2f origin copies, want at most 4", got)
 			}
@@ -70,6 +73,19 @@
 	}
 }
 
+// naiveRead reads a chunk from one agent without verifying it, and reports
+// whether it is the right one.
+func naiveRead(t *testing.T, a *agent, digest gooseberrypass.Digest) bool {
+	t.Helper()
+	resp, err := http.Get(a.chunks.URL + "/chunks/" + digest.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, _ := io.ReadAll(resp.Body)
+	return gooseberrypass.DigestOf(body) == digest
+}
+
 // wantLoaded checks that every engine loaded one of the weights, whole.
 func (f *fleet) wantLoaded(tb testing.TB, weights ...[]byte) {
 	tb.Helper()
--- a/loader/store_test.go
+++ b/loader/store_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/fetcher"
@@ -32,6 +33,7 @@
 func TestWeightStoreHelpsAndIsNotNeeded(t *testing.T) {
 	t.Parallel()
 	long := &fetcher.Settings{}
+	short := &fetcher.Settings{InitialLimit: 2 * time.Second, MinLimit: 300 * time.Millisecond, Wait: 500 * time.Millisecond}
 	tests := []struct {
 		name     string
 		answer   func(ctx context.Context, body []byte) ([]byte, error)
@@ -44,7 +46,7 @@
 		{"silent", func(ctx context.Context, _ []byte) ([]byte, error) {
 			<-ctx.Done()
 			return nil, ctx.Err()
-		}, 4, nil},
+		}, 4, short},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
