--- a/loader/adapter_test.go
+++ b/loader/adapter_test.go
@@ -20,9 +20,7 @@
 	f.round()
 	cues := model("cues", "1", adapter.Digest(), map[string]any{"base": gooseberrypass.ID("jingles")})
 	role := section(gooseberrypass.KindInstance, "i0", map[string]any{"role": string(gooseberrypass.EngineRolePrefill)})
-	for _, a := range f.agents {
-		a.accept(config(1, model("jingles", "1", base.Digest(), nil), cues, role))
-	}
+	f.accept(config(1, model("jingles", "1", base.Digest(), nil), cues, role))
 	f.until(t, "all serve the adapter", serve(f.agents, "cues", adapter.Digest()))
 	want := []gooseberrypass.OrderKind{gooseberrypass.OrderRole, gooseberrypass.OrderLoad, gooseberrypass.OrderAdapter}
 	for i, order := range f.agents[0].engine.orders {
@@ -31,9 +29,8 @@
 		}
 	}
 
-	for _, a := range f.agents { // the base moves on without its adapter
-		a.accept(config(2, model("jingles", "2", newBase.Digest(), nil), cues))
-	}
+	// the base moves on without its adapter
+	f.accept(config(2, model("jingles", "2", newBase.Digest(), nil), cues))
 	f.until(t, "all serve the new base", serve(f.agents, "jingles", newBase.Digest()))
 	for _, a := range f.agents {
 		if serve([]*agent{a}, "cues", adapter.Digest())() {
@@ -54,9 +51,8 @@
 		return false
 	})
 
-	for _, a := range f.agents { // the adapter is taken out
-		a.accept(config(4, model("jingles", "2", newBase.Digest(), nil)))
-	}
+	// the adapter is taken out
+	f.accept(config(4, model("jingles", "2", newBase.Digest(), nil)))
 	f.until(t, "unloaded", func() bool {
 		state, _ := f.agents[0].engine.State(t.Context())
 		return len(state.Loaded) == 1
--- a/loader/distribution_test.go
+++ b/loader/distribution_test.go
@@ -18,9 +18,7 @@
 		f.agents = append(f.agents, startAgent(t, setup{id: i, origin: o, region: "centro", settings: &fetcher.Settings{}}))
 	}
 	f.round()
-	for _, a := range f.agents {
-		a.accept(config(1, model("jingles", "1", m.Digest(), nil)))
-	}
+	f.accept(config(1, model("jingles", "1", m.Digest(), nil)))
 	f.until(t, "all serve", serve(f.agents, "jingles", m.Digest()))
 
 	if got := o.copies(len(weights)); got > 1.1 {
@@ -55,9 +53,7 @@
 		f.agents = append(f.agents, startAgent(t, setup{id: i, origin: o, region: []string{"centro", "norte"}[i%2]}))
 	}
 	f.round()
-	for _, a := range f.agents {
-		a.accept(config(1, model("jingles", "1", m.Digest(), nil)))
-	}
+	f.accept(config(1, model("jingles", "1", m.Digest(), nil)))
 	f.until(t, "some chunks", func() bool {
 		targets := f.agents[0].weights.Targets()
 		return len(targets) == 1 && targets[0].Held > 4
--- a/loader/faults_test.go
+++ b/loader/faults_test.go
@@ -58,9 +58,7 @@
 				f.agents = append(f.agents, newAgent(t, i+1, o))
 			}
 			f.round()
-			for _, a := range f.agents {
-				a.accept(config(1, model("jingles", "1", m.Digest(), nil)))
-			}
+			f.accept(config(1, model("jingles", "1", m.Digest(), nil)))
 			f.until(t, "all serve", serve(f.agents, "jingles", m.Digest()))
 			f.wantLoaded(t, weights)
 			if way != "stalled" && naiveRead(t, f.agents[0], m.Chunk(0).Digest) {
@@ -121,20 +119,12 @@
 		}
 		return body, nil
 	}
-	f := &fleet{}
-	for i := range 5 {
-		f.agents = append(f.agents, newAgent(t, i, o))
-	}
-	f.round()
-	for _, a := range f.agents {
-		a.accept(config(1, model("jingles", "1", m1.Digest(), nil)))
-	}
+	f := newFleet(t, 5, o)
+	f.accept(config(1, model("jingles", "1", m1.Digest(), nil)))
 	f.until(t, "half the chunks", func() bool {
 		return reads.Load() > 32 && f.agents[0].weights.Targets()[0].Held > 8
 	})
-	for _, a := range f.agents {
-		a.accept(config(2, model("jingles", "2", m2.Digest(), nil)))
-	}
+	f.accept(config(2, model("jingles", "2", m2.Digest(), nil)))
 	f.until(t, "all serve the second", serve(f.agents, "jingles", m2.Digest()))
 	f.wantLoaded(t, second)
 	for _, a := range f.agents {
@@ -152,21 +142,13 @@
 	first, second := randomWeights(6, 16), randomWeights(7, 16)
 	m1 := o.publish(t, "jingles", "1", first, gooseberrypass.Digest{})
 	m2 := o.publish(t, "jingles", "2", second, gooseberrypass.Digest{})
-	f := &fleet{}
-	for i := range 3 {
-		f.agents = append(f.agents, newAgent(t, i, o))
-	}
-	f.round()
-	for _, a := range f.agents {
-		a.accept(config(1, model("jingles", "1", m1.Digest(), nil)))
-	}
+	f := newFleet(t, 3, o)
+	f.accept(config(1, model("jingles", "1", m1.Digest(), nil)))
 	f.until(t, "all serve the first", serve(f.agents, "jingles", m1.Digest()))
 	o.mu.Lock()
 	o.weights["jingles2"] = randomWeights(8, 16)
 	o.mu.Unlock()
-	for _, a := range f.agents {
-		a.accept(config(2, model("jingles", "2", m2.Digest(), nil)))
-	}
+	f.accept(config(2, model("jingles", "2", m2.Digest(), nil)))
 	f.until(t, "error shown", func() bool {
 		return slices.ContainsFunc(f.agents, func(a *agent) bool {
 			targets := a.weights.Targets()
@@ -225,11 +207,7 @@
 	first, second := randomWeights(11, 16), randomWeights(12, 16)
 	m1 := o.publish(t, "jingles", "1", first, gooseberrypass.Digest{})
 	m2 := o.publish(t, "jingles", "2", second, gooseberrypass.Digest{})
-	f := &fleet{}
-	for i := range 3 {
-		f.agents = append(f.agents, newAgent(t, i, o))
-	}
-	f.round()
+	f := newFleet(t, 3, o)
 	for i, a := range f.agents {
 		configs := []*gooseberrypass.Config{
 			config(1, model("jingles", "1", m1.Digest(), nil)), config(2, model("jingles", "2", m2.Digest(), nil)),
--- a/loader/harness_test.go
+++ b/loader/harness_test.go
@@ -330,6 +330,24 @@
 	agents []*agent
 }
 
+// newFleet starts n agents that know of each other.
+func newFleet(tb testing.TB, n int, o *origin) *fleet {
+	tb.Helper()
+	f := &fleet{}
+	for i := range n {
+		f.agents = append(f.agents, newAgent(tb, i, o))
+	}
+	f.round()
+	return f
+}
+
+// accept puts a configuration in force on every agent.
+func (f *fleet) accept(cfg *gooseberrypass.Config) {
+	for _, a := range f.agents {
+		a.accept(cfg)
+	}
+}
+
 // round lets every agent see its engine and the members once.
 func (f *fleet) round() {
 	members := make([]gooseberrypass.Member, 0, len(f.agents))
--- a/loader/rollout_test.go
+++ b/loader/rollout_test.go
@@ -19,13 +19,9 @@
 		f.agents = append(f.agents, startAgent(t, setup{id: i, origin: o, region: []string{"centro", "norte"}[i%2]}))
 	}
 	f.round()
-	for _, a := range f.agents {
-		a.accept(config(1, model("jingles", "1", m1.Digest(), nil)))
-	}
+	f.accept(config(1, model("jingles", "1", m1.Digest(), nil)))
 	f.until(t, "all serve the first", serve(f.agents, "jingles", m1.Digest()))
-	for _, a := range f.agents {
-		a.accept(config(2, model("jingles", "2", m2.Digest(), nil)))
-	}
+	f.accept(config(2, model("jingles", "2", m2.Digest(), nil)))
 	least := len(f.agents)
 	f.until(t, "all serve the second", func() bool {
 		serving := map[gooseberrypass.FailureDomain]int{}
--- a/loader/store_test.go
+++ b/loader/store_test.go
@@ -63,9 +63,7 @@
 				f.agents = append(f.agents, startAgent(t, setup{id: i, origin: o, region: "centro", settings: tt.settings, store: s}))
 			}
 			f.round()
-			for _, a := range f.agents {
-				a.accept(config(1, model("jingles", "1", m.Digest(), nil)))
-			}
+			f.accept(config(1, model("jingles", "1", m.Digest(), nil)))
 			f.until(t, "all serve", serve(f.agents, "jingles", m.Digest()))
 			f.wantLoaded(t, weights)
 			if got := o.copies(len(weights)); got > tt.most {
