--- a/commander/controlcost_test.go
+++ b/commander/controlcost_test.go
@@ -25,25 +25,25 @@
 }
 
 // costOf reads a process's own metrics.
-func (d *deployment) costOf(t testing.TB, c *child) cost {
-	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, c.url+"/metrics", http.NoBody)
+func (d *deployment) costOf(tb testing.TB, c *child) cost {
+	tb.Helper()
+	r, err := http.NewRequestWithContext(tb.Context(), http.MethodGet, c.url+"/metrics", http.NoBody)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	resp, err := d.client.Do(r)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	parser := expfmt.NewTextParser(model.UTF8Validation)
 	families, err := parser.TextToMetricFamilies(bytes.NewReader(text))
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	var got cost
 	got.cpu = families["process_cpu_seconds_total"].GetMetric()[0].GetCounter().GetValue()
--- a/commander/deployment_test.go
+++ b/commander/deployment_test.go
@@ -43,17 +43,17 @@
 }
 
 // signal sends a signal to the process by its id.
-func (c *child) signal(t testing.TB, s os.Signal) {
-	t.Helper()
+func (c *child) signal(tb testing.TB, s os.Signal) {
+	tb.Helper()
 	if err := c.cmd.Process.Signal(s); err != nil {
-		t.Fatalf("signal %s: %v", c.name, err)
+		tb.Fatalf("signal %s: %v", c.name, err)
 	}
 }
 
 // awaitEnd waits until the process has ended and returns its exit status.
-func (c *child) awaitEnd(t testing.TB) int {
-	t.Helper()
-	await(t, c.name+" to end", func() error {
+func (c *child) awaitEnd(tb testing.TB) int {
+	tb.Helper()
+	await(tb, c.name+" to end", func() error {
 		select {
 		case <-c.ended:
 			return nil
@@ -65,15 +65,15 @@
 }
 
 // await polls until condition returns nil.
-func await(t testing.TB, what string, condition func() error) {
-	t.Helper()
+func await(tb testing.TB, what string, condition func() error) {
+	tb.Helper()
 	err := errors.New("never tried")
 	for deadline := time.Now().Add(awaitLimit); time.Now().Before(deadline); time.Sleep(pollPeriod) {
 		if err = condition(); err == nil {
 			return
 		}
 	}
-	t.Fatalf("waited %s for %s: %v", awaitLimit, what, err)
+	tb.Fatalf("waited %s for %s: %v", awaitLimit, what, err)
 }
 
 // A deployment is the whole system as separate processes on loopback
@@ -97,47 +97,47 @@
 // newDeployment builds the program and starts a log, an origin, a list, a
 // plain service, an engine for each of engineArgs, an agent for each endpoint
 // and two entries.
-func newDeployment(t testing.TB, engineArgs ...[]string) *deployment {
-	t.Helper()
+func newDeployment(tb testing.TB, engineArgs ...[]string) *deployment {
+	tb.Helper()
 	d := &deployment{
 		client: &http.Client{Transport: &http.Transport{}, Timeout: awaitLimit},
-		dir:    t.TempDir(),
+		dir:    tb.TempDir(),
 		port:   20000,
-		t:      t,
+		t:      tb,
 	}
-	t.Cleanup(d.client.CloseIdleConnections)
+	tb.Cleanup(d.client.CloseIdleConnections)
 	d.program = filepath.Join(d.dir, "gooseberrypass")
 	build := exec.Command("go", "build", "-o", d.program, "../cmd/gooseberrypass")
 	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+		tb.Fatalf("build: %v\n%s", err, out)
 	}
-	d.write(t, "key", "shared secret")
-	d.log = d.startStandIn(t, "log", "--append-rate", "300")
-	d.origin = d.startStandIn(t, "origin")
-	d.list = d.startStandIn(t, "list", "--lag", "200ms")
-	d.service = d.startStandIn(t, "service")
+	d.write(tb, "key", "shared secret")
+	d.log = d.startStandIn(tb, "log", "--append-rate", "300")
+	d.origin = d.startStandIn(tb, "origin")
+	d.list = d.startStandIn(tb, "list", "--lag", "200ms")
+	d.service = d.startStandIn(tb, "service")
 	for _, args := range engineArgs {
-		d.engines = append(d.engines, d.startStandIn(t, "engine", append([]string{"--load-lag", "0s"}, args...)...))
+		d.engines = append(d.engines, d.startStandIn(tb, "engine", append([]string{"--load-lag", "0s"}, args...)...))
 	}
 	for i, engine := range d.engines {
-		d.agents = append(d.agents, d.startAgent(t, fmt.Sprintf("writer-%d", i), "pool = writers\nengine = "+engine.url))
+		d.agents = append(d.agents, d.startAgent(tb, fmt.Sprintf("writer-%d", i), "pool = writers\nengine = "+engine.url))
 	}
-	d.agents = append(d.agents, d.startAgent(t, "licences", "pool = licences\nservice = "+d.service.url))
+	d.agents = append(d.agents, d.startAgent(tb, "licences", "pool = licences\nservice = "+d.service.url))
 	for i := range 2 {
-		d.entries = append(d.entries, d.startEntry(t, fmt.Sprintf("entry-%d", i)))
+		d.entries = append(d.entries, d.startEntry(tb, fmt.Sprintf("entry-%d", i)))
 	}
-	d.writeFolder(t)
+	d.writeFolder(tb)
 	return d
 }
 
-func (d *deployment) write(t testing.TB, name, body string) string {
-	t.Helper()
+func (d *deployment) write(tb testing.TB, name, body string) string {
+	tb.Helper()
 	path := filepath.Join(d.dir, name)
 	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	if err := os.WriteFile(path, []byte(body), 0o600); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return path
 }
@@ -152,18 +152,18 @@
 }
 
 // start starts the program. Whatever becomes of the test, it is ended by its id.
-func (d *deployment) start(t testing.TB, name string, stdout io.Writer, args ...string) *child {
-	t.Helper()
+func (d *deployment) start(tb testing.TB, name string, stdout io.Writer, args ...string) *child {
+	tb.Helper()
 	c := &child{args: args, cmd: exec.Command(d.program, args...), ended: make(chan struct{}), name: name}
 	logPath := filepath.Join(d.dir, fmt.Sprintf("%s-%d.log", name, time.Now().UnixNano()))
 	logFile, err := os.Create(logPath)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	c.cmd.Stderr, c.cmd.Stdout = logFile, stdout
 	c.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.cmd.Start(); err != nil {
-		t.Fatalf("start %s: %v", name, err)
+		tb.Fatalf("start %s: %v", name, err)
 	}
 	go func() {
 		defer close(c.ended)
@@ -181,22 +181,22 @@
 	return c
 }
 
-func (d *deployment) startStandIn(t testing.TB, kind string, args ...string) *child {
-	t.Helper()
+func (d *deployment) startStandIn(tb testing.TB, kind string, args ...string) *child {
+	tb.Helper()
 	reader, writer := io.Pipe()
-	c := d.start(t, kind, writer, append([]string{"emulator", kind}, args...)...)
+	c := d.start(tb, kind, writer, append([]string{"emulator", kind}, args...)...)
 	line, err := bufio.NewReader(reader).ReadString('\n')
 	address, ok := strings.CutPrefix(strings.TrimSpace(line), "listening ")
 	if err != nil || !ok {
-		t.Fatalf("%s: got %q and error %v, want its address", kind, line, err)
+		tb.Fatalf("%s: got %q and error %v, want its address", kind, line, err)
 	}
 	c.url = "http://" + address
 	return c
 }
 
-func (d *deployment) settings(t testing.TB, name, address, section string) string {
-	t.Helper()
-	return d.write(t, name+".ini", fmt.Sprintf(`[process]
+func (d *deployment) settings(tb testing.TB, name, address, section string) string {
+	tb.Helper()
+	return d.write(tb, name+".ini", fmt.Sprintf(`[process]
 instance = %s
 region = centro
 failure-domain = centro
@@ -210,27 +210,27 @@
 `, name, address, d.log.url, d.list.url, d.origin.url, section))
 }
 
-func (d *deployment) startAgent(t testing.TB, name, keys string) *child {
-	t.Helper()
+func (d *deployment) startAgent(tb testing.TB, name, keys string) *child {
+	tb.Helper()
 	address := d.newAddress()
-	path := d.settings(t, name, address, "[agent]\n"+keys)
+	path := d.settings(tb, name, address, "[agent]\n"+keys)
 	pool := strings.Fields(keys)[2]
-	c := d.start(t, name, nil, "agent", "--settings", path)
+	c := d.start(tb, name, nil, "agent", "--settings", path)
 	c.url = "http://" + address
-	d.enlist(t, gooseberrypass.ListedInstance{
+	d.enlist(tb, gooseberrypass.ListedInstance{
 		Address: address, FailureDomain: "centro", ID: gooseberrypass.ID(name),
 		Pool: gooseberrypass.Pool(pool), Region: "centro", Role: gooseberrypass.RoleAgent, State: gooseberrypass.ListedLive,
 	})
 	return c
 }
 
-func (d *deployment) startEntry(t testing.TB, name string) *child {
-	t.Helper()
+func (d *deployment) startEntry(tb testing.TB, name string) *child {
+	tb.Helper()
 	address, callers := d.newAddress(), d.newAddress()
-	path := d.settings(t, name, address, "[entry]\ncallers-listen = "+callers)
-	c := d.start(t, name, nil, "entry", "--settings", path)
+	path := d.settings(tb, name, address, "[entry]\ncallers-listen = "+callers)
+	c := d.start(tb, name, nil, "entry", "--settings", path)
 	c.url, c.caller = "http://"+address, "http://"+callers
-	d.enlist(t, gooseberrypass.ListedInstance{
+	d.enlist(tb, gooseberrypass.ListedInstance{
 		Address: address, FailureDomain: "centro", ID: gooseberrypass.ID(name),
 		Region: "centro", Role: gooseberrypass.RoleEntry, State: gooseberrypass.ListedLive,
 	})
@@ -238,103 +238,103 @@
 }
 
 // restart starts a process anew that has ended, with the same settings.
-func (d *deployment) restart(t testing.TB, c *child) *child {
-	t.Helper()
-	n := d.start(t, c.name, nil, c.args...)
+func (d *deployment) restart(tb testing.TB, c *child) *child {
+	tb.Helper()
+	n := d.start(tb, c.name, nil, c.args...)
 	n.url, n.caller = c.url, c.caller
 	return n
 }
 
-func (d *deployment) enlist(t testing.TB, row gooseberrypass.ListedInstance) {
-	t.Helper()
+func (d *deployment) enlist(tb testing.TB, row gooseberrypass.ListedInstance) {
+	tb.Helper()
 	body, err := json.Marshal(row)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
-	d.put(t, d.list.url+"/instances/"+string(row.ID), body)
+	d.put(tb, d.list.url+"/instances/"+string(row.ID), body)
 }
 
-func (d *deployment) put(t testing.TB, url string, body []byte) {
-	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url, bytes.NewReader(body))
+func (d *deployment) put(tb testing.TB, url string, body []byte) {
+	tb.Helper()
+	r, err := http.NewRequestWithContext(tb.Context(), http.MethodPut, url, bytes.NewReader(body))
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	resp, err := d.client.Do(r)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	_ = resp.Body.Close()
 	if resp.StatusCode != http.StatusNoContent {
-		t.Fatalf("PUT %s: status %d", url, resp.StatusCode)
+		tb.Fatalf("PUT %s: status %d", url, resp.StatusCode)
 	}
 }
 
 // setFaults switches the faults of a stand-in.
-func (d *deployment) setFaults(t testing.TB, c *child, faults emulator.Faults) {
-	t.Helper()
+func (d *deployment) setFaults(tb testing.TB, c *child, faults emulator.Faults) {
+	tb.Helper()
 	body, err := json.Marshal(faults)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
-	d.put(t, c.url+"/faults", body)
+	d.put(tb, c.url+"/faults", body)
 }
 
 // putVersion gives the origin the weights that a seed makes and returns their
 // manifest's digest.
-func (d *deployment) putVersion(t testing.TB, version string, seed uint64) gooseberrypass.Digest {
-	t.Helper()
+func (d *deployment) putVersion(tb testing.TB, version string, seed uint64) gooseberrypass.Digest {
+	tb.Helper()
 	weights := emulator.MakeWeights(seed, weightsSize)
 	manifest, err := emulator.MakeManifest("jingle-writer", version, gooseberrypass.Digest{}, weights, chunkSize)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	url := d.origin.url + "/models/jingle-writer/versions/" + version
-	d.put(t, url+"/weights", weights)
-	d.put(t, url+"/manifest", manifest.Encoded())
+	d.put(tb, url+"/weights", weights)
+	d.put(tb, url+"/manifest", manifest.Encoded())
 	return manifest.Digest()
 }
 
-func (d *deployment) writeFolder(t testing.TB) {
-	t.Helper()
+func (d *deployment) writeFolder(tb testing.TB) {
+	tb.Helper()
 	d.folder = filepath.Join(d.dir, "folder")
-	d.write(t, "folder/10-system.ini", "[system]\norigin-region = centro\n")
-	d.write(t, "folder/30-services.ini", `[service licensing]
+	d.write(tb, "folder/10-system.ini", "[system]\norigin-region = centro\n")
+	d.write(tb, "folder/30-services.ini", `[service licensing]
 pool = licences
 repeatable-calls = lookup
 unrepeatable-calls = charge
 `)
-	d.write(t, "folder/40-accounts.ini", "[client-account radio-norte]\ninventory-name = ACC-0001\n")
+	d.write(tb, "folder/40-accounts.ini", "[client-account radio-norte]\ninventory-name = ACC-0001\n")
 }
 
 // publish writes the model's version to the folder and publishes it.
-func (d *deployment) publish(t testing.TB, version, keys string) {
-	t.Helper()
-	d.write(t, "folder/20-models.ini", fmt.Sprintf(`[model jingle-writer]
+func (d *deployment) publish(tb testing.TB, version, keys string) {
+	tb.Helper()
+	d.write(tb, "folder/20-models.ini", fmt.Sprintf(`[model jingle-writer]
 inventory-name = MDL-0042
 path-name = /fonoteca/scripts/jingle-writer
 pool = writers
 version = %s
 %s
 `, version, keys))
-	cmd := exec.CommandContext(t.Context(), d.program, "publish", d.folder,
+	cmd := exec.CommandContext(tb.Context(), d.program, "publish", d.folder,
 		"--log", d.log.url, "--origin", d.origin.url, "--shared-key-file", filepath.Join(d.dir, "key"))
 	if out, err := cmd.CombinedOutput(); err != nil {
-		t.Fatalf("publish: %v\n%s", err, out)
+		tb.Fatalf("publish: %v\n%s", err, out)
 	}
 }
 
 // state returns the state of the i-th engine.
-func (d *deployment) state(t testing.TB, i int) (gooseberrypass.EngineState, error) {
-	t.Helper()
-	return connector.NewEngine(d.client, d.engines[i].url).State(t.Context())
+func (d *deployment) state(tb testing.TB, i int) (gooseberrypass.EngineState, error) {
+	tb.Helper()
+	return connector.NewEngine(d.client, d.engines[i].url).State(tb.Context())
 }
 
 // awaitEngine waits until the i-th engine serves a version and nothing else.
-func (d *deployment) awaitEngine(t testing.TB, i int, digest gooseberrypass.Digest) {
-	t.Helper()
-	await(t, fmt.Sprintf("engine %d to load %s", i, digest.Short()), func() error {
-		state, err := d.state(t, i)
+func (d *deployment) awaitEngine(tb testing.TB, i int, digest gooseberrypass.Digest) {
+	tb.Helper()
+	await(tb, fmt.Sprintf("engine %d to load %s", i, digest.Short()), func() error {
+		state, err := d.state(tb, i)
 		if err != nil {
 			return err
 		}
@@ -346,20 +346,20 @@
 }
 
 // awaitLoaded waits until every engine serves a version and nothing else.
-func (d *deployment) awaitLoaded(t testing.TB, digest gooseberrypass.Digest) {
-	t.Helper()
+func (d *deployment) awaitLoaded(tb testing.TB, digest gooseberrypass.Digest) {
+	tb.Helper()
 	for i := range d.engines {
-		d.awaitEngine(t, i, digest)
+		d.awaitEngine(tb, i, digest)
 	}
 }
 
 // running returns the index of the one engine that runs a request.
-func (d *deployment) running(t testing.TB) int {
-	t.Helper()
+func (d *deployment) running(tb testing.TB) int {
+	tb.Helper()
 	found := -1
-	await(t, "an engine to run the request", func() error {
+	await(tb, "an engine to run the request", func() error {
 		for i := range d.engines {
-			if state, err := d.state(t, i); err == nil && state.Load.Running > 0 {
+			if state, err := d.state(tb, i); err == nil && state.Load.Running > 0 {
 				found = i
 				return nil
 			}
@@ -370,16 +370,16 @@
 }
 
 // runs returns the runs that the plain service counted of a key.
-func (d *deployment) runs(t testing.TB, key string) int {
-	t.Helper()
+func (d *deployment) runs(tb testing.TB, key string) int {
+	tb.Helper()
 	resp, err := d.client.Get(d.service.url + "/runs?key=" + key)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var runs []emulator.Run
 	if err := json.NewDecoder(resp.Body).Decode(&runs); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return len(runs)
 }
@@ -437,11 +437,11 @@
 	return d.reply(ctx, entry, "/v1/services/licensing/calls/"+call, key, []byte("grant"))
 }
 
-func newKey(t testing.TB) string {
-	t.Helper()
+func newKey(tb testing.TB) string {
+	tb.Helper()
 	key, err := uuid.NewV7()
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return key.String()
 }
@@ -460,10 +460,10 @@
 }
 
 // awaitAnswer waits until an entry gives a whole answer of a version.
-func (d *deployment) awaitAnswer(t testing.TB, entry *child, model string, digest gooseberrypass.Digest) {
-	t.Helper()
-	await(t, entry.name+" to answer for "+model, func() error {
-		answer, err := d.generate(t.Context(), entry, model, "noon", 8)
+func (d *deployment) awaitAnswer(tb testing.TB, entry *child, model string, digest gooseberrypass.Digest) {
+	tb.Helper()
+	await(tb, entry.name+" to answer for "+model, func() error {
+		answer, err := d.generate(tb.Context(), entry, model, "noon", 8)
 		if err != nil {
 			return err
 		}
@@ -478,25 +478,25 @@
 }
 
 // openStream asks for a streamed answer and reads its first piece.
-func (d *deployment) openStream(t testing.TB, entry *child, prompt string, n int) *tokenStream {
-	t.Helper()
-	resp, err := d.post(t.Context(), entry, "/v1/generate", "", generateBody("jingle-writer", prompt, n, true))
+func (d *deployment) openStream(tb testing.TB, entry *child, prompt string, n int) *tokenStream {
+	tb.Helper()
+	resp, err := d.post(tb.Context(), entry, "/v1/generate", "", generateBody("jingle-writer", prompt, n, true))
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	d.t.Cleanup(func() { _ = resp.Body.Close() })
 	s := &tokenStream{events: bufio.NewScanner(resp.Body)}
 	for s.reply.Text == "" {
-		if event := s.next(t); event != "start" && event != "piece" {
-			t.Fatalf("got event %q before the first piece: %+v", event, s.reply)
+		if event := s.next(tb); event != "start" && event != "piece" {
+			tb.Fatalf("got event %q before the first piece: %+v", event, s.reply)
 		}
 	}
 	return s
 }
 
 // next reads one event and returns its name, "" at the end.
-func (s *tokenStream) next(t testing.TB) string {
-	t.Helper()
+func (s *tokenStream) next(tb testing.TB) string {
+	tb.Helper()
 	name := ""
 	for s.events.Scan() {
 		line := s.events.Text()
@@ -507,7 +507,7 @@
 			text := s.reply.Text
 			s.reply.Text = ""
 			if err := json.Unmarshal([]byte(data), &s.reply); err != nil {
-				t.Fatalf("event %s: %v", name, err)
+				tb.Fatalf("event %s: %v", name, err)
 			}
 			s.reply.Text = text + s.reply.Text
 			return name
@@ -517,10 +517,10 @@
 }
 
 // rest reads the stream to its end and returns its last event.
-func (s *tokenStream) rest(t testing.TB) string {
-	t.Helper()
+func (s *tokenStream) rest(tb testing.TB) string {
+	tb.Helper()
 	last := ""
-	for event := s.next(t); event != ""; event = s.next(t) {
+	for event := s.next(tb); event != ""; event = s.next(tb) {
 		last = event
 	}
 	return last
