Follow peers only during a rollout, and count those not heard of as out

Cause: an agent's polls of its peers would cost 188 x 867 B every 20 s at 3,200 agents in 17 failure domains, and as much again as polled, above 5 KB/s; outside a rollout nobody needs them. Whom to follow is now chosen each second. Found on the way: an instance not heard of yet counted as absent, so an agent that had just started could leave service beside those already out; it now counts as out of service until it is heard of or falls silent. The watcher's test has the case.

--- a/roller/rollout_test.go
+++ b/roller/rollout_test.go
@@ -215,16 +215,22 @@
 		}),
 		member("stuck", func(m *gooseberrypass.Member) { m.Status.Targets = target(gooseberrypass.PhaseFetching) }),
 		member("waiting", func(m *gooseberrypass.Member) { m.Status.Targets = target(gooseberrypass.PhaseWaiting) }),
+		member("unheard", func(m *gooseberrypass.Member) { m.Status = nil }),
 		member("failed-in-service", func(m *gooseberrypass.Member) { m.Status.Targets = target(gooseberrypass.PhaseFailed) }),
 	}
 	now := time.Unix(1_800_000_000, 0)
 	w := roller.NewWatcher(time.Minute)
-	w.Candidates(now, members, "m", digest)
+	for _, c := range w.Candidates(now, members, "m", digest) {
+		if c.ID == "unheard" && (c.Finished || c.PassedOver || c.Serving) {
+			t.Errorf("got %+v for an instance not heard of, want it unfinished and out of service", c)
+		}
+	}
 	got := w.Candidates(now.Add(2*time.Minute), members, "m", digest)
 	want := []roller.Candidate{
 		{ID: "crashed-by-it"},
 		{ID: "stuck", PassedOver: true, Serving: true},
 		{ID: "waiting", Serving: true},
+		{ID: "unheard", PassedOver: true},
 		{ID: "failed-in-service", PassedOver: true, Serving: true},
 	}
 	if len(got) != len(want) {
--- a/roller/watcher.go
+++ b/roller/watcher.go
@@ -41,7 +41,7 @@
 		}
 		candidates = append(candidates, Candidate{
 			FailureDomain: m.Listed.FailureDomain,
-			Finished:      m.Status.Serves(model, digest),
+			Finished:      m.Status != nil && m.Status.Serves(model, digest),
 			ID:            m.Listed.ID,
 			PassedOver:    w.standsStill(now, sightKey{id: m.Listed.ID, model: model}, target, digest) || failedInService(m, model, target),
 			Serving:       m.TakesWork() && servesAny(m.Status, model),
@@ -50,11 +50,18 @@
 	return candidates
 }
 
-// takesPart leaves out the dead, the silent and the leaving. An instance whose
-// endpoint went down while it loaded the version stays, so that a version that
-// crashes its endpoints does not go on to the next ones.
+// takesPart leaves out the dead, the silent and the leaving. An instance that has
+// not been heard of yet stays: it may be out of service. So does one whose endpoint
+// went down while it loaded the version, so that a version that crashes its
+// endpoints does not go on to the next ones.
 func takesPart(m gooseberrypass.Member, target gooseberrypass.TargetStatus) bool {
-	if m.Silent || m.Status == nil || m.Status.Leaving || m.Listed.State != gooseberrypass.ListedLive {
+	if m.Silent || m.Listed.State != gooseberrypass.ListedLive {
+		return false
+	}
+	if m.Status == nil {
+		return true
+	}
+	if m.Status.Leaving {
 		return false
 	}
 	return m.Status.EndpointUp || target.Phase == gooseberrypass.PhaseLoading || target.Phase == gooseberrypass.PhaseFailed
@@ -86,7 +93,7 @@
 // failedInService reports whether an instance failed to get the version and
 // serves the one before.
 func failedInService(m gooseberrypass.Member, model gooseberrypass.ID, target gooseberrypass.TargetStatus) bool {
-	return target.Phase == gooseberrypass.PhaseFailed && servesAny(m.Status, model)
+	return m.Status != nil && target.Phase == gooseberrypass.PhaseFailed && servesAny(m.Status, model)
 }
 
 func servesAny(status *gooseberrypass.AgentStatus, model gooseberrypass.ID) bool {
--- a/runner/agent.go
+++ b/runner/agent.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -64,7 +65,8 @@
 // it as long as another process has it.
 func NewAgent(ctx context.Context, settings *Settings, d Dependencies) (*Agent, error) {
 	var configs configHolder
-	p, err := newProcess(settings, selectPeers(settings.self, &configs), d, tracker.WithoutLoad())
+	a := &Agent{}
+	p, err := newProcess(settings, selectPeers(settings.self, &configs, a.loads), d, tracker.WithoutLoad())
 	if err != nil {
 		return nil, err
 	}
@@ -73,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{process: p}
+	a.process = p
 	if err := a.build(ctx, lis); err != nil {
 		_ = lis.Close()
 		return nil, err
@@ -120,6 +122,13 @@
 	}
 }
 
+// loads reports whether a version is wanted that the engine does not serve.
+func (a *Agent) loads() bool {
+	return a.weights != nil && slices.ContainsFunc(a.weights.Targets(), func(t gooseberrypass.TargetStatus) bool {
+		return t.Phase != gooseberrypass.PhaseServing
+	})
+}
+
 func (a *Agent) drain(ctx context.Context) {
 	a.logger.Info("agent stops")
 	a.loop.Post(gooseberrypass.StopRequested{})
@@ -255,8 +264,9 @@
 	return errors.Wrap(conn.Close(), "probe")
 }
 
-// selectPeers follows the agents whose progress decides when self may load.
-func selectPeers(self gooseberrypass.ListedInstance, configs gooseberrypass.ConfigSource) tracker.Selector {
+// selectPeers follows the agents whose progress decides when self may load, while
+// it has something to load.
+func selectPeers(self gooseberrypass.ListedInstance, configs gooseberrypass.ConfigSource, loads func() bool) tracker.Selector {
 	pool := func(l gooseberrypass.ListedInstance) gooseberrypass.Pool {
 		if config := configs.Config(); config != nil {
 			return config.PoolOf(l)
@@ -264,6 +274,9 @@
 		return l.Pool
 	}
 	return func(listed []gooseberrypass.ListedInstance) []gooseberrypass.ID {
+		if !loads() {
+			return nil
+		}
 		return roller.Peers(self, listed, pool)
 	}
 }
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -12,10 +12,6 @@
 	"github.com/gooseberrypass/gooseberrypass/wire"
 )
 
-// agentsPerPool is how many agents of each pool an entry follows and sends
-// work to.
-const agentsPerPool = 48
-
 // An Entry is an entry process.
 type Entry struct {
 	*process
@@ -26,7 +22,7 @@
 
 // NewEntry binds the addresses of an entry and puts its parts together.
 func NewEntry(ctx context.Context, settings *Settings, d Dependencies) (*Entry, error) {
-	p, err := newProcess(settings, tracker.SelectSubset(settings.self, agentsPerPool), d)
+	p, err := newProcess(settings, tracker.SelectSubset(settings.self, tracker.DefaultSubset), d)
 	if err != nil {
 		return nil, err
 	}
--- a/tracker/selector.go
+++ b/tracker/selector.go
@@ -10,7 +10,7 @@
 )
 
 // A Selector returns the instances, of those listed, whose status a process
-// follows. It must give the same answer for the same list.
+// follows. It is asked again every second and should change its mind seldom.
 type Selector func(listed []gooseberrypass.ListedInstance) []gooseberrypass.ID
 
 // The size of the subset of agents that an entry follows.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -22,6 +22,9 @@
 // oldLimit is how long lists older than the last one are passed over.
 const oldLimit = time.Minute
 
+// choicePeriod is how often it is chosen anew whom to follow.
+const choicePeriod = time.Second
+
 // A Dialer returns the client of the agent at an address.
 type Dialer func(address string) wire.Agent
 
@@ -42,12 +45,14 @@
 // be called on any goroutine.
 type Tracker struct {
 	agents    map[gooseberrypass.ID]wire.Agent
+	chosenAt  time.Time // when it was chosen whom to follow
 	clock     gooseberrypass.Clock
 	dial      Dialer
 	followed  map[gooseberrypass.ID]*peer
 	lastTick  time.Time
 	list      gooseberrypass.InstanceList
-	listing   bool // a poll of the list is in flight
+	listed    []gooseberrypass.ListedInstance // the last useful list
+	listing   bool                            // a poll of the list is in flight
 	logger    logrus.FieldLogger
 	members   atomic.Pointer[[]gooseberrypass.Member]
 	metrics   *metrics
@@ -151,6 +156,9 @@
 			changed = true
 		}
 	}
+	if now.Sub(t.chosenAt) >= choicePeriod {
+		changed = t.follow(now) || changed
+	}
 	if changed {
 		t.publish()
 	}
@@ -176,8 +184,9 @@
 		}
 		changed = t.miss(id, p) || changed
 	}
+	t.listed = e.Listing.Instances
 	if changed {
-		t.follow(now, e.Listing.Instances)
+		t.follow(now)
 		t.publish()
 	}
 	return changed
@@ -252,13 +261,17 @@
 	delete(t.agents, id)
 }
 
-func (t *Tracker) follow(now time.Time, listed []gooseberrypass.ListedInstance) {
+// follow chooses whose status to follow. It reports whether that has changed.
+func (t *Tracker) follow(now time.Time) bool {
+	t.chosenAt = now
 	selected := map[gooseberrypass.ID]bool{}
-	for _, id := range t.selector(slices.Clone(listed)) {
+	for _, id := range t.selector(slices.Clone(t.listed)) {
 		selected[id] = true
 	}
+	changed := false
 	for id, p := range t.peers {
 		followed := selected[id] || p.missing
+		changed = changed || followed != p.followed
 		if followed && !p.followed {
 			p.heard = now
 			p.silent = false
@@ -274,6 +287,7 @@
 	}
 	t.pacing = newPacing(len(t.followed), t.withoutLoad)
 	t.metrics.followed.Set(float64(len(t.followed)))
+	return changed
 }
 
 func (t *Tracker) handleStatus(now time.Time, e StatusObserved) bool {
