--- a/commander/controlcost_test.go
+++ b/commander/controlcost_test.go
@@ -14,8 +14,11 @@
 	"github.com/gooseberrypass/gooseberrypass/dialer"
 )
 
-// costWindow is how long a benchmark watches processes that have no requests.
-const costWindow = 15 * time.Second
+// The times of a benchmark of processes that have no requests.
+const (
+	costWindow = 15 * time.Second // in which they are watched
+	settleTime = 8 * time.Second  // after a rollout, until its last polls have ended
+)
 
 // A cost is what a process has spent so far.
 type cost struct {
@@ -69,6 +72,7 @@
 			digest := d.putVersion(b, "v1", 1)
 			d.publish(b, "v1", "")
 			d.awaitLoaded(b, digest)
+			time.Sleep(settleTime)
 			for b.Loop() {
 				watched := []*child{d.entries[0], d.agents[0]}
 				var before [2]cost
