--- a/tracker/pacing.go
+++ b/tracker/pacing.go
@@ -11,7 +11,7 @@
 const (
 	listBudget   = 2 << 10 // bytes a second for the platform's list
 	pollBytes    = 700     // bytes of one status poll, both ways, with headers
-	statusBudget = 4 << 10 // bytes a second for status polls
+	statusBudget = 5 << 9  // bytes a second for status polls
 	// standingBudget is for a process that needs no load: it is polled by others
 	// as much as it polls them.
 	standingBudget = 1 << 10
