Send nothing to an engine between a cut and its next reading

An attempt is now refused for certain until the engine was read after a cut; refusals that cost an endpoint nothing do not draw on the budget, but no endpoint is asked twice in a row; and an idempotent request waits for a version to be loaded even if an earlier attempt may have run. The last pause is 3.2 s, so that six refusals in a row by a single endpoint are still outwaited. Ruled out: a larger budget, which a storm would have too.

--- a/attempter/attempter.go
+++ b/attempter/attempter.go
@@ -97,7 +97,7 @@
 			bodies:  semaphore.NewWeighted(maxBodies),
 			clock:   d.Clock,
 			engine:  d.Engine,
-			gate:    &gate{configs: d.Configs, instance: d.Instance, supervisor: watch, targets: d.Targets},
+			gate:    &gate{configs: d.Configs, instance: d.Instance, registry: reg, supervisor: watch, targets: d.Targets},
 			gauge:   a.gauge,
 			metrics: counts,
 			runner:  run,
--- a/attempter/gate.go
+++ b/attempter/gate.go
@@ -17,6 +17,7 @@
 type gate struct {
 	configs    gooseberrypass.ConfigSource
 	instance   gooseberrypass.ListedInstance
+	registry   *registry
 	supervisor *supervisor.Supervisor
 	targets    Targets
 }
@@ -36,6 +37,9 @@
 	if !s.Up {
 		return digest, notRun(gooseberrypass.ReasonNotLoaded, "engine is down")
 	}
+	if g.registry.lastCut().After(s.ObservedAt) {
+		return digest, notRun(gooseberrypass.ReasonNotLoaded, "a connection to the engine broke off and the engine was not seen since")
+	}
 	if !slices.Contains(s.State.Loaded, gooseberrypass.LoadedVersion{Digest: digest, Model: model}) {
 		return digest, notRun(gooseberrypass.ReasonNotLoaded, "version "+digest.Short()+" is not loaded")
 	}
--- a/attempter/registry.go
+++ b/attempter/registry.go
@@ -83,6 +83,7 @@
 	active  map[key]*attempt
 	age     time.Duration // the time of memory
 	cut     []supervisor.Flight
+	cutAt   time.Time // of the last cut
 	ended   map[key]ending
 	forgot  time.Duration // when expired endings were last searched for
 	limit   int
@@ -181,6 +182,7 @@
 func (g *registry) reportCut(now time.Time, a *attempt) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.cutAt = now
 	if len(g.cut) < maxCut {
 		flight := a.flight
 		flight.Cut = now
@@ -271,6 +273,13 @@
 	return flights
 }
 
+// lastCut returns when a connection was last cut, zero if none was.
+func (g *registry) lastCut() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cutAt
+}
+
 // TakeCut implements supervisor.Flights.
 func (g *registry) TakeCut() []supervisor.Flight {
 	g.mu.Lock()
--- a/attempter/settle_test.go
+++ b/attempter/settle_test.go
@@ -325,3 +325,31 @@
 		}
 	}
 }
+
+// TestNoAttemptBetweenACutAndTheNextReading has an engine cut a connection. Until
+// it was read again nothing is sent to it, and the refusal is certain.
+func TestNoAttemptBetweenACutAndTheNextReading(t *testing.T) {
+	e := newFakeEngine(3, digestOf("v1"))
+	cut := true
+	e.generate = func(_ context.Context, o gooseberrypass.GenerateOrder) (gooseberrypass.TokenStream, error) {
+		tokens := tokensOf(o.AttemptID, o.Digest, 3)
+		if cut {
+			return replay(tokens[:1], io.ErrUnexpectedEOF), nil
+		}
+		return replay(tokens, io.EOF), nil
+	}
+	a := newEngineAgent(t, e)
+	a.clock.Advance(time.Millisecond)
+	if got := a.ask(t, attemptOf("1")); got.whole() {
+		t.Fatal("got a whole answer of a cut stream")
+	}
+	cut = false
+	got := a.ask(t, attemptOf("2"))
+	if got.whole() || got.failed.GetOutcome() != gooseberrypass.OutcomeNotRun.String() {
+		t.Errorf("got %v after the cut, want not run", got.failed)
+	}
+	a.tick()
+	if got := a.ask(t, attemptOf("3")); !got.whole() {
+		t.Errorf("got %v once the engine was read, want an answer", got.failed)
+	}
+}
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -20,7 +20,7 @@
 	maxAttemptTime = 10 * time.Minute
 	maxCuts        = 2                      // attempts that may break off without a cause given
 	firstPause     = 100 * time.Millisecond // doubled up to lastPause
-	lastPause      = 1600 * time.Millisecond
+	lastPause      = 3200 * time.Millisecond
 	settleLimit    = time.Second // for the settlement of attempts
 	minFirstWait   = 2 * time.Second
 	firstWaits     = 4 // times the usual time of a whole answer
--- a/retrier/run.go
+++ b/retrier/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,20 @@
 	result router.Result // what it showed of the endpoint
 }
 
+// cheap reports whether the endpoint certainly did no work for the attempt and
+// will be passed over for a while.
+func (f *failure) cheap() bool {
+	if f.err.Outcome != gooseberrypass.OutcomeNotRun {
+		return false
+	}
+	switch f.result {
+	case router.ResultFailed, router.ResultLeaving, router.ResultUnready:
+		return true
+	default:
+		return false
+	}
+}
+
 // An open attempt is one that was sent and has not been settled.
 type openAttempt struct {
 	id      string
@@ -55,13 +70,14 @@
 }
 
 // mayWait reports whether a failed request may be tried anew after a pause: its
-// endpoints are changing and nothing of it has run or may run.
+// endpoints are changing, the caller has seen nothing, and it is idempotent or has
+// certainly not run.
 func (r *run) mayWait(err error) bool {
 	var failure *gooseberrypass.RequestError
-	if r.delivered || len(r.unsettled) > 0 || !errors.As(err, &failure) || failure.Outcome != gooseberrypass.OutcomeNotRun {
+	if r.delivered || !errors.As(err, &failure) || failure.Reason != gooseberrypass.ReasonNotLoaded {
 		return false
 	}
-	return failure.Reason == gooseberrypass.ReasonNotLoaded
+	return r.req.Repeatable() || len(r.unsettled) == 0 && failure.Outcome == gooseberrypass.OutcomeNotRun
 }
 
 // wait pauses and reports whether there is still time for the request.
@@ -83,13 +99,17 @@
 func (r *run) try(ctx context.Context) error {
 	var last *failure
 	for attempt := range maxAttempts {
-		if attempt > 0 && !r.mayRetry() {
+		if attempt > 0 && !r.mayRetry(last) {
 			break
 		}
 		ticket, err := r.retrier.chooser.Choose(r.query())
 		if err != nil {
 			return r.fail(ctx, last, err)
 		}
+		if last != nil && last.cheap() && slices.Contains(r.tried, ticket.Member().Listed.ID) {
+			ticket.Done(router.ResultDropped) // it has just refused, and no other is left
+			break
+		}
 		last = r.attempt(ctx, ticket)
 		if last == nil {
 			r.retrier.suspects.Finished(r.req.Digest())
@@ -106,14 +126,16 @@
 // mayRetry reports whether another attempt is allowed after a failure: nothing
 // of the answer has reached the caller, and the request is idempotent or has certainly
 // not run.
-func (r *run) mayRetry() bool {
+// It draws on the budget, but for a refusal that cost the endpoint nothing and
+// after which the router passes it over.
+func (r *run) mayRetry(last *failure) bool {
 	if !r.req.Repeatable() && len(r.unsettled) > 0 {
 		return false
 	}
 	if r.delivered && !r.restart() {
 		return false
 	}
-	if !r.retrier.budget.spend() {
+	if !last.cheap() && !r.retrier.budget.spend() {
 		r.retrier.metrics.denied.Inc()
 		return false
 	}
