--- a/commander/commander.go
+++ b/commander/commander.go
@@ -11,6 +11,7 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
+	"github.com/willabides/kongplete"
 
 	"github.com/gooseberrypass/gooseberrypass/emulator"
 )
@@ -28,18 +29,19 @@
 
 // A Command line is what kong parses: one field for each command.
 type commandLine struct {
-	Agent    agentCmd    `cmd:"" help:"Run the process beside an endpoint."`
-	Burn     burnCmd     `cmd:"" help:"Report how fast the service-level error budgets burn."`
-	Check    checkCmd    `cmd:"" help:"Check a folder of INI files."`
-	Demo     demoCmd     `cmd:"" help:"Run the main job on stand-ins and measure it."`
-	Emulator emulatorCmd `cmd:"" help:"Run stand-ins of the platform for trials and tests."`
-	Entry    entryCmd    `cmd:"" help:"Run a process for callers."`
-	Merge    mergeCmd    `cmd:"" help:"Print the merge of a folder, with the place of each value."`
-	Pack     packCmd     `cmd:"" help:"Make the manifest of a weights file."`
-	Publish  publishCmd  `cmd:"" help:"Publish a folder of INI files."`
-	Pull     pullCmd     `cmd:"" help:"Write the accepted files to a folder."`
-	Status   statusCmd   `cmd:"" help:"Show what each instance serves and how far a rollout is."`
-	Version  versionCmd  `cmd:"" help:"Print the version."`
+	Agent              agentCmd                     `cmd:"" help:"Run the process beside an endpoint."`
+	Burn               burnCmd                      `cmd:"" help:"Report how fast the service-level error budgets burn."`
+	Check              checkCmd                     `cmd:"" help:"Check a folder of INI files."`
+	Demo               demoCmd                      `cmd:"" help:"Run the main job on stand-ins and measure it."`
+	Emulator           emulatorCmd                  `cmd:"" help:"Run stand-ins of the platform for trials and tests."`
+	Entry              entryCmd                     `cmd:"" help:"Run a process for callers."`
+	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print the line that adds completions to your shell."`
+	Merge              mergeCmd                     `cmd:"" help:"Print the merge of a folder, with the place of each value."`
+	Pack               packCmd                      `cmd:"" help:"Make the manifest of a weights file."`
+	Publish            publishCmd                   `cmd:"" help:"Publish a folder of INI files."`
+	Pull               pullCmd                      `cmd:"" help:"Write the accepted files to a folder."`
+	Status             statusCmd                    `cmd:"" help:"Show what each instance serves and how far a rollout is."`
+	Version            versionCmd                   `cmd:"" help:"Print the version."`
 }
 
 // A Streams holds the standard streams that commands read and write.
@@ -104,6 +106,8 @@
 			status = int(code)
 		}
 	}()
+	exit := func(status int) { panic(exitPanic(status)) }
+	kongplete.Complete(parser, kongplete.WithExitFunc(exit)) // answers a shell that asks for completions
 	kctx, err := parser.Parse(args)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "gooseberrypass:", err)
