Drop two accessors that nothing reads, and say what a tick of the tracker does

Found on reading the whole change again: the settings' addresses are used inside their package only, and a tick also chooses whom to follow since agents follow their peers during a rollout alone. Behaviour is as it was.

--- a/runner/settings.go
+++ b/runner/settings.go
@@ -46,12 +46,6 @@
 	weightsFrom netip.AddrPort
 }
 
-// Callers returns the address an entry listens on for callers.
-func (s *Settings) Callers() netip.AddrPort { return s.callers }
-
-// Listen returns the address the process listens on for the system.
-func (s *Settings) Listen() netip.AddrPort { return s.listen }
-
 // LogLevel returns the least severe level to be logged.
 func (s *Settings) LogLevel() string { return s.logLevel }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -133,7 +133,7 @@
 	return effects
 }
 
-// handleTick finds the silent. After a pause of this process every deadline
+// handleTick finds the silent and chooses anew whom to follow. After a pause of this process every deadline
 // has passed, which says nothing of the peers: their time starts anew.
 func (t *Tracker) handleTick(now time.Time) bool {
 	stall := now.Sub(t.lastTick)
