Serve the prepared machines: gateway and sidecar over the platform's store

Cause: nothing of the product spoke the platform's protocol. Change: passages go unchanged to endpoints (forwarder, balancer), state comes from keyed topics (follower, surveyor) and from other processes (relayer, gossiper), versions are staged and loaded (stager, over fetcher and keeper). platform/ only translates.

--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,368 @@
+// Package balancer chooses the endpoint of each dispatch from the load that all
+// entries together have there, and refuses at once what no endpoint has room
+// for.
+package balancer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/surveyor"
+)
+
+// A Result is what a dispatch showed of its endpoint.
+type Result int
+
+// The results. ResultDropped says nothing of the endpoint.
+const (
+	ResultDropped     Result = iota
+	ResultAnswered           // whole answer of any status
+	ResultFull               // refused for load
+	ResultFailed             // broke, was silent or answered wrongly
+	ResultMisdirected        // other endpoint or version
+)
+
+// Settings tune a Balancer.
+type Settings struct {
+	Ejection       time.Duration // after two failures in a row, doubled each time
+	EjectionMost   time.Duration
+	EnginePenalty  float64       // requests that an engine in another region must have less
+	Fill           float64       // requests at an engine, in its slots, up to which more are sent
+	FullPause      time.Duration // for which an endpoint that refused for load is passed over
+	NoticeLife     time.Duration // for which what other processes say counts
+	PlainFill      float64       // requests at a plain service's endpoint, in its slots
+	PlainPenalty   float64       // load in slots that a plain endpoint in another region must have less
+	ResumeFill     float64       // as Fill, for streams that were cut
+	VersionMargin  time.Duration // before the bound from which only the new version is used
+	VersionTimeout time.Duration // bound for the use of an old version
+}
+
+// A Query asks for an endpoint.
+type Query struct {
+	Avoid   []gooseberrypass.ID
+	Model   string // "" for a plain service
+	Resumed bool   // goes on with a stream that was cut
+	Service gooseberrypass.ID
+	Version int // that the endpoint must have, 0 for any in force
+}
+
+// An endpoint is what is believed of one endpoint.
+type endpoint struct {
+	ejectedUntil time.Time
+	ejections    int
+	failures     int // in a row
+	fullUntil    time.Time
+	listed       gooseberrypass.Endpoint
+	notice       Notice
+	noticed      time.Time
+	own          int
+	others       map[gooseberrypass.ID]int // in flight from other entries
+}
+
+// A Notice is what the agent beside an endpoint says of it.
+type Notice struct {
+	Address string         `json:"address"` // of the endpoint
+	Born    int64          `json:"born"`
+	Loading bool           `json:"loading"` // takes no work
+	Models  map[string]int `json:"models"`
+}
+
+// A Balancer is safe for use by several goroutines.
+type Balancer struct {
+	clock    gooseberrypass.Clock
+	regionOf func(gooseberrypass.FailureDomain) gooseberrypass.Region
+	rng      *rand.Rand
+	self     gooseberrypass.Region
+	settings Settings
+
+	mu        sync.Mutex
+	endpoints map[gooseberrypass.ID]*endpoint
+	heard     map[gooseberrypass.ID]time.Time // of other entries
+	notices   map[string]Notice               // by address
+	noticed   map[string]time.Time
+	services  map[gooseberrypass.ID][]*endpoint
+	snapshot  *surveyor.Snapshot
+}
+
+// New returns a balancer of an entry in region self.
+func New(clock gooseberrypass.Clock, self gooseberrypass.Region, regionOf func(gooseberrypass.FailureDomain) gooseberrypass.Region, settings Settings, seed uint64) *Balancer {
+	return &Balancer{
+		clock:     clock,
+		endpoints: map[gooseberrypass.ID]*endpoint{},
+		heard:     map[gooseberrypass.ID]time.Time{},
+		noticed:   map[string]time.Time{},
+		notices:   map[string]Notice{},
+		regionOf:  regionOf,
+		rng:       rand.New(rand.NewPCG(seed, seed)),
+		self:      self,
+		services:  map[gooseberrypass.ID][]*endpoint{},
+		settings:  settings,
+		snapshot:  &surveyor.Snapshot{},
+	}
+}
+
+// Handle implements gooseberrypass.Controller.
+func (b *Balancer) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
+	switch e := event.(type) {
+	case surveyor.Changed:
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.update(e.Snapshot)
+	case gooseberrypass.Tick:
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.forget(now)
+	}
+	return nil
+}
+
+func (b *Balancer) update(snapshot *surveyor.Snapshot) {
+	b.snapshot = snapshot
+	known := map[gooseberrypass.ID]struct{}{}
+	services := map[gooseberrypass.ID][]*endpoint{}
+	for _, listed := range snapshot.Endpoints {
+		known[listed.ID] = struct{}{}
+		e, ok := b.endpoints[listed.ID]
+		if !ok {
+			e = &endpoint{others: map[gooseberrypass.ID]int{}}
+			b.endpoints[listed.ID] = e
+		}
+		e.listed = listed
+		services[listed.Service] = append(services[listed.Service], e)
+	}
+	for id := range b.endpoints {
+		if _, ok := known[id]; !ok {
+			delete(b.endpoints, id)
+		}
+	}
+	b.services = services
+}
+
+// forget drops what silent processes said.
+func (b *Balancer) forget(now time.Time) {
+	for id, at := range b.heard {
+		if now.Sub(at) < b.settings.NoticeLife {
+			continue
+		}
+		delete(b.heard, id)
+		for _, e := range b.endpoints {
+			delete(e.others, id)
+		}
+	}
+	for address, at := range b.noticed {
+		if now.Sub(at) >= b.settings.NoticeLife {
+			delete(b.noticed, address)
+			delete(b.notices, address)
+		}
+	}
+}
+
+// SetOthers takes in how many requests another entry has in flight.
+func (b *Balancer) SetOthers(now time.Time, from gooseberrypass.ID, inFlight map[gooseberrypass.ID]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.heard[from] = now
+	for id, e := range b.endpoints {
+		if n := inFlight[id]; n > 0 {
+			e.others[from] = n
+		} else {
+			delete(e.others, from)
+		}
+	}
+}
+
+// SetNotice takes in what an agent says of its endpoint.
+func (b *Balancer) SetNotice(now time.Time, n Notice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n.Born < b.notices[n.Address].Born {
+		return
+	}
+	b.notices[n.Address], b.noticed[n.Address] = n, now
+}
+
+// InFlight returns how many own requests are at each endpoint.
+func (b *Balancer) InFlight() map[gooseberrypass.ID]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	counts := map[gooseberrypass.ID]int{}
+	for id, e := range b.endpoints {
+		if e.own > 0 {
+			counts[id] = e.own
+		}
+	}
+	return counts
+}
+
+// Entries returns how many entries have been heard of lately, this one
+// included.
+func (b *Balancer) Entries() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.heard) + 1
+}
+
+// A Ticket is one dispatch's place at an endpoint.
+type Ticket struct {
+	balancer *Balancer
+	done     bool
+	endpoint *endpoint
+	expect   int
+	target   gooseberrypass.Endpoint
+	total    int
+}
+
+// Endpoint returns the endpoint chosen.
+func (t *Ticket) Endpoint() gooseberrypass.Endpoint { return t.target }
+
+// ExpectModel returns the version that the endpoint must have, 0 for any.
+func (t *Ticket) ExpectModel() int { return t.expect }
+
+// Total returns the requests believed at the endpoint when it was chosen.
+func (t *Ticket) Total() int { return t.total }
+
+// Done gives the place back. Only the first call counts.
+func (t *Ticket) Done(result Result) {
+	b := t.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t.done {
+		return
+	}
+	t.done = true
+	t.endpoint.own--
+	t.endpoint.end(b.clock.Now(), result, b.settings)
+}
+
+func (e *endpoint) end(now time.Time, result Result, s Settings) {
+	switch result {
+	case ResultAnswered:
+		e.failures, e.ejections = 0, 0
+	case ResultFull, ResultMisdirected:
+		e.fullUntil = now.Add(s.FullPause)
+	case ResultFailed:
+		e.failures++
+		if e.failures < 2 || now.Before(e.ejectedUntil) {
+			return
+		}
+		e.ejectedUntil = now.Add(min(s.Ejection<<min(e.ejections, 8), s.EjectionMost))
+		e.ejections++
+	case ResultDropped:
+	}
+}
+
+func (e *endpoint) total() int {
+	n := e.own
+	for _, others := range e.others {
+		n += others
+	}
+	return n
+}
+
+// Choose returns a place at the endpoint with the least load, or a
+// *gooseberrypass.RequestError if none has room.
+func (b *Balancer) Choose(q Query) (*Ticket, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	var best *endpoint
+	bestCost := 0.0
+	usable := 0
+	for _, e := range b.services[q.Service] {
+		if !b.takes(now, e, q) {
+			continue
+		}
+		usable++
+		cost, room := b.cost(e, q)
+		if !room || now.Before(e.fullUntil) || slices.Contains(q.Avoid, e.listed.ID) {
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return nil, refusal(usable)
+	}
+	t := &Ticket{balancer: b, endpoint: best, expect: q.Version, target: best.listed, total: best.total()}
+	if t.expect == 0 && q.Model != "" {
+		t.expect = b.required(now, q.Model)
+	}
+	best.own++
+	return t, nil
+}
+
+func refusal(usable int) error {
+	if usable == 0 {
+		return &gooseberrypass.RequestError{
+			Detail:  "no endpoint takes work",
+			Outcome: gooseberrypass.OutcomeNotRun,
+			Reason:  gooseberrypass.ReasonNoEndpoint,
+		}
+	}
+	return &gooseberrypass.RequestError{
+		Detail:  "every endpoint is full",
+		Outcome: gooseberrypass.OutcomeNotRun,
+		Reason:  gooseberrypass.ReasonOverloaded,
+	}
+}
+
+// required returns the version that requests must run on now, 0 for any.
+func (b *Balancer) required(now time.Time, model string) int {
+	target, ok := b.snapshot.Targets[model]
+	if !ok || now.Sub(target.Since) < b.settings.VersionTimeout-b.settings.VersionMargin {
+		return 0
+	}
+	return target.Version
+}
+
+// takes reports whether an endpoint may get the request at all.
+func (b *Balancer) takes(now time.Time, e *endpoint, q Query) bool {
+	if e.listed.Leaving || now.Before(e.ejectedUntil) {
+		return false
+	}
+	if q.Model == "" {
+		return true
+	}
+	models := e.listed.Models
+	if n, ok := b.notices[e.listed.Address]; ok {
+		if n.Loading {
+			return false
+		}
+		models = n.Models
+	}
+	version := models[q.Model]
+	if q.Version > 0 {
+		return version == q.Version
+	}
+	return version > 0 && version >= b.required(now, q.Model)
+}
+
+// cost returns the order of an endpoint, and whether it has room.
+func (b *Balancer) cost(e *endpoint, q Query) (float64, bool) {
+	total := float64(e.total())
+	slots := float64(max(e.listed.Slots, 1))
+	far := b.regionOf(e.listed.FailureDomain) != b.self
+	tie := b.rng.Float64() / 2 // spreads entries that see the same loads
+	if q.Model == "" {
+		cost := (total + tie) / slots
+		if far {
+			cost += b.settings.PlainPenalty
+		}
+		return cost, total < slots*b.settings.PlainFill
+	}
+	fill := b.settings.Fill
+	if q.Resumed {
+		fill = b.settings.ResumeFill
+	}
+	cost := total + tie
+	if far {
+		cost += b.settings.EnginePenalty
+	}
+	return cost, total < slots*fill
+}
+
+var _ gooseberrypass.Controller = (*Balancer)(nil)
--- a/checker/type.go
+++ b/checker/type.go
@@ -193,3 +193,18 @@
 	}
 	return s
 }
+
+// Pairs is the type of a map[string]string written as a=b,c=d.
+func Pairs() Type {
+	return newType("pairs, as a=b,c=d", func(text string) (map[string]string, error) {
+		pairs := map[string]string{}
+		for pair := range strings.SplitSeq(text, ",") {
+			name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
+			if !ok || name == "" || value == "" {
+				return nil, errors.Errorf("%q is no pair", pair)
+			}
+			pairs[name] = value
+		}
+		return pairs, nil
+	})
+}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -35,11 +35,13 @@
 	Demo               demoCmd                      `cmd:"" help:"Run the main job on stand-ins and measure it."`
 	Emulator           emulatorCmd                  `cmd:"" help:"Run stand-ins of the platform for trials and tests."`
 	Entry              entryCmd                     `cmd:"" help:"Run a process for callers."`
+	Gateway            gatewayCmd                   `cmd:"" help:"Run a process for callers on a prepared machine."`
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print the line that adds completions to your shell."`
 	Merge              mergeCmd                     `cmd:"" help:"Print the merge of a folder, with the place of each value."`
 	Pack               packCmd                      `cmd:"" help:"Make the manifest of a weights file."`
 	Publish            publishCmd                   `cmd:"" help:"Publish a folder of INI files."`
 	Pull               pullCmd                      `cmd:"" help:"Write the accepted files to a folder."`
+	Sidecar            sidecarCmd                   `cmd:"" help:"Run the process beside an engine on a prepared machine."`
 	Status             statusCmd                    `cmd:"" help:"Show what each instance serves and how far a rollout is."`
 	Version            versionCmd                   `cmd:"" help:"Print the version."`
 }
--- /dev/null
+++ b/commander/gatewaycmd.go
@@ -0,0 +1,32 @@
+package commander
+
+import (
+	"context"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/runner"
+)
+
+// A gatewayCmd runs an entry on a prepared machine.
+type gatewayCmd struct {
+	machineFlag
+}
+
+// Help returns what --help shows besides the flags.
+func (gatewayCmd) Help() string {
+	return machineHelp(gooseberrypass.RoleEntry) + `
+Example:
+
+  gooseberrypass gateway --settings gateway.ini`
+}
+
+// Run runs the gateway until the process is told to stop.
+func (c *gatewayCmd) Run(ctx context.Context, std streams) error {
+	return c.run(ctx, gooseberrypass.RoleEntry, std, func(s *runner.MachineSettings, d runner.Dependencies) (func(context.Context) error, error) {
+		g, err := runner.NewGateway(ctx, s, d)
+		if err != nil {
+			return nil, err
+		}
+		return g.Run, nil
+	})
+}
--- a/commander/settingsflag.go
+++ b/commander/settingsflag.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/checker"
 	"github.com/gooseberrypass/gooseberrypass/runner"
 )
 
@@ -55,9 +56,14 @@
 
 // settingsHelp lists the keys of the settings of a role.
 func settingsHelp(role gooseberrypass.Role) string {
+	return tableHelp(runner.SettingsTable(role))
+}
+
+// tableHelp lists the keys of a table of settings.
+func tableHelp(table *checker.Table) string {
 	var b strings.Builder
 	b.WriteString("The settings file has these sections and keys:\n\n")
-	for _, s := range runner.SettingsTable(role).Sections() {
+	for _, s := range table.Sections() {
 		fmt.Fprintf(&b, "  [%s]  %s\n", s.Kind, s.Doc)
 		for _, k := range s.Keys {
 			fmt.Fprintf(&b, "    %s: %s %s%s\n", k.Name, k.Type.Name(), needOf(k.Required, k.Default), k.Doc)
--- /dev/null
+++ b/gossiper/gossiper.go
@@ -0,0 +1,113 @@
+// Package gossiper exchanges small messages between the system's processes, as
+// datagrams that may be lost.
+package gossiper
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/balancer"
+)
+
+// maxDatagram bounds a message, in bytes.
+const maxDatagram = 60 << 10
+
+// A Message is what one process tells others.
+type Message struct {
+	Address  string                                         `json:"address"` // of the sender
+	From     gooseberrypass.ID                              `json:"from"`
+	InFlight map[gooseberrypass.ID]int                      `json:"in_flight,omitempty"` // requests of an entry at each endpoint
+	Leaving  bool                                           `json:"leaving,omitempty"`
+	Next     map[gooseberrypass.Topic]gooseberrypass.Offset `json:"next"` // offsets after the last record known
+	Notice   *balancer.Notice                               `json:"notice,omitempty"`
+	Role     gooseberrypass.Role                            `json:"role"`
+}
+
+// Received is the event that a message came.
+type Received struct {
+	Message Message
+}
+
+// EventName implements gooseberrypass.Event.
+func (Received) EventName() string { return "message-received" }
+
+// A Gossiper sends and receives messages.
+type Gossiper struct {
+	conn   *net.UDPConn
+	counts *prometheus.CounterVec
+	logger logrus.FieldLogger
+	post   func(gooseberrypass.Event)
+}
+
+// New returns a gossiper on an address. post hands events to the control loop.
+func New(address string, post func(gooseberrypass.Event), registerer prometheus.Registerer, logger logrus.FieldLogger) (*Gossiper, error) {
+	counts := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gooseberrypass_gossip_messages_total",
+		Help: "Messages to and from other processes, by result.",
+	}, []string{"result"})
+	if err := registerer.Register(counts); err != nil {
+		return nil, errors.Wrap(err, "register gossip metrics")
+	}
+	udp, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "gossip address")
+	}
+	conn, err := net.ListenUDP("udp4", udp)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for gossip")
+	}
+	return &Gossiper{conn: conn, counts: counts, logger: logger, post: post}, nil
+}
+
+// Run receives until ctx is done.
+func (g *Gossiper) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = g.conn.Close() })
+	defer stop()
+	buf := make([]byte, maxDatagram)
+	for {
+		n, _, err := g.conn.ReadFromUDP(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			g.counts.WithLabelValues("read-failed").Inc()
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		var m Message
+		if err := json.Unmarshal(buf[:n], &m); err != nil {
+			g.counts.WithLabelValues("unreadable").Inc()
+			continue
+		}
+		g.counts.WithLabelValues("received").Inc()
+		g.post(Received{Message: m})
+	}
+}
+
+// Send sends a message to addresses. One that cannot be sent is counted and
+// left out, as the next replaces it.
+func (g *Gossiper) Send(m Message, addresses []string) {
+	body, err := json.Marshal(m)
+	if err != nil || len(body) > maxDatagram {
+		g.counts.WithLabelValues("too-large").Inc()
+		return
+	}
+	for _, address := range addresses {
+		udp, err := net.ResolveUDPAddr("udp4", address)
+		if err == nil {
+			_, err = g.conn.WriteToUDP(body, udp)
+		}
+		if err != nil {
+			g.counts.WithLabelValues("send-failed").Inc()
+			continue
+		}
+		g.counts.WithLabelValues("sent").Inc()
+	}
+}
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,367 @@
+// Package relayer keeps processes in step when the platform's log turns some of
+// them away: each tells the others how far it has read, and whoever is behind
+// takes the records from one that is ahead.
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/balancer"
+	"github.com/gooseberrypass/gooseberrypass/gossiper"
+	"github.com/gooseberrypass/gooseberrypass/surveyor"
+)
+
+// Pattern is where the Relayer's handler stands in a http.ServeMux.
+const Pattern = "GET /topics/{topic}"
+
+// maxAnswer bounds the records taken at once, in bytes.
+const maxAnswer = 16 << 20
+
+// Settings tune a Relayer.
+type Settings struct {
+	Patience time.Duration // with the own read of the log, before another process is asked
+	Period   time.Duration // between messages when nothing changes
+	Spread   int           // agents that a change is told to by another agent
+	Timeout  time.Duration // of a pull
+}
+
+// A Sender sends messages.
+type Sender interface {
+	Send(m gossiper.Message, addresses []string)
+}
+
+// A Loads is what an entry tells of its requests and hears from others. It is
+// nil in agents.
+type Loads interface {
+	InFlight() map[gooseberrypass.ID]int
+	SetNotice(now time.Time, n balancer.Notice)
+	SetOthers(now time.Time, from gooseberrypass.ID, inFlight map[gooseberrypass.ID]int)
+}
+
+// Self is the process that a Relayer belongs to.
+type Self struct {
+	Address string
+	ID      gooseberrypass.ID
+	Role    gooseberrypass.Role
+}
+
+// A Relayer is a controller.
+type Relayer struct {
+	behind   map[gooseberrypass.Topic]time.Time // since when another is ahead
+	client   *http.Client
+	loads    Loads
+	logger   logrus.FieldLogger
+	notice   *balancer.Notice
+	pulling  map[gooseberrypass.Topic]bool
+	rng      *rand.Rand
+	self     Self
+	sender   Sender
+	sent     time.Time
+	settings Settings
+	surveyor *surveyor.Surveyor
+	told     gooseberrypass.Offset // of the operator's topic, told to others
+}
+
+// New returns a relayer. loads may be nil.
+func New(self Self, s *surveyor.Surveyor, sender Sender, client *http.Client, loads Loads, settings Settings, seed uint64, logger logrus.FieldLogger) *Relayer {
+	return &Relayer{
+		behind: map[gooseberrypass.Topic]time.Time{}, client: client, loads: loads, logger: logger,
+		pulling: map[gooseberrypass.Topic]bool{}, rng: rand.New(rand.NewPCG(seed, seed)), self: self, sender: sender,
+		settings: settings, surveyor: s,
+	}
+}
+
+// SetNotice replaces what an agent says of its endpoint and tells it at once.
+// It must be called on the control goroutine.
+func (r *Relayer) SetNotice(now time.Time, n balancer.Notice) {
+	r.notice = &n
+	r.tell(now)
+}
+
+// Handle implements gooseberrypass.Controller.
+func (r *Relayer) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
+	switch e := event.(type) {
+	case gooseberrypass.Tick:
+		if now.Sub(r.sent) >= r.settings.Period {
+			r.tell(now)
+		}
+	case gooseberrypass.TopicChanged:
+		r.spread(now, e)
+	case gossiper.Received:
+		return r.receive(now, e.Message)
+	case pulled:
+		return r.take(e)
+	}
+	return nil
+}
+
+// message returns what this process has to say.
+func (r *Relayer) message() gossiper.Message {
+	m := gossiper.Message{
+		Address: r.self.Address, From: r.self.ID, Notice: r.notice, Role: r.self.Role,
+		Next: map[gooseberrypass.Topic]gooseberrypass.Offset{
+			gooseberrypass.TopicOperator: r.surveyor.Next(gooseberrypass.TopicOperator),
+		},
+	}
+	if r.loads != nil {
+		m.InFlight = r.loads.InFlight()
+		m.Next[gooseberrypass.TopicEndpoints] = r.surveyor.Next(gooseberrypass.TopicEndpoints)
+		m.Next[gooseberrypass.TopicProcesses] = r.surveyor.Next(gooseberrypass.TopicProcesses)
+	}
+	return m
+}
+
+// tell sends a message to all entries.
+func (r *Relayer) tell(now time.Time) {
+	r.sent = now
+	r.sender.Send(r.message(), r.addresses(gooseberrypass.RoleEntry))
+}
+
+func (r *Relayer) addresses(role gooseberrypass.Role) []string {
+	var addresses []string
+	for _, p := range r.surveyor.Snapshot().Processes {
+		if p.Role == role && p.ID != r.self.ID {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	return addresses
+}
+
+// spread tells others of new records of the operator.
+func (r *Relayer) spread(now time.Time, e gooseberrypass.TopicChanged) {
+	next := r.surveyor.Next(e.Topic)
+	if e.Topic != gooseberrypass.TopicOperator || next <= r.told {
+		return
+	}
+	r.told = next
+	r.tell(now)
+	agents := r.addresses(gooseberrypass.RoleAgent)
+	r.rng.Shuffle(len(agents), func(i, j int) { agents[i], agents[j] = agents[j], agents[i] })
+	if r.self.Role == gooseberrypass.RoleAgent {
+		agents = agents[:min(len(agents), r.settings.Spread)]
+	}
+	r.sender.Send(r.message(), agents)
+}
+
+// receive takes in a message and asks its sender for the records that are
+// missing here.
+func (r *Relayer) receive(now time.Time, m gossiper.Message) []gooseberrypass.Effect {
+	if m.From == r.self.ID {
+		return nil
+	}
+	if r.loads != nil {
+		if m.Role == gooseberrypass.RoleEntry {
+			r.loads.SetOthers(now, m.From, m.InFlight)
+		}
+		if m.Notice != nil {
+			r.loads.SetNotice(now, *m.Notice)
+		}
+		if m.Role == gooseberrypass.RoleAgent && m.Next[gooseberrypass.TopicOperator] < r.surveyor.Next(gooseberrypass.TopicOperator) {
+			r.sender.Send(r.message(), []string{m.Address})
+		}
+	}
+	var effects []gooseberrypass.Effect
+	for topic, next := range m.Next {
+		if !r.wants(topic) || next <= r.surveyor.Next(topic) {
+			delete(r.behind, topic)
+			continue
+		}
+		since, ok := r.behind[topic]
+		if !ok {
+			r.behind[topic] = now
+			since = now
+		}
+		if patience := r.patience(topic); now.Sub(since) < patience || r.pulling[topic] {
+			continue
+		}
+		r.pulling[topic] = true
+		effects = append(effects, pull{client: r.client, from: r.surveyor.Next(topic), peer: m.Address, timeout: r.settings.Timeout, topic: topic})
+	}
+	return effects
+}
+
+// wants reports whether the process follows a topic.
+func (r *Relayer) wants(topic gooseberrypass.Topic) bool {
+	return r.loads != nil || topic != gooseberrypass.TopicEndpoints
+}
+
+// patience is none for the operator's records, which must be in force soon. The
+// others change so often that every process is behind some other one.
+func (r *Relayer) patience(topic gooseberrypass.Topic) time.Duration {
+	if topic == gooseberrypass.TopicOperator {
+		return 0
+	}
+	return r.settings.Patience
+}
+
+// take hands over the records of a pull as if they had been read.
+func (r *Relayer) take(e pulled) []gooseberrypass.Effect {
+	r.pulling[e.topic] = false
+	delete(r.behind, e.topic)
+	if e.err != nil {
+		r.logger.WithError(e.err).WithField("peer", e.peer).WithField("topic", e.topic).Info("records not taken from another process")
+		return nil
+	}
+	r.logger.WithFields(logrus.Fields{"peer": e.peer, "topic": e.topic, "next": e.document.Next, "records": len(e.document.Records)}).Info("records taken from another process")
+	return []gooseberrypass.Effect{handOver{event: gooseberrypass.TopicChanged{
+		Age:   time.Duration(e.document.AgeMs) * time.Millisecond,
+		Batch: gooseberrypass.KeyedBatch{Next: e.document.Next, Records: e.document.Records},
+		Topic: e.topic,
+	}}}
+}
+
+// A document is the answer to a pull.
+type document struct {
+	AgeMs   int64                        `json:"age_ms"` // since the newest record was known
+	Next    gooseberrypass.Offset        `json:"next"`
+	Records []gooseberrypass.KeyedRecord `json:"records"`
+}
+
+// ServeHTTP implements http.Handler for Pattern. It reads the topic through
+// ask, as only the control goroutine may.
+type handler struct {
+	ask func(ctx context.Context, topic gooseberrypass.Topic, from gooseberrypass.Offset) (document, error)
+}
+
+// NewHandler returns the handler of pulls. post hands events to the control
+// loop.
+func NewHandler(post func(gooseberrypass.Event)) http.Handler {
+	return handler{ask: func(ctx context.Context, topic gooseberrypass.Topic, from gooseberrypass.Offset) (document, error) {
+		answer := make(chan document, 1)
+		post(asked{answer: answer, from: from, topic: topic})
+		select {
+		case d := <-answer:
+			return d, nil
+		case <-ctx.Done():
+			return document{}, ctx.Err()
+		}
+	}}
+}
+
+// ServeHTTP implements http.Handler.
+func (h handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from is no offset", http.StatusBadRequest)
+		return
+	}
+	d, err := h.ask(r.Context(), gooseberrypass.Topic(r.PathValue("topic")), gooseberrypass.Offset(from))
+	if err != nil {
+		return // the caller left
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(d); err != nil {
+		return // the caller left
+	}
+}
+
+// asked is the event that another process pulls records.
+type asked struct {
+	answer chan<- document
+	from   gooseberrypass.Offset
+	topic  gooseberrypass.Topic
+}
+
+// EventName implements gooseberrypass.Event.
+func (asked) EventName() string { return "records-asked" }
+
+// An Answerer is the controller that answers pulls.
+type Answerer struct {
+	surveyor *surveyor.Surveyor
+}
+
+// NewAnswerer returns an answerer.
+func NewAnswerer(s *surveyor.Surveyor) *Answerer { return &Answerer{surveyor: s} }
+
+// Handle implements gooseberrypass.Controller.
+func (a *Answerer) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
+	e, ok := event.(asked)
+	if !ok {
+		return nil
+	}
+	records, since := a.surveyor.Since(e.topic, e.from)
+	d := document{Next: a.surveyor.Next(e.topic), Records: records}
+	if len(since) > 0 {
+		d.AgeMs = now.Sub(since[len(since)-1]).Milliseconds()
+	}
+	e.answer <- d
+	return nil
+}
+
+// A pull asks another process for records.
+type pull struct {
+	client  *http.Client
+	from    gooseberrypass.Offset
+	peer    string
+	timeout time.Duration
+	topic   gooseberrypass.Topic
+}
+
+// EffectName implements gooseberrypass.Effect.
+func (pull) EffectName() string { return "pull" }
+
+// Run implements gooseberrypass.Effect.
+func (p pull) Run(ctx context.Context) gooseberrypass.Event {
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	d, err := p.read(ctx)
+	return pulled{document: d, err: err, peer: p.peer, topic: p.topic}
+}
+
+func (p pull) read(ctx context.Context) (document, error) {
+	address := url.URL{Scheme: "http", Host: p.peer, Path: "/topics/" + string(p.topic), RawQuery: "from=" + strconv.FormatUint(uint64(p.from), 10)}
+	var d document
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address.String(), http.NoBody)
+	if err != nil {
+		return d, errors.Wrap(err, "make pull")
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return d, errors.Wrap(err, "pull")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return d, errors.Errorf("pull answered %s", resp.Status)
+	}
+	return d, errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&d), "decode records")
+}
+
+// pulled is the event that a pull ended.
+type pulled struct {
+	document document
+	err      error
+	peer     string
+	topic    gooseberrypass.Topic
+}
+
+// EventName implements gooseberrypass.Event.
+func (pulled) EventName() string { return "records-pulled" }
+
+// A handOver gives an event back to the control loop, for all controllers.
+type handOver struct {
+	event gooseberrypass.Event
+}
+
+// EffectName implements gooseberrypass.Effect.
+func (handOver) EffectName() string { return "hand-over" }
+
+// Run implements gooseberrypass.Effect.
+func (h handOver) Run(context.Context) gooseberrypass.Event { return h.event }
+
+var (
+	_ gooseberrypass.Controller = (*Answerer)(nil)
+	_ gooseberrypass.Controller = (*Relayer)(nil)
+	_ gooseberrypass.Effect     = handOver{}
+	_ gooseberrypass.Effect     = pull{}
+)
--- /dev/null
+++ b/stager/stager.go
@@ -0,0 +1,316 @@
+// Package stager brings the version that the operator wants into the engine
+// beside an agent: it has the pieces fetched, stages them, checks what is
+// staged and orders the engine to load it.
+package stager
+
+import (
+	"hash/fnv"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/balancer"
+	"github.com/gooseberrypass/gooseberrypass/fetcher"
+	"github.com/gooseberrypass/gooseberrypass/surveyor"
+)
+
+// firstVersion is the version of a model of which the operator has named none.
+const firstVersion = 1
+
+// Settings tune a Stager.
+type Settings struct {
+	Announce time.Duration // before an order, for which entries are told to send nothing
+	Earliest time.Duration // after a version was named, before which no engine in service loads it
+	Poll     time.Duration // between reports of the engine
+	Retry    time.Duration // after a step that failed
+	Spread   time.Duration // over which the engines in service load it, one after another
+}
+
+// A Chunks holds the verified pieces.
+type Chunks interface {
+	Chunk(digest gooseberrypass.Digest) ([]byte, error)
+	Has(digest gooseberrypass.Digest) bool
+	Put(digest gooseberrypass.Digest, body []byte) error
+}
+
+// A Fetcher gets the missing pieces of versions into Chunks.
+type Fetcher interface {
+	gooseberrypass.Controller
+	Progress(digest gooseberrypass.Digest) fetcher.Progress
+	SetWants(now time.Time, wants []fetcher.Want) []gooseberrypass.Effect
+}
+
+// A Teller tells entries about the endpoint.
+type Teller interface {
+	SetNotice(now time.Time, n balancer.Notice)
+}
+
+// Dependencies are what a Stager is built from.
+type Dependencies struct {
+	Chunks  Chunks
+	Engine  gooseberrypass.StagedEngine
+	Fetcher Fetcher
+	Log     logrus.FieldLogger
+	Origin  gooseberrypass.Origin
+	Self    surveyor.Process
+	Teller  Teller
+}
+
+// A job is the work on one version.
+type job struct {
+	begun    bool      // the engine was ordered to load it
+	due      time.Time // when an engine in service loads it
+	failedAt time.Time // of the last step that failed
+	flying   bool      // a step is in progress
+	manifest *gooseberrypass.Manifest
+	seeded   bool // pieces staged before were taken over
+	since    time.Time
+	staged   bool
+	told     time.Time // when entries were told to send nothing
+	version  int
+}
+
+// A Stager is a controller.
+type Stager struct {
+	d          Dependencies
+	deployment *gooseberrypass.Deployment
+	job        *job
+	model      gooseberrypass.EngineModel
+	notice     balancer.Notice
+	polled     time.Time
+	polling    bool
+	report     gooseberrypass.EngineReport
+	reported   bool
+	settings   Settings
+}
+
+// New returns a stager.
+func New(d Dependencies, settings Settings) *Stager {
+	return &Stager{d: d, notice: balancer.Notice{Address: d.Self.Endpoint}, settings: settings}
+}
+
+// Handle implements gooseberrypass.Controller.
+func (s *Stager) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
+	switch e := event.(type) {
+	case surveyor.Changed:
+		return s.update(now, e.Snapshot)
+	case reportRead:
+		return s.noteReport(now, e)
+	case manifestRead:
+		return s.noteManifest(now, e)
+	case seeded:
+		return s.noteSeeded(now, e)
+	case stageDone:
+		s.noteStaged(now, e)
+	case started:
+		s.noteStarted(now, e)
+	case gooseberrypass.Tick:
+	default:
+		return nil
+	}
+	return s.step(now)
+}
+
+// update takes in what is wanted.
+func (s *Stager) update(now time.Time, snapshot *surveyor.Snapshot) []gooseberrypass.Effect {
+	if snapshot.Deployment == nil {
+		return nil
+	}
+	s.deployment = snapshot.Deployment
+	spec, ok := snapshot.Deployment.Service(s.d.Self.Service)
+	if !ok || spec.Engine == nil {
+		return nil
+	}
+	s.model = *spec.Engine
+	target, ok := snapshot.Targets[s.model.Model]
+	if !ok {
+		target = surveyor.Target{Since: now, Version: firstVersion}
+	}
+	if s.job != nil && s.job.version >= target.Version {
+		return nil
+	}
+	s.d.Log.WithFields(logrus.Fields{"model": s.model.Model, "version": target.Version, "age_ms": now.Sub(target.Since).Milliseconds()}).Info("version wanted")
+	s.job = &job{due: s.dueTime(target), since: target.Since, version: target.Version}
+	s.tell(now, false)
+	return s.step(now)
+}
+
+// dueTime is when an engine in service loads a version. Engines take turns in
+// the order of a hash.
+func (s *Stager) dueTime(target surveyor.Target) time.Time {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(string(s.d.Self.ID) + strconv.Itoa(target.Version))) // never fails
+	turn := time.Duration(float64(s.settings.Spread) * float64(h.Sum32()) / float64(1<<32))
+	return target.Since.Add(s.settings.Earliest + turn)
+}
+
+// step starts the next step of the work.
+func (s *Stager) step(now time.Time) []gooseberrypass.Effect {
+	var effects []gooseberrypass.Effect
+	if !s.polling && now.Sub(s.polled) >= s.settings.Poll {
+		s.polling, s.polled = true, now
+		effects = append(effects, reportEffect{engine: s.d.Engine})
+	}
+	j := s.job
+	if j == nil || j.flying || !s.reported || now.Sub(j.failedAt) < s.settings.Retry || s.loaded() {
+		return effects
+	}
+	effect := s.next(now, j)
+	if effect == nil {
+		return effects
+	}
+	j.flying = true
+	return append(effects, effect)
+}
+
+func (s *Stager) loaded() bool { return s.report.Models[s.model.Model] >= s.job.version }
+
+// next returns the effect of the next step, nil if there is none now.
+func (s *Stager) next(now time.Time, j *job) gooseberrypass.Effect {
+	switch {
+	case j.manifest == nil:
+		return manifestEffect{model: s.model.Model, origin: s.d.Origin, version: j.version}
+	case !j.seeded:
+		return seedEffect{chunks: s.d.Chunks, engine: s.d.Engine, manifest: j.manifest, model: s.model.Model, version: j.version}
+	case !s.d.Fetcher.Progress(j.manifest.Digest()).Whole():
+		return nil
+	case !j.staged:
+		return stageEffect{chunks: s.d.Chunks, engine: s.d.Engine, manifest: j.manifest, model: s.model.Model, version: j.version}
+	case s.report.Busy:
+		return nil
+	case s.inService() && now.Before(j.due):
+		return nil
+	case s.inService() && j.told.IsZero():
+		j.told = now
+		s.tell(now, true)
+		return nil
+	case s.inService() && now.Sub(j.told) < s.settings.Announce:
+		return nil
+	default:
+		return startEffect{stageEffect: stageEffect{
+			chunks: s.d.Chunks, engine: s.d.Engine, manifest: j.manifest, model: s.model.Model, version: j.version,
+		}, layers: s.model.Layers, orders: s.report.Orders}
+	}
+}
+
+// inService reports whether the engine serves an older version.
+func (s *Stager) inService() bool { return s.report.Models[s.model.Model] > 0 }
+
+// tell tells entries what the engine serves.
+func (s *Stager) tell(now time.Time, loading bool) {
+	if !s.reported {
+		return
+	}
+	s.notice = balancer.Notice{Address: s.d.Self.Endpoint, Born: s.report.Born, Loading: loading, Models: s.report.Models}
+	s.d.Teller.SetNotice(now, s.notice)
+}
+
+func (s *Stager) noteReport(now time.Time, e reportRead) []gooseberrypass.Effect {
+	s.polling = false
+	if e.err != nil {
+		if s.reported {
+			s.d.Log.WithError(e.err).Warn("engine lost")
+		}
+		s.reported = false
+		return nil
+	}
+	old, known := s.report, s.reported
+	s.report, s.reported = e.report, true
+	if known && old.Born != e.report.Born || !known {
+		s.restarted()
+	}
+	if s.job == nil {
+		return nil
+	}
+	changed := !known || old.Born != e.report.Born || old.Models[s.model.Model] != e.report.Models[s.model.Model]
+	loading := (s.job.begun || !s.job.told.IsZero()) && !s.loaded()
+	if changed || loading != s.notice.Loading {
+		s.d.Log.WithFields(logrus.Fields{
+			"models": e.report.Models, "busy": e.report.Busy, "orders": e.report.Orders, "born": e.report.Born,
+			"since_named_ms": now.Sub(s.job.since).Milliseconds(),
+		}).Info("engine changed")
+		s.tell(now, loading)
+	}
+	return s.step(now)
+}
+
+// restarted forgets what the engine had been told before its start.
+func (s *Stager) restarted() {
+	s.d.Log.WithField("born", s.report.Born).Info("engine found")
+	if s.job != nil {
+		s.job.begun, s.job.staged, s.job.told = false, false, time.Time{}
+	}
+}
+
+func (s *Stager) noteManifest(now time.Time, e manifestRead) []gooseberrypass.Effect {
+	j := s.job
+	if j == nil || e.version != j.version {
+		return nil
+	}
+	j.flying = false
+	if e.err != nil {
+		j.failedAt = now
+		s.d.Log.WithError(e.err).WithField("version", j.version).Warn("manifest not read")
+		return nil
+	}
+	if err := s.d.Chunks.Put(e.manifest.Digest(), e.manifest.Encoded()); err != nil {
+		j.failedAt = now
+		s.d.Log.WithError(err).Warn("manifest not held")
+		return nil
+	}
+	j.manifest = e.manifest
+	s.d.Log.WithFields(logrus.Fields{"version": j.version, "digest": e.manifest.Digest().Short(), "chunks": e.manifest.Len()}).Info("manifest read")
+	return s.step(now)
+}
+
+func (s *Stager) noteSeeded(now time.Time, e seeded) []gooseberrypass.Effect {
+	j := s.job
+	if j == nil || e.version != j.version {
+		return nil
+	}
+	j.flying, j.seeded = false, true
+	s.d.Log.WithFields(logrus.Fields{"version": j.version, "kept": e.kept}).Info("staged pieces taken over")
+	effects := s.d.Fetcher.SetWants(now, []fetcher.Want{{
+		Digest: j.manifest.Digest(), OriginName: s.model.Model, Version: strconv.Itoa(j.version),
+	}})
+	return append(effects, s.step(now)...)
+}
+
+func (s *Stager) noteStaged(now time.Time, e stageDone) {
+	j := s.job
+	if j == nil || e.version != j.version {
+		return
+	}
+	j.flying = false
+	if e.err != nil {
+		j.failedAt = now
+		s.d.Log.WithError(e.err).WithField("version", j.version).Warn("version not staged")
+		return
+	}
+	j.staged = true
+	s.d.Log.WithFields(logrus.Fields{"version": j.version, "since_named_ms": now.Sub(j.since).Milliseconds()}).Info("version staged")
+}
+
+func (s *Stager) noteStarted(now time.Time, e started) {
+	j := s.job
+	if j == nil || e.version != j.version {
+		return
+	}
+	j.flying = false
+	s.polled = time.Time{}
+	s.d.Log.WithError(e.err).WithFields(logrus.Fields{
+		"version": j.version, "result": e.result, "repaired": e.repaired, "orders": e.orders, "since_named_ms": now.Sub(j.since).Milliseconds(),
+	}).Info("load ordered")
+	if e.err != nil {
+		j.failedAt = now
+	}
+	if e.result == gooseberrypass.StartBegun || e.result == gooseberrypass.StartDone {
+		j.begun = true
+		j.failedAt = now // leaves the engine time to report the order
+	}
+}
+
+var _ gooseberrypass.Controller = (*Stager)(nil)
+
