Offer the pieces of a loaded version to agents that still fetch it

Cause: agents whose engine had version 1 already never read its manifest, so ten added engines found no peer with its pieces and waited.

--- a/stager/stager.go
+++ b/stager/stager.go
@@ -154,7 +154,7 @@
 		effects = append(effects, reportEffect{engine: s.d.Engine})
 	}
 	j := s.job
-	if j == nil || j.flying || !s.reported || now.Sub(j.failedAt) < s.settings.Retry || s.loaded() {
+	if j == nil || j.flying || !s.reported || now.Sub(j.failedAt) < s.settings.Retry {
 		return effects
 	}
 	effect := s.next(now, j)
@@ -174,8 +174,8 @@
 		return manifestEffect{model: s.model.Model, origin: s.d.Origin, version: j.version}
 	case !j.seeded:
 		return seedEffect{chunks: s.d.Chunks, engine: s.d.Engine, manifest: j.manifest, model: s.model.Model, version: j.version}
-	case !s.d.Fetcher.Progress(j.manifest.Digest()).Whole():
-		return nil
+	case s.loaded() || !s.d.Fetcher.Progress(j.manifest.Digest()).Whole():
+		return nil // a loaded version is held for the agents that still fetch it
 	case !j.staged:
 		return stageEffect{chunks: s.d.Chunks, engine: s.d.Engine, manifest: j.manifest, model: s.model.Model, version: j.version}
 	case s.report.Busy:
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -197,7 +197,10 @@
 
 // apply reports whether a record changes the snapshot.
 func (s *Surveyor) apply(now time.Time, topic gooseberrypass.Topic, r gooseberrypass.KeyedRecord) bool {
-	if topic != gooseberrypass.TopicEndpoints {
+	if topic == gooseberrypass.TopicProcesses {
+		return true
+	}
+	if topic == gooseberrypass.TopicOperator {
 		s.logger.WithFields(logrus.Fields{"key": r.Key, "offset": r.Offset, "topic": topic, "bytes": len(r.Value)}).Info("record taken")
 		return true
 	}
