--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -138,6 +138,7 @@
 		Keys: []checker.Key{
 			{Name: "announce", Type: checker.Duration(0, most), Default: "150ms", Doc: "Before an order, for which entries send nothing; a message's way and a tick."},
 			{Name: "earliest", Type: checker.Duration(0, most), Default: "3s", Doc: "After a version was named, before which no engine in service loads it."},
+			{Name: "patience", Type: checker.Duration(0, most), Default: "300ms", Doc: "With an engine that does not report when the agent starts; a report takes a few milliseconds."},
 			{Name: "period", Type: checker.Duration(time.Millisecond, most), Default: "1s", Doc: "Between messages to entries when nothing changes."},
 			{Name: "poll", Type: checker.Duration(time.Millisecond, most), Default: "200ms", Doc: "Between reports of the engine, which lag as much."},
 			{Name: "retry", Type: checker.Duration(time.Millisecond, most), Default: "300ms", Doc: "After a step that failed."},
@@ -289,7 +290,7 @@
 func (s *MachineSettings) stager() stager.Settings {
 	weights := func(key string) time.Duration { return s.duration(sectionWeights, key) }
 	return stager.Settings{
-		Announce: weights("announce"), Earliest: weights("earliest"), Poll: weights("poll"), Retry: weights("retry"), Spread: weights("spread"),
+		Announce: weights("announce"), Earliest: weights("earliest"), Patience: weights("patience"), Poll: weights("poll"), Retry: weights("retry"), Spread: weights("spread"),
 	}
 }
 
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -23,6 +23,7 @@
 type Settings struct {
 	Announce time.Duration // before an order, for which entries are told to send nothing
 	Earliest time.Duration // after a version was named, before which no engine in service loads it
+	Patience time.Duration // with an engine that does not report at the start
 	Poll     time.Duration // between reports of the engine
 	Retry    time.Duration // after a step that failed
 	Spread   time.Duration // over which the engines in service load it, one after another
@@ -64,6 +65,7 @@
 	due      time.Time // when an engine in service loads it
 	failedAt time.Time // of the last step that failed
 	flying   bool      // a step is in progress
+	logged   time.Time // when progress was logged last
 	manifest *gooseberrypass.Manifest
 	seeded   bool // pieces staged before were taken over
 	since    time.Time
@@ -81,6 +83,7 @@
 	notice     balancer.Notice
 	polled     time.Time
 	polling    bool
+	start      time.Time // of the first event
 	report     gooseberrypass.EngineReport
 	reported   bool
 	settings   Settings
@@ -154,7 +157,10 @@
 		effects = append(effects, reportEffect{engine: s.d.Engine})
 	}
 	j := s.job
-	if j == nil || j.flying || !s.reported || now.Sub(j.failedAt) < s.settings.Retry {
+	if j != nil && !s.loaded() {
+		s.logProgress(now, j)
+	}
+	if j == nil || j.flying || now.Sub(j.failedAt) < s.settings.Retry {
 		return effects
 	}
 	effect := s.next(now, j)
@@ -165,16 +171,41 @@
 	return append(effects, effect)
 }
 
+// created returns the time of the first event.
+func (s *Stager) created(now time.Time) time.Time {
+	if s.start.IsZero() {
+		s.start = now
+	}
+	return s.start
+}
+
 func (s *Stager) loaded() bool { return s.report.Models[s.model.Model] >= s.job.version }
 
+// progressPeriod is the least time between two log lines of a fetch.
+const progressPeriod = 500 * time.Millisecond
+
+// logProgress tells how far the fetch is.
+func (s *Stager) logProgress(now time.Time, j *job) {
+	if j.manifest == nil || !j.seeded || j.staged || now.Sub(j.logged) < progressPeriod {
+		return
+	}
+	j.logged = now
+	p := s.d.Fetcher.Progress(j.manifest.Digest())
+	s.d.Log.WithFields(logrus.Fields{
+		"version": j.version, "held": p.Held, "chunks": p.Total, "since_named_ms": now.Sub(j.since).Milliseconds(), "problem": p.Err,
+	}).Info("version on its way")
+}
+
 // next returns the effect of the next step, nil if there is none now.
 func (s *Stager) next(now time.Time, j *job) gooseberrypass.Effect {
 	switch {
 	case j.manifest == nil:
 		return manifestEffect{model: s.model.Model, origin: s.d.Origin, version: j.version}
+	case !j.seeded && !s.reported && now.Sub(s.created(now)) < s.settings.Patience:
+		return nil // an engine that was there before may have pieces staged
 	case !j.seeded:
 		return seedEffect{chunks: s.d.Chunks, engine: s.d.Engine, manifest: j.manifest, model: s.model.Model, version: j.version}
-	case s.loaded() || !s.d.Fetcher.Progress(j.manifest.Digest()).Whole():
+	case !s.reported || s.loaded() || !s.d.Fetcher.Progress(j.manifest.Digest()).Whole():
 		return nil // a loaded version is held for the agents that still fetch it
 	case !j.staged:
 		return stageEffect{chunks: s.d.Chunks, engine: s.d.Engine, manifest: j.manifest, model: s.model.Model, version: j.version}
@@ -313,4 +344,3 @@
 }
 
 var _ gooseberrypass.Controller = (*Stager)(nil)
-
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -82,7 +82,7 @@
 	lapsed    map[string]time.Time // endpoints dropped in an outage, kept until
 	logger    logrus.FieldLogger
 	next      []gooseberrypass.Controller
-	outage    bool      // the last read of the endpoints failed
+	outage    bool // the last read of the endpoints failed
 	offsets   atomic.Pointer[map[gooseberrypass.Topic]gooseberrypass.Offset]
 	returned  time.Time // when the last outage ended
 	settings  Settings
