--- a/fetcher/avoider.go
+++ b/fetcher/avoider.go
@@ -6,15 +6,13 @@
 	"github.com/gooseberrypass/gooseberrypass"
 )
 
-const (
-	avoidBase    = 5 * time.Second
-	avoidMax     = 2 * time.Minute
-	strikesShift = 5
-)
+const strikesShift = 5
 
 // An avoider remembers which senders failed lately.
 type avoider struct {
+	base   time.Duration
 	blamed map[gooseberrypass.ID]blame
+	most   time.Duration
 }
 
 type blame struct {
@@ -22,8 +20,8 @@
 	until   time.Time
 }
 
-func newAvoider() *avoider {
-	return &avoider{blamed: map[gooseberrypass.ID]blame{}}
+func newAvoider(base, most time.Duration) *avoider {
+	return &avoider{base: base, blamed: map[gooseberrypass.ID]blame{}, most: most}
 }
 
 // avoids reports whether a sender is to be passed over at now.
@@ -38,7 +36,7 @@
 	if now.Before(b.until) {
 		return // one failure seen by several transfers
 	}
-	pause := min(avoidBase<<min(b.strikes, strikesShift), avoidMax)
+	pause := min(a.base<<min(b.strikes, strikesShift), a.most)
 	a.blamed[id] = blame{strikes: b.strikes + 1, until: now.Add(pause)}
 }
 
--- a/fetcher/planner.go
+++ b/fetcher/planner.go
@@ -21,13 +21,8 @@
 	maxRefusals      = 2 // by a peer that knows of the version
 	pacedFarInFlight = 4 // reads from one other region at once under a rate
 	mismatchesBad    = 2 // from the origin, until its bytes are held to have changed
-	mismatchPause    = 30 * time.Second
-	mismatchMax      = 10 * time.Minute
-	passPause        = 10 * time.Second // for which one sender is passed over for one item
 	probePause       = 50 * time.Millisecond
 	roomPause        = 5 * time.Second
-	sourceMax        = time.Minute
-	sourcePause      = 500 * time.Millisecond
 	storeLimits      = 4 // most, in least limits
 	waitsPatience    = 4 // first patience, in waits
 )
@@ -85,8 +80,9 @@
 // NewPlanner returns a planner for the instance self. store tells whether there
 // is a weight store.
 func NewPlanner(self gooseberrypass.ID, holder Holder, store bool, seed uint64, settings Settings) *Planner {
+	settings = settings.withDefaults()
 	return &Planner{
-		avoid:    newAvoider(),
+		avoid:    newAvoider(settings.AvoidBase, settings.AvoidMax),
 		behind:   map[gooseberrypass.Digest]map[gooseberrypass.ID]struct{}{},
 		copies:   1,
 		flights:  map[uint64]*flight{},
@@ -95,7 +91,7 @@
 		items:    map[gooseberrypass.Digest]*item{},
 		rng:      rand.New(rand.NewPCG(seed, seed)),
 		self:     self,
-		settings: settings.withDefaults(),
+		settings: settings,
 		store:    store,
 	}
 }
--- a/fetcher/reader.go
+++ b/fetcher/reader.go
@@ -27,6 +27,7 @@
 	far    *farPacer
 	keeper *keeper.Keeper
 	origin gooseberrypass.Origin
+	room   time.Duration // beyond the wait, before a peer counts as silent
 	store  gooseberrypass.WeightStore
 }
 
@@ -38,9 +39,13 @@
 	origin gooseberrypass.Origin,
 	store gooseberrypass.WeightStore,
 ) *Reader {
-	return &Reader{client: client, clock: clock, far: newFarPacer(), keeper: keeper, origin: origin, store: store}
+	return &Reader{client: client, clock: clock, far: newFarPacer(), keeper: keeper, origin: origin, room: headerRoom, store: store}
 }
 
+// SetHeaderRoom changes how long, beyond the time that it may hold a request, a
+// peer may take to begin its answer. It must be called before the first Read.
+func (r *Reader) SetHeaderRoom(d time.Duration) { r.room = d }
+
 // SetRegionRate tells the bytes a second that all instances of this region
 // together may take from each other region, and how many instances there are.
 func (r *Reader) SetRegionRate(regionRate int64, instances int) {
@@ -89,7 +94,7 @@
 	start := r.clock.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(fetch.Wait+headerRoom, cancel)
+	silence := time.AfterFunc(fetch.Wait+r.room, cancel)
 	defer silence.Stop()
 	address := url.URL{
 		Scheme: "http", Host: fetch.Peer.Address, Path: "/chunks/" + fetch.Item.Digest.String(),
@@ -149,7 +154,7 @@
 
 func statusError(resp *http.Response, done *Done) error {
 	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && seconds > 0 {
-		done.RetryAfter = time.Duration(min(seconds, int(sourceMax/time.Second))) * time.Second
+		done.RetryAfter = time.Duration(min(seconds, int(defaultSourceMax/time.Second))) * time.Second
 	}
 	switch {
 	case resp.StatusCode == http.StatusOK:
--- a/fetcher/results.go
+++ b/fetcher/results.go
@@ -73,7 +73,7 @@
 func (p *Planner) failPeer(now time.Time, f *flight, done Done) {
 	it, id := f.item, f.fetch.Peer.ID
 	if f.fetch.probe && (done.Result == ResultBusy || done.Result == ResultNotHeld || done.Result == ResultPending) {
-		it.pass(id, now.Add(passPause))
+		it.pass(id, now.Add(p.settings.PassPause))
 		it.retryAt = now.Add(p.jitter(probePause))
 		return
 	}
@@ -83,7 +83,7 @@
 		it.retryAt = now.Add(p.jitter(max(done.RetryAfter, busyPause)))
 		if it.busies >= maxBusies {
 			it.busies = 0
-			it.pass(id, now.Add(passPause))
+			it.pass(id, now.Add(p.settings.PassPause))
 		}
 	case ResultNotHeld:
 		p.refused(now, it, id)
@@ -95,11 +95,11 @@
 		}
 	case ResultCorrupt, ResultUnreachable:
 		p.avoid.blame(id, now)
-		it.pass(id, now.Add(passPause))
+		it.pass(id, now.Add(p.settings.PassPause))
 	case ResultTimeout:
 		p.estimates[f.fetch.Kind].stretch()
 		p.avoid.blame(id, now)
-		it.pass(id, now.Add(passPause))
+		it.pass(id, now.Add(p.settings.PassPause))
 	default:
 	}
 }
@@ -117,7 +117,7 @@
 		return
 	}
 	it.refusals = 0
-	it.pass(id, now.Add(passPause))
+	it.pass(id, now.Add(p.settings.PassPause))
 }
 
 // patience returns how long an instance waits for a sender that waits itself.
@@ -144,13 +144,13 @@
 	switch done.Result {
 	case ResultCorrupt:
 		it.mismatches++
-		pause := mismatchPause << min(max(it.mismatches-mismatchesBad, 0), strikesShift)
+		pause := p.settings.MismatchPause << min(max(it.mismatches-mismatchesBad, 0), strikesShift)
 		if it.mismatches < mismatchesBad {
-			pause = sourcePause
+			pause = p.settings.SourcePause
 		} else {
 			it.err = "origin's bytes do not match the pinned digest"
 		}
-		it.retryAt = now.Add(p.jitter(min(pause, mismatchMax)))
+		it.retryAt = now.Add(p.jitter(min(pause, p.settings.MismatchMax)))
 	case ResultBusy, ResultTimeout, ResultUnreachable, ResultNotHeld:
 		if done.Bytes == 0 {
 			it.originReads--
@@ -169,7 +169,7 @@
 	if now.Before(b.until) {
 		return
 	}
-	b.until = now.Add(max(least, p.jitter(min(sourcePause<<min(b.strikes, 2*strikesShift), sourceMax))))
+	b.until = now.Add(max(least, p.jitter(min(p.settings.SourcePause<<min(b.strikes, 2*strikesShift), p.settings.SourceMax))))
 	b.strikes++
 }
 
--- a/runner/machine.go
+++ b/runner/machine.go
@@ -151,5 +151,14 @@
 		timer.Stop()
 	}
 	<-ctx.Done()
+	m.deregister(context.WithoutCancel(ctx))
 	return nil
 }
+
+// deregister lets the others know that the process is gone. If the store does
+// not take it, the others find out by themselves.
+func (m *machine) deregister(ctx context.Context) {
+	if err := m.store.Put(ctx, gooseberrypass.TopicProcesses, string(m.self.ID), nil); err != nil {
+		m.logger.WithError(err).Warn("process still registered")
+	}
+}
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -302,9 +302,21 @@
 	transferMost  = 5 * time.Second
 )
 
+// The pauses after failures. A version has seconds to reach every engine, so
+// nothing is passed over for longer than a fraction of that.
+const (
+	avoidFirst  = 500 * time.Millisecond
+	avoidMost   = 4 * time.Second
+	passPause   = time.Second
+	sourceFirst = 100 * time.Millisecond
+	sourceMost  = 800 * time.Millisecond
+)
+
 func (s *MachineSettings) fetcher() fetcher.Settings {
 	return fetcher.Settings{
-		InitialLimit: transferFirst, MaxLimit: transferMost, MinLimit: transferLeast, Wait: s.duration(sectionWeights, "wait"),
+		AvoidBase: avoidFirst, AvoidMax: avoidMost, InitialLimit: transferFirst, MaxLimit: transferMost, MinLimit: transferLeast,
+		MismatchMax: sourceMost, MismatchPause: sourceFirst, OriginInFlight: originConns, PassPause: passPause,
+		SourceMax: sourceMost, SourcePause: sourceFirst, Wait: s.duration(sectionWeights, "wait"),
 	}
 }
 
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +26,25 @@
 // originCopies bounds the copies that all agents together read from the origin.
 const originCopies = 2
 
+// The limits of connections to the origin, which takes few from all agents
+// together and counts idle ones.
+const (
+	originConns = 2
+	originIdle  = 500 * time.Millisecond
+)
+
+// peerRoom is how long, beyond the time that it may hold a request, another
+// agent may take to begin its answer.
+const peerRoom = 500 * time.Millisecond
+
+func newOriginClient() *http.Client {
+	client := newMachineClient()
+	if t, ok := client.Transport.(*http.Transport); ok {
+		t.IdleConnTimeout, t.MaxConnsPerHost = originIdle, originConns
+	}
+	return client
+}
+
 // A Sidecar is an agent on a prepared machine.
 type Sidecar struct {
 	*machine
@@ -43,15 +63,18 @@
 	if err != nil {
 		return nil, err
 	}
-	origin := platform.NewOrigin(m.client, s.originAddress, s.pieceSize)
+	origin := platform.NewOrigin(newOriginClient(), s.originAddress, s.pieceSize)
 	reader := fetcher.NewReader(m.client, m.clock, k, origin, nil)
+	reader.SetHeaderRoom(peerRoom)
+	manifests := stager.NewManifests(m.client)
 	f, err := fetcher.New(s.listed(m.self), k, reader, m.seed, settings.fetcher(), m.registry, m.logger)
 	if err != nil {
 		return nil, errors.Wrap(err, "fetcher")
 	}
 	teller := &lateTeller{}
 	stage := stager.New(stager.Dependencies{
-		Chunks: k, Engine: platform.NewEngine(m.client, m.self.Endpoint), Fetcher: f, Log: m.logger, Origin: origin, Self: m.self, Teller: teller,
+		Chunks: k, Engine: platform.NewEngine(m.client, m.self.Endpoint), Fetcher: f, Log: m.logger,
+		Manifests: manifests, Origin: origin, Self: m.self, Teller: teller,
 	}, settings.stager())
 	feed := &fetchFeed{fetcher: f, sidecar: s}
 	m.surveyor = surveyor.New(platform.Decoder{}, settings.surveyor(), m.logger, feed, stage)
@@ -64,7 +87,9 @@
 	}
 	m.follow(reads, gooseberrypass.TopicOperator, 0, longPoll)
 	m.follow(reads, gooseberrypass.TopicProcesses, processesPause, longPoll)
-	return s, m.listen(ctx, listener.Route{Handler: s.chunks, Pattern: keeper.Pattern})
+	return s, m.listen(ctx,
+		listener.Route{Handler: s.chunks, Pattern: keeper.Pattern},
+		listener.Route{Handler: manifests, Pattern: stager.ManifestPattern})
 }
 
 // originAddress returns the address of the origin, "" before it is known.
--- a/stager/effects.go
+++ b/stager/effects.go
@@ -47,9 +47,11 @@
 func (manifestRead) EventName() string { return "manifest-read" }
 
 type manifestEffect struct {
-	model   string
-	origin  gooseberrypass.Origin
-	version int
+	manifests *Manifests
+	model     string
+	origin    gooseberrypass.Origin
+	peers     []string // to be asked in place of the origin
+	version   int
 }
 
 // EffectName implements gooseberrypass.Effect.
@@ -62,6 +64,21 @@
 }
 
 func (e manifestEffect) read(ctx context.Context) (*gooseberrypass.Manifest, error) {
+	if len(e.peers) == 0 {
+		return e.readOrigin(ctx)
+	}
+	var last error
+	for _, address := range e.peers {
+		m, err := e.manifests.read(ctx, address, e.model, e.version)
+		if err == nil {
+			return m, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
+func (e manifestEffect) readOrigin(ctx context.Context) (*gooseberrypass.Manifest, error) {
 	version := strconv.Itoa(e.version)
 	first, err := e.origin.Manifest(ctx, e.model, version)
 	if err != nil {
--- /dev/null
+++ b/stager/manifests.go
@@ -0,0 +1,85 @@
+package stager
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// ManifestPattern is where Manifests stands in a http.ServeMux.
+const ManifestPattern = "GET /manifests/{model}/{version}"
+
+// peerTimeout bounds the read of a manifest from another agent. It has a few
+// kilobytes and agents are a few milliseconds apart.
+const peerTimeout = 500 * time.Millisecond
+
+// Manifests are the manifests that an agent knows, offered to the others so that
+// few read them from the origin. It is safe for use by several goroutines.
+type Manifests struct {
+	client *http.Client
+
+	mu      sync.Mutex
+	encoded map[string][]byte // by model and version
+}
+
+// NewManifests returns an empty set that asks others through client.
+func NewManifests(client *http.Client) *Manifests {
+	return &Manifests{client: client, encoded: map[string][]byte{}}
+}
+
+// put keeps a manifest and drops those of other versions of its model, of which
+// the origin keeps none for long either.
+func (m *Manifests) put(model string, version int, encoded []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.encoded, model+"/"+strconv.Itoa(version-heldBefore))
+	m.encoded[model+"/"+strconv.Itoa(version)] = encoded
+}
+
+// heldBefore is how far back a version is dropped.
+const heldBefore = 3
+
+// ServeHTTP implements http.Handler.
+func (m *Manifests) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m.mu.Lock()
+	encoded, ok := m.encoded[r.PathValue("model")+"/"+r.PathValue("version")]
+	m.mu.Unlock()
+	if !ok {
+		http.Error(w, "manifest not known here", http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(encoded) // the caller left
+}
+
+// read asks another agent for a manifest.
+func (m *Manifests) read(ctx context.Context, address, model string, version int) (*gooseberrypass.Manifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	target := fmt.Sprintf("http://%s/manifests/%s/%d", address, url.PathEscape(model), version)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	resp, err := m.client.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "ask another agent")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("another agent answered %s", resp.Status)
+	}
+	encoded, err := io.ReadAll(io.LimitReader(resp.Body, gooseberrypass.MaxManifestSize))
+	if err != nil {
+		return nil, errors.Wrap(err, "read manifest")
+	}
+	return gooseberrypass.ParseManifest(encoded)
+}
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -4,10 +4,12 @@
 package stager
 
 import (
-	"hash/fnv"
+	"cmp"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass"
@@ -50,28 +52,30 @@
 
 // Dependencies are what a Stager is built from.
 type Dependencies struct {
-	Chunks  Chunks
-	Engine  gooseberrypass.StagedEngine
-	Fetcher Fetcher
-	Log     logrus.FieldLogger
-	Origin  gooseberrypass.Origin
-	Self    surveyor.Process
-	Teller  Teller
+	Chunks    Chunks
+	Engine    gooseberrypass.StagedEngine
+	Fetcher   Fetcher
+	Log       logrus.FieldLogger
+	Manifests *Manifests
+	Origin    gooseberrypass.Origin
+	Self      surveyor.Process
+	Teller    Teller
 }
 
 // A job is the work on one version.
 type job struct {
-	begun    bool      // the engine was ordered to load it
-	due      time.Time // when an engine in service loads it
-	failedAt time.Time // of the last step that failed
-	flying   bool      // a step is in progress
-	logged   time.Time // when progress was logged last
-	manifest *gooseberrypass.Manifest
-	seeded   bool // pieces staged before were taken over
-	since    time.Time
-	staged   bool
-	told     time.Time // when entries were told to send nothing
-	version  int
+	begun         bool      // the engine was ordered to load it
+	due           time.Time // when an engine in service loads it
+	failedAt      time.Time // of the last step that failed
+	flying        bool      // a step is in progress
+	logged        time.Time // when progress was logged last
+	manifest      *gooseberrypass.Manifest
+	manifestTries int  // rounds in which nobody had it
+	seeded        bool // pieces staged before were taken over
+	since         time.Time
+	staged        bool
+	told          time.Time // when entries were told to send nothing
+	version       int
 }
 
 // A Stager is a controller.
@@ -81,6 +85,7 @@
 	job        *job
 	model      gooseberrypass.EngineModel
 	notice     balancer.Notice
+	peers      []surveyor.Process // agents of the same service
 	polled     time.Time
 	polling    bool
 	start      time.Time // of the first event
@@ -122,6 +127,9 @@
 		return nil
 	}
 	s.deployment = snapshot.Deployment
+	s.peers = slices.DeleteFunc(slices.Clone(snapshot.Processes), func(p surveyor.Process) bool {
+		return p.Role != gooseberrypass.RoleAgent || p.Service != s.d.Self.Service
+	})
 	spec, ok := snapshot.Deployment.Service(s.d.Self.Service)
 	if !ok || spec.Engine == nil {
 		return nil
@@ -140,12 +148,54 @@
 	return s.step(now)
 }
 
+// manifestReaders is how many agents read a manifest from the origin at once;
+// the others ask these, and the origin when that fails.
+const manifestReaders = 2
+
+// manifestPeers returns the agents to be asked for a manifest, none if the
+// origin is to be asked.
+func (s *Stager) manifestPeers(j *job) []string {
+	type ranked struct {
+		address string
+		score   uint64
+	}
+	score := func(id gooseberrypass.ID) uint64 { return hash(string(id), "manifest", strconv.Itoa(j.version)) }
+	own := score(s.d.Self.ID)
+	var before []ranked
+	for _, p := range s.peers {
+		if n := score(p.ID); n < own && p.ID != s.d.Self.ID {
+			before = append(before, ranked{address: p.Address, score: n})
+		}
+	}
+	// Each failed round lets one more agent in rank go to the origin.
+	if len(before) < manifestReaders+j.manifestTries {
+		return nil
+	}
+	slices.SortFunc(before, func(a, b ranked) int { return cmp.Compare(a.score, b.score) })
+	var peers []string
+	for _, r := range before[:manifestReaders] {
+		peers = append(peers, r.address)
+	}
+	if others := before[manifestReaders:]; j.manifestTries > 0 && len(others) > 0 {
+		peers = append(peers, others[j.manifestTries%len(others)].address)
+	}
+	return peers
+}
+
+// hash returns the same number for the same words everywhere.
+func hash(words ...string) uint64 {
+	h := xxhash.New()
+	for _, w := range words {
+		_, _ = h.WriteString(w + "\x00") // never fails
+	}
+	return h.Sum64()
+}
+
 // dueTime is when an engine in service loads a version. Engines take turns in
 // the order of a hash.
 func (s *Stager) dueTime(target surveyor.Target) time.Time {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(string(s.d.Self.ID) + strconv.Itoa(target.Version))) // never fails
-	turn := time.Duration(float64(s.settings.Spread) * float64(h.Sum32()) / float64(1<<32))
+	share := float64(hash(string(s.d.Self.ID), strconv.Itoa(target.Version))) / (1 << 64)
+	turn := time.Duration(share * float64(s.settings.Spread))
 	return target.Since.Add(s.settings.Earliest + turn)
 }
 
@@ -200,7 +250,9 @@
 func (s *Stager) next(now time.Time, j *job) gooseberrypass.Effect {
 	switch {
 	case j.manifest == nil:
-		return manifestEffect{model: s.model.Model, origin: s.d.Origin, version: j.version}
+		return manifestEffect{
+			manifests: s.d.Manifests, model: s.model.Model, origin: s.d.Origin, peers: s.manifestPeers(j), version: j.version,
+		}
 	case !j.seeded && !s.reported && now.Sub(s.created(now)) < s.settings.Patience:
 		return nil // an engine that was there before may have pieces staged
 	case !j.seeded:
@@ -283,6 +335,7 @@
 	j.flying = false
 	if e.err != nil {
 		j.failedAt = now
+		j.manifestTries++
 		s.d.Log.WithError(e.err).WithField("version", j.version).Warn("manifest not read")
 		return nil
 	}
@@ -292,6 +345,7 @@
 		return nil
 	}
 	j.manifest = e.manifest
+	s.d.Manifests.put(s.model.Model, j.version, e.manifest.Encoded())
 	s.d.Log.WithFields(logrus.Fields{"version": j.version, "digest": e.manifest.Digest().Short(), "chunks": e.manifest.Len()}).Info("manifest read")
 	return s.step(now)
 }
