--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -312,11 +312,7 @@
 
 // required returns the version that requests must run on now, 0 for any.
 func (b *Balancer) required(now time.Time, model string) int {
-	target, ok := b.snapshot.Targets[model]
-	if !ok || now.Sub(target.Since) < b.settings.VersionTimeout-b.settings.VersionMargin {
-		return 0
-	}
-	return target.Version
+	return b.snapshot.Targets[model].Required(now, b.settings.VersionTimeout-b.settings.VersionMargin)
 }
 
 // takes reports whether an endpoint may get the request at all.
--- a/fetcher/settings.go
+++ b/fetcher/settings.go
@@ -33,14 +33,14 @@
 	defaultPassPause     = 10 * time.Second
 	defaultSourceMax     = time.Minute
 	defaultSourcePause   = 500 * time.Millisecond
-	defaultFanout       = 2
-	defaultInFlight     = 4
-	defaultInitialLimit = time.Minute
-	defaultMaxLimit     = 5 * time.Minute
-	defaultMinLimit     = 2 * time.Second
-	defaultWait         = 5 * time.Second
-	windowBase          = 16
-	windowPerDoubling   = 6
+	defaultFanout        = 2
+	defaultInFlight      = 4
+	defaultInitialLimit  = time.Minute
+	defaultMaxLimit      = 5 * time.Minute
+	defaultMinLimit      = 2 * time.Second
+	defaultWait          = 5 * time.Second
+	windowBase           = 16
+	windowPerDoubling    = 6
 )
 
 func (s Settings) withDefaults() Settings {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -15,6 +15,7 @@
 
 // Settings tune a Follower.
 type Settings struct {
+	Once  bool          // the topic is read until it was read once; others tell of changes
 	Pause time.Duration // between two reads
 	Retry time.Duration // after a read that failed
 	Wait  time.Duration // for which the log may hold a read
@@ -66,6 +67,9 @@
 		if err := f.read(ctx); err != nil && ctx.Err() == nil {
 			f.failed(err)
 			pause = f.settings.Retry
+		} else if f.settings.Once {
+			<-ctx.Done()
+			return nil
 		}
 		f.sleep(ctx, pause)
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -114,10 +114,10 @@
 			gooseberrypass.TopicOperator: r.surveyor.Next(gooseberrypass.TopicOperator),
 		},
 	}
+	m.Next[gooseberrypass.TopicProcesses] = r.surveyor.Next(gooseberrypass.TopicProcesses)
 	if r.loads != nil {
 		m.InFlight = r.loads.InFlight()
 		m.Next[gooseberrypass.TopicEndpoints] = r.surveyor.Next(gooseberrypass.TopicEndpoints)
-		m.Next[gooseberrypass.TopicProcesses] = r.surveyor.Next(gooseberrypass.TopicProcesses)
 	}
 	return m
 }
@@ -167,7 +167,7 @@
 		if m.Notice != nil {
 			r.loads.SetNotice(now, *m.Notice)
 		}
-		if m.Role == gooseberrypass.RoleAgent && m.Next[gooseberrypass.TopicOperator] < r.surveyor.Next(gooseberrypass.TopicOperator) {
+		if m.Role == gooseberrypass.RoleAgent && r.ahead(m) {
 			r.sender.Send(r.message(), []string{m.Address})
 		}
 	}
@@ -191,18 +191,29 @@
 	return effects
 }
 
+// ahead reports whether this process has read further than the agent that sent
+// a message.
+func (r *Relayer) ahead(m gossiper.Message) bool {
+	for _, topic := range []gooseberrypass.Topic{gooseberrypass.TopicOperator, gooseberrypass.TopicProcesses} {
+		if m.Next[topic] < r.surveyor.Next(topic) {
+			return true
+		}
+	}
+	return false
+}
+
 // wants reports whether the process follows a topic.
 func (r *Relayer) wants(topic gooseberrypass.Topic) bool {
 	return r.loads != nil || topic != gooseberrypass.TopicEndpoints
 }
 
-// patience is none for the operator's records, which must be in force soon. The
-// others change so often that every process is behind some other one.
+// patience is none for records that change seldom. The list of endpoints changes
+// so often that every process is behind some other one.
 func (r *Relayer) patience(topic gooseberrypass.Topic) time.Duration {
-	if topic == gooseberrypass.TopicOperator {
-		return 0
+	if topic == gooseberrypass.TopicEndpoints {
+		return r.settings.Patience
 	}
-	return r.settings.Patience
+	return 0
 }
 
 // take hands over the records of a pull as if they had been read.
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -49,9 +49,9 @@
 	if err != nil {
 		return nil, err
 	}
-	m.follow(reads, gooseberrypass.TopicOperator, 0, longPoll)
-	m.follow(reads, gooseberrypass.TopicProcesses, processesPause, longPoll)
-	m.follow(reads, gooseberrypass.TopicEndpoints, settings.forward("servers-pause"), 0)
+	m.follow(reads, gooseberrypass.TopicOperator, follower.Settings{Wait: longPoll})
+	m.follow(reads, gooseberrypass.TopicProcesses, follower.Settings{Pause: processesPause, Wait: longPoll})
+	m.follow(reads, gooseberrypass.TopicEndpoints, follower.Settings{Pause: settings.forward("servers-pause")})
 	return g, g.bind(ctx)
 }
 
--- a/runner/machine.go
+++ b/runner/machine.go
@@ -24,7 +24,7 @@
 
 // The reads of topics that change seldom.
 const (
-	longPoll       = 10 * time.Second       // for which the store holds a read
+	longPoll       = 25 * time.Second       // for which the store holds a read
 	followRetry    = 250 * time.Millisecond // after a read that failed
 	processesPause = time.Second            // gathers the processes that start together in one read
 	registerRetry  = 500 * time.Millisecond
@@ -93,11 +93,10 @@
 	}}
 }
 
-// follow reads a topic, pause apart.
-func (m *machine) follow(reads *prometheus.CounterVec, topic gooseberrypass.Topic, pause, wait time.Duration) {
-	m.followers = append(m.followers, follower.New(m.clock, m.store, topic, follower.Settings{
-		Pause: pause, Retry: followRetry, Wait: wait,
-	}, m.loop.Post, reads, m.logger))
+// follow adds a reader of a topic.
+func (m *machine) follow(reads *prometheus.CounterVec, topic gooseberrypass.Topic, settings follower.Settings) {
+	settings.Retry = followRetry
+	m.followers = append(m.followers, follower.New(m.clock, m.store, topic, settings, m.loop.Post, reads, m.logger))
 }
 
 // newRelayer returns the relayer of the process. loads may be nil.
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -122,7 +122,7 @@
 			{Name: "resume-fill", Type: checker.Float(0.1, 10), Default: "1.5", Doc: "As fill, for streams that were cut."},
 			{Name: "retry-after", Type: checker.Duration(0, most), Default: "1900ms", Doc: "Told to callers that were refused for load."},
 			{Name: "retry-share", Type: checker.Float(0.1, 100), Default: "2", Doc: "Entries that share the slack of repeats, in entries heard of; leaves room for those that start."},
-			{Name: "servers-pause", Type: checker.Duration(time.Millisecond, most), Default: "400ms", Doc: "Between reads of the list of endpoints."},
+			{Name: "servers-pause", Type: checker.Duration(time.Millisecond, most), Default: "500ms", Doc: "Between reads of the list of endpoints."},
 			{Name: "starting-wait", Type: checker.Duration(0, most), Default: "500ms", Doc: "Told to callers before the first configuration."},
 			{Name: "stop-delay", Type: checker.Duration(0, most), Default: "2500ms", Doc: "From SIGTERM until no connection is taken; the platform asks twice, a second apart."},
 			{Name: "version-margin", Type: checker.Duration(0, most), Default: "1200ms", Doc: "Before the bound, from which only the new version is used; longest wait of a request at an engine."},
@@ -137,12 +137,12 @@
 		Kind: sectionWeights,
 		Keys: []checker.Key{
 			{Name: "announce", Type: checker.Duration(0, most), Default: "150ms", Doc: "Before an order, for which entries send nothing; a message's way and a tick."},
-			{Name: "earliest", Type: checker.Duration(0, most), Default: "3s", Doc: "After a version was named, before which no engine in service loads it."},
+			{Name: "earliest", Type: checker.Duration(0, most), Default: "3500ms", Doc: "After a version was named, before which no engine in service loads it."},
 			{Name: "patience", Type: checker.Duration(0, most), Default: "300ms", Doc: "With an engine that does not report when the agent starts; a report takes a few milliseconds."},
 			{Name: "period", Type: checker.Duration(time.Millisecond, most), Default: "1s", Doc: "Between messages to entries when nothing changes."},
 			{Name: "poll", Type: checker.Duration(time.Millisecond, most), Default: "200ms", Doc: "Between reports of the engine, which lag as much."},
 			{Name: "retry", Type: checker.Duration(time.Millisecond, most), Default: "300ms", Doc: "After a step that failed."},
-			{Name: "spread", Type: checker.Duration(0, most), Default: "3s", Doc: "Over which the engines in service load a version, one after another."},
+			{Name: "spread", Type: checker.Duration(0, most), Default: "3300ms", Doc: "Over which the engines in service load a version, one after another."},
 			{Name: "wait", Type: checker.Duration(time.Millisecond, most), Default: "1s", Doc: "For which another agent may hold a request for a piece on its way."},
 		},
 	}
--- a/stager/manifests.go
+++ b/stager/manifests.go
@@ -22,18 +22,22 @@
 // kilobytes and agents are a few milliseconds apart.
 const peerTimeout = 500 * time.Millisecond
 
+// holdTime is how long a request for a manifest on its way is held.
+const holdTime = 350 * time.Millisecond
+
 // Manifests are the manifests that an agent knows, offered to the others so that
 // few read them from the origin. It is safe for use by several goroutines.
 type Manifests struct {
 	client *http.Client
 
 	mu      sync.Mutex
+	changed chan struct{}     // closed at the next put
 	encoded map[string][]byte // by model and version
 }
 
 // NewManifests returns an empty set that asks others through client.
 func NewManifests(client *http.Client) *Manifests {
-	return &Manifests{client: client, encoded: map[string][]byte{}}
+	return &Manifests{changed: make(chan struct{}), client: client, encoded: map[string][]byte{}}
 }
 
 // put keeps a manifest and drops those of other versions of its model, of which
@@ -43,6 +47,26 @@
 	defer m.mu.Unlock()
 	delete(m.encoded, model+"/"+strconv.Itoa(version-heldBefore))
 	m.encoded[model+"/"+strconv.Itoa(version)] = encoded
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// await returns a manifest once it is known, false after ctx.
+func (m *Manifests) await(ctx context.Context, name string) ([]byte, bool) {
+	for {
+		m.mu.Lock()
+		encoded, ok := m.encoded[name]
+		changed := m.changed
+		m.mu.Unlock()
+		if ok {
+			return encoded, true
+		}
+		select {
+		case <-ctx.Done():
+			return nil, false
+		case <-changed:
+		}
+	}
 }
 
 // heldBefore is how far back a version is dropped.
@@ -50,9 +74,9 @@
 
 // ServeHTTP implements http.Handler.
 func (m *Manifests) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	m.mu.Lock()
-	encoded, ok := m.encoded[r.PathValue("model")+"/"+r.PathValue("version")]
-	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(r.Context(), holdTime)
+	defer cancel()
+	encoded, ok := m.await(ctx, r.PathValue("model")+"/"+r.PathValue("version"))
 	if !ok {
 		http.Error(w, "manifest not known here", http.StatusNotFound)
 		return
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -135,7 +135,7 @@
 		return nil
 	}
 	s.model = *spec.Engine
-	target, ok := snapshot.Targets[s.model.Model]
+	target, ok := snapshot.Targets[s.model.Model].Newest()
 	if !ok {
 		target = surveyor.Target{Since: now, Version: firstVersion}
 	}
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -32,18 +32,52 @@
 	Service       gooseberrypass.ID            `json:"service"`
 }
 
-// A Target is the version wanted of a model.
+// A Target is a version that the operator wants of a model.
 type Target struct {
 	Since   time.Time // when it was named, by best knowledge and not later
 	Version int
 }
 
+// Targets are the versions wanted of one model, the newest last.
+type Targets []Target
+
+// Newest returns the version wanted now.
+func (t Targets) Newest() (Target, bool) {
+	if len(t) == 0 {
+		return Target{}, false
+	}
+	return t[len(t)-1], true
+}
+
+// Required returns the newest version that was named at least age ago, 0 if
+// none was.
+func (t Targets) Required(now time.Time, age time.Duration) int {
+	for i := len(t) - 1; i >= 0; i-- {
+		if now.Sub(t[i].Since) >= age {
+			return t[i].Version
+		}
+	}
+	return 0
+}
+
+// maxTargets bounds the versions remembered of one model.
+const maxTargets = 16
+
+// with returns the targets after another version was named. One that is not
+// newer changes nothing.
+func (t Targets) with(target Target) Targets {
+	if newest, ok := t.Newest(); ok && newest.Version >= target.Version {
+		return t
+	}
+	return append(t[max(0, len(t)+1-maxTargets):len(t):len(t)], target)
+}
+
 // A Snapshot is the state at one moment. It never changes.
 type Snapshot struct {
 	Deployment *gooseberrypass.Deployment // nil before the first
 	Endpoints  []gooseberrypass.Endpoint
 	Processes  []Process
-	Targets    map[string]Target
+	Targets    map[string]Targets
 }
 
 // Changed is the event that the snapshot changed.
@@ -101,7 +135,7 @@
 		settings:  settings,
 		topics:    map[gooseberrypass.Topic]*topicState{},
 	}
-	s.snapshot.Store(&Snapshot{})
+	s.snapshot.Store(&Snapshot{Targets: map[string]Targets{}})
 	s.offsets.Store(&map[gooseberrypass.Topic]gooseberrypass.Offset{})
 	return s
 }
@@ -273,7 +307,7 @@
 
 func (s *Surveyor) publish(now time.Time) []gooseberrypass.Effect {
 	old := s.snapshot.Load()
-	snapshot := &Snapshot{Deployment: old.Deployment, Targets: map[string]Target{}}
+	snapshot := &Snapshot{Deployment: old.Deployment, Targets: maps.Clone(old.Targets)}
 	t := s.topic(gooseberrypass.TopicOperator)
 	for _, key := range slices.Sorted(maps.Keys(t.records)) {
 		s.readOperator(snapshot, t, t.records[key])
@@ -297,7 +331,7 @@
 		return
 	}
 	if ok {
-		snapshot.Targets[target.Model] = Target{Since: t.since[r.Key], Version: target.Version}
+		snapshot.Targets[target.Model] = snapshot.Targets[target.Model].with(Target{Since: t.since[r.Key], Version: target.Version})
 		return
 	}
 	if s.decoded.record.Value != nil && s.decoded.record.Key == r.Key && s.decoded.record.Offset == r.Offset {
