--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -23,6 +23,7 @@
 	ResultFull               // refused for load
 	ResultFailed             // broke, was silent or answered wrongly
 	ResultMisdirected        // other endpoint or version
+	ResultSilent             // did not answer in a time in which it should
 )
 
 // Settings tune a Balancer.
@@ -36,6 +37,7 @@
 	PlainFill      float64       // requests at a plain service's endpoint, in its slots
 	PlainPenalty   float64       // load in slots that a plain endpoint in another region must have less
 	ResumeFill     float64       // as Fill, for streams that were cut
+	SlowTolerance  float64       // times that an endpoint may be slower than its service and count as alike
 	VersionMargin  time.Duration // before the bound from which only the new version is used
 	VersionTimeout time.Duration // bound for the use of an old version
 }
@@ -53,12 +55,14 @@
 type endpoint struct {
 	ejectedUntil time.Time
 	ejections    int
-	failures     int // in a row
+	failures     int           // in a row
+	first        time.Duration // moving average of the time to the head of an answer
 	fullUntil    time.Time
 	listed       gooseberrypass.Endpoint
 	notice       Notice
 	noticed      time.Time
 	own          int
+	probation    bool                      // was ejected and has not answered since
 	others       map[gooseberrypass.ID]int // in flight from other entries
 }
 
@@ -80,8 +84,9 @@
 
 	mu        sync.Mutex
 	endpoints map[gooseberrypass.ID]*endpoint
-	heard     map[gooseberrypass.ID]time.Time // of other entries
-	notices   map[string]Notice               // by address
+	first     map[gooseberrypass.ID]time.Duration // of each service, as of endpoints
+	heard     map[gooseberrypass.ID]time.Time     // of other entries
+	notices   map[string]Notice                   // by address
 	noticed   map[string]time.Time
 	services  map[gooseberrypass.ID][]*endpoint
 	snapshot  *surveyor.Snapshot
@@ -92,6 +97,7 @@
 	return &Balancer{
 		clock:     clock,
 		endpoints: map[gooseberrypass.ID]*endpoint{},
+		first:     map[gooseberrypass.ID]time.Duration{},
 		heard:     map[gooseberrypass.ID]time.Time{},
 		noticed:   map[string]time.Time{},
 		notices:   map[string]Notice{},
@@ -224,6 +230,29 @@
 // Total returns the requests believed at the endpoint when it was chosen.
 func (t *Ticket) Total() int { return t.total }
 
+// Began tells how long the endpoint took to the head of its answer.
+func (t *Ticket) Began(took time.Duration) {
+	b := t.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.endpoint.probation = false
+	smooth(&t.endpoint.first, took)
+	first := b.first[t.endpoint.listed.Service]
+	smooth(&first, took)
+	b.first[t.endpoint.listed.Service] = first
+}
+
+// smoothing is the weight of the newest measurement in a moving average.
+const smoothing = 0.1
+
+func smooth(average *time.Duration, took time.Duration) {
+	if *average == 0 {
+		*average = took
+		return
+	}
+	*average += time.Duration(smoothing * float64(took-*average))
+}
+
 // Done gives the place back. Only the first call counts.
 func (t *Ticket) Done(result Result) {
 	b := t.balancer
@@ -240,16 +269,17 @@
 func (e *endpoint) end(now time.Time, result Result, s Settings) {
 	switch result {
 	case ResultAnswered:
-		e.failures, e.ejections = 0, 0
+		e.failures, e.ejections = 0, e.ejections/2
 	case ResultFull, ResultMisdirected:
 		e.fullUntil = now.Add(s.FullPause)
-	case ResultFailed:
+	case ResultFailed, ResultSilent:
 		e.failures++
-		if e.failures < 2 || now.Before(e.ejectedUntil) {
+		if e.failures < 2 && result == ResultFailed || now.Before(e.ejectedUntil) {
 			return
 		}
 		e.ejectedUntil = now.Add(min(s.Ejection<<min(e.ejections, 8), s.EjectionMost))
 		e.ejections++
+		e.probation = true
 	case ResultDropped:
 	}
 }
@@ -317,7 +347,7 @@
 
 // takes reports whether an endpoint may get the request at all.
 func (b *Balancer) takes(now time.Time, e *endpoint, q Query) bool {
-	if e.listed.Leaving || now.Before(e.ejectedUntil) {
+	if e.listed.Leaving || now.Before(e.ejectedUntil) || e.probation && e.own > 0 {
 		return false
 	}
 	if q.Model == "" {
@@ -337,14 +367,14 @@
 	return version > 0 && version >= b.required(now, q.Model)
 }
 
-// cost returns the order of an endpoint, and whether it has room.
+// cost returns the order of an endpoint, and whether it has room. One that is
+// slower than the others counts as fuller.
 func (b *Balancer) cost(e *endpoint, q Query) (float64, bool) {
-	total := float64(e.total())
 	slots := float64(max(e.listed.Slots, 1))
+	total := (float64(e.total()) + b.rng.Float64()/2) * b.slowness(e) // the random part spreads entries that see the same loads
 	far := b.regionOf(e.listed.FailureDomain) != b.self
-	tie := b.rng.Float64() / 2 // spreads entries that see the same loads
 	if q.Model == "" {
-		cost := (total + tie) / slots
+		cost := total / slots
 		if far {
 			cost += b.settings.PlainPenalty
 		}
@@ -354,11 +384,25 @@
 	if q.Resumed {
 		fill = b.settings.ResumeFill
 	}
-	cost := total + tie
+	cost := total
 	if far {
 		cost += b.settings.EnginePenalty
 	}
 	return cost, total < slots*fill
 }
 
+// slowness is how many times longer an endpoint takes to the head of an answer
+// than its service does, 1 up to a tolerance.
+func (b *Balancer) slowness(e *endpoint) float64 {
+	service := b.first[e.listed.Service]
+	if service == 0 || e.first == 0 {
+		return 1
+	}
+	ratio := float64(e.first) / float64(service)
+	if ratio < b.settings.SlowTolerance {
+		return 1
+	}
+	return ratio
+}
+
 var _ gooseberrypass.Controller = (*Balancer)(nil)
--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -177,6 +177,7 @@
 		left = time.Hour // neither caller nor route sets a bound
 	}
 	watch.set(r.headWait(left))
+	sent := f.clock.Now()
 	reply, err := f.courier.Send(ctx, gooseberrypass.Dispatch{
 		Account: r.account, Endpoint: ticket.Endpoint(), ExpectModel: ticket.ExpectModel(), Passage: r.passage,
 		Priority: r.priority, Resumed: r.resumed, TimeLeft: left,
@@ -188,6 +189,7 @@
 	if reply.NotRun {
 		return r.notRunThere(reply)
 	}
+	ticket.Began(f.clock.Since(sent))
 	r.mayRun = true
 	if !reply.Signed && reply.Status < 300 {
 		return &failure{err: unknown(gooseberrypass.ReasonUpstream, "answer without a signature"), result: balancer.ResultFailed}
@@ -222,6 +224,7 @@
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		f.err.Reason = gooseberrypass.ReasonDeadline
 		f.err.Detail = "no answer in time: " + err.Error()
+		f.result = balancer.ResultSilent
 	} else if sent {
 		r.forwarder.suspects.crashed(r.forwarder.clock.Now(), r.digest)
 	}
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -123,9 +123,10 @@
 			{Name: "retry-after", Type: checker.Duration(0, most), Default: "1900ms", Doc: "Told to callers that were refused for load."},
 			{Name: "retry-share", Type: checker.Float(0.1, 100), Default: "2", Doc: "Entries that share the slack of repeats, in entries heard of; leaves room for those that start."},
 			{Name: "servers-pause", Type: checker.Duration(time.Millisecond, most), Default: "500ms", Doc: "Between reads of the list of endpoints."},
+			{Name: "slow-tolerance", Type: checker.Float(1, 100), Default: "1.6", Doc: "Times that an endpoint may be slower than its service before it counts as fuller; loads that differ by a few requests make as much."},
 			{Name: "starting-wait", Type: checker.Duration(0, most), Default: "500ms", Doc: "Told to callers before the first configuration."},
 			{Name: "stop-delay", Type: checker.Duration(0, most), Default: "2500ms", Doc: "From SIGTERM until no connection is taken; the platform asks twice, a second apart."},
-			{Name: "version-margin", Type: checker.Duration(0, most), Default: "1200ms", Doc: "Before the bound, from which only the new version is used; longest wait of a request at an engine."},
+			{Name: "version-margin", Type: checker.Duration(0, most), Default: "800ms", Doc: "Before the bound, from which only the new version is used; longest wait of a request at an engine."},
 		},
 	}
 }
@@ -234,6 +235,7 @@
 		PlainFill:      s.float(sectionForward, "plain-fill"),
 		PlainPenalty:   s.float(sectionForward, "plain-penalty"),
 		ResumeFill:     s.float(sectionForward, "resume-fill"),
+		SlowTolerance:  s.float(sectionForward, "slow-tolerance"),
 		VersionMargin:  s.forward("version-margin"),
 		VersionTimeout: s.duration(sectionBounds, "version"),
 	}
