--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -225,8 +225,12 @@
 		return nil
 	}
 	r.logger.WithFields(logrus.Fields{"peer": e.peer, "topic": e.topic, "next": e.document.Next, "records": len(e.document.Records)}).Info("records taken from another process")
+	ages := make([]time.Duration, 0, len(e.document.AgesMs))
+	for _, ms := range e.document.AgesMs {
+		ages = append(ages, time.Duration(ms)*time.Millisecond)
+	}
 	return []gooseberrypass.Effect{handOver{event: gooseberrypass.TopicChanged{
-		Age:   time.Duration(e.document.AgeMs) * time.Millisecond,
+		Ages:  ages,
 		Batch: gooseberrypass.KeyedBatch{Next: e.document.Next, Records: e.document.Records},
 		Topic: e.topic,
 	}}}
@@ -234,7 +238,7 @@
 
 // A document is the answer to a pull.
 type document struct {
-	AgeMs   int64                        `json:"age_ms"` // since the newest record was known
+	AgesMs  []int64                      `json:"ages_ms"` // since the records were known
 	Next    gooseberrypass.Offset        `json:"next"`
 	Records []gooseberrypass.KeyedRecord `json:"records"`
 }
@@ -303,8 +307,8 @@
 	}
 	records, since := a.surveyor.Since(e.topic, e.from)
 	d := document{Next: a.surveyor.Next(e.topic), Records: records}
-	if len(since) > 0 {
-		d.AgeMs = now.Sub(since[len(since)-1]).Milliseconds()
+	for _, at := range since {
+		d.AgesMs = append(d.AgesMs, now.Sub(at).Milliseconds())
 	}
 	e.answer <- d
 	return nil
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -198,19 +198,15 @@
 // merge takes over the records that are newer than those held.
 func (s *Surveyor) merge(now time.Time, e gooseberrypass.TopicChanged) bool {
 	t := s.topic(e.Topic)
-	since := now.Add(-e.Age)
-	if e.Started {
-		since = now.Add(-s.settings.Assume)
-	}
 	changed := false
 	seen := make(map[string]struct{}, len(e.Batch.Records))
-	for _, r := range e.Batch.Records {
+	for i, r := range e.Batch.Records {
 		seen[r.Key] = struct{}{}
 		if held, ok := t.records[r.Key]; ok && held.Offset >= r.Offset {
 			continue
 		}
 		t.records[r.Key] = r
-		t.since[r.Key] = since
+		t.since[r.Key] = now.Add(-s.age(e, i))
 		changed = s.apply(now, e.Topic, r) || changed
 	}
 	if e.Batch.Whole {
@@ -229,6 +225,19 @@
 	return changed
 }
 
+// age is how long a record has been known. One that was there when the process
+// started may be of any age.
+func (s *Surveyor) age(e gooseberrypass.TopicChanged, i int) time.Duration {
+	switch {
+	case i < len(e.Ages):
+		return e.Ages[i]
+	case e.Started:
+		return s.settings.Assume
+	default:
+		return 0
+	}
+}
+
 // apply reports whether a record changes the snapshot.
 func (s *Surveyor) apply(now time.Time, topic gooseberrypass.Topic, r gooseberrypass.KeyedRecord) bool {
 	if topic == gooseberrypass.TopicProcesses {
--- a/topic.go
+++ b/topic.go
@@ -47,7 +47,7 @@
 
 // A TopicChanged is the event that records of a keyed topic were read.
 type TopicChanged struct {
-	Age     time.Duration // since the oldest record was known to another process
+	Ages    []time.Duration // of the records, since when another process has known them; nil if they are new
 	Batch   KeyedBatch
 	Started bool // first read of this process: records may be of any age
 	Topic   Topic
