--- a/deployment.go
+++ b/deployment.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// A RouteKind tells what may be repeated on a route.
-type RouteKind int
+// A RouteMode tells what may be repeated on a route.
+type RouteMode int
 
-// The kinds of routes. RouteOnce is the zero value: nothing is repeated.
+// The modes of routes. RouteOnce is the zero value: nothing is repeated.
 const (
-	RouteOnce       RouteKind = iota // runs at most once
+	RouteOnce       RouteMode = iota // runs at most once
 	RouteIdempotent                  // may run more than once
 	RouteStream                      // a stream of events
 )
@@ -25,7 +25,7 @@
 type Route struct {
 	Gap         time.Duration // longest pause between events of an answer in time
 	Host        string
-	Kind        RouteKind
+	Mode        RouteMode
 	MaxAttempts int // endpoints that one request may be sent to
 	Name        string
 	Objective   time.Duration // to the answer, or to a stream's first event
@@ -39,7 +39,7 @@
 
 // Repeatable reports whether a request may be sent again though it may have run.
 func (r *Route) Repeatable() bool {
-	return r.Kind == RouteIdempotent || r.Kind == RouteStream && r.Resumable
+	return r.Mode == RouteIdempotent || r.Mode == RouteStream && r.Resumable
 }
 
 // An EngineModel describes the model engine of a service.
--- /dev/null
+++ b/forwarder/fakes_test.go
@@ -0,0 +1,159 @@
+package forwarder_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/balancer"
+	"github.com/gooseberrypass/gooseberrypass/forwarder"
+	"github.com/gooseberrypass/gooseberrypass/surveyor"
+)
+
+// errReset is how a broken connection shows.
+var errReset = errors.New("connection reset")
+
+// An act is what an endpoint does with one dispatch.
+type act struct {
+	body    string
+	cut     bool // the body breaks off at its end
+	notRun  bool
+	refused bool // no byte was sent
+	reset   bool // after the request was sent
+	status  int
+	version int
+}
+
+// A courier plays acts, one for each dispatch.
+type courier struct {
+	acts []act
+	sent []gooseberrypass.Dispatch
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, errReset }
+
+func (c *courier) Send(_ context.Context, d gooseberrypass.Dispatch) (*gooseberrypass.Reply, error) {
+	c.sent = append(c.sent, d)
+	a := c.acts[min(len(c.sent)-1, len(c.acts)-1)]
+	switch {
+	case a.refused:
+		return nil, &gooseberrypass.DispatchError{Err: errReset}
+	case a.reset:
+		return nil, &gooseberrypass.DispatchError{Err: errReset, Sent: true}
+	}
+	var body io.Reader = strings.NewReader(a.body)
+	if a.cut {
+		body = io.MultiReader(body, brokenReader{})
+	}
+	if a.status == 0 {
+		a.status = http.StatusOK
+	}
+	return &gooseberrypass.Reply{
+		Body: io.NopCloser(body), Header: http.Header{}, ModelVersion: a.version, NotRun: a.notRun, Signed: !a.notRun, Status: a.status,
+	}, nil
+}
+
+// A caller records its answer.
+type caller struct {
+	aborted bool
+	body    bytes.Buffer
+	failure *gooseberrypass.RequestError
+	status  int
+}
+
+type aborted struct{}
+
+func (c *caller) Abort() {
+	c.aborted = true
+	panic(aborted{})
+}
+
+func (c *caller) Refuse(err *gooseberrypass.RequestError) { c.failure = err }
+
+func (c *caller) Start(status int, _ http.Header) { c.status = status }
+
+func (c *caller) Write(piece []byte) error {
+	c.body.Write(piece)
+	return nil
+}
+
+// A fixture is a forwarder before three endpoints of one service.
+type fixture struct {
+	clock     *clockwork.FakeClock
+	courier   *courier
+	forwarder *forwarder.Forwarder
+}
+
+type deployments struct{ d *gooseberrypass.Deployment }
+
+func (d deployments) Deployment() *gooseberrypass.Deployment { return d.d }
+
+func newFixture(t *testing.T, acts ...act) *fixture {
+	t.Helper()
+	f := &fixture{clock: clockwork.NewFakeClock(), courier: &courier{acts: acts}}
+	target := []gooseberrypass.RouteTarget{{Service: "s", Weight: 1}}
+	route := func(prefix string, mode gooseberrypass.RouteMode, resumable bool) gooseberrypass.Route {
+		return gooseberrypass.Route{
+			Gap: 300 * time.Millisecond, Host: "h", Mode: mode, MaxAttempts: 2, Name: prefix, Objective: 100 * time.Millisecond,
+			Prefix: prefix, Resumable: resumable, Targets: target, Timeout: 6 * time.Second,
+		}
+	}
+	d := gooseberrypass.NewDeployment(1, []gooseberrypass.Route{
+		route("/once/", gooseberrypass.RouteOnce, false),
+		route("/safe/", gooseberrypass.RouteIdempotent, false),
+		route("/stream/", gooseberrypass.RouteStream, true),
+		route("/rigid/", gooseberrypass.RouteStream, false),
+	}, []gooseberrypass.ServiceSpec{{ID: "s"}}, map[string]gooseberrypass.AccountSpec{"key": {ID: "account"}}, gooseberrypass.CallerLimits{})
+	b := balancer.New(f.clock, "r", func(gooseberrypass.FailureDomain) gooseberrypass.Region { return "r" }, balancer.Settings{
+		Ejection: time.Second, EjectionMost: time.Second, PlainFill: 4, SlowTolerance: 2,
+	}, 1)
+	snapshot := &surveyor.Snapshot{}
+	for _, id := range []gooseberrypass.ID{"a", "b", "c"} {
+		snapshot.Endpoints = append(snapshot.Endpoints, gooseberrypass.Endpoint{ID: id, Service: "s", Slots: 4})
+	}
+	b.Handle(f.clock.Now(), surveyor.Changed{Snapshot: snapshot})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var err error
+	f.forwarder, err = forwarder.New(f.clock, deployments{d}, b, f.courier, forwarder.Settings{
+		CutAfter: 100 * time.Millisecond, FirstWaits: 3, GapWaits: 4, MaxAnswer: 1 << 16, PoisonCrash: 3, PoisonTime: time.Minute,
+		RetryAfter: time.Second, RetryRatio: 0.2, RetryShare: 1, RetrySlack: 20, RetryWindow: 10 * time.Second,
+	}, prometheus.NewRegistry(), log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func (f *fixture) ask(path, key string) *caller {
+	c := &caller{}
+	f.handle(&gooseberrypass.Passage{
+		AccountKey: key, Body: []byte(path), Deadline: f.clock.Now().Add(5 * time.Second), Host: "h", ID: "id", Method: "POST", Path: path,
+		Resumed: -1, URI: path,
+	}, c)
+	return c
+}
+
+// handle hands a request over and takes up an aborted answer.
+func (f *fixture) handle(p *gooseberrypass.Passage, c *caller) {
+	defer func() {
+		if r := recover(); r != nil {
+			if _, ok := r.(aborted); !ok {
+				panic(r)
+			}
+		}
+	}()
+	f.forwarder.HandlePassage(context.Background(), p, c)
+}
--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -197,7 +197,7 @@
 	if r.started && (reply.Status >= 300 || reply.ModelVersion != r.version) {
 		return &failure{err: unknown(gooseberrypass.ReasonCut, "another version goes on"), result: balancer.ResultDropped}
 	}
-	if r.route.Kind == gooseberrypass.RouteStream && reply.Status < 300 {
+	if r.route.Mode == gooseberrypass.RouteStream && reply.Status < 300 {
 		return r.stream(ctx, reply, watch)
 	}
 	return r.whole(ctx, reply, watch)
@@ -250,7 +250,7 @@
 	if err != nil {
 		return r.broken(ctx, &gooseberrypass.DispatchError{Err: errors.Wrap(err, "read body"), Sent: true})
 	}
-	if r.route.Kind == gooseberrypass.RouteIdempotent && reply.Status >= 500 && r.tries < r.route.MaxAttempts {
+	if r.route.Mode == gooseberrypass.RouteIdempotent && reply.Status >= 500 && r.tries < r.route.MaxAttempts {
 		r.fallback = &heldAnswer{body: body.Bytes(), reply: reply}
 		return &failure{err: unknown(gooseberrypass.ReasonUpstream, "the endpoint answered with an error"), result: balancer.ResultAnswered}
 	}
