--- a/keeper/handler.go
+++ b/keeper/handler.go
@@ -74,6 +74,10 @@
 	return h, nil
 }
 
+// SetUploads changes how many chunks are sent at once. It must be called before
+// the first request.
+func (h *Handler) SetUploads(n int) { h.uploads = make(chan struct{}, n) }
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	digest, err := gooseberrypass.ParseDigest(r.PathValue("digest"))
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -139,12 +139,16 @@
 		Keys: []checker.Key{
 			{Name: "announce", Type: checker.Duration(0, most), Default: "150ms", Doc: "Before an order, for which entries send nothing; a message's way and a tick."},
 			{Name: "earliest", Type: checker.Duration(0, most), Default: "3500ms", Doc: "After a version was named, before which no engine in service loads it."},
+			{Name: "link-share", Type: checker.Float(0.01, 1), Default: "0.95", Doc: "Share of the link for weights; the rest is for the engine's answers."},
 			{Name: "patience", Type: checker.Duration(0, most), Default: "300ms", Doc: "With an engine that does not report when the agent starts; a report takes a few milliseconds."},
 			{Name: "period", Type: checker.Duration(time.Millisecond, most), Default: "1s", Doc: "Between messages to entries when nothing changes."},
 			{Name: "poll", Type: checker.Duration(time.Millisecond, most), Default: "200ms", Doc: "Between reports of the engine, which lag as much."},
 			{Name: "retry", Type: checker.Duration(time.Millisecond, most), Default: "300ms", Doc: "After a step that failed."},
+			{Name: "skip-gap", Type: checker.Duration(0, most), Default: "2500ms", Doc: "Between two versions, up to which the older is left out; the bound less the time that a fetch takes."},
 			{Name: "spread", Type: checker.Duration(0, most), Default: "3300ms", Doc: "Over which the engines in service load a version, one after another."},
+			{Name: "uploads", Type: checker.Int(1, 100), Default: "2", Doc: "Pieces sent at once; more wait longer in the link's queue, and answers behind them."},
 			{Name: "wait", Type: checker.Duration(time.Millisecond, most), Default: "1s", Doc: "For which another agent may hold a request for a piece on its way."},
+			{Name: "window", Type: checker.Int(1, 10000), Default: "32", Doc: "Missing pieces asked for at once."},
 		},
 	}
 }
@@ -292,7 +296,7 @@
 func (s *MachineSettings) stager() stager.Settings {
 	weights := func(key string) time.Duration { return s.duration(sectionWeights, key) }
 	return stager.Settings{
-		Announce: weights("announce"), Earliest: weights("earliest"), Patience: weights("patience"), Poll: weights("poll"), Retry: weights("retry"), Spread: weights("spread"),
+		Announce: weights("announce"), Earliest: weights("earliest"), Patience: weights("patience"), Poll: weights("poll"), Retry: weights("retry"), SkipGap: weights("skip-gap"), Spread: weights("spread"),
 	}
 }
 
@@ -319,10 +323,11 @@
 		AvoidBase: avoidFirst, AvoidMax: avoidMost, InitialLimit: transferFirst, MaxLimit: transferMost, MinLimit: transferLeast,
 		MismatchMax: sourceMost, MismatchPause: sourceFirst, OriginInFlight: originConns, PassPause: passPause,
 		SourceMax: sourceMost, SourcePause: sourceFirst, Wait: s.duration(sectionWeights, "wait"),
+		Window: checker.Get[int](s.values, sectionWeights, "window"),
 	}
 }
 
-// linkRate returns the bytes a second of the instance's link.
-func (s *MachineSettings) linkRate() int64 {
-	return int64(s.float(sectionMachine, "link") * 1e6 / 8)
+// bulkRate returns the bytes a second that the instance sends of weights.
+func (s *MachineSettings) bulkRate() int64 {
+	return int64(s.float(sectionMachine, "link") * 1e6 / 8 * s.float(sectionWeights, "link-share"))
 }
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -9,6 +9,7 @@
 
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
+	"github.com/gooseberrypass/gooseberrypass/checker"
 	"github.com/gooseberrypass/gooseberrypass/fetcher"
 	"github.com/gooseberrypass/gooseberrypass/follower"
 	"github.com/gooseberrypass/gooseberrypass/keeper"
@@ -59,10 +60,11 @@
 	}
 	s := &Sidecar{machine: m}
 	k := keeper.New(0)
-	s.chunks, err = keeper.NewHandler(k, keeper.NewPacer(settings.linkRate, nil), m.registry)
+	s.chunks, err = keeper.NewHandler(k, keeper.NewPacer(settings.bulkRate, nil), m.registry)
 	if err != nil {
 		return nil, err
 	}
+	s.chunks.SetUploads(checker.Get[int](settings.values, sectionWeights, "uploads"))
 	origin := platform.NewOrigin(newOriginClient(), s.originAddress, s.pieceSize)
 	reader := fetcher.NewReader(m.client, m.clock, k, origin, nil)
 	reader.SetHeaderRoom(peerRoom)
--- a/stager/manifests.go
+++ b/stager/manifests.go
@@ -1,11 +1,13 @@
 package stager
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -107,3 +109,37 @@
 	}
 	return gooseberrypass.ParseManifest(encoded)
 }
+
+// manifestReaders is how many agents read a manifest from the origin at once;
+// the others ask these, and the origin when that fails.
+const manifestReaders = 2
+
+// manifestPeers returns the agents to be asked for a manifest, none if the
+// origin is to be asked.
+func (s *Stager) manifestPeers(j *job) []string {
+	type ranked struct {
+		address string
+		score   uint64
+	}
+	score := func(id gooseberrypass.ID) uint64 { return hash(string(id), "manifest", strconv.Itoa(j.version)) }
+	own := score(s.d.Self.ID)
+	var before []ranked
+	for _, p := range s.peers {
+		if n := score(p.ID); n < own && p.ID != s.d.Self.ID {
+			before = append(before, ranked{address: p.Address, score: n})
+		}
+	}
+	// Each failed round lets one more agent in rank go to the origin.
+	if len(before) < manifestReaders+j.manifestTries {
+		return nil
+	}
+	slices.SortFunc(before, func(a, b ranked) int { return cmp.Compare(a.score, b.score) })
+	var peers []string
+	for _, r := range before[:manifestReaders] {
+		peers = append(peers, r.address)
+	}
+	if others := before[manifestReaders:]; j.manifestTries > 0 && len(others) > 0 {
+		peers = append(peers, others[j.manifestTries%len(others)].address)
+	}
+	return peers
+}
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -4,7 +4,6 @@
 package stager
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -18,6 +17,12 @@
 	"github.com/gooseberrypass/gooseberrypass/surveyor"
 )
 
+// The fields of log lines.
+const (
+	fieldSince   = "since_named_ms"
+	fieldVersion = "version"
+)
+
 // firstVersion is the version of a model of which the operator has named none.
 const firstVersion = 1
 
@@ -28,6 +33,7 @@
 	Patience time.Duration // with an engine that does not report at the start
 	Poll     time.Duration // between reports of the engine
 	Retry    time.Duration // after a step that failed
+	SkipGap  time.Duration // between two versions, up to which the older is left out for the newer
 	Spread   time.Duration // over which the engines in service load it, one after another
 }
 
@@ -62,27 +68,11 @@
 	Teller    Teller
 }
 
-// A job is the work on one version.
-type job struct {
-	begun         bool      // the engine was ordered to load it
-	due           time.Time // when an engine in service loads it
-	failedAt      time.Time // of the last step that failed
-	flying        bool      // a step is in progress
-	logged        time.Time // when progress was logged last
-	manifest      *gooseberrypass.Manifest
-	manifestTries int  // rounds in which nobody had it
-	seeded        bool // pieces staged before were taken over
-	since         time.Time
-	staged        bool
-	told          time.Time // when entries were told to send nothing
-	version       int
-}
-
 // A Stager is a controller.
 type Stager struct {
 	d          Dependencies
 	deployment *gooseberrypass.Deployment
-	job        *job
+	jobs       []*job // versions to be loaded or offered, the oldest first
 	model      gooseberrypass.EngineModel
 	notice     balancer.Notice
 	peers      []surveyor.Process // agents of the same service
@@ -139,47 +129,15 @@
 	if !ok {
 		target = surveyor.Target{Since: now, Version: firstVersion}
 	}
-	if s.job != nil && s.job.version >= target.Version {
+	if n := len(s.jobs); n > 0 && s.jobs[n-1].version >= target.Version {
 		return nil
 	}
-	s.d.Log.WithFields(logrus.Fields{"model": s.model.Model, "version": target.Version, "age_ms": now.Sub(target.Since).Milliseconds()}).Info("version wanted")
-	s.job = &job{due: s.dueTime(target), since: target.Since, version: target.Version}
+	s.d.Log.WithFields(logrus.Fields{
+		"model": s.model.Model, fieldVersion: target.Version, "age_ms": now.Sub(target.Since).Milliseconds(), "versions_before": len(s.jobs),
+	}).Info("version wanted")
+	s.add(&job{due: s.dueTime(target), since: target.Since, version: target.Version})
 	s.tell(now, false)
-	return s.step(now)
-}
-
-// manifestReaders is how many agents read a manifest from the origin at once;
-// the others ask these, and the origin when that fails.
-const manifestReaders = 2
-
-// manifestPeers returns the agents to be asked for a manifest, none if the
-// origin is to be asked.
-func (s *Stager) manifestPeers(j *job) []string {
-	type ranked struct {
-		address string
-		score   uint64
-	}
-	score := func(id gooseberrypass.ID) uint64 { return hash(string(id), "manifest", strconv.Itoa(j.version)) }
-	own := score(s.d.Self.ID)
-	var before []ranked
-	for _, p := range s.peers {
-		if n := score(p.ID); n < own && p.ID != s.d.Self.ID {
-			before = append(before, ranked{address: p.Address, score: n})
-		}
-	}
-	// Each failed round lets one more agent in rank go to the origin.
-	if len(before) < manifestReaders+j.manifestTries {
-		return nil
-	}
-	slices.SortFunc(before, func(a, b ranked) int { return cmp.Compare(a.score, b.score) })
-	var peers []string
-	for _, r := range before[:manifestReaders] {
-		peers = append(peers, r.address)
-	}
-	if others := before[manifestReaders:]; j.manifestTries > 0 && len(others) > 0 {
-		peers = append(peers, others[j.manifestTries%len(others)].address)
-	}
-	return peers
+	return append(s.want(now), s.step(now)...)
 }
 
 // hash returns the same number for the same words everywhere.
@@ -206,19 +164,19 @@
 		s.polling, s.polled = true, now
 		effects = append(effects, reportEffect{engine: s.d.Engine})
 	}
-	j := s.job
-	if j != nil && !s.loaded() {
-		s.logProgress(now, j)
-	}
-	if j == nil || j.flying || now.Sub(j.failedAt) < s.settings.Retry {
-		return effects
-	}
-	effect := s.next(now, j)
-	if effect == nil {
-		return effects
+	for i, j := range slices.Clone(s.jobs) {
+		if i == 0 && !s.loaded(j) {
+			s.logProgress(now, j)
+		}
+		if j.flying || now.Sub(j.failedAt) < s.settings.Retry {
+			continue
+		}
+		if effect := s.next(now, j, i == 0); effect != nil {
+			j.flying = true
+			effects = append(effects, effect)
+		}
 	}
-	j.flying = true
-	return append(effects, effect)
+	return effects
 }
 
 // created returns the time of the first event.
@@ -229,54 +187,7 @@
 	return s.start
 }
 
-func (s *Stager) loaded() bool { return s.report.Models[s.model.Model] >= s.job.version }
-
-// progressPeriod is the least time between two log lines of a fetch.
-const progressPeriod = 500 * time.Millisecond
-
-// logProgress tells how far the fetch is.
-func (s *Stager) logProgress(now time.Time, j *job) {
-	if j.manifest == nil || !j.seeded || j.staged || now.Sub(j.logged) < progressPeriod {
-		return
-	}
-	j.logged = now
-	p := s.d.Fetcher.Progress(j.manifest.Digest())
-	s.d.Log.WithFields(logrus.Fields{
-		"version": j.version, "held": p.Held, "chunks": p.Total, "since_named_ms": now.Sub(j.since).Milliseconds(), "problem": p.Err,
-	}).Info("version on its way")
-}
-
-// next returns the effect of the next step, nil if there is none now.
-func (s *Stager) next(now time.Time, j *job) gooseberrypass.Effect {
-	switch {
-	case j.manifest == nil:
-		return manifestEffect{
-			manifests: s.d.Manifests, model: s.model.Model, origin: s.d.Origin, peers: s.manifestPeers(j), version: j.version,
-		}
-	case !j.seeded && !s.reported && now.Sub(s.created(now)) < s.settings.Patience:
-		return nil // an engine that was there before may have pieces staged
-	case !j.seeded:
-		return seedEffect{chunks: s.d.Chunks, engine: s.d.Engine, manifest: j.manifest, model: s.model.Model, version: j.version}
-	case !s.reported || s.loaded() || !s.d.Fetcher.Progress(j.manifest.Digest()).Whole():
-		return nil // a loaded version is held for the agents that still fetch it
-	case !j.staged:
-		return stageEffect{chunks: s.d.Chunks, engine: s.d.Engine, manifest: j.manifest, model: s.model.Model, version: j.version}
-	case s.report.Busy:
-		return nil
-	case s.inService() && now.Before(j.due):
-		return nil
-	case s.inService() && j.told.IsZero():
-		j.told = now
-		s.tell(now, true)
-		return nil
-	case s.inService() && now.Sub(j.told) < s.settings.Announce:
-		return nil
-	default:
-		return startEffect{stageEffect: stageEffect{
-			chunks: s.d.Chunks, engine: s.d.Engine, manifest: j.manifest, model: s.model.Model, version: j.version,
-		}, layers: s.model.Layers, orders: s.report.Orders}
-	}
-}
+func (s *Stager) loaded(j *job) bool { return s.report.Models[s.model.Model] >= j.version }
 
 // inService reports whether the engine serves an older version.
 func (s *Stager) inService() bool { return s.report.Models[s.model.Model] > 0 }
@@ -304,15 +215,17 @@
 	if known && old.Born != e.report.Born || !known {
 		s.restarted()
 	}
-	if s.job == nil {
+	s.finish()
+	if len(s.jobs) == 0 {
 		return nil
 	}
+	j := s.jobs[0]
 	changed := !known || old.Born != e.report.Born || old.Models[s.model.Model] != e.report.Models[s.model.Model]
-	loading := (s.job.begun || !s.job.told.IsZero()) && !s.loaded()
+	loading := (j.begun || !j.told.IsZero()) && !s.loaded(j)
 	if changed || loading != s.notice.Loading {
 		s.d.Log.WithFields(logrus.Fields{
 			"models": e.report.Models, "busy": e.report.Busy, "orders": e.report.Orders, "born": e.report.Born,
-			"since_named_ms": now.Sub(s.job.since).Milliseconds(),
+			fieldSince: now.Sub(j.since).Milliseconds(),
 		}).Info("engine changed")
 		s.tell(now, loading)
 	}
@@ -322,21 +235,21 @@
 // restarted forgets what the engine had been told before its start.
 func (s *Stager) restarted() {
 	s.d.Log.WithField("born", s.report.Born).Info("engine found")
-	if s.job != nil {
-		s.job.begun, s.job.staged, s.job.told = false, false, time.Time{}
+	for _, j := range s.jobs {
+		j.begun, j.staged, j.told = false, false, time.Time{}
 	}
 }
 
 func (s *Stager) noteManifest(now time.Time, e manifestRead) []gooseberrypass.Effect {
-	j := s.job
-	if j == nil || e.version != j.version {
+	j := s.jobOf(e.version)
+	if j == nil {
 		return nil
 	}
 	j.flying = false
 	if e.err != nil {
 		j.failedAt = now
 		j.manifestTries++
-		s.d.Log.WithError(e.err).WithField("version", j.version).Warn("manifest not read")
+		s.d.Log.WithError(e.err).WithField(fieldVersion, j.version).Warn("manifest not read")
 		return nil
 	}
 	if err := s.d.Chunks.Put(e.manifest.Digest(), e.manifest.Encoded()); err != nil {
@@ -346,47 +259,44 @@
 	}
 	j.manifest = e.manifest
 	s.d.Manifests.put(s.model.Model, j.version, e.manifest.Encoded())
-	s.d.Log.WithFields(logrus.Fields{"version": j.version, "digest": e.manifest.Digest().Short(), "chunks": e.manifest.Len()}).Info("manifest read")
+	s.d.Log.WithFields(logrus.Fields{fieldVersion: j.version, "digest": e.manifest.Digest().Short(), "chunks": e.manifest.Len()}).Info("manifest read")
 	return s.step(now)
 }
 
 func (s *Stager) noteSeeded(now time.Time, e seeded) []gooseberrypass.Effect {
-	j := s.job
-	if j == nil || e.version != j.version {
+	j := s.jobOf(e.version)
+	if j == nil {
 		return nil
 	}
 	j.flying, j.seeded = false, true
-	s.d.Log.WithFields(logrus.Fields{"version": j.version, "kept": e.kept}).Info("staged pieces taken over")
-	effects := s.d.Fetcher.SetWants(now, []fetcher.Want{{
-		Digest: j.manifest.Digest(), OriginName: s.model.Model, Version: strconv.Itoa(j.version),
-	}})
-	return append(effects, s.step(now)...)
+	s.d.Log.WithFields(logrus.Fields{fieldVersion: j.version, "kept": e.kept}).Info("staged pieces taken over")
+	return append(s.want(now), s.step(now)...)
 }
 
 func (s *Stager) noteStaged(now time.Time, e stageDone) {
-	j := s.job
-	if j == nil || e.version != j.version {
+	j := s.jobOf(e.version)
+	if j == nil {
 		return
 	}
 	j.flying = false
 	if e.err != nil {
 		j.failedAt = now
-		s.d.Log.WithError(e.err).WithField("version", j.version).Warn("version not staged")
+		s.d.Log.WithError(e.err).WithField(fieldVersion, j.version).Warn("version not staged")
 		return
 	}
 	j.staged = true
-	s.d.Log.WithFields(logrus.Fields{"version": j.version, "since_named_ms": now.Sub(j.since).Milliseconds()}).Info("version staged")
+	s.d.Log.WithFields(logrus.Fields{fieldVersion: j.version, fieldSince: now.Sub(j.since).Milliseconds()}).Info("version staged")
 }
 
 func (s *Stager) noteStarted(now time.Time, e started) {
-	j := s.job
-	if j == nil || e.version != j.version {
+	j := s.jobOf(e.version)
+	if j == nil {
 		return
 	}
 	j.flying = false
 	s.polled = time.Time{}
 	s.d.Log.WithError(e.err).WithFields(logrus.Fields{
-		"version": j.version, "result": e.result, "repaired": e.repaired, "orders": e.orders, "since_named_ms": now.Sub(j.since).Milliseconds(),
+		fieldVersion: j.version, "result": e.result, "repaired": e.repaired, "orders": e.orders, fieldSince: now.Sub(j.since).Milliseconds(),
 	}).Info("load ordered")
 	if e.err != nil {
 		j.failedAt = now
