Expect the version that an endpoint has, and tell entries the truth while a version loads

Cause: a version named while engines were loading told entries that these take work again; an engine with a newer version than required was asked for the required one and answered that it had another; an engine that refuses was tried every 150 ms by every entry.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -57,10 +57,9 @@
 	ejections    int
 	failures     int           // in a row
 	first        time.Duration // moving average of the time to the head of an answer
+	fulls        int // refusals for load in a row
 	fullUntil    time.Time
 	listed       gooseberrypass.Endpoint
-	notice       Notice
-	noticed      time.Time
 	own          int
 	probation    bool                      // was ejected and has not answered since
 	others       map[gooseberrypass.ID]int // in flight from other entries
@@ -266,12 +265,19 @@
 	t.endpoint.end(b.clock.Now(), result, b.settings)
 }
 
+// maxFullShift bounds how often the pause after refusals is doubled.
+const maxFullShift = 3
+
 func (e *endpoint) end(now time.Time, result Result, s Settings) {
 	switch result {
 	case ResultAnswered:
-		e.failures, e.ejections = 0, e.ejections/2
+		e.failures, e.ejections, e.fulls = 0, e.ejections/2, 0
 	case ResultFull, ResultMisdirected:
-		e.fullUntil = now.Add(s.FullPause)
+		// Refusals in a row come from an engine that loads: it is left alone for longer.
+		if !now.Before(e.fullUntil) {
+			e.fullUntil = now.Add(s.FullPause << min(e.fulls, maxFullShift))
+			e.fulls++
+		}
 	case ResultFailed, ResultSilent:
 		e.failures++
 		if e.failures < 2 && result == ResultFailed || now.Before(e.ejectedUntil) {
@@ -318,8 +324,8 @@
 		return nil, refusal(usable)
 	}
 	t := &Ticket{balancer: b, endpoint: best, expect: q.Version, target: best.listed, total: best.total()}
-	if t.expect == 0 && q.Model != "" {
-		t.expect = b.required(now, q.Model)
+	if t.expect == 0 && q.Model != "" && b.required(now, q.Model) > 0 {
+		t.expect = b.version(best, q.Model)
 	}
 	best.own++
 	return t, nil
@@ -353,20 +359,25 @@
 	if q.Model == "" {
 		return true
 	}
-	models := e.listed.Models
-	if n, ok := b.notices[e.listed.Address]; ok {
-		if n.Loading {
-			return false
-		}
-		models = n.Models
+	if b.notices[e.listed.Address].Loading {
+		return false
 	}
-	version := models[q.Model]
+	version := b.version(e, q.Model)
 	if q.Version > 0 {
 		return version == q.Version
 	}
 	return version > 0 && version >= b.required(now, q.Model)
 }
 
+// version returns the version of a model that an endpoint has loaded, by its
+// agent if that has said so lately.
+func (b *Balancer) version(e *endpoint, model string) int {
+	if n, ok := b.notices[e.listed.Address]; ok {
+		return n.Models[model]
+	}
+	return e.listed.Models[model]
+}
+
 // cost returns the order of an endpoint, and whether it has room. One that is
 // slower than the others counts as fuller.
 func (b *Balancer) cost(e *endpoint, q Query) (float64, bool) {
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -157,6 +157,17 @@
 	}
 }
 
+func TestNewerVersionThanRequiredIsExpected(t *testing.T) {
+	f := newFixture(t, 1)
+	f.snapshot.Targets["m"] = surveyor.Targets{{Since: f.clock.Now(), Version: 2}, {Since: f.clock.Now().Add(4 * time.Second), Version: 3}}
+	f.snapshot.Endpoints[0].Models = map[string]int{"m": 3}
+	f.publish()
+	f.clock.Advance(7 * time.Second)
+	if got, want := f.choose(t).ExpectModel(), 3; got != want {
+		t.Errorf("expected version: got %d, want %d", got, want)
+	}
+}
+
 func TestAgentsNoticeGoesBeforeTheList(t *testing.T) {
 	f := newFixture(t, 2)
 	f.balancer.SetNotice(f.clock.Now(), balancer.Notice{Address: "a0", Born: 2, Loading: true})
--- a/fetcher/planner.go
+++ b/fetcher/planner.go
@@ -59,6 +59,7 @@
 	rng        *rand.Rand
 	self       gooseberrypass.ID
 	settings   Settings
+	shrunk     int // window after slow transfers, 0 for the whole
 	store      bool
 	storeAsked time.Time // for the first time
 	versions   []*version
--- a/fetcher/results.go
+++ b/fetcher/results.go
@@ -37,6 +37,7 @@
 func (p *Planner) succeed(now time.Time, f *flight, done Done) {
 	it := f.item
 	p.estimates[f.fetch.Kind].observe(done.Took)
+	p.adapt(done.Took)
 	p.whole.observe(now.Sub(it.asked))
 	p.outside[f.fetch.Kind] = backoff{}
 	p.avoid.clear(f.fetch.Peer.ID)
--- a/fetcher/sources.go
+++ b/fetcher/sources.go
@@ -17,7 +17,7 @@
 	for _, it := range p.demands() {
 		starts = p.consider(now, it, starts)
 	}
-	room := p.settings.window(p.ranking.Len())
+	room := p.window()
 	for _, v := range p.versions {
 		if !v.active || v.err != "" {
 			continue
@@ -38,6 +38,33 @@
 	return starts, cancels
 }
 
+// minWindow is the least window after slow transfers.
+const minWindow = 2
+
+// window returns how many missing items are looked at.
+func (p *Planner) window() int {
+	whole := p.settings.window(p.ranking.Len())
+	if p.shrunk > 0 {
+		return min(p.shrunk, whole)
+	}
+	return whole
+}
+
+// adapt halves the window after a slow transfer and lets it grow after a quick
+// one: what is asked for at once queues on this instance's link, before the
+// requests of callers.
+func (p *Planner) adapt(took time.Duration) {
+	if p.settings.SlowTransfer <= 0 {
+		return
+	}
+	switch {
+	case took > p.settings.SlowTransfer:
+		p.shrunk = max(p.window()/2, minWindow)
+	case p.shrunk > 0 && took < p.settings.SlowTransfer/2:
+		p.shrunk++
+	}
+}
+
 // demands returns the items asked for that are still missing.
 func (p *Planner) demands() []*item {
 	var items []*item
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -63,6 +64,7 @@
 	loads    Loads
 	logger   logrus.FieldLogger
 	notice   *balancer.Notice
+	notices  map[string]balancer.Notice // last of each endpoint, by address
 	pulling  map[gooseberrypass.Topic]bool
 	rng      *rand.Rand
 	self     Self
@@ -77,7 +79,7 @@
 func New(self Self, s *surveyor.Surveyor, sender Sender, client *http.Client, loads Loads, settings Settings, seed uint64, logger logrus.FieldLogger) *Relayer {
 	return &Relayer{
 		behind: map[gooseberrypass.Topic]time.Time{}, client: client, loads: loads, logger: logger,
-		pulling: map[gooseberrypass.Topic]bool{}, rng: rand.New(rand.NewPCG(seed, seed)), self: self, sender: sender,
+		notices: map[string]balancer.Notice{}, pulling: map[gooseberrypass.Topic]bool{}, rng: rand.New(rand.NewPCG(seed, seed)), self: self, sender: sender,
 		settings: settings, surveyor: s,
 	}
 }
@@ -165,7 +167,7 @@
 			r.loads.SetOthers(now, m.From, m.InFlight)
 		}
 		if m.Notice != nil {
-			r.loads.SetNotice(now, *m.Notice)
+			r.noteNotice(now, m)
 		}
 		if m.Role == gooseberrypass.RoleAgent && r.ahead(m) {
 			r.sender.Send(r.message(), []string{m.Address})
@@ -191,6 +193,19 @@
 	return effects
 }
 
+// noteNotice takes in what an agent says of its endpoint, and tells of changes.
+func (r *Relayer) noteNotice(now time.Time, m gossiper.Message) {
+	n, old := *m.Notice, r.notices[m.Notice.Address]
+	r.loads.SetNotice(now, n)
+	if n.Loading == old.Loading && n.Born == old.Born && maps.Equal(n.Models, old.Models) {
+		return
+	}
+	r.notices[n.Address] = n
+	r.logger.WithFields(logrus.Fields{
+		"address": n.Address, "agent": m.From, "born": n.Born, "loading": n.Loading, "models": n.Models,
+	}).Info("agent told of its endpoint")
+}
+
 // ahead reports whether this process has read further than the agent that sent
 // a message.
 func (r *Relayer) ahead(m gossiper.Message) bool {
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -314,6 +314,7 @@
 	avoidFirst  = 500 * time.Millisecond
 	avoidMost   = 4 * time.Second
 	passPause   = time.Second
+	slowChunk   = 400 * time.Millisecond // of a piece; events are late after less
 	sourceFirst = 100 * time.Millisecond
 	sourceMost  = 800 * time.Millisecond
 )
@@ -321,7 +322,7 @@
 func (s *MachineSettings) fetcher() fetcher.Settings {
 	return fetcher.Settings{
 		AvoidBase: avoidFirst, AvoidMax: avoidMost, InitialLimit: transferFirst, MaxLimit: transferMost, MinLimit: transferLeast,
-		MismatchMax: sourceMost, MismatchPause: sourceFirst, OriginInFlight: originConns, PassPause: passPause,
+		MismatchMax: sourceMost, MismatchPause: sourceFirst, OriginInFlight: originConns, PassPause: passPause, SlowTransfer: slowChunk,
 		SourceMax: sourceMost, SourcePause: sourceFirst, Wait: s.duration(sectionWeights, "wait"),
 		Window: checker.Get[int](s.values, sectionWeights, "window"),
 	}
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -136,7 +136,7 @@
 		"model": s.model.Model, fieldVersion: target.Version, "age_ms": now.Sub(target.Since).Milliseconds(), "versions_before": len(s.jobs),
 	}).Info("version wanted")
 	s.add(&job{due: s.dueTime(target), since: target.Since, version: target.Version})
-	s.tell(now, false)
+	s.tell(now, s.loading())
 	return append(s.want(now), s.step(now)...)
 }
 
@@ -192,6 +192,14 @@
 // inService reports whether the engine serves an older version.
 func (s *Stager) inService() bool { return s.report.Models[s.model.Model] > 0 }
 
+// loading reports whether the engine takes no work, or will take none in a
+// moment.
+func (s *Stager) loading() bool {
+	return slices.ContainsFunc(s.jobs, func(j *job) bool {
+		return (j.begun || !j.told.IsZero()) && !s.loaded(j)
+	})
+}
+
 // tell tells entries what the engine serves.
 func (s *Stager) tell(now time.Time, loading bool) {
 	if !s.reported {
@@ -221,7 +229,7 @@
 	}
 	j := s.jobs[0]
 	changed := !known || old.Born != e.report.Born || old.Models[s.model.Model] != e.report.Models[s.model.Model]
-	loading := (j.begun || !j.told.IsZero()) && !s.loaded(j)
+	loading := s.loading()
 	if changed || loading != s.notice.Loading {
 		s.d.Log.WithFields(logrus.Fields{
 			"models": e.report.Models, "busy": e.report.Busy, "orders": e.report.Orders, "born": e.report.Born,
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -262,7 +262,7 @@
 		return false
 	}
 	s.logger.WithFields(logrus.Fields{
-		"endpoint": endpoint.ID, "leaving": endpoint.Leaving, "models": endpoint.Models, "offset": r.Offset, "service": endpoint.Service,
+		"address": endpoint.Address, "endpoint": endpoint.ID, "leaving": endpoint.Leaving, "models": endpoint.Models, "offset": r.Offset, "service": endpoint.Service,
 	}).Info("endpoint listed")
 	return true
 }
