Predict the first event from the prompts that an engine has not read

Cause: an engine that came back from a load got a batch of requests from every entry in the same milliseconds and read their prompts one after another: with 8 in flight the first event took 400 to 500 ms.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -32,6 +32,7 @@
 	EjectionMost   time.Duration
 	EnginePenalty  float64       // requests that an engine in another region must have less
 	Fill           float64       // requests at an engine, in its slots, up to which more are sent
+	FirstShare     float64       // share of the objective within which the first event is to come by prediction
 	FullPause      time.Duration // for which an endpoint that refused for load is passed over
 	NoticeLife     time.Duration // for which what other processes say counts
 	PlainFill      float64       // requests at a plain service's endpoint, in its slots
@@ -44,11 +45,13 @@
 
 // A Query asks for an endpoint.
 type Query struct {
-	Avoid   []gooseberrypass.ID
-	Model   string // "" for a plain service
-	Resumed bool   // goes on with a stream that was cut
-	Service gooseberrypass.ID
-	Version int // that the endpoint must have, 0 for any in force
+	Avoid     []gooseberrypass.ID
+	Model     string        // "" for a plain service
+	Objective time.Duration // to the first event, 0 for none
+	Prompt    int           // tokens
+	Resumed   bool          // goes on with a stream that was cut
+	Service   gooseberrypass.ID
+	Version   int // that the endpoint must have, 0 for any in force
 }
 
 // An endpoint is what is believed of one endpoint.
@@ -57,12 +60,18 @@
 	ejections    int
 	failures     int           // in a row
 	first        time.Duration // moving average of the time to the head of an answer
-	fulls        int // refusals for load in a row
+	fulls        int           // refusals for load in a row
 	fullUntil    time.Time
 	listed       gooseberrypass.Endpoint
-	own          int
-	probation    bool                      // was ejected and has not answered since
-	others       map[gooseberrypass.ID]int // in flight from other entries
+	own          Share
+	probation    bool                        // was ejected and has not answered since
+	others       map[gooseberrypass.ID]Share // of other entries
+}
+
+// A Share is the part of an endpoint's load that comes from one entry.
+type Share struct {
+	Requests int `json:"requests"`
+	Unread   int `json:"unread,omitempty"` // prompt tokens of requests without a first event
 }
 
 // A Notice is what the agent beside an endpoint says of it.
@@ -132,7 +141,7 @@
 		known[listed.ID] = struct{}{}
 		e, ok := b.endpoints[listed.ID]
 		if !ok {
-			e = &endpoint{others: map[gooseberrypass.ID]int{}}
+			e = &endpoint{others: map[gooseberrypass.ID]Share{}}
 			b.endpoints[listed.ID] = e
 		}
 		e.listed = listed
@@ -165,14 +174,14 @@
 	}
 }
 
-// SetOthers takes in how many requests another entry has in flight.
-func (b *Balancer) SetOthers(now time.Time, from gooseberrypass.ID, inFlight map[gooseberrypass.ID]int) {
+// SetOthers takes in the load that comes from another entry.
+func (b *Balancer) SetOthers(now time.Time, from gooseberrypass.ID, shares map[gooseberrypass.ID]Share) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.heard[from] = now
 	for id, e := range b.endpoints {
-		if n := inFlight[id]; n > 0 {
-			e.others[from] = n
+		if share, ok := shares[id]; ok {
+			e.others[from] = share
 		} else {
 			delete(e.others, from)
 		}
@@ -189,17 +198,17 @@
 	b.notices[n.Address], b.noticed[n.Address] = n, now
 }
 
-// InFlight returns how many own requests are at each endpoint.
-func (b *Balancer) InFlight() map[gooseberrypass.ID]int {
+// Shares returns the load that comes from this entry.
+func (b *Balancer) Shares() map[gooseberrypass.ID]Share {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	counts := map[gooseberrypass.ID]int{}
+	shares := map[gooseberrypass.ID]Share{}
 	for id, e := range b.endpoints {
-		if e.own > 0 {
-			counts[id] = e.own
+		if e.own.Requests > 0 {
+			shares[id] = e.own
 		}
 	}
-	return counts
+	return shares
 }
 
 // Entries returns how many entries have been heard of lately, this one
@@ -218,6 +227,7 @@
 	expect   int
 	target   gooseberrypass.Endpoint
 	total    int
+	unread   int // prompt tokens, 0 once the first event came
 }
 
 // Endpoint returns the endpoint chosen.
@@ -234,6 +244,7 @@
 	b := t.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	t.read()
 	t.endpoint.probation = false
 	smooth(&t.endpoint.first, took)
 	first := b.first[t.endpoint.listed.Service]
@@ -241,6 +252,12 @@
 	b.first[t.endpoint.listed.Service] = first
 }
 
+// read notes that the endpoint has read the prompt, or never will.
+func (t *Ticket) read() {
+	t.endpoint.own.Unread -= t.unread
+	t.unread = 0
+}
+
 // smoothing is the weight of the newest measurement in a moving average.
 const smoothing = 0.1
 
@@ -261,7 +278,8 @@
 		return
 	}
 	t.done = true
-	t.endpoint.own--
+	t.read()
+	t.endpoint.own.Requests--
 	t.endpoint.end(b.clock.Now(), result, b.settings)
 }
 
@@ -290,12 +308,18 @@
 	}
 }
 
-func (e *endpoint) total() int {
-	n := e.own
-	for _, others := range e.others {
-		n += others
+// total returns the load from all entries. What others have sent since they
+// last told of it is not known: as a rule all entries see the same free endpoint
+// at the same moment, so that each other one is taken to have sent as much as
+// this one has.
+func (e *endpoint) total(entries int) Share {
+	sum := e.own
+	for _, share := range e.others {
+		sum.Requests += share.Requests
+		sum.Unread += share.Unread
 	}
-	return n
+	sum.Unread = max(sum.Unread, e.own.Unread*entries)
+	return sum
 }
 
 // Choose returns a place at the endpoint with the least load, or a
@@ -323,11 +347,12 @@
 	if best == nil {
 		return nil, refusal(usable)
 	}
-	t := &Ticket{balancer: b, endpoint: best, expect: q.Version, target: best.listed, total: best.total()}
+	t := &Ticket{balancer: b, endpoint: best, expect: q.Version, target: best.listed, total: best.total(1).Requests, unread: q.Prompt}
 	if t.expect == 0 && q.Model != "" && b.required(now, q.Model) > 0 {
 		t.expect = b.version(best, q.Model)
 	}
-	best.own++
+	best.own.Requests++
+	best.own.Unread += q.Prompt
 	return t, nil
 }
 
@@ -353,7 +378,7 @@
 
 // takes reports whether an endpoint may get the request at all.
 func (b *Balancer) takes(now time.Time, e *endpoint, q Query) bool {
-	if e.listed.Leaving || now.Before(e.ejectedUntil) || e.probation && e.own > 0 {
+	if e.listed.Leaving || now.Before(e.ejectedUntil) || e.probation && e.own.Requests > 0 {
 		return false
 	}
 	if q.Model == "" {
@@ -382,7 +407,9 @@
 // slower than the others counts as fuller.
 func (b *Balancer) cost(e *endpoint, q Query) (float64, bool) {
 	slots := float64(max(e.listed.Slots, 1))
-	total := (float64(e.total()) + b.rng.Float64()/2) * b.slowness(e) // the random part spreads entries that see the same loads
+	share := e.total(len(b.heard) + 1)
+	slowness := b.slowness(e)
+	total := (float64(share.Requests) + b.rng.Float64()/2) * slowness // the random part spreads entries that see the same loads
 	far := b.regionOf(e.listed.FailureDomain) != b.self
 	if q.Model == "" {
 		cost := total / slots
@@ -399,7 +426,32 @@
 	if far {
 		cost += b.settings.EnginePenalty
 	}
-	return cost, total < slots*fill
+	first := b.firstEvent(share.Unread+q.Prompt, q.Service, slowness)
+	if engine := b.engine(q.Service); engine != nil && engine.Pass > 0 {
+		cost += float64(first) / float64(engine.Pass)
+	}
+	inTime := q.Objective == 0 || first <= time.Duration(b.settings.FirstShare*float64(q.Objective))
+	return cost, total < slots*fill && (inTime || share.Unread == 0)
+}
+
+// firstEvent predicts the time to the first event behind so many prompt tokens:
+// the engine reads them between the passes of its batch.
+func (b *Balancer) firstEvent(unread int, service gooseberrypass.ID, slowness float64) time.Duration {
+	engine := b.engine(service)
+	if engine == nil || engine.ReadRate <= 0 {
+		return 0
+	}
+	read := time.Duration(float64(unread) / engine.ReadRate * float64(time.Second))
+	return time.Duration(slowness * float64(engine.Pass+read))
+}
+
+// engine describes the engines of a service, nil if it is not known.
+func (b *Balancer) engine(service gooseberrypass.ID) *gooseberrypass.EngineModel {
+	if b.snapshot.Deployment == nil {
+		return nil
+	}
+	spec, _ := b.snapshot.Deployment.Service(service)
+	return spec.Engine
 }
 
 // slowness is how many times longer an endpoint takes to the head of an answer
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -81,7 +81,7 @@
 
 func TestCountsRequestsOfOtherEntries(t *testing.T) {
 	f := newFixture(t, 2)
-	f.balancer.SetOthers(f.clock.Now(), "other", map[gooseberrypass.ID]int{"e0": 5, "e1": 4})
+	f.balancer.SetOthers(f.clock.Now(), "other", map[gooseberrypass.ID]balancer.Share{"e0": {Requests: 5}, "e1": {Requests: 4}})
 	if got, want := f.choose(t).Endpoint().ID, gooseberrypass.ID("e1"); got != want {
 		t.Errorf("got %s, want %s", got, want)
 	}
--- a/deployment.go
+++ b/deployment.go
@@ -48,6 +48,8 @@
 	ChunkSize int64         // bytes of a piece
 	Layers    int           // of the model
 	Model     string        // name of the model
+	Pass      time.Duration // between two events of a stream while the batch is full
+	ReadRate  float64       // prompt tokens a second
 	Slots     int           // requests in one batch
 	Warm      time.Duration // to load a staged version
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -23,6 +23,8 @@
 	MaxAnswer    int64         // bytes of an answer that is held back until it is whole
 	PoisonCrash  int           // breaks at endpoints after which a request is refused
 	PoisonTime   time.Duration // for which it is refused
+	QueuePoll    time.Duration // between two looks for room
+	QueueShare   float64       // share of the objective for which a request waits for room
 	RetryAfter   time.Duration // told to callers that were refused for load
 	RetryRatio   float64       // repeats of a service in the window, in requests
 	RetrySlack   float64       // repeats of a service in the window beyond the ratio, of all entries
--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -61,7 +61,7 @@
 	f := r.forwarder
 	f.budget.count(r.arrived, r.service)
 	for {
-		ticket, err := f.chooser.Choose(r.query())
+		ticket, err := r.choose(ctx)
 		if err != nil {
 			return r.settle(r.refused(err))
 		}
@@ -98,9 +98,34 @@
 	return errors.Wrap(r.w.Write(r.fallback.body), "deliver an endpoint's error")
 }
 
+// choose returns a place at an endpoint. If none has room, the request waits for
+// one for a part of its objective.
+func (r *run) choose(ctx context.Context) (*balancer.Ticket, error) {
+	f := r.forwarder
+	until := r.arrived.Add(time.Duration(f.settings.QueueShare * float64(r.route.Objective)))
+	for {
+		ticket, err := f.chooser.Choose(r.query())
+		var refusal *gooseberrypass.RequestError
+		if err == nil || !errors.As(err, &refusal) || refusal.Reason != gooseberrypass.ReasonOverloaded {
+			return ticket, err
+		}
+		if !f.clock.Now().Add(f.settings.QueuePoll).Before(until) {
+			return nil, err
+		}
+		timer := f.clock.NewTimer(f.settings.QueuePoll)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, err
+		case <-timer.Chan():
+		}
+	}
+}
+
 func (r *run) query() balancer.Query {
 	return balancer.Query{
-		Avoid: r.avoid, Model: r.model, Resumed: r.started, Service: r.service, Version: r.version,
+		Avoid: r.avoid, Model: r.model, Objective: r.route.Objective, Prompt: r.passage.PromptTokens,
+		Resumed: r.started, Service: r.service, Version: r.version,
 	}
 }
 
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -21,13 +21,13 @@
 
 // A Message is what one process tells others.
 type Message struct {
-	Address  string                                         `json:"address"` // of the sender
-	From     gooseberrypass.ID                              `json:"from"`
-	InFlight map[gooseberrypass.ID]int                      `json:"in_flight,omitempty"` // requests of an entry at each endpoint
-	Leaving  bool                                           `json:"leaving,omitempty"`
-	Next     map[gooseberrypass.Topic]gooseberrypass.Offset `json:"next"` // offsets after the last record known
-	Notice   *balancer.Notice                               `json:"notice,omitempty"`
-	Role     gooseberrypass.Role                            `json:"role"`
+	Address string                                         `json:"address"` // of the sender
+	From    gooseberrypass.ID                              `json:"from"`
+	Leaving bool                                           `json:"leaving,omitempty"`
+	Next    map[gooseberrypass.Topic]gooseberrypass.Offset `json:"next"` // offsets after the last record known
+	Notice  *balancer.Notice                               `json:"notice,omitempty"`
+	Role    gooseberrypass.Role                            `json:"role"`
+	Shares  map[gooseberrypass.ID]balancer.Share           `json:"shares,omitempty"` // load from an entry at each endpoint
 }
 
 // Received is the event that a message came.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -45,9 +45,9 @@
 // A Loads is what an entry tells of its requests and hears from others. It is
 // nil in agents.
 type Loads interface {
-	InFlight() map[gooseberrypass.ID]int
 	SetNotice(now time.Time, n balancer.Notice)
-	SetOthers(now time.Time, from gooseberrypass.ID, inFlight map[gooseberrypass.ID]int)
+	SetOthers(now time.Time, from gooseberrypass.ID, shares map[gooseberrypass.ID]balancer.Share)
+	Shares() map[gooseberrypass.ID]balancer.Share
 }
 
 // Self is the process that a Relayer belongs to.
@@ -118,7 +118,7 @@
 	}
 	m.Next[gooseberrypass.TopicProcesses] = r.surveyor.Next(gooseberrypass.TopicProcesses)
 	if r.loads != nil {
-		m.InFlight = r.loads.InFlight()
+		m.Shares = r.loads.Shares()
 		m.Next[gooseberrypass.TopicEndpoints] = r.surveyor.Next(gooseberrypass.TopicEndpoints)
 	}
 	return m
@@ -164,7 +164,7 @@
 	}
 	if r.loads != nil {
 		if m.Role == gooseberrypass.RoleEntry {
-			r.loads.SetOthers(now, m.From, m.InFlight)
+			r.loads.SetOthers(now, m.From, m.Shares)
 		}
 		if m.Notice != nil {
 			r.noteNotice(now, m)
