--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,122 @@
+package follower_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/follower"
+)
+
+// A read is the answer to one read, a call its arguments.
+type read struct {
+	batch gooseberrypass.KeyedBatch
+	err   error
+}
+
+// A log plays reads, and ends the follower after the last.
+type log struct {
+	calls  []string
+	cancel context.CancelFunc
+	reads  []read
+}
+
+func (l *log) answer(call string) (gooseberrypass.KeyedBatch, error) {
+	l.calls = append(l.calls, call)
+	if len(l.calls) > len(l.reads) {
+		l.cancel()
+		return gooseberrypass.KeyedBatch{}, context.Canceled
+	}
+	r := l.reads[len(l.calls)-1]
+	return r.batch, r.err
+}
+
+func (l *log) Newest(context.Context, gooseberrypass.Topic) (gooseberrypass.KeyedBatch, error) {
+	return l.answer("newest")
+}
+
+func (*log) Put(context.Context, gooseberrypass.Topic, string, []byte) error { return nil }
+
+func (l *log) Tail(_ context.Context, _ gooseberrypass.Topic, from gooseberrypass.Offset, _ time.Duration) (gooseberrypass.KeyedBatch, error) {
+	return l.answer("tail " + string(rune('0'+from)))
+}
+
+func follow(t *testing.T, reads ...read) ([]string, []gooseberrypass.Event) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l := &log{cancel: cancel, reads: reads}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	counts, err := follower.NewReads(prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var events []gooseberrypass.Event
+	f := follower.New(clockwork.NewRealClock(), l, "t", follower.Settings{}, func(e gooseberrypass.Event) { events = append(events, e) }, counts, logger)
+	if err := f.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return l.calls, events
+}
+
+func wantCalls(t *testing.T, got []string, want ...string) {
+	t.Helper()
+	for i := range want {
+		if i >= len(got) || got[i] != want[i] {
+			t.Fatalf("calls: got %v, want %v", got, want)
+		}
+	}
+}
+
+func batch(next gooseberrypass.Offset, whole bool, keys ...string) gooseberrypass.KeyedBatch {
+	b := gooseberrypass.KeyedBatch{Next: next, Whole: whole}
+	for _, key := range keys {
+		b.Records = append(b.Records, gooseberrypass.KeyedRecord{Key: key, Offset: next - 1, Value: []byte("v")})
+	}
+	return b
+}
+
+func TestReadsEveryKeyThenWhatFollows(t *testing.T) {
+	calls, events := follow(t, read{batch: batch(3, true, "a")}, read{batch: batch(5, false, "b")}, read{batch: batch(5, false)})
+	wantCalls(t, calls, "newest", "tail 3", "tail 5", "tail 5")
+	first, ok := events[0].(gooseberrypass.TopicChanged)
+	if !ok || !first.Started || !first.Batch.Whole {
+		t.Errorf("first event: got %+v, want the first read of every key", events[0])
+	}
+	second, ok := events[2].(gooseberrypass.TopicChanged)
+	if !ok || second.Started {
+		t.Errorf("third event: got %+v, want a change", events[2])
+	}
+}
+
+func TestReadsEveryKeyAgainAfterATrim(t *testing.T) {
+	calls, events := follow(t, read{batch: batch(3, true, "a")}, read{err: &gooseberrypass.TrimmedError{First: 9}}, read{batch: batch(9, true, "a")})
+	wantCalls(t, calls, "newest", "tail 3", "newest", "tail 9")
+	for _, e := range events {
+		if r, ok := e.(gooseberrypass.TopicRead); ok && r.Err != nil && !errors.Is(r.Err, context.Canceled) {
+			t.Errorf("a trim was told as an outage: %v", r.Err)
+		}
+	}
+}
+
+func TestGoesOnWhereItWasAfterAnOutage(t *testing.T) {
+	down := errors.New("down")
+	calls, events := follow(t, read{batch: batch(3, true, "a")}, read{err: down}, read{batch: batch(4, false, "b")})
+	wantCalls(t, calls, "newest", "tail 3", "tail 3", "tail 4")
+	told := false
+	for _, e := range events {
+		r, ok := e.(gooseberrypass.TopicRead)
+		told = told || ok && errors.Is(r.Err, down)
+	}
+	if !told {
+		t.Error("the outage was not told")
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -188,8 +188,8 @@
 	}
 	f.metrics.observe(r, outcome, took)
 	entry := f.logger.WithFields(logrus.Fields{
-		"request": r.passage.ID, "outcome": outcome, "ms": took.Milliseconds(), "tries": r.tries, "config": r.config,
-		"endpoint": r.last, "service": r.service, "status": r.status, "first_ms": r.first.Milliseconds(), "at_endpoint": r.total,
+		"request": r.passage.ID, labelOutcome: outcome, "ms": took.Milliseconds(), "tries": r.tries, "config": r.config,
+		"endpoint": r.last, labelService: r.service, "status": r.status, "first_ms": r.first.Milliseconds(), "at_endpoint": r.total,
 	})
 	if r.route != nil {
 		entry = entry.WithField("route", r.route.Name)
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -7,6 +7,12 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
+// The labels of metrics and fields of log lines.
+const (
+	labelOutcome = "outcome"
+	labelService = "service"
+)
+
 // metrics counts requests and their times.
 type metrics struct {
 	denied  prometheus.Counter
@@ -25,18 +31,18 @@
 		}),
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Buckets: buckets, Help: "Time to the head of an answer.", Name: "gooseberrypass_forward_first_seconds",
-		}, []string{"service"}),
+		}, []string{labelService}),
 		results: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberrypass_forward_requests_total",
 			Help: "Requests of callers, by service and outcome.",
-		}, []string{"service", "outcome"}),
+		}, []string{labelService, labelOutcome}),
 		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Buckets: buckets, Help: "Time to the end of a request.", Name: "gooseberrypass_forward_seconds",
-		}, []string{"service", "outcome"}),
+		}, []string{labelService, labelOutcome}),
 		tries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberrypass_forward_attempts_total",
 			Help: "Attempts sent to endpoints.",
-		}, []string{"service"}),
+		}, []string{labelService}),
 	}
 	for _, c := range []prometheus.Collector{m.denied, m.first, m.results, m.took, m.tries} {
 		if err := registerer.Register(c); err != nil {
--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,145 @@
+package relayer_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/gossiper"
+	"github.com/gooseberrypass/gooseberrypass/relayer"
+	"github.com/gooseberrypass/gooseberrypass/surveyor"
+)
+
+type decoder struct{}
+
+func (decoder) Deployment(r gooseberrypass.KeyedRecord) (*gooseberrypass.Deployment, error) {
+	return gooseberrypass.NewDeployment(int64(r.Offset), nil, nil, nil, gooseberrypass.CallerLimits{}), nil
+}
+
+func (decoder) Endpoint(gooseberrypass.KeyedRecord) (gooseberrypass.Endpoint, error) {
+	return gooseberrypass.Endpoint{}, errors.New("none")
+}
+
+func (decoder) Target(gooseberrypass.KeyedRecord) (gooseberrypass.ModelTarget, bool, error) {
+	return gooseberrypass.ModelTarget{}, false, nil
+}
+
+// A post records messages instead of sending them.
+type post struct{ to []string }
+
+func (p *post) Send(_ gossiper.Message, addresses []string) { p.to = append(p.to, addresses...) }
+
+// A process is a surveyor with its relayer, without a control loop.
+type process struct {
+	answerer *relayer.Answerer
+	post     *post
+	relayer  *relayer.Relayer
+	surveyor *surveyor.Surveyor
+}
+
+var now = time.Unix(1000, 0) //nolint:gochecknoglobals // a constant time
+
+func newProcess(id gooseberrypass.ID, role gooseberrypass.Role) *process {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	p := &process{post: &post{}, surveyor: surveyor.New(decoder{}, surveyor.Settings{}, log)}
+	p.answerer = relayer.NewAnswerer(p.surveyor)
+	p.relayer = relayer.New(relayer.Self{Address: string(id), ID: id, Role: role}, p.surveyor, p.post, http.DefaultClient, nil,
+		relayer.Settings{Period: time.Second, Spread: 1, Timeout: time.Second}, 1, log)
+	return p
+}
+
+// handle runs an event and all that follows from it.
+func (p *process) handle(event gooseberrypass.Event) {
+	for _, c := range []gooseberrypass.Controller{p.surveyor, p.answerer, p.relayer} {
+		for _, effect := range c.Handle(now, event) {
+			if next := effect.Run(context.Background()); next != nil {
+				p.handle(next)
+			}
+		}
+	}
+}
+
+func config(offset gooseberrypass.Offset) gooseberrypass.TopicChanged {
+	return gooseberrypass.TopicChanged{Batch: gooseberrypass.KeyedBatch{
+		Next: offset + 1, Records: []gooseberrypass.KeyedRecord{{Key: "config", Offset: offset, Value: []byte("c")}},
+	}, Topic: gooseberrypass.TopicOperator}
+}
+
+func ahead(address string, next gooseberrypass.Offset) gossiper.Received {
+	return gossiper.Received{Message: gossiper.Message{
+		Address: address, From: "other", Next: map[gooseberrypass.Topic]gooseberrypass.Offset{gooseberrypass.TopicOperator: next}, Role: gooseberrypass.RoleEntry,
+	}}
+}
+
+func TestProcessTheStoreTurnsAwayTakesRecordsFromAnother(t *testing.T) {
+	from, to := newProcess("a", gooseberrypass.RoleEntry), newProcess("b", gooseberrypass.RoleAgent)
+	from.handle(config(7))
+	mux := http.NewServeMux()
+	mux.Handle(relayer.Pattern, relayer.NewHandler(from.handle))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	to.handle(ahead(strings.TrimPrefix(server.URL, "http://"), 8))
+	if d := to.surveyor.Deployment(); d == nil || d.Version() != 7 {
+		t.Errorf("deployment: got %v, want that of offset 7", d)
+	}
+	if got, want := to.surveyor.Next(gooseberrypass.TopicOperator), gooseberrypass.Offset(8); got != want {
+		t.Errorf("next: got %d, want %d", got, want)
+	}
+}
+
+func TestProcessThatIsNotBehindAsksNobody(t *testing.T) {
+	p := newProcess("a", gooseberrypass.RoleAgent)
+	p.handle(config(7))
+	p.handle(ahead("127.0.0.1:1", 8)) // a pull would fail and be told
+	if got, want := p.surveyor.Deployment().Version(), int64(7); got != want {
+		t.Errorf("got %d, want %d", got, want)
+	}
+}
+
+func TestLostPullIsTriedAgain(t *testing.T) {
+	p := newProcess("a", gooseberrypass.RoleAgent)
+	p.handle(ahead("127.0.0.1:1", 8))
+	from := newProcess("b", gooseberrypass.RoleEntry)
+	from.handle(config(7))
+	mux := http.NewServeMux()
+	mux.Handle(relayer.Pattern, relayer.NewHandler(from.handle))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	p.handle(ahead(strings.TrimPrefix(server.URL, "http://"), 8))
+	if p.surveyor.Deployment() == nil {
+		t.Error("no deployment after the second message")
+	}
+}
+
+func TestChangeIsToldToAllEntriesAndAFewAgents(t *testing.T) {
+	p := newProcess("a", gooseberrypass.RoleAgent)
+	var records []gooseberrypass.KeyedRecord
+	for i, body := range []string{
+		`{"address":"e1","id":"e1","role":"entry"}`, `{"address":"e2","id":"e2","role":"entry"}`,
+		`{"address":"g1","id":"g1","role":"agent"}`, `{"address":"g2","id":"g2","role":"agent"}`, `{"id":"broken"`,
+	} {
+		records = append(records, gooseberrypass.KeyedRecord{Key: body, Offset: gooseberrypass.Offset(i), Value: []byte(body)})
+	}
+	p.handle(gooseberrypass.TopicChanged{Batch: gooseberrypass.KeyedBatch{Next: 5, Records: records}, Topic: gooseberrypass.TopicProcesses})
+	p.handle(config(7))
+	entries, agents := 0, 0
+	for _, to := range p.post.to {
+		if strings.HasPrefix(to, "e") {
+			entries++
+		} else {
+			agents++
+		}
+	}
+	if entries != 2 || agents != 1 {
+		t.Errorf("told %v, want both entries and one agent", p.post.to)
+	}
+}
--- a/runner/machine.go
+++ b/runner/machine.go
@@ -122,7 +122,8 @@
 	serve := func(l *listener.Listener) service {
 		return func(ctx context.Context) error { return l.Run(ctx, closeGrace) }
 	}
-	services := []service{m.loop.Run, m.gossiper.Run, m.register, serve(m.system), serve(m.metrics)}
+	services := make([]service, 0, len(m.followers)+5)
+	services = append(services, m.loop.Run, m.gossiper.Run, m.register, serve(m.system), serve(m.metrics))
 	for _, f := range m.followers {
 		services = append(services, f.Run)
 	}
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -27,6 +27,9 @@
 	sectionWeights gooseberrypass.Kind = "weights"
 )
 
+// halfSecond is a default of several settings.
+const halfSecond = "500ms"
+
 // MachineSettings are the settings of a process on the platform's prepared
 // machines.
 type MachineSettings struct {
@@ -102,7 +105,7 @@
 		Keys: []checker.Key{
 			{Name: "connect", Type: checker.Duration(time.Millisecond, most), Default: "400ms", Doc: "For a new connection to an endpoint; many round trips between regions."},
 			{Name: "cut-after", Type: checker.Duration(0, most), Default: "100ms", Doc: "After a deadline, for an endpoint's own answer to arrive."},
-			{Name: "ejection", Type: checker.Duration(time.Millisecond, most), Default: "500ms", Doc: "For which an endpoint with two failures in a row is passed over; doubled each time."},
+			{Name: "ejection", Type: checker.Duration(time.Millisecond, most), Default: halfSecond, Doc: "For which an endpoint with two failures in a row is passed over; doubled each time."},
 			{Name: "ejection-most", Type: checker.Duration(time.Millisecond, most), Default: "4s", Doc: "Longest ejection."},
 			{Name: "engine-penalty", Type: checker.Float(0, 100), Default: "1", Doc: "Requests that an engine in another region must have less to be chosen."},
 			{Name: "fill", Type: checker.Float(0.1, 10), Default: "1", Doc: "Requests at an engine, in its slots, up to which more are sent; those beyond wait without being read."},
@@ -125,9 +128,9 @@
 			{Name: "resume-fill", Type: checker.Float(0.1, 10), Default: "1.5", Doc: "As fill, for streams that were cut."},
 			{Name: "retry-after", Type: checker.Duration(0, most), Default: "1900ms", Doc: "Told to callers that were refused for load."},
 			{Name: "retry-share", Type: checker.Float(0.1, 100), Default: "2", Doc: "Entries that share the slack of repeats, in entries heard of; leaves room for those that start."},
-			{Name: "servers-pause", Type: checker.Duration(time.Millisecond, most), Default: "500ms", Doc: "Between reads of the list of endpoints."},
+			{Name: "servers-pause", Type: checker.Duration(time.Millisecond, most), Default: halfSecond, Doc: "Between reads of the list of endpoints."},
 			{Name: "slow-tolerance", Type: checker.Float(1, 100), Default: "1.6", Doc: "Times that an endpoint may be slower than its service before it counts as fuller; loads that differ by a few requests make as much."},
-			{Name: "starting-wait", Type: checker.Duration(0, most), Default: "500ms", Doc: "Told to callers before the first configuration."},
+			{Name: "starting-wait", Type: checker.Duration(0, most), Default: halfSecond, Doc: "Told to callers before the first configuration."},
 			{Name: "stop-delay", Type: checker.Duration(0, most), Default: "2500ms", Doc: "From SIGTERM until no connection is taken; the platform asks twice, a second apart."},
 			{Name: "version-margin", Type: checker.Duration(0, most), Default: "800ms", Doc: "Before the bound, from which only the new version is used; longest wait of a request at an engine."},
 		},
--- /dev/null
+++ b/runner/machinesettings_test.go
@@ -0,0 +1,65 @@
+package runner_test
+
+import (
+	"errors"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/runner"
+)
+
+// fields are what the platform fills into the templates.
+func fields() map[string]string {
+	return map[string]string{
+		"Bounds.GraceS": "8", "Bounds.RetryRatio": "0.2", "Bounds.RetrySlack": "100", "Bounds.RetryWindowS": "10",
+		"Bounds.StableWindowMs": "3000", "Bounds.version_ms": "8000", "InternalPorts.0": "7700", "Ip": "10.1.0.40",
+		"Limits.LinkMbps": "7.3", "Limits.MemoryMb": "284", "Listen.Frontend": "10.1.0.40:8005", "Listen.Ready": "10.1.0.40:8002",
+		"NodeName": "edge-a-1", "Platform.Address": "10.200.1.7:8007", "Region": "centro", "Service": "s", "Zone": "centro-a",
+		"app": "10.1.0.41:8001",
+	}
+}
+
+// render fills a template of the deployment.
+func render(t *testing.T, name string, fields map[string]string) []byte {
+	t.Helper()
+	body, err := os.ReadFile("../deploy/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.ReplaceAll(string(body), "{{#Zones}}{{@}}={{.}}{{,}}{{/Zones}}", "centro-a=centro,norte-a=norte")
+	return []byte(regexp.MustCompile(`{{[^}]*}}`).ReplaceAllStringFunc(text, func(placeholder string) string {
+		return fields[strings.Trim(placeholder, "{}")]
+	}))
+}
+
+func TestTemplatesMakeValidSettings(t *testing.T) {
+	for name, role := range map[string]gooseberrypass.Role{"gateway.ini": gooseberrypass.RoleEntry, "sidecar.ini": gooseberrypass.RoleAgent} {
+		if _, err := runner.ParseMachineSettings(name, role, render(t, name, fields())); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestTemplateThatLacksAFieldIsFound(t *testing.T) {
+	for field := range fields() {
+		for name, role := range map[string]gooseberrypass.Role{"gateway.ini": gooseberrypass.RoleEntry, "sidecar.ini": gooseberrypass.RoleAgent} {
+			body, err := os.ReadFile("../deploy/" + name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !strings.Contains(string(body), "{{"+field+"}}") {
+				continue
+			}
+			without := fields()
+			delete(without, field)
+			_, err = runner.ParseMachineSettings(name, role, render(t, name, without))
+			var findings *runner.FindingsError
+			if !errors.As(err, &findings) || findings.Findings[0].Line == 0 || findings.Findings[0].Key == "" {
+				t.Errorf("%s without %s: got %v, want a finding with its place", name, field, err)
+			}
+		}
+	}
+}
--- a/stager/job.go
+++ b/stager/job.go
@@ -109,23 +109,32 @@
 		return manifestEffect{
 			manifests: s.d.Manifests, model: s.model.Model, origin: s.d.Origin, peers: s.manifestPeers(j), version: j.version,
 		}
-	case !j.seeded && !s.reported && now.Sub(s.created(now)) < s.settings.Patience:
-		return nil // an engine that was there before may have pieces staged
 	case !j.seeded:
-		return seedEffect{chunks: s.d.Chunks, engine: s.d.Engine, manifest: j.manifest, model: s.model.Model, version: j.version}
+		return s.nextSeed(now, j)
 	case !s.reported || !first || s.loaded(j) || !s.whole(j):
 		return nil // a loaded version is held for the agents that still fetch it
 	case !j.staged:
-		return stageEffect{chunks: s.d.Chunks, engine: s.d.Engine, manifest: j.manifest, model: s.model.Model, version: j.version}
+		return s.stageEffect(j)
 	case s.report.Busy || s.inService() && !s.announced(now, j):
 		return nil
 	default:
-		return startEffect{stageEffect: stageEffect{
-			chunks: s.d.Chunks, engine: s.d.Engine, manifest: j.manifest, model: s.model.Model, version: j.version,
-		}, layers: s.model.Layers, orders: s.report.Orders}
+		return startEffect{stageEffect: s.stageEffect(j), layers: s.model.Layers, orders: s.report.Orders}
 	}
 }
 
+// nextSeed takes over what is staged. At the start it waits a moment for an
+// engine that was there before and may have pieces staged.
+func (s *Stager) nextSeed(now time.Time, j *job) gooseberrypass.Effect {
+	if !s.reported && now.Sub(s.created(now)) < s.settings.Patience {
+		return nil
+	}
+	return seedEffect{chunks: s.d.Chunks, engine: s.d.Engine, manifest: j.manifest, model: s.model.Model, version: j.version}
+}
+
+func (s *Stager) stageEffect(j *job) stageEffect {
+	return stageEffect{chunks: s.d.Chunks, engine: s.d.Engine, manifest: j.manifest, model: s.model.Model, version: j.version}
+}
+
 // announced reports whether entries send nothing to an engine in service any
 // more. It tells them when the version is due.
 func (s *Stager) announced(now time.Time, j *job) bool {
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -326,7 +326,7 @@
 	}
 	snapshot.Processes = s.processes()
 	s.snapshot.Store(snapshot)
-	var effects []gooseberrypass.Effect
+	effects := make([]gooseberrypass.Effect, 0, len(s.next))
 	for _, c := range s.next {
 		effects = append(effects, c.Handle(now, Changed{Snapshot: snapshot})...)
 	}
--- a/surveyor/surveyor_test.go
+++ b/surveyor/surveyor_test.go
@@ -43,6 +43,7 @@
 	lapse  = 2 * time.Second
 )
 
+//nolint:gochecknoglobals // a constant time
 var begin = time.Unix(1000, 0)
 
 func newSurveyor() *surveyor.Surveyor {
@@ -68,7 +69,7 @@
 }
 
 func endpointIDs(s *surveyor.Surveyor) string {
-	var ids []string
+	ids := make([]string, 0, len(s.Snapshot().Endpoints))
 	for _, e := range s.Snapshot().Endpoints {
 		ids = append(ids, string(e.ID))
 	}
