--- a/runner/machine.go
+++ b/runner/machine.go
@@ -76,7 +76,7 @@
 // Dial limits of the client for the store and other processes: instances are a
 // few milliseconds apart, and a silent connection must be noticed in seconds.
 const (
-	dialTimeout = 800 * time.Millisecond
+	dialTimeout = 400 * time.Millisecond
 	probePeriod = time.Second
 	probeCount  = 2
 	idlePerHost = 16
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -325,7 +325,7 @@
 	passPause   = time.Second
 	slowChunk   = 400 * time.Millisecond // of a piece; events are late after less
 	sourceFirst = 100 * time.Millisecond
-	sourceMost  = 800 * time.Millisecond
+	sourceMost  = 250 * time.Millisecond
 )
 
 func (s *MachineSettings) fetcher() fetcher.Settings {
