--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -330,25 +330,19 @@
 	now := b.clock.Now()
 	var best *endpoint
 	bestCost := 0.0
-	usable := 0
+	counts := tally{required: b.required(now, q.Model)}
 	for _, e := range b.services[q.Service] {
-		if !b.takes(now, e, q) {
-			continue
-		}
-		usable++
-		cost, room := b.cost(e, q)
-		if !room || now.Before(e.fullUntil) || slices.Contains(q.Avoid, e.listed.ID) {
-			continue
-		}
-		if best == nil || cost < bestCost {
+		cost, state := b.judge(now, e, q)
+		counts.states[state]++
+		if state == stateRoom && (best == nil || cost < bestCost) {
 			best, bestCost = e, cost
 		}
 	}
 	if best == nil {
-		return nil, refusal(usable)
+		return nil, counts.refusal()
 	}
 	t := &Ticket{balancer: b, endpoint: best, expect: q.Version, target: best.listed, total: best.total(1).Requests, unread: q.Prompt}
-	if t.expect == 0 && q.Model != "" && b.required(now, q.Model) > 0 {
+	if t.expect == 0 && counts.required > 0 {
 		t.expect = b.version(best, q.Model)
 	}
 	best.own.Requests++
@@ -356,18 +350,20 @@
 	return t, nil
 }
 
-func refusal(usable int) error {
-	if usable == 0 {
-		return &gooseberrypass.RequestError{
-			Detail:  "no endpoint takes work",
-			Outcome: gooseberrypass.OutcomeNotRun,
-			Reason:  gooseberrypass.ReasonNoEndpoint,
-		}
+// judge returns the order of an endpoint for a request, and whether it may get
+// it.
+func (b *Balancer) judge(now time.Time, e *endpoint, q Query) (float64, state) {
+	if state := b.use(now, e, q); state != stateRoom {
+		return 0, state
 	}
-	return &gooseberrypass.RequestError{
-		Detail:  "every endpoint is full",
-		Outcome: gooseberrypass.OutcomeNotRun,
-		Reason:  gooseberrypass.ReasonOverloaded,
+	cost, room := b.cost(e, q)
+	switch {
+	case slices.Contains(q.Avoid, e.listed.ID):
+		return 0, stateTried
+	case !room || now.Before(e.fullUntil):
+		return 0, stateFull
+	default:
+		return cost, stateRoom
 	}
 }
 
@@ -376,22 +372,24 @@
 	return b.snapshot.Targets[model].Required(now, b.settings.VersionTimeout-b.settings.VersionMargin)
 }
 
-// takes reports whether an endpoint may get the request at all.
-func (b *Balancer) takes(now time.Time, e *endpoint, q Query) bool {
-	if e.listed.Leaving || now.Before(e.ejectedUntil) || e.probation && e.own.Requests > 0 {
-		return false
-	}
-	if q.Model == "" {
-		return true
-	}
-	if b.notices[e.listed.Address].Loading {
-		return false
+// use returns why an endpoint may not get the request at all, stateRoom if it
+// may.
+func (b *Balancer) use(now time.Time, e *endpoint, q Query) state {
+	switch {
+	case e.listed.Leaving:
+		return stateLeaving
+	case now.Before(e.ejectedUntil) || e.probation && e.own.Requests > 0:
+		return stateEjected
+	case q.Model == "":
+		return stateRoom
+	case b.notices[e.listed.Address].Loading:
+		return stateLoading
 	}
 	version := b.version(e, q.Model)
-	if q.Version > 0 {
-		return version == q.Version
+	if q.Version > 0 && version != q.Version || version == 0 || version < b.required(now, q.Model) {
+		return stateVersion
 	}
-	return version > 0 && version >= b.required(now, q.Model)
+	return stateRoom
 }
 
 // version returns the version of a model that an endpoint has loaded, by its
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -180,6 +180,23 @@
 	}
 }
 
+func TestRefusalTellsWhatItRestsOn(t *testing.T) {
+	f := newFixture(t, 4)
+	f.snapshot.Targets["m"] = surveyor.Targets{{Since: f.clock.Now(), Version: 2}}
+	f.snapshot.Endpoints[0].Leaving = true
+	f.publish()
+	f.balancer.SetNotice(f.clock.Now(), balancer.Notice{Address: "a1", Loading: true})
+	f.clock.Advance(7 * time.Second)
+	_, err := f.balancer.Choose(balancer.Query{Model: "m", Service: "s"})
+	var failure *gooseberrypass.RequestError
+	if !errors.As(err, &failure) {
+		t.Fatalf("got %v, want a refusal", err)
+	}
+	if got, want := failure.Detail, "no endpoint takes work (1 leaving, 1 loading, 2 of another version, version 2 required)"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
 func TestLeavingEndpointGetsNothing(t *testing.T) {
 	f := newFixture(t, 1)
 	f.snapshot.Endpoints[0].Leaving = true
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -25,7 +25,7 @@
 
 const description = `Distributes model weights to instances and routes requests to them.
 
-Operators edit a folder of small INI files and publish it; see docs/OPERATING.md.`
+Operators edit a folder of small INI files and publish it; see docs/OPERATIONS.md.`
 
 // A Command line is what kong parses: one field for each command.
 type commandLine struct {
