Leave out an older version that comes too late to be of use

Cause: while the origin was away agents passed over the one that reads a piece from it for as long as they had waited, and after its return finished version 2 although version 3's bound made it useless within a second.

--- a/fetcher/results.go
+++ b/fetcher/results.go
@@ -91,7 +91,11 @@
 	case ResultPending:
 		patience := p.patience(f.rank)
 		if now.Sub(it.asked) > patience {
-			it.pass(id, now.Add(patience))
+			pause := patience
+			if p.settings.PendingPause > 0 {
+				pause = p.settings.PendingPause
+			}
+			it.pass(id, now.Add(pause))
 			it.asked = now
 		}
 	case ResultCorrupt, ResultUnreachable:
--- a/fetcher/settings.go
+++ b/fetcher/settings.go
@@ -18,6 +18,7 @@
 	MismatchPause  time.Duration // after the second such read; doubled each time
 	OriginInFlight int           // reads from the origin at once
 	PassPause      time.Duration // for which one sender is passed over for one item
+	PendingPause   time.Duration // for which a peer that waits itself is passed over; 0 is as long as it was waited for
 	SlowTransfer   time.Duration // of a chunk, above which fewer are asked for at once; 0 asks for as many always
 	SourceMax      time.Duration // longest pause of a source outside the pool
 	SourcePause    time.Duration // of such a source after a failure; doubled each time
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -30,6 +30,9 @@
 // halfSecond is a default of several settings.
 const halfSecond = "500ms"
 
+// versionMargin is the default of entries and agents, which must agree.
+const versionMargin = "800ms"
+
 // MachineSettings are the settings of a process on the platform's prepared
 // machines.
 type MachineSettings struct {
@@ -132,7 +135,7 @@
 			{Name: "slow-tolerance", Type: checker.Float(1, 100), Default: "1.6", Doc: "Times that an endpoint may be slower than its service before it counts as fuller; loads that differ by a few requests make as much."},
 			{Name: "starting-wait", Type: checker.Duration(0, most), Default: halfSecond, Doc: "Told to callers before the first configuration."},
 			{Name: "stop-delay", Type: checker.Duration(0, most), Default: "2500ms", Doc: "From SIGTERM until no connection is taken; the platform asks twice, a second apart."},
-			{Name: "version-margin", Type: checker.Duration(0, most), Default: "800ms", Doc: "Before the bound, from which only the new version is used; longest wait of a request at an engine."},
+			{Name: "version-margin", Type: checker.Duration(0, most), Default: versionMargin, Doc: "Before the bound, from which only the new version is used; longest wait of a request at an engine."},
 		},
 	}
 }
@@ -145,6 +148,7 @@
 		Keys: []checker.Key{
 			{Name: "announce", Type: checker.Duration(0, most), Default: "150ms", Doc: "Before an order, for which entries send nothing; a message's way and a tick."},
 			{Name: "earliest", Type: checker.Duration(0, most), Default: "3500ms", Doc: "After a version was named, before which no engine in service loads it."},
+			{Name: "least-use", Type: checker.Duration(0, most), Default: "1500ms", Doc: "For which an older version must be of use to be loaded before a newer one; the time that a load takes an engine out of service."},
 			{Name: "link-share", Type: checker.Float(0.01, 1), Default: "0.95", Doc: "Share of the link for weights; the rest is for the engine's answers."},
 			{Name: "patience", Type: checker.Duration(0, most), Default: "300ms", Doc: "With an engine that does not report when the agent starts; a report takes a few milliseconds."},
 			{Name: "period", Type: checker.Duration(time.Millisecond, most), Default: "1s", Doc: "Between messages to entries when nothing changes."},
@@ -154,6 +158,7 @@
 			{Name: "spread", Type: checker.Duration(0, most), Default: "3300ms", Doc: "Over which the engines in service load a version, one after another."},
 			{Name: "uploads", Type: checker.Int(1, 100), Default: "2", Doc: "Pieces sent at once; more wait longer in the link's queue, and answers behind them."},
 			{Name: "wait", Type: checker.Duration(time.Millisecond, most), Default: "1s", Doc: "For which another agent may hold a request for a piece on its way."},
+			{Name: "version-margin", Type: checker.Duration(0, most), Default: versionMargin, Doc: "Before the bound, from which entries use only the new version."},
 			{Name: "window", Type: checker.Int(1, 10000), Default: "32", Doc: "Missing pieces asked for at once."},
 		},
 	}
@@ -305,7 +310,8 @@
 func (s *MachineSettings) stager() stager.Settings {
 	weights := func(key string) time.Duration { return s.duration(sectionWeights, key) }
 	return stager.Settings{
-		Announce: weights("announce"), Earliest: weights("earliest"), Patience: weights("patience"), Poll: weights("poll"), Retry: weights("retry"), SkipGap: weights("skip-gap"), Spread: weights("spread"),
+		Announce: weights("announce"), Earliest: weights("earliest"), LeastUse: weights("least-use"), Patience: weights("patience"), Poll: weights("poll"), Retry: weights("retry"), SkipGap: weights("skip-gap"), Spread: weights("spread"),
+		Usable: s.duration(sectionBounds, "version") - weights("version-margin"),
 	}
 }
 
@@ -320,18 +326,21 @@
 // The pauses after failures. A version has seconds to reach every engine, so
 // nothing is passed over for longer than a fraction of that.
 const (
-	avoidFirst  = 500 * time.Millisecond
-	avoidMost   = 4 * time.Second
-	passPause   = time.Second
-	slowChunk   = 400 * time.Millisecond // of a piece; events are late after less
-	sourceFirst = 100 * time.Millisecond
-	sourceMost  = 250 * time.Millisecond
+	avoidFirst = 500 * time.Millisecond
+	avoidMost  = 4 * time.Second
+	passPause  = time.Second
+	// pendingPause lets an agent ask the one that reads from the origin again
+	// soon after an outage of the origin, in which all wait for one another.
+	pendingPause = 500 * time.Millisecond
+	slowChunk    = 400 * time.Millisecond // of a piece; events are late after less
+	sourceFirst  = 100 * time.Millisecond
+	sourceMost   = 250 * time.Millisecond
 )
 
 func (s *MachineSettings) fetcher() fetcher.Settings {
 	return fetcher.Settings{
 		AvoidBase: avoidFirst, AvoidMax: avoidMost, InitialLimit: transferFirst, MaxLimit: transferMost, MinLimit: transferLeast,
-		MismatchMax: sourceMost, MismatchPause: sourceFirst, OriginInFlight: originConns, PassPause: passPause, SlowTransfer: slowChunk,
+		MismatchMax: sourceMost, MismatchPause: sourceFirst, OriginInFlight: originConns, PassPause: passPause, PendingPause: pendingPause, SlowTransfer: slowChunk,
 		SourceMax: sourceMost, SourcePause: sourceFirst, Wait: s.duration(sectionWeights, "wait"),
 		Window: checker.Get[int](s.values, sectionWeights, "window"),
 	}
--- a/stager/job.go
+++ b/stager/job.go
@@ -59,6 +59,20 @@
 	}
 }
 
+// dropUseless drops an older version that would be out of use again as soon as
+// it was loaded, and reports whether it did.
+func (s *Stager) dropUseless(now time.Time) bool {
+	if len(s.jobs) < 2 || s.jobs[0].begun || !s.jobs[0].told.IsZero() {
+		return false
+	}
+	if s.jobs[1].since.Add(s.settings.Usable).Sub(now) >= s.settings.LeastUse {
+		return false
+	}
+	s.d.Log.WithFields(logrus.Fields{fieldVersion: s.jobs[0].version, "newer": s.jobs[1].version}).Info("version left out")
+	s.jobs = s.jobs[1:]
+	return true
+}
+
 // jobOf returns the job of a version, nil if there is none any more.
 func (s *Stager) jobOf(version int) *job {
 	for _, j := range s.jobs {
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -30,11 +30,13 @@
 type Settings struct {
 	Announce time.Duration // before an order, for which entries are told to send nothing
 	Earliest time.Duration // after a version was named, before which no engine in service loads it
+	LeastUse time.Duration // for which an older version must be of use to be loaded
 	Patience time.Duration // with an engine that does not report at the start
 	Poll     time.Duration // between reports of the engine
 	Retry    time.Duration // after a step that failed
 	SkipGap  time.Duration // between two versions, up to which the older is left out for the newer
 	Spread   time.Duration // over which the engines in service load it, one after another
+	Usable   time.Duration // after a version was named, for which entries use the one before
 }
 
 // A Chunks holds the verified pieces.
@@ -164,6 +166,9 @@
 		s.polling, s.polled = true, now
 		effects = append(effects, reportEffect{engine: s.d.Engine})
 	}
+	if s.dropUseless(now) {
+		effects = append(effects, s.want(now)...)
+	}
 	for i, j := range slices.Clone(s.jobs) {
 		if i == 0 && !s.loaded(j) {
 			s.logProgress(now, j)
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -169,7 +169,7 @@
 		Self: surveyor.Process{Endpoint: "a", ID: "self", Role: gooseberrypass.RoleAgent, Service: "s"}, Teller: f.teller,
 	}, stager.Settings{
 		Announce: 200 * time.Millisecond, Earliest: 3 * time.Second, Poll: 100 * time.Millisecond, Retry: 100 * time.Millisecond,
-		SkipGap: 2 * time.Second, Spread: time.Second,
+		LeastUse: 1500 * time.Millisecond, SkipGap: 2 * time.Second, Spread: time.Second, Usable: bound - time.Second,
 	})
 	return f
 }
@@ -321,6 +321,20 @@
 	}
 }
 
+func TestOlderVersionThatComesTooLateIsLeftOut(t *testing.T) {
+	f := newFixture(t)
+	first, second := surveyor.Target{Since: f.now, Version: 2}, surveyor.Target{Since: f.now.Add(3 * time.Second), Version: 3}
+	f.name(first)
+	f.pass(3 * time.Second)
+	f.name(first, second)
+	f.pass(6 * time.Second) // the origin is away: nobody has a piece of either
+	f.pool.holds[2], f.pool.holds[3] = true, true
+	f.pass(3 * time.Second)
+	if len(f.engine.orders) != 1 || f.engine.orders[0].Version != 3 {
+		t.Errorf("orders: got %v, want version 3 alone", f.engine.orders)
+	}
+}
+
 func TestNewerVersionDoesNotHideALoad(t *testing.T) {
 	f := newFixture(t)
 	f.pool.holds[2] = true
