--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -149,7 +149,7 @@
 			{Name: "announce", Type: checker.Duration(0, most), Default: "150ms", Doc: "Before an order, for which entries send nothing; a message's way and a tick."},
 			{Name: "earliest", Type: checker.Duration(0, most), Default: "3500ms", Doc: "After a version was named, before which no engine in service loads it."},
 			{Name: "least-use", Type: checker.Duration(0, most), Default: "1500ms", Doc: "For which an older version must be of use to be loaded before a newer one; the time that a load takes an engine out of service."},
-			{Name: "link-share", Type: checker.Float(0.01, 1), Default: "0.95", Doc: "Share of the link for weights; the rest is for the engine's answers."},
+			{Name: "link-share", Type: checker.Float(0.01, 1), Default: "0.75", Doc: "Share of the link for weights; the rest is for the engine's answers."},
 			{Name: "patience", Type: checker.Duration(0, most), Default: "300ms", Doc: "With an engine that does not report when the agent starts; a report takes a few milliseconds."},
 			{Name: "period", Type: checker.Duration(time.Millisecond, most), Default: "1s", Doc: "Between messages to entries when nothing changes."},
 			{Name: "poll", Type: checker.Duration(time.Millisecond, most), Default: "200ms", Doc: "Between reports of the engine, which lag as much."},
