--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -22,6 +22,7 @@
 	ResultAnswered           // whole answer of any status
 	ResultFull               // refused for load
 	ResultFailed             // broke, was silent or answered wrongly
+	ResultGone               // another endpoint has its address
 	ResultMisdirected        // other endpoint or version
 	ResultSilent             // did not answer in a time in which it should
 )
@@ -296,6 +297,9 @@
 			e.fullUntil = now.Add(s.FullPause << min(e.fulls, maxFullShift))
 			e.fulls++
 		}
+	case ResultGone:
+		e.ejectedUntil = now.Add(s.EjectionMost) // the list drops it meanwhile
+		e.probation = true
 	case ResultFailed, ResultSilent:
 		e.failures++
 		if e.failures < 2 && result == ResultFailed || now.Before(e.ejectedUntil) {
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -111,6 +111,13 @@
 	f.choose(t)
 }
 
+func TestEndpointWhoseAddressAnotherHasIsPassedOver(t *testing.T) {
+	f := newFixture(t, 1)
+	f.choose(t).Done(balancer.ResultGone)
+	f.clock.Advance(2 * time.Second)
+	f.refused(t, gooseberrypass.ReasonNoEndpoint)
+}
+
 func TestOneFailureOfTwoIsForgiven(t *testing.T) {
 	f := newFixture(t, 1)
 	f.choose(t).Done(balancer.ResultFailed)
--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -263,6 +263,9 @@
 		f.err = notRun(gooseberrypass.ReasonNotLoaded, "the endpoint or its version changed", 0)
 		f.result = balancer.ResultMisdirected
 	}
+	if reply.Gone {
+		f.result = balancer.ResultGone
+	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, r.forwarder.settings.MaxAnswer)) // lets the connection be kept
 	return f
 }
--- a/passage.go
+++ b/passage.go
@@ -47,6 +47,7 @@
 // io.EOF only after the whole answer; one that was cut returns another error.
 type Reply struct {
 	Body         io.ReadCloser
+	Gone         bool        // another endpoint has the address now
 	Header       http.Header // end-to-end headers, to be passed on
 	Load         *EngineLoad
 	ModelVersion int  // of the weights, 0 if not told
