--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -25,7 +25,9 @@
 const heldVersions = 2
 
 // originCopies bounds the copies that all agents together read from the origin.
-const originCopies = 2
+// Without agents that are gone but still registered one is read; each agent may
+// have to step in for them.
+const originCopies = 8
 
 // The limits of connections to the origin, which takes few from all agents
 // together and counts idle ones.
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -118,7 +118,6 @@
 	next      []gooseberrypass.Controller
 	outage    bool // the last read of the endpoints failed
 	offsets   atomic.Pointer[map[gooseberrypass.Topic]gooseberrypass.Offset]
-	returned  time.Time // when the last outage ended
 	settings  Settings
 	snapshot  atomic.Pointer[Snapshot]
 	topics    map[gooseberrypass.Topic]*topicState
@@ -185,7 +184,7 @@
 	case gooseberrypass.TopicChanged:
 		changed = s.merge(now, e)
 	case gooseberrypass.TopicRead:
-		s.noteRead(now, e)
+		s.noteRead(e)
 	case gooseberrypass.Tick:
 		changed = s.expire(now)
 	}
@@ -198,6 +197,9 @@
 // merge takes over the records that are newer than those held.
 func (s *Surveyor) merge(now time.Time, e gooseberrypass.TopicChanged) bool {
 	t := s.topic(e.Topic)
+	// The read that ends an outage brings what went in it. Records that another
+	// process hands over went while the store served that one.
+	inOutage := s.outage && e.Ages == nil
 	changed := false
 	seen := make(map[string]struct{}, len(e.Batch.Records))
 	for i, r := range e.Batch.Records {
@@ -207,14 +209,14 @@
 		}
 		t.records[r.Key] = r
 		t.since[r.Key] = now.Add(-s.age(e, i))
-		changed = s.apply(now, e.Topic, r) || changed
+		changed = s.apply(now, e.Topic, r, inOutage) || changed
 	}
 	if e.Batch.Whole {
 		for key, held := range t.records {
 			if _, ok := seen[key]; !ok && held.Value != nil && held.Offset < e.Batch.Next {
 				held.Value = nil
 				t.records[key] = held
-				changed = s.apply(now, e.Topic, held) || changed
+				changed = s.apply(now, e.Topic, held, inOutage) || changed
 			}
 		}
 	}
@@ -239,7 +241,7 @@
 }
 
 // apply reports whether a record changes the snapshot.
-func (s *Surveyor) apply(now time.Time, topic gooseberrypass.Topic, r gooseberrypass.KeyedRecord) bool {
+func (s *Surveyor) apply(now time.Time, topic gooseberrypass.Topic, r gooseberrypass.KeyedRecord, inOutage bool) bool {
 	if topic == gooseberrypass.TopicProcesses {
 		return true
 	}
@@ -249,7 +251,7 @@
 	}
 	held, known := s.endpoints[r.Key]
 	if r.Value == nil {
-		return known && s.drop(now, r.Key, held)
+		return known && s.drop(now, r.Key, held, inOutage)
 	}
 	endpoint, err := s.decoder.Endpoint(r)
 	if err != nil {
@@ -267,14 +269,13 @@
 	return true
 }
 
-// drop removes an endpoint. One that lapsed around an outage is kept for a
+// drop removes an endpoint. One whose record went in an outage is kept for a
 // while, since it may live and come back.
-func (s *Surveyor) drop(now time.Time, key string, held gooseberrypass.Endpoint) bool {
+func (s *Surveyor) drop(now time.Time, key string, held gooseberrypass.Endpoint, inOutage bool) bool {
 	if _, ok := s.lapsed[key]; ok {
 		return false
 	}
-	outage := s.outage || !s.returned.IsZero() && now.Sub(s.returned) < s.settings.Lapse
-	if outage && !held.Leaving {
+	if inOutage && !held.Leaving {
 		s.lapsed[key] = now.Add(s.settings.Lapse)
 		s.logger.WithField("endpoint", held.ID).WithField("kept_for", s.settings.Lapse).Info("endpoint lapsed in an outage")
 		return false
@@ -289,13 +290,10 @@
 		a.FailureDomain == b.FailureDomain && maps.Equal(a.Models, b.Models)
 }
 
-func (s *Surveyor) noteRead(now time.Time, e gooseberrypass.TopicRead) {
+func (s *Surveyor) noteRead(e gooseberrypass.TopicRead) {
 	if e.Topic != gooseberrypass.TopicEndpoints {
 		return
 	}
-	if s.outage && e.Err == nil {
-		s.returned = now
-	}
 	s.outage = e.Err != nil
 }
 
--- a/surveyor/surveyor_test.go
+++ b/surveyor/surveyor_test.go
@@ -145,6 +145,25 @@
 	}
 }
 
+func TestEndpointThatLeavesAfterAnOutageIsDroppedAtOnce(t *testing.T) {
+	topic := gooseberrypass.TopicEndpoints
+	s := newSurveyor()
+	s.Handle(begin, changed(topic, record("a", "up", 1), record("b", "up", 2)))
+	s.Handle(begin, gooseberrypass.TopicRead{Err: errors.New("cut off"), Topic: topic})
+	handed := changed(topic, record("b", "", 3))
+	handed.Ages = []time.Duration{0}
+	s.Handle(begin.Add(time.Second), handed) // by a process that the store serves
+	if got, want := endpointIDs(s), "a"; got != want {
+		t.Errorf("in the outage: got %q, want %q", got, want)
+	}
+	back := begin.Add(4 * time.Second)
+	s.Handle(back, gooseberrypass.TopicRead{Topic: topic})
+	s.Handle(back.Add(time.Second), changed(topic, record("a", "", 4)))
+	if got := endpointIDs(s); got != "" {
+		t.Errorf("after the outage: got %q, want none", got)
+	}
+}
+
 func TestUnreadableRecordNamesAndRemovesNothing(t *testing.T) {
 	topic := gooseberrypass.TopicEndpoints
 	s := newSurveyor()
