--- a/balancer/load_test.go
+++ b/balancer/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -120,7 +121,7 @@
 	}
 	for i := range engines {
 		b.endpoints = append(b.endpoints, gooseberrypass.Endpoint{
-			Address: fmt.Sprint(i), ID: gooseberrypass.ID(fmt.Sprint(i)), Service: "s", Slots: modelSlots,
+			Address: strconv.Itoa(i), ID: gooseberrypass.ID(strconv.Itoa(i)), Service: "s", Slots: modelSlots,
 		})
 	}
 	return b
@@ -156,7 +157,7 @@
 	for i, from := range b.entries {
 		for j, to := range b.entries {
 			if i != j {
-				to.SetOthers(now, gooseberrypass.ID(fmt.Sprint(i)), from.Shares())
+				to.SetOthers(now, gooseberrypass.ID(strconv.Itoa(i)), from.Shares())
 			}
 		}
 	}
@@ -212,9 +213,17 @@
 	return inTime, begun - inTime
 }
 
+// A comparison holds requests of three seeds by their first event.
+type comparison struct {
+	inTime      int
+	late        int
+	naiveInTime int
+}
+
 // compare plays a pattern with the naive version and with balancers.
-func (p pattern) compare(t *testing.T, naiveCap int) (inTime, late, naiveInTime int) {
+func (p pattern) compare(t *testing.T, naiveCap int) comparison {
 	t.Helper()
+	var sum comparison
 	for seed := range uint64(3) {
 		a, b := p.play(seed, func(clock *clockwork.FakeClock) policy { return newBalanced(clock, p.entries, p.engines) })
 		c, d := p.play(seed, func(*clockwork.FakeClock) policy {
@@ -225,9 +234,11 @@
 			return n
 		})
 		t.Logf("seed %d: in time %d, late %d; naive in time %d, late %d", seed, a, b, c, d)
-		inTime, late, naiveInTime = inTime+a, late+b, naiveInTime+c
+		sum.inTime += a
+		sum.late += b
+		sum.naiveInTime += c
 	}
-	return inTime, late, naiveInTime
+	return sum
 }
 
 // The naive version that the load tests are held against sends up to five from
@@ -239,30 +250,30 @@
 		backAt:  func(n int) time.Duration { return time.Duration(n/2) * 400 * time.Millisecond },
 		engines: 8, entries: 4, rate: 150, run: 4 * time.Second,
 	}
-	inTime, late, naive := p.compare(t, naiveCap)
-	if inTime <= naive {
-		t.Errorf("in time: got %d, want more than the naive %d", inTime, naive)
+	got := p.compare(t, naiveCap)
+	if got.inTime <= got.naiveInTime {
+		t.Errorf("in time: got %d, want more than the naive %d", got.inTime, got.naiveInTime)
 	}
-	if late*20 > inTime {
-		t.Errorf("late: got %d of %d, want at most one in twenty", late, inTime+late)
+	if got.late*20 > got.inTime {
+		t.Errorf("late: got %d of %d, want at most one in twenty", got.late, got.inTime+got.late)
 	}
 }
 
 func TestLoadSteadyOverload(t *testing.T) {
 	p := pattern{backAt: func(int) time.Duration { return 0 }, engines: 6, entries: 4, rate: 130, run: 6 * time.Second}
-	inTime, late, naive := p.compare(t, naiveCap)
-	if inTime*100 < naive*95 {
-		t.Errorf("in time: got %d, want no less than the naive %d but for a twentieth", inTime, naive)
+	got := p.compare(t, naiveCap)
+	if got.inTime*100 < got.naiveInTime*95 {
+		t.Errorf("in time: got %d, want no less than the naive %d but for a twentieth", got.inTime, got.naiveInTime)
 	}
-	if late*20 > inTime {
-		t.Errorf("late: got %d of %d, want at most one in twenty", late, inTime+late)
+	if got.late*20 > got.inTime {
+		t.Errorf("late: got %d of %d, want at most one in twenty", got.late, got.inTime+got.late)
 	}
 }
 
 func TestLoadManyEntriesBeforeFewSlots(t *testing.T) {
 	p := pattern{backAt: func(int) time.Duration { return 0 }, engines: 12, entries: 11, rate: 200, run: 4 * time.Second}
-	inTime, _, naive := p.compare(t, 1)
-	if inTime <= naive {
-		t.Errorf("in time: got %d, want more than the naive %d", inTime, naive)
+	got := p.compare(t, 1)
+	if got.inTime <= got.naiveInTime {
+		t.Errorf("in time: got %d, want more than the naive %d", got.inTime, got.naiveInTime)
 	}
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -68,26 +68,32 @@
 	}
 }
 
-func config(offset gooseberrypass.Offset) gooseberrypass.TopicChanged {
+// The offset of the configuration in the tests, and the next one.
+const (
+	configOffset = gooseberrypass.Offset(7)
+	nextOffset   = configOffset + 1
+)
+
+func config() gooseberrypass.TopicChanged {
 	return gooseberrypass.TopicChanged{Batch: gooseberrypass.KeyedBatch{
-		Next: offset + 1, Records: []gooseberrypass.KeyedRecord{{Key: "config", Offset: offset, Value: []byte("c")}},
+		Next: nextOffset, Records: []gooseberrypass.KeyedRecord{{Key: "config", Offset: configOffset, Value: []byte("c")}},
 	}, Topic: gooseberrypass.TopicOperator}
 }
 
-func ahead(address string, next gooseberrypass.Offset) gossiper.Received {
+func ahead(address string) gossiper.Received {
 	return gossiper.Received{Message: gossiper.Message{
-		Address: address, From: "other", Next: map[gooseberrypass.Topic]gooseberrypass.Offset{gooseberrypass.TopicOperator: next}, Role: gooseberrypass.RoleEntry,
+		Address: address, From: "other", Next: map[gooseberrypass.Topic]gooseberrypass.Offset{gooseberrypass.TopicOperator: nextOffset}, Role: gooseberrypass.RoleEntry,
 	}}
 }
 
 func TestProcessTheStoreTurnsAwayTakesRecordsFromAnother(t *testing.T) {
 	from, to := newProcess("a", gooseberrypass.RoleEntry), newProcess("b", gooseberrypass.RoleAgent)
-	from.handle(config(7))
+	from.handle(config())
 	mux := http.NewServeMux()
 	mux.Handle(relayer.Pattern, relayer.NewHandler(from.handle))
 	server := httptest.NewServer(mux)
 	defer server.Close()
-	to.handle(ahead(strings.TrimPrefix(server.URL, "http://"), 8))
+	to.handle(ahead(strings.TrimPrefix(server.URL, "http://")))
 	if d := to.surveyor.Deployment(); d == nil || d.Version() != 7 {
 		t.Errorf("deployment: got %v, want that of offset 7", d)
 	}
@@ -98,8 +104,8 @@
 
 func TestProcessThatIsNotBehindAsksNobody(t *testing.T) {
 	p := newProcess("a", gooseberrypass.RoleAgent)
-	p.handle(config(7))
-	p.handle(ahead("127.0.0.1:1", 8)) // a pull would fail and be told
+	p.handle(config())
+	p.handle(ahead("127.0.0.1:1")) // a pull would fail and be told
 	if got, want := p.surveyor.Deployment().Version(), int64(7); got != want {
 		t.Errorf("got %d, want %d", got, want)
 	}
@@ -107,14 +113,14 @@
 
 func TestLostPullIsTriedAgain(t *testing.T) {
 	p := newProcess("a", gooseberrypass.RoleAgent)
-	p.handle(ahead("127.0.0.1:1", 8))
+	p.handle(ahead("127.0.0.1:1"))
 	from := newProcess("b", gooseberrypass.RoleEntry)
-	from.handle(config(7))
+	from.handle(config())
 	mux := http.NewServeMux()
 	mux.Handle(relayer.Pattern, relayer.NewHandler(from.handle))
 	server := httptest.NewServer(mux)
 	defer server.Close()
-	p.handle(ahead(strings.TrimPrefix(server.URL, "http://"), 8))
+	p.handle(ahead(strings.TrimPrefix(server.URL, "http://")))
 	if p.surveyor.Deployment() == nil {
 		t.Error("no deployment after the second message")
 	}
@@ -122,15 +128,16 @@
 
 func TestChangeIsToldToAllEntriesAndAFewAgents(t *testing.T) {
 	p := newProcess("a", gooseberrypass.RoleAgent)
-	var records []gooseberrypass.KeyedRecord
-	for i, body := range []string{
+	bodies := []string{
 		`{"address":"e1","id":"e1","role":"entry"}`, `{"address":"e2","id":"e2","role":"entry"}`,
 		`{"address":"g1","id":"g1","role":"agent"}`, `{"address":"g2","id":"g2","role":"agent"}`, `{"id":"broken"`,
-	} {
+	}
+	records := make([]gooseberrypass.KeyedRecord, 0, len(bodies))
+	for i, body := range bodies {
 		records = append(records, gooseberrypass.KeyedRecord{Key: body, Offset: gooseberrypass.Offset(i), Value: []byte(body)})
 	}
 	p.handle(gooseberrypass.TopicChanged{Batch: gooseberrypass.KeyedBatch{Next: 5, Records: records}, Topic: gooseberrypass.TopicProcesses})
-	p.handle(config(7))
+	p.handle(config())
 	entries, agents := 0, 0
 	for _, to := range p.post.to {
 		if strings.HasPrefix(to, "e") {
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -27,8 +27,11 @@
 	sectionWeights gooseberrypass.Kind = "weights"
 )
 
-// halfSecond is a default of several settings.
-const halfSecond = "500ms"
+// The defaults of several settings.
+const (
+	halfSecond  = "500ms"
+	twoAndAHalf = "2500ms"
+)
 
 // versionMargin is the default of entries and agents, which must agree.
 const versionMargin = "800ms"
@@ -90,7 +93,7 @@
 		Kind: sectionBounds,
 		Keys: []checker.Key{
 			{Name: "grace", Required: true, Type: checker.Duration(time.Second, most), Doc: "From SIGTERM to SIGKILL."},
-			{Name: "lapse", Type: checker.Duration(0, most), Default: "2500ms", Doc: "After an outage of the store, for which lapsed endpoints may be missing; 2 s by the platform's contract and a margin for a read."},
+			{Name: "lapse", Type: checker.Duration(0, most), Default: twoAndAHalf, Doc: "After an outage of the store, for which lapsed endpoints may be missing; 2 s by the platform's contract and a margin for a read."},
 			{Name: "retry-ratio", Required: true, Type: checker.Float(0, 10), Doc: "Repeats that a service may get, in requests."},
 			{Name: "retry-slack", Required: true, Type: checker.Float(0, 1e6), Doc: "Repeats beyond the ratio, of all entries together."},
 			{Name: "retry-window", Required: true, Type: checker.Duration(time.Second, most), Doc: "Window in which repeats are counted."},
@@ -134,7 +137,7 @@
 			{Name: "servers-pause", Type: checker.Duration(time.Millisecond, most), Default: halfSecond, Doc: "Between reads of the list of endpoints."},
 			{Name: "slow-tolerance", Type: checker.Float(1, 100), Default: "1.6", Doc: "Times that an endpoint may be slower than its service before it counts as fuller; loads that differ by a few requests make as much."},
 			{Name: "starting-wait", Type: checker.Duration(0, most), Default: halfSecond, Doc: "Told to callers before the first configuration."},
-			{Name: "stop-delay", Type: checker.Duration(0, most), Default: "2500ms", Doc: "From SIGTERM until no connection is taken; the platform asks twice, a second apart."},
+			{Name: "stop-delay", Type: checker.Duration(0, most), Default: twoAndAHalf, Doc: "From SIGTERM until no connection is taken; the platform asks twice, a second apart."},
 			{Name: "version-margin", Type: checker.Duration(0, most), Default: versionMargin, Doc: "Before the bound, from which only the new version is used; longest wait of a request at an engine."},
 		},
 	}
@@ -154,7 +157,7 @@
 			{Name: "period", Type: checker.Duration(time.Millisecond, most), Default: "1s", Doc: "Between messages to entries when nothing changes."},
 			{Name: "poll", Type: checker.Duration(time.Millisecond, most), Default: "200ms", Doc: "Between reports of the engine, which lag as much."},
 			{Name: "retry", Type: checker.Duration(time.Millisecond, most), Default: "300ms", Doc: "After a step that failed."},
-			{Name: "skip-gap", Type: checker.Duration(0, most), Default: "2500ms", Doc: "Between two versions, up to which the older is left out; the bound less the time that a fetch takes."},
+			{Name: "skip-gap", Type: checker.Duration(0, most), Default: twoAndAHalf, Doc: "Between two versions, up to which the older is left out; the bound less the time that a fetch takes."},
 			{Name: "spread", Type: checker.Duration(0, most), Default: "3300ms", Doc: "Over which the engines in service load a version, one after another."},
 			{Name: "uploads", Type: checker.Int(1, 100), Default: "2", Doc: "Pieces sent at once; more wait longer in the link's queue, and answers behind them."},
 			{Name: "wait", Type: checker.Duration(time.Millisecond, most), Default: "1s", Doc: "For which another agent may hold a request for a piece on its way."},
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -35,7 +35,7 @@
 
 func (o *origin) Manifest(_ context.Context, model, version string) ([]byte, error) {
 	n, _ := strconv.Atoi(version)
-	var chunks []gooseberrypass.Chunk
+	chunks := make([]gooseberrypass.Chunk, 0, pieces)
 	for i := range pieces {
 		body := piece(n, i)
 		if o.spoiled > 0 && i == 0 {
@@ -203,7 +203,7 @@
 
 func (f *fixture) wantLoaded(t *testing.T, version int) {
 	t.Helper()
-	var want []byte
+	want := make([]byte, 0, pieces*pieceSize)
 	for i := range pieces {
 		want = append(want, piece(version, i)...)
 	}
@@ -309,7 +309,7 @@
 			f.pool.holds[3] = true
 			f.name(first, surveyor.Target{Since: f.now, Version: 3})
 			f.pass(bound)
-			var got []int
+			got := make([]int, 0, len(f.engine.orders))
 			for _, o := range f.engine.orders {
 				got = append(got, o.Version)
 			}
