--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -55,26 +55,6 @@
 	Version   int // that the endpoint must have, 0 for any in force
 }
 
-// An endpoint is what is believed of one endpoint.
-type endpoint struct {
-	ejectedUntil time.Time
-	ejections    int
-	failures     int           // in a row
-	first        time.Duration // moving average of the time to the head of an answer
-	fulls        int           // refusals for load in a row
-	fullUntil    time.Time
-	listed       gooseberrypass.Endpoint
-	own          Share
-	probation    bool                        // was ejected and has not answered since
-	others       map[gooseberrypass.ID]Share // of other entries
-}
-
-// A Share is the part of an endpoint's load that comes from one entry.
-type Share struct {
-	Requests int `json:"requests"`
-	Unread   int `json:"unread,omitempty"` // prompt tokens of requests without a first event
-}
-
 // A Notice is what the agent beside an endpoint says of it.
 type Notice struct {
 	Address string         `json:"address"` // of the endpoint
@@ -220,112 +200,6 @@
 	return len(b.heard) + 1
 }
 
-// A Ticket is one dispatch's place at an endpoint.
-type Ticket struct {
-	balancer *Balancer
-	done     bool
-	endpoint *endpoint
-	expect   int
-	target   gooseberrypass.Endpoint
-	total    int
-	unread   int // prompt tokens, 0 once the first event came
-}
-
-// Endpoint returns the endpoint chosen.
-func (t *Ticket) Endpoint() gooseberrypass.Endpoint { return t.target }
-
-// ExpectModel returns the version that the endpoint must have, 0 for any.
-func (t *Ticket) ExpectModel() int { return t.expect }
-
-// Total returns the requests believed at the endpoint when it was chosen.
-func (t *Ticket) Total() int { return t.total }
-
-// Began tells how long the endpoint took to the head of its answer.
-func (t *Ticket) Began(took time.Duration) {
-	b := t.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	t.read()
-	t.endpoint.probation = false
-	smooth(&t.endpoint.first, took)
-	first := b.first[t.endpoint.listed.Service]
-	smooth(&first, took)
-	b.first[t.endpoint.listed.Service] = first
-}
-
-// read notes that the endpoint has read the prompt, or never will.
-func (t *Ticket) read() {
-	t.endpoint.own.Unread -= t.unread
-	t.unread = 0
-}
-
-// smoothing is the weight of the newest measurement in a moving average.
-const smoothing = 0.1
-
-func smooth(average *time.Duration, took time.Duration) {
-	if *average == 0 {
-		*average = took
-		return
-	}
-	*average += time.Duration(smoothing * float64(took-*average))
-}
-
-// Done gives the place back. Only the first call counts.
-func (t *Ticket) Done(result Result) {
-	b := t.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if t.done {
-		return
-	}
-	t.done = true
-	t.read()
-	t.endpoint.own.Requests--
-	t.endpoint.end(b.clock.Now(), result, b.settings)
-}
-
-// maxFullShift bounds how often the pause after refusals is doubled.
-const maxFullShift = 3
-
-func (e *endpoint) end(now time.Time, result Result, s Settings) {
-	switch result {
-	case ResultAnswered:
-		e.failures, e.ejections, e.fulls = 0, e.ejections/2, 0
-	case ResultFull, ResultMisdirected:
-		// Refusals in a row come from an engine that loads: it is left alone for longer.
-		if !now.Before(e.fullUntil) {
-			e.fullUntil = now.Add(s.FullPause << min(e.fulls, maxFullShift))
-			e.fulls++
-		}
-	case ResultGone:
-		e.ejectedUntil = now.Add(s.EjectionMost) // the list drops it meanwhile
-		e.probation = true
-	case ResultFailed, ResultSilent:
-		e.failures++
-		if e.failures < 2 && result == ResultFailed || now.Before(e.ejectedUntil) {
-			return
-		}
-		e.ejectedUntil = now.Add(min(s.Ejection<<min(e.ejections, 8), s.EjectionMost))
-		e.ejections++
-		e.probation = true
-	case ResultDropped:
-	}
-}
-
-// total returns the load from all entries. What others have sent since they
-// last told of it is not known: as a rule all entries see the same free endpoint
-// at the same moment, so that each other one is taken to have sent as much as
-// this one has.
-func (e *endpoint) total(entries int) Share {
-	sum := e.own
-	for _, share := range e.others {
-		sum.Requests += share.Requests
-		sum.Unread += share.Unread
-	}
-	sum.Unread = max(sum.Unread, e.own.Unread*entries)
-	return sum
-}
-
 // Choose returns a place at the endpoint with the least load, or a
 // *gooseberrypass.RequestError if none has room.
 func (b *Balancer) Choose(q Query) (*Ticket, error) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -29,8 +29,8 @@
 	RetryRatio   float64       // repeats of a service in the window, in requests
 	RetrySlack   float64       // repeats of a service in the window beyond the ratio, of all entries
 	RetryWindow  time.Duration
-	RetryShare   float64 // entries that share the slack, in entries heard of
-	StartingWait time.Duration
+	RetryShare   float64       // entries that share the slack, in entries heard of
+	StartingWait time.Duration // told to callers before the first configuration
 }
 
 // A Chooser chooses endpoints.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -42,8 +42,8 @@
 	Send(m gossiper.Message, addresses []string)
 }
 
-// A Loads is what an entry tells of its requests and hears from others. It is
-// nil in agents.
+// Loads is what an entry tells of its requests and hears from others. It is nil
+// in agents.
 type Loads interface {
 	SetNotice(now time.Time, n balancer.Notice)
 	SetOthers(now time.Time, from gooseberrypass.ID, shares map[gooseberrypass.ID]balancer.Share)
@@ -258,8 +258,8 @@
 	Records []gooseberrypass.KeyedRecord `json:"records"`
 }
 
-// ServeHTTP implements http.Handler for Pattern. It reads the topic through
-// ask, as only the control goroutine may.
+// A handler answers pulls. It reads topics through ask, as only the control
+// goroutine may read them itself.
 type handler struct {
 	ask func(ctx context.Context, topic gooseberrypass.Topic, from gooseberrypass.Offset) (document, error)
 }
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -39,7 +39,7 @@
 	Usable   time.Duration // after a version was named, for which entries use the one before
 }
 
-// A Chunks holds the verified pieces.
+// Chunks holds the verified pieces.
 type Chunks interface {
 	Chunk(digest gooseberrypass.Digest) ([]byte, error)
 	Has(digest gooseberrypass.Digest) bool
