Decide the claims of a failed append by a read that follows the failure

Cause: a claim whose append failed was given up at once unless the long poll happened to return the claim before the failure was handled.

Change: after a failed append the partition reads the log once more, without waiting. A claim that is there holds and its call is made; the others are refused as not run and released. TestAppendFates now wants 'answered' for a lost answer, which is as strict (one outcome, one run) and better for the caller. TestFailedAppendInEveryOrder delivers the failure, that read and the long poll in each order; on the old code two of nine orders fail.

Ruled out: holding a verdict back until the append has ended, which makes a caller wait for a lost answer although its claim holds.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -98,7 +98,11 @@
 		return nil
 	case appendCompleted:
 		p := c.partitions[e.partition]
-		p.handleAppend(now, e)
+		effects := p.handleAppend(now, e)
+		return append(effects, p.effects(now)...)
+	case confirmCompleted:
+		p := c.partitions[e.partition]
+		p.handleConfirm(e)
 		return p.effects(now)
 	case readCompleted:
 		p := c.partitions[e.partition]
--- a/claimer/events.go
+++ b/claimer/events.go
@@ -191,8 +191,37 @@
 		case <-timer.Chan():
 		}
 	}
+	return e.complete(ctx)
+}
+
+// complete reads without the delay.
+func (e readEffect) complete(ctx context.Context) readCompleted {
 	ctx, cancel := clockwork.WithTimeout(ctx, e.clock, e.wait+readTimeoutMargin)
 	defer cancel()
 	batch, err := e.log.Read(ctx, e.stream, e.from, e.wait)
 	return readCompleted{batch: batch, err: err, partition: e.partition}
 }
+
+// confirmCompleted is the event that the read after a failed append has ended.
+type confirmCompleted struct {
+	readCompleted
+	waiters map[claimID]*waiter // by the claim that the append carried
+}
+
+// EventName implements gooseberrypass.Event.
+func (confirmCompleted) EventName() string { return "claims-confirmed" }
+
+// A confirmEffect reads the log after a failed append, to find out whether the
+// claims of the append are in it.
+type confirmEffect struct {
+	read    readEffect
+	waiters map[claimID]*waiter
+}
+
+// EffectName implements gooseberrypass.Effect.
+func (confirmEffect) EffectName() string { return "claims-confirm" }
+
+// Run implements gooseberrypass.Effect.
+func (e confirmEffect) Run(ctx context.Context) gooseberrypass.Event {
+	return confirmCompleted{readCompleted: e.read.complete(ctx), waiters: e.waiters}
+}
--- a/claimer/partition.go
+++ b/claimer/partition.go
@@ -184,8 +184,9 @@
 }
 
 // handleAppend handles the result of an append. Releases and outcomes of a failed
-// append are queued again; its claims are refused.
-func (p *partition) handleAppend(now time.Time, e appendCompleted) {
+// append are queued again. Its claims may be in the log nevertheless, so a read
+// decides about them.
+func (p *partition) handleAppend(now time.Time, e appendCompleted) []gooseberrypass.Effect {
 	p.appending = false
 	if e.err == nil {
 		for _, o := range e.entries {
@@ -197,23 +198,64 @@
 			}
 		}
 		p.refusedAppends = 0
-		return
+		return nil
 	}
 	p.claimer.metrics.appendsFailed.Inc()
 	if errors.Is(e.err, gooseberrypass.ErrLogOverloaded) {
 		p.requeue(now, e.entries)
-		return
+		return nil
 	}
 	p.retryAt = now.Add(retryDelay)
 	var again []outgoing
+	unconfirmed := map[claimID]*waiter{}
 	for _, o := range e.entries {
-		if o.waiter == nil {
+		switch {
+		case o.waiter == nil:
 			again = append(again, o)
-			continue
+		case !o.waiter.closed:
+			unconfirmed[o.waiter.id] = o.waiter
 		}
-		p.rejectUnconfirmed(o.waiter)
 	}
 	p.outgoing = append(again, p.outgoing...)
+	if len(unconfirmed) == 0 {
+		return nil
+	}
+	return []gooseberrypass.Effect{confirmEffect{read: p.confirmingRead(), waiters: unconfirmed}}
+}
+
+// confirmingRead returns a read of what the log holds now, beside the long poll
+// that may be in progress.
+func (p *partition) confirmingRead() readEffect {
+	return readEffect{clock: p.claimer.clock, from: p.next, log: p.claimer.log, partition: p.index, stream: p.stream()}
+}
+
+// handleConfirm rejects the claims of a failed append that the log did not hold
+// when it was read after the failure. The others stay until the partition's own
+// read applies them in their order.
+func (p *partition) handleConfirm(e confirmCompleted) {
+	found := claimsIn(e.batch.Records)
+	for id, w := range e.waiters {
+		if _, ok := found[id]; !ok || e.err != nil {
+			p.rejectUnconfirmed(id, w)
+		}
+	}
+}
+
+// claimsIn returns the ids of the claims in records.
+func claimsIn(records []gooseberrypass.Record) map[claimID]struct{} {
+	found := map[claimID]struct{}{}
+	for _, record := range records {
+		batch := &wire.ClaimBatch{}
+		if proto.Unmarshal(record.Body, batch) != nil {
+			continue // counted when the partition's own read applies it
+		}
+		for _, entry := range batch.GetEntries() {
+			if entry.GetKind() == wire.ClaimKind_CLAIM_KIND_CLAIM && len(entry.GetClaimId()) == len(claimID{}) {
+				found[claimID(entry.GetClaimId())] = struct{}{}
+			}
+		}
+	}
+	return found
 }
 
 // requeue puts entries that the log refused for its rate back at the head of the
@@ -233,10 +275,11 @@
 	p.outgoing = append(again, p.outgoing...)
 }
 
-// rejectUnconfirmed refuses a call whose claim's append failed. It is never
-// dispatched, whether or not the claim is in the log, and a release is queued.
-func (p *partition) rejectUnconfirmed(w *waiter) {
-	if w.closed {
+// rejectUnconfirmed refuses a call whose claim's append failed, unless its claim
+// has been read back and decided since. It is never dispatched, whether or not the
+// claim reaches the log later, and a release is queued.
+func (p *partition) rejectUnconfirmed(id claimID, w *waiter) {
+	if p.unresolved[id] != w {
 		return
 	}
 	w.decide(refused(gooseberrypass.ReasonLogDown, "the log of claims took no append"))
