--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -75,6 +75,7 @@
 	announcedToAgents gooseberrypass.Offset              // next offset of the operator's topic last announced to agents
 	behindSince       map[gooseberrypass.Topic]time.Time // when this process fell behind another
 	client            *http.Client
+	contacts          map[gooseberrypass.ID]contact // with agents; entries only
 	history           RequestHistory
 	listReadAt        time.Time // last successful own read of the endpoint list
 	loads             LoadExchange
@@ -98,7 +99,7 @@
 // New returns a replicator. loads and history are nil in an agent.
 func New(self Self, m *materializer.Materializer, sender Sender, client *http.Client, loads LoadExchange, history RequestHistory, settings Settings, seed uint64, logger logrus.FieldLogger) *Replicator {
 	return &Replicator{
-		behindSince: map[gooseberrypass.Topic]time.Time{}, client: client, remoteNext: map[gooseberrypass.Topic]gooseberrypass.Offset{}, loads: loads, logger: logger,
+		behindSince: map[gooseberrypass.Topic]time.Time{}, client: client, contacts: map[gooseberrypass.ID]contact{}, remoteNext: map[gooseberrypass.Topic]gooseberrypass.Offset{}, loads: loads, logger: logger,
 		statuses: map[string]balancer.EndpointStatus{}, pulling: map[gooseberrypass.Topic]bool{}, history: history, readers: map[gooseberrypass.ID]reader{}, rng: rand.New(rand.NewPCG(seed, seed)), self: self, sender: sender,
 		materializer: m, settings: settings,
 	}
@@ -129,7 +130,11 @@
 	case gooseberrypass.Tick:
 		r.electReader(now)
 		r.sendPeriodic(now)
+		if r.loads != nil {
+			r.greetAgents(now)
+		}
 	case gooseberrypass.TopicChanged:
+		r.resetContacts(e)
 		r.announce(now, e)
 	case gooseberrypass.TopicRead:
 		r.recordRead(now, e)
@@ -245,6 +250,9 @@
 		if m.EndpointStatus != nil {
 			r.handleStatus(now, m)
 		}
+		if m.Role == gooseberrypass.RoleAgent {
+			r.contacts[m.From] = contact{heardAt: now}
+		}
 		if m.Role == gooseberrypass.RoleAgent && r.isAheadOf(m) {
 			r.sender.Send(r.message(now, gooseberrypass.RoleAgent), []string{m.Address})
 		}
