Compare a sample of endpoints for each request, and move streams from engines that load

Entries know the load of others as of the last message. Each compared every endpoint, so all of them chose the one that looked least loaded, and with 8 slots an engine it was full at once while others stood empty. Now a request compares as many endpoints as there are for each entry of the region (setting sample), picked at random, local and remote ones by themselves; all are looked at only where none of these has room. Loads of others are summed as they arrive, so a choice no longer walks the reports of all entries.

An engine that is to load a version waits until its last stream has ended, while its other slots are empty: 1.2 to 2.1 s of which the load is 0.2 to 0.3 s. Now an entry moves the streams that may be resumed: it reserves a place at an endpoint of the same version that has room, cuts the stream after an event and goes on there. A stream without such a place stays.

Ruled out: the engine's own 'cancel' mode, which cuts within an event, counts as a failure of the engine and finds out only afterwards whether there is a place.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -4,6 +4,7 @@
 package balancer
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -40,6 +41,7 @@
 	ReportTTL       time.Duration // age at which reports of other processes expire
 	ResumeFill      float64       // Fill for interrupted streams that are resumed
 	RetryFill       float64       // Fill for requests that were refused before
+	SampleFactor    float64       // endpoints compared for a request, as a multiple of those for each entry; 0 compares all
 	SlowTolerance   float64       // ratio to the service's time to the head of an answer below which an endpoint is not slow
 	StallFactor     float64       // StallTimeout as a multiple of the service's time to the head of an answer; the longer one counts
 	StallTimeout    time.Duration // silence of an endpoint with requests after which it gets no more; 0 disables the check
@@ -80,10 +82,11 @@
 	mu           sync.Mutex
 	drainsAt     map[string]time.Time // announced start of the drain of endpoints, by address
 	endpoints    map[gooseberrypass.ID]*endpoint
-	entriesSeen  map[gooseberrypass.ID]time.Time     // last report of each other entry
-	headTimes    map[gooseberrypass.ID]time.Duration // moving average of the time to the head of an answer, by service
-	localEntries int                                 // entries in this entry's region, including itself
-	services     map[gooseberrypass.ID][]*endpoint
+	entriesSeen  map[gooseberrypass.ID]time.Time                  // last report of each other entry
+	headTimes    map[gooseberrypass.ID]time.Duration              // moving average of the time to the head of an answer, by service
+	localEntries int                                              // entries in this entry's region, including itself
+	reports      map[gooseberrypass.ID]map[gooseberrypass.ID]Load // last load that each other entry reported, by endpoint
+	services     map[gooseberrypass.ID]*pool
 	snapshot     *materializer.Snapshot
 	statuses     map[string]EndpointStatus // last reported statuses, by address of the endpoint
 	statusesSeen map[string]time.Time      // last report of each status, by address
@@ -103,7 +106,8 @@
 		regionOf:     regionOf,
 		rng:          rand.New(rand.NewPCG(seed, seed)),
 		self:         self,
-		services:     map[gooseberrypass.ID][]*endpoint{},
+		reports:      map[gooseberrypass.ID]map[gooseberrypass.ID]Load{},
+		services:     map[gooseberrypass.ID]*pool{},
 		settings:     settings,
 		snapshot:     &materializer.Snapshot{},
 	}
@@ -128,16 +132,22 @@
 func (b *Balancer) update(snapshot *materializer.Snapshot) {
 	b.snapshot = snapshot
 	known := map[gooseberrypass.ID]struct{}{}
-	services := map[gooseberrypass.ID][]*endpoint{}
+	services := map[gooseberrypass.ID]*pool{}
 	for _, listed := range snapshot.Endpoints {
 		known[listed.ID] = struct{}{}
 		e, ok := b.endpoints[listed.ID]
 		if !ok {
-			e = &endpoint{byEntry: map[gooseberrypass.ID]Load{}}
+			e = &endpoint{}
+			for _, loads := range b.reports {
+				e.others.add(loads[listed.ID])
+			}
 			b.endpoints[listed.ID] = e
 		}
 		e.listed = listed
-		services[listed.Service] = append(services[listed.Service], e)
+		if services[listed.Service] == nil {
+			services[listed.Service] = &pool{}
+		}
+		services[listed.Service].add(e, b.regionOf(listed.FailureDomain) != b.self)
 	}
 	for id := range b.endpoints {
 		if _, ok := known[id]; !ok {
@@ -154,9 +164,7 @@
 			continue
 		}
 		delete(b.entriesSeen, id)
-		for _, e := range b.endpoints {
-			delete(e.byEntry, id)
-		}
+		b.replaceReport(id, nil)
 	}
 	b.countLocalEntries()
 	for address, at := range b.statusesSeen {
@@ -187,13 +195,26 @@
 		defer b.countLocalEntries()
 	}
 	b.entriesSeen[from] = now
-	for id, e := range b.endpoints {
-		if load, ok := loads[id]; ok {
-			e.byEntry[from] = load
-		} else {
-			delete(e.byEntry, from)
+	b.replaceReport(from, loads)
+}
+
+// replaceReport replaces the loads that another entry reported.
+func (b *Balancer) replaceReport(from gooseberrypass.ID, loads map[gooseberrypass.ID]Load) {
+	for id, load := range b.reports[from] {
+		if e, ok := b.endpoints[id]; ok {
+			e.others.subtract(load)
 		}
 	}
+	for id, load := range loads {
+		if e, ok := b.endpoints[id]; ok {
+			e.others.add(load)
+		}
+	}
+	if len(loads) == 0 {
+		delete(b.reports, from)
+		return
+	}
+	b.reports[from] = loads
 }
 
 // SetEndpointStatus stores the status of an endpoint. Reports about an earlier
@@ -246,7 +267,7 @@
 	best, counts := b.best(now, q, false)
 	// If most endpoints are silent, this process was suspended or its link failed,
 	// so silence says nothing about the endpoints.
-	if best == nil && 2*counts.byState[stateSilent] > len(b.services[q.Service]) {
+	if best == nil && 2*counts.byState[stateSilent] > b.services[q.Service].len() {
 		best, counts = b.best(now, q, true)
 	}
 	if best == nil {
@@ -264,26 +285,58 @@
 	return t, nil
 }
 
-// best returns the available endpoint with the lowest cost, nil if there is none,
-// and the number of endpoints in each state. Silent endpoints are available only
-// with allowSilent.
+// best returns the available endpoint with the lowest cost among those compared, nil
+// if none is available, and the number of endpoints seen in each state. Silent
+// endpoints are available only with allowSilent.
 func (b *Balancer) best(now time.Time, q Query, allowSilent bool) (*endpoint, stateCounts) {
+	counts := stateCounts{required: b.requiredVersion(now, q.Model)}
+	p := b.services[q.Service]
+	if p == nil {
+		return nil, counts
+	}
 	var best *endpoint
 	bestCost := 0.0
-	counts := stateCounts{required: b.requiredVersion(now, q.Model)}
-	for _, e := range b.services[q.Service] {
-		cost, state := b.evaluate(now, e, q)
-		if state == stateAvailable && !allowSilent && b.silent(now, e) {
-			state = stateSilent
-		}
-		counts.byState[state]++
-		if state == stateAvailable && (best == nil || cost < bestCost) {
-			best, bestCost = e, cost
+	for _, group := range []struct {
+		endpoints []*endpoint
+		entries   int // that prefer these endpoints alike
+	}{{p.local, b.localEntries}, {p.remote, len(b.entriesSeen) + 1}} {
+		left := b.sampleSize(len(group.endpoints), group.entries)
+		for i := range group.endpoints {
+			e := pick(b.rng, group.endpoints, i)
+			cost, state := b.evaluate(now, e, q)
+			if state == stateAvailable && !allowSilent && b.silent(now, e) {
+				state = stateSilent
+			}
+			counts.byState[state]++
+			if state != stateAvailable {
+				continue
+			}
+			if best == nil || cost < bestCost {
+				best, bestCost = e, cost
+			}
+			if left--; left == 0 {
+				break
+			}
 		}
 	}
 	return best, counts
 }
 
+// minSample is the smallest number of available endpoints that are compared. The
+// better of two random ones is hardly ever among the fullest.
+const minSample = 2
+
+// sampleSize returns how many available endpoints of a group are compared for a
+// request. Entries know of the load of others only from messages, so those that
+// compared all endpoints would all choose the one that looked least loaded at the
+// last message. With as many as there are for each entry, one of them sees it.
+func (b *Balancer) sampleSize(endpoints, entries int) int {
+	if b.settings.SampleFactor == 0 {
+		return endpoints
+	}
+	return max(minSample, int(math.Ceil(b.settings.SampleFactor*float64(endpoints)/float64(max(entries, 1)))))
+}
+
 // silent reports whether an endpoint has sent nothing for longer than its stall timeout.
 func (b *Balancer) silent(now time.Time, e *endpoint) bool {
 	return b.settings.StallTimeout > 0 && e.silent(now, b.stallTimeout(e))
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -8,8 +8,7 @@
 
 // An endpoint is what this entry knows about one endpoint.
 type endpoint struct {
-	busySince    time.Time                  // start of the time in which this entry has had requests there
-	byEntry      map[gooseberrypass.ID]Load // load from other entries
+	busySince    time.Time // start of the time in which this entry has had requests there
 	ejectedUntil time.Time
 	ejections    int           // shift of the next ejection; each answer halves it
 	failures     int           // failures in a row
@@ -17,9 +16,10 @@
 	headTime     time.Duration // moving average of the time to the head of an answer
 	lastSign     time.Time     // last data received
 	listed       gooseberrypass.Endpoint
-	own          Load // load from this entry
-	probation    bool // was ejected and has not answered since, gets one request at a time
-	refusals     int  // refusals because of load in a row
+	others       loadSum // load from other entries
+	own          Load    // load from this entry
+	probation    bool    // was ejected and has not answered since, gets one request at a time
+	refusals     int     // refusals because of load in a row
 }
 
 // A Load is the part of an endpoint's load that comes from one entry.
@@ -29,6 +29,29 @@
 	UnreadTokens int  // prompt tokens of requests without a first event
 }
 
+// A loadSum is the load of an endpoint that comes from several entries.
+type loadSum struct {
+	requests     int
+	stalled      int // entries to which the endpoint has stalled
+	unreadTokens int
+}
+
+func (s *loadSum) add(l Load) {
+	s.requests += l.Requests
+	s.unreadTokens += l.UnreadTokens
+	if l.Stalled {
+		s.stalled++
+	}
+}
+
+func (s *loadSum) subtract(l Load) {
+	s.requests -= l.Requests
+	s.unreadTokens -= l.UnreadTokens
+	if l.Stalled {
+		s.stalled--
+	}
+}
+
 // The limits on doubling.
 const (
 	maxBackoffShift  = 3 // maximum number of doublings of the backoff after refusals
@@ -76,12 +99,7 @@
 	if now.Sub(e.lastSign) <= limit {
 		return false
 	}
-	for _, load := range e.byEntry {
-		if load.Stalled {
-			return true
-		}
-	}
-	return e.stalled(now, limit)
+	return e.others.stalled > 0 || e.stalled(now, limit)
 }
 
 // total returns the load from all entries. The requests that others sent since
@@ -89,11 +107,8 @@
 // the same moment, so that each of them is assumed to have sent as many prompt
 // tokens as this one.
 func (e *endpoint) total(entries int) Load {
-	sum := e.own
-	for _, load := range e.byEntry {
-		sum.Requests += load.Requests
-		sum.UnreadTokens += load.UnreadTokens
+	return Load{
+		Requests:     e.own.Requests + e.others.requests,
+		UnreadTokens: max(e.own.UnreadTokens+e.others.unreadTokens, e.own.UnreadTokens*entries),
 	}
-	sum.UnreadTokens = max(sum.UnreadTokens, e.own.UnreadTokens*entries)
-	return sum
 }
--- a/balancer/load_test.go
+++ b/balancer/load_test.go
@@ -39,6 +39,7 @@
 	availableFrom time.Time // start of service
 	queue         []*job
 	running       []*job
+	slots         int
 }
 
 // step runs the engine for modelStep and returns the number of first events within
@@ -46,7 +47,7 @@
 func (e *engine) step(now time.Time) int {
 	budget := modelReadRate * float64(modelStep.Milliseconds())
 	inTime := 0
-	for len(e.queue) > 0 && len(e.running) < modelSlots && budget > 0 {
+	for len(e.queue) > 0 && len(e.running) < e.slots && budget > 0 {
 		j := e.queue[0]
 		read := min(budget, j.unread)
 		j.unread -= read
@@ -115,15 +116,20 @@
 }
 
 func newBalanced(clock *clockwork.FakeClock, entries, engines int) *balanced {
+	return newBalancedWith(clock, pattern{engines: engines, entries: entries}, 1)
+}
+
+// newBalancedWith returns balancers that compare a sample of the engines.
+func newBalancedWith(clock *clockwork.FakeClock, p pattern, sampleFactor float64) *balanced {
 	b := &balanced{clock: clock, marksRetries: true}
 	s := settings()
-	s.Fill, s.FirstEventShare, s.EnginePenalty, s.RetryFill = 1, 0.5, 0, 0.85
-	for i := range entries {
+	s.Fill, s.FirstEventShare, s.EnginePenalty, s.RetryFill, s.SampleFactor = 1, 0.5, 0, 0.85, sampleFactor
+	for i := range p.entries {
 		b.entries = append(b.entries, balancer.New(clock, "r", func(gooseberrypass.FailureDomain) gooseberrypass.Region { return "r" }, s, uint64(i)))
 	}
-	for i := range engines {
+	for i := range p.engines {
 		b.endpoints = append(b.endpoints, gooseberrypass.Endpoint{
-			Address: strconv.Itoa(i), ID: gooseberrypass.ID(strconv.Itoa(i)), Service: "s", Slots: modelSlots,
+			Address: strconv.Itoa(i), ID: gooseberrypass.ID(strconv.Itoa(i)), Service: "s", Slots: p.engineSlots(),
 		})
 	}
 	return b
@@ -173,6 +179,14 @@
 	entries        int
 	rate           float64 // requests per second
 	run            time.Duration
+	slots          int // of an engine, modelSlots if 0
+}
+
+func (p pattern) engineSlots() int {
+	if p.slots > 0 {
+		return p.slots
+	}
+	return modelSlots
 }
 
 // simulate returns the number of requests with a first event within the objective,
@@ -184,7 +198,7 @@
 	engines := make([]*engine, p.engines)
 	begin := clock.Now()
 	for i := range engines {
-		engines[i] = &engine{availableFrom: begin.Add(p.availableAfter(i))}
+		engines[i] = &engine{availableFrom: begin.Add(p.availableAfter(i)), slots: p.engineSlots()}
 	}
 	inTime, begun, due, shared := 0, 0, 0.0, begin
 	var retrying []time.Time // first arrivals of callers who will retry, the earliest first
@@ -314,3 +328,24 @@
 		t.Errorf("answered: got %d, want no less than %d but for a twentieth", got, want)
 	}
 }
+
+// Load between entries is known as of the last message. Where each of many entries
+// compares all engines, all of them send to the one that looked least loaded, whose
+// few slots are taken at once, while others stand empty.
+func TestLoadManyEntriesOfARegion(t *testing.T) {
+	p := pattern{availableAfter: func(int) time.Duration { return 0 }, engines: 28, entries: 11, rate: 140, run: 6 * time.Second, slots: 8}
+	sampled, all := 0, 0
+	sampledLate, allLate := 0, 0
+	for seed := range uint64(3) {
+		a, b := p.simulate(seed, func(clock *clockwork.FakeClock) policy { return newBalancedWith(clock, p, 1) })
+		c, d := p.simulate(seed, func(clock *clockwork.FakeClock) policy { return newBalancedWith(clock, p, 0) })
+		t.Logf("seed %d: in time %d, late %d; comparing all engines in time %d, late %d", seed, a, b, c, d)
+		sampled, sampledLate, all, allLate = sampled+a, sampledLate+b, all+c, allLate+d
+	}
+	if sampled < all {
+		t.Errorf("in time: got %d, want no less than the %d of comparing all engines", sampled, all)
+	}
+	if sampledLate*2 > allLate {
+		t.Errorf("late: got %d, want at most half of the %d of comparing all engines", sampledLate, allLate)
+	}
+}
--- /dev/null
+++ b/balancer/pool.go
@@ -0,0 +1,33 @@
+package balancer
+
+import "math/rand/v2"
+
+// A pool holds the endpoints of one service. Choosing shuffles them.
+type pool struct {
+	local  []*endpoint // in this entry's region
+	remote []*endpoint
+}
+
+func (p *pool) add(e *endpoint, remote bool) {
+	if remote {
+		p.remote = append(p.remote, e)
+		return
+	}
+	p.local = append(p.local, e)
+}
+
+// len returns the number of endpoints.
+func (p *pool) len() int {
+	if p == nil {
+		return 0
+	}
+	return len(p.local) + len(p.remote)
+}
+
+// pick moves a random endpoint of those from i on to i and returns it, so that
+// picks with growing i give all endpoints in random order.
+func pick(rng *rand.Rand, endpoints []*endpoint, i int) *endpoint {
+	j := i + rng.IntN(len(endpoints)-i)
+	endpoints[i], endpoints[j] = endpoints[j], endpoints[i]
+	return endpoints[i]
+}
--- a/balancer/ticket.go
+++ b/balancer/ticket.go
@@ -41,11 +41,14 @@
 	b.headTimes[t.endpoint.listed.Service] = average
 }
 
-// EventReceived records that the endpoint sent another event of its answer.
-func (t *Ticket) EventReceived() {
-	t.balancer.mu.Lock()
-	defer t.balancer.mu.Unlock()
-	t.endpoint.lastSign = t.balancer.clock.Now()
+// EventReceived records that the endpoint sent another event of its answer. It
+// reports whether the endpoint waits for its streams to end, to load a version.
+func (t *Ticket) EventReceived() bool {
+	b := t.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.endpoint.lastSign = b.clock.Now()
+	return b.statuses[t.target.Address].Loading
 }
 
 // promptRead removes the prompt from the unread load, because it was read or never will be.
--- a/forwarder/budget.go
+++ b/forwarder/budget.go
@@ -61,12 +61,24 @@
 // allowRepeat reports whether a repeat is allowed, and counts it if so. entries
 // is the number of known entries.
 func (b *budget) allowRepeat(now time.Time, service gooseberrypass.ID, entries int) bool {
+	return b.take(now, service, entries, 1)
+}
+
+// allowMove reports whether a stream may be moved, and counts that as a repeat if
+// so. Moves use only a share of the budget, so that the rest is left for repeats
+// after failures.
+func (b *budget) allowMove(now time.Time, service gooseberrypass.ID, entries int) bool {
+	return b.take(now, service, entries, b.settings.MoveShare)
+}
+
+// take counts a repeat if it fits into a share of the budget.
+func (b *budget) take(now time.Time, service gooseberrypass.ID, entries int, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, service)
-	share := max(float64(entries)*b.settings.RetryEntryFactor, 1)
-	allowed := b.settings.RetryRatio*float64(len(w.requests)) + b.settings.RetrySlack/share
-	if float64(len(w.repeats)+1) > allowed {
+	sharers := max(float64(entries)*b.settings.RetryEntryFactor, 1)
+	allowed := b.settings.RetryRatio*float64(len(w.requests)) + b.settings.RetrySlack/sharers
+	if float64(len(w.repeats)+1) > allowed*share {
 		return false
 	}
 	w.repeats = append(w.repeats, now)
--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -40,6 +40,7 @@
 type scriptedTransport struct {
 	reactions []reaction
 	clock     *clockwork.FakeClock
+	onSend    func(gooseberrypass.Dispatch) // may be nil
 	sent      []gooseberrypass.Dispatch
 }
 
@@ -49,6 +50,9 @@
 
 func (t *scriptedTransport) Send(_ context.Context, d gooseberrypass.Dispatch) (*gooseberrypass.Reply, error) {
 	t.sent = append(t.sent, d)
+	if t.onSend != nil {
+		t.onSend(d)
+	}
 	a := t.reactions[min(len(t.sent)-1, len(t.reactions)-1)]
 	t.clock.Advance(a.delay)
 	switch {
@@ -96,6 +100,7 @@
 
 // A fixture is a forwarder with three endpoints of one service.
 type fixture struct {
+	balancer  *balancer.Balancer
 	clock     *clockwork.FakeClock
 	forwarder *forwarder.Forwarder
 	build     func(forwarder.Chooser) (*forwarder.Forwarder, error)
@@ -130,14 +135,15 @@
 	}, 1)
 	snapshot := &materializer.Snapshot{}
 	for _, id := range []gooseberrypass.ID{"a", "b", "c"} {
-		snapshot.Endpoints = append(snapshot.Endpoints, gooseberrypass.Endpoint{ID: id, Service: "s", Slots: 4})
+		snapshot.Endpoints = append(snapshot.Endpoints, gooseberrypass.Endpoint{Address: string(id), ID: id, Service: "s", Slots: 4})
 	}
+	f.balancer = b
 	b.Handle(f.clock.Now(), materializer.Changed{Snapshot: snapshot})
 	log := logrus.New()
 	log.SetOutput(&f.log)
 	var err error
 	settings := forwarder.Settings{
-		DeadlineGrace: 100 * time.Millisecond, HeadTimeoutFactor: 3, EventTimeoutFactor: 4, MaxBufferedAnswer: 1 << 16, QuarantineCrashes: 3, QuarantineTime: time.Minute,
+		DeadlineGrace: 100 * time.Millisecond, HeadTimeoutFactor: 3, EventTimeoutFactor: 4, MaxBufferedAnswer: 1 << 16, MoveShare: 0.5, QuarantineCrashes: 3, QuarantineTime: time.Minute,
 		RetryAfter: time.Second, RetryRatio: 0.2, RetryEntryFactor: 1, RetrySlack: 20, RetryWindow: 10 * time.Second,
 	}
 	f.tracker = forwarder.RequestTracker{RefusalTracker: forwarder.NewRefusalTracker(f.clock, 5*time.Second), CrashTracker: forwarder.NewCrashTracker(f.clock, settings)}
@@ -193,3 +199,17 @@
 	}()
 	f.forwarder.HandleProxyRequest(context.Background(), p, c)
 }
+
+// A onceChooser chooses an endpoint once and is full afterwards.
+type onceChooser struct {
+	forwarder.Chooser
+	chosen bool
+}
+
+func (c *onceChooser) Choose(q balancer.Query) (*balancer.Ticket, error) {
+	if c.chosen {
+		return nil, &gooseberrypass.RequestError{Outcome: gooseberrypass.OutcomeNotRun, Reason: gooseberrypass.ReasonOverloaded}
+	}
+	c.chosen = true
+	return c.Chooser.Choose(q)
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -22,6 +22,7 @@
 	EventTimeoutFactor float64       // timeout of the next event of a resumable stream, as a multiple of the route's EventGap
 	HeadTimeoutFactor  float64       // timeout of a repeatable attempt's head, as a multiple of the objective
 	MaxBufferedAnswer  int64         // bytes of an answer that are buffered before delivery
+	MoveShare          float64       // share of the retry budget that moves of streams may use
 	QuarantineCrashes  int           // connections broken by a request after which it is quarantined
 	QuarantineTime     time.Duration // duration of the quarantine
 	QueuePoll          time.Duration // interval between attempts to find an endpoint with capacity
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -17,6 +17,7 @@
 type metrics struct {
 	denied  prometheus.Counter
 	first   *prometheus.HistogramVec
+	moves   prometheus.Counter
 	results *prometheus.CounterVec
 	took    *prometheus.HistogramVec
 	tries   *prometheus.CounterVec
@@ -32,6 +33,10 @@
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Buckets: buckets, Help: "Time to the head of an answer.", Name: "gooseberrypass_forward_first_seconds",
 		}, []string{labelService}),
+		moves: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gooseberrypass_forward_moves_total",
+			Help: "Streams moved from an endpoint that was about to load a version.",
+		}),
 		results: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberrypass_forward_requests_total",
 			Help: "Requests of callers, by service and outcome.",
@@ -44,7 +49,7 @@
 			Help: "Attempts sent to endpoints.",
 		}, []string{labelService}),
 	}
-	for _, c := range []prometheus.Collector{m.denied, m.first, m.results, m.took, m.tries} {
+	for _, c := range []prometheus.Collector{m.denied, m.first, m.moves, m.results, m.took, m.tries} {
 		if err := registerer.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register forward metrics")
 		}
--- /dev/null
+++ b/forwarder/move_test.go
@@ -0,0 +1,84 @@
+package forwarder_test
+
+import (
+	"testing"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/balancer"
+)
+
+const threeEvents = "id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\ndata: c\n\n"
+
+// loadDuringFirstAttempt makes the endpoint of the first attempt of each request
+// start to load a version while it answers.
+func (f *fixture) loadDuringFirstAttempt() {
+	f.transport.onSend = func(d gooseberrypass.Dispatch) {
+		for _, id := range []string{"a", "b", "c"} {
+			loading := d.LastEvent < 0 && id == d.Endpoint.Address
+			f.balancer.SetEndpointStatus(f.clock.Now(), balancer.EndpointStatus{Address: id, Loading: loading})
+		}
+	}
+}
+
+// A stream does not hold up the load of its engine: it goes on elsewhere after the
+// last event delivered.
+func TestStreamMovesFromAnEndpointThatLoads(t *testing.T) {
+	f := newFixture(t, reaction{body: threeEvents, version: 1}, reaction{body: "id: 1\ndata: b\n\nid: 2\ndata: c\n\n", version: 1})
+	f.loadDuringFirstAttempt()
+	c := f.send("/stream/x", "key")
+	if got := c.body.String(); got != threeEvents || c.aborted {
+		t.Errorf("body: got %q (aborted %t), want %q", got, c.aborted, threeEvents)
+	}
+	if got, want := len(f.transport.sent), 2; got != want {
+		t.Fatalf("dispatches: got %d, want %d", got, want)
+	}
+	if got, want := f.transport.sent[1].LastEvent, 0; got != want {
+		t.Errorf("resumed after: got %d, want %d", got, want)
+	}
+	if f.transport.sent[0].Endpoint.ID == f.transport.sent[1].Endpoint.ID {
+		t.Error("the stream stayed at the endpoint that loads")
+	}
+}
+
+func TestStreamThatMustNotBeResumedStays(t *testing.T) {
+	f := newFixture(t, reaction{body: threeEvents, version: 1})
+	f.loadDuringFirstAttempt()
+	c := f.send("/rigid/x", "key")
+	if got := c.body.String(); got != threeEvents || c.aborted {
+		t.Errorf("body: got %q (aborted %t), want %q", got, c.aborted, threeEvents)
+	}
+	if got, want := len(f.transport.sent), 1; got != want {
+		t.Errorf("dispatches: got %d, want %d", got, want)
+	}
+}
+
+// A stream whose place is taken at the last moment stays where it is.
+func TestStreamStaysWhereNoOtherEndpointHasRoom(t *testing.T) {
+	f := newFixture(t, reaction{body: threeEvents, version: 1})
+	f.loadDuringFirstAttempt()
+	var err error
+	if f.forwarder, err = f.build(&onceChooser{Chooser: f.balancer}); err != nil {
+		t.Fatal(err)
+	}
+	c := f.send("/stream/x", "key")
+	if got := c.body.String(); got != threeEvents || c.aborted {
+		t.Errorf("body: got %q (aborted %t), want %q", got, c.aborted, threeEvents)
+	}
+	if got, want := len(f.transport.sent), 1; got != want {
+		t.Errorf("dispatches: got %d, want %d", got, want)
+	}
+}
+
+// Moves leave a part of the retry budget to repeats after failures.
+func TestMovesUseOnlyTheirShareOfTheBudget(t *testing.T) {
+	f := newFixture(t, reaction{body: threeEvents, version: 1})
+	f.loadDuringFirstAttempt()
+	const requests = 100
+	for range requests {
+		f.send("/stream/x", "key")
+	}
+	moves := len(f.transport.sent) - requests
+	if most := (20 + requests/5) / 2; moves > most || moves == 0 { // RetrySlack, RetryRatio and MoveShare of the fixture
+		t.Errorf("moves: got %d, want 1 to %d", moves, most)
+	}
+}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -39,6 +39,7 @@
 	maxConns      int               // connections that an endpoint of the service accepts, 0 for any number
 	mayRun        bool              // an attempt may have run
 	model         string            // "" for a plain service
+	moveTo        *balancer.Ticket  // place reserved for a stream that is being moved
 	priority      int
 	proxyRequest  *gooseberrypass.ProxyRequest
 	refusedBefore bool                  // retry of a request that was refused because of load
@@ -62,6 +63,7 @@
 // A failure says how one attempt failed.
 type failure struct {
 	err    *gooseberrypass.RequestError
+	moved  bool // the stream goes on at the endpoint of moveTo
 	result balancer.Result
 }
 
@@ -82,10 +84,14 @@
 		}
 		if ctx.Err() != nil {
 			ticket.Done(balancer.ResultInconclusive)
+			r.releaseMove()
 			return errors.Wrap(ctx.Err(), "caller disconnected")
 		}
 		ticket.Done(failed.result)
 		r.tried = append(r.tried, ticket.Endpoint().ID)
+		if failed.moved {
+			continue
+		}
 		again := r.mayRepeat(failed)
 		f.logger.WithFields(logrus.Fields{
 			"request": r.proxyRequest.ID, "endpoint": r.lastEndpoint, "try": r.attempts, "at_endpoint": r.inFlight, "again": again,
@@ -111,6 +117,10 @@
 // until a share of the objective has passed.
 func (r *request) choose(ctx context.Context) (*balancer.Ticket, error) {
 	f := r.forwarder
+	if reserved := r.moveTo; reserved != nil {
+		r.moveTo = nil
+		return reserved, nil
+	}
 	until := r.arrivedAt.Add(time.Duration(f.settings.QueueWaitShare * float64(r.route.Objective)))
 	for {
 		ticket, err := f.chooser.Choose(r.endpointQuery())
@@ -367,7 +377,7 @@
 		if err != nil {
 			return r.streamFailure(ctx, err)
 		}
-		ticket.EventReceived()
+		loading := ticket.EventReceived()
 		if event.id >= 0 && r.lastEvent >= 0 && event.id <= r.lastEvent {
 			continue // delivered before the stream broke off
 		}
@@ -381,6 +391,9 @@
 		if event.id >= 0 {
 			r.lastEvent = event.id
 		}
+		if loading && r.reserveMove(ticket) {
+			return &failure{err: unknown(gooseberrypass.ReasonCut, "the stream moves to another endpoint"), moved: true, result: balancer.ResultInconclusive}
+		}
 		watch.reset(r.eventTimeout())
 	}
 }
