Cut answers without end, withdraw requests before their version expires

Three causes:

- The parser of net/http reads the head of a response of any length.
A connection now gives a head 64 KiB; the clients of the store, of other processes and of the origin read as much.
A body of unknown length that is longer than the buffer ends at the request's time limit.

A margin cannot cover a queue of any length, so a request that an engine has not begun 300 ms before the bound (version-cutoff) is withdrawn and sent elsewhere. The engine does not count as failed.

A move now avoids every engine that has announced a drain.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -45,6 +45,7 @@
 	SlowTolerance   float64       // ratio to the service's time to the head of an answer below which an endpoint is not slow
 	StallFactor     float64       // StallTimeout as a multiple of the service's time to the head of an answer; the longer one counts
 	StallTimeout    time.Duration // silence of an endpoint with requests after which it gets no more; 0 disables the check
+	VersionCutoff   time.Duration // time before VersionTimeout at which a request that has not begun on an old version is withdrawn
 	VersionMargin   time.Duration // time before VersionTimeout from which only the new version is used
 	VersionTimeout  time.Duration // longest use of an old version after a newer one was named
 }
@@ -59,6 +60,7 @@
 	Resumed       bool // resumes an interrupted stream
 	Service       gooseberrypass.ID
 	Tried         []gooseberrypass.ID // endpoints that are not chosen again
+	Staying       bool                // the endpoint must not have announced a drain
 	Version       int                 // version that the endpoint must have, 0 for any in force
 }
 
@@ -277,6 +279,9 @@
 	if t.expectedVersion == 0 && counts.required > 0 {
 		t.expectedVersion = b.loadedVersion(best, q.Model)
 	}
+	if q.Model != "" {
+		t.mustBegin = b.mustBegin(q.Model, b.loadedVersion(best, q.Model))
+	}
 	if best.own.Requests == 0 {
 		best.busySince = now
 	}
@@ -368,6 +373,17 @@
 	return b.snapshot.Targets[model].Required(now, b.settings.VersionTimeout-b.settings.VersionMargin)
 }
 
+// mustBegin returns when the last request may begin on a version of a model, zero if
+// no newer version is wanted.
+func (b *Balancer) mustBegin(model string, version int) time.Time {
+	for _, t := range b.snapshot.Targets[model] {
+		if t.Version > version {
+			return t.Since.Add(b.settings.VersionTimeout - b.settings.VersionCutoff)
+		}
+	}
+	return time.Time{}
+}
+
 // eligibility returns the state that excludes an endpoint whatever its load is,
 // stateAvailable if none does.
 func (b *Balancer) eligibility(now time.Time, e *endpoint, q Query) state {
@@ -397,8 +413,8 @@
 		return false
 	}
 	engine := b.engine(q.Service)
-	if engine == nil || engine.TokensPerEvent == 0 {
-		return false
+	if q.Staying || engine == nil || engine.TokensPerEvent == 0 {
+		return q.Staying
 	}
 	tokens := q.AnswerTokens
 	if tokens == 0 {
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -308,3 +308,16 @@
 	}
 	return chosen
 }
+
+// A stream that moves must not have to move again at once.
+func TestStayingRequestAvoidsEndpointsThatDrain(t *testing.T) {
+	f := newFixture(t, 1)
+	f.balancer.SetEndpointStatus(f.clock.Now(), balancer.EndpointStatus{Address: "a0", DrainsIn: time.Minute, Models: map[string]int{"m": 1}})
+	if _, err := f.balancer.Choose(balancer.Query{Model: "m", Service: "s"}); err != nil {
+		t.Fatalf("a request that ends before the drain: %v", err)
+	}
+	ticket, err := f.balancer.Choose(balancer.Query{Model: "m", Service: "s", Staying: true})
+	if err == nil {
+		t.Errorf("got endpoint %s, want a refusal", ticket.Endpoint().ID)
+	}
+}
--- a/balancer/ticket.go
+++ b/balancer/ticket.go
@@ -13,6 +13,7 @@
 	endpoint        *endpoint
 	expectedVersion int
 	inFlight        int
+	mustBegin       time.Time // latest begin on the endpoint's version, zero for none
 	target          gooseberrypass.Endpoint
 	unread          int // prompt tokens, 0 after the first event
 }
@@ -27,6 +28,10 @@
 // the endpoint when it was chosen.
 func (t *Ticket) InFlight() int { return t.inFlight }
 
+// MustBegin returns when the endpoint must have begun the request at the latest, as
+// its version is out of use then. It is zero if no newer version is wanted.
+func (t *Ticket) MustBegin() time.Time { return t.mustBegin }
+
 // HeadReceived records the time that the endpoint took to the head of its answer.
 func (t *Ticket) HeadReceived(took time.Duration) {
 	b := t.balancer
--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -28,6 +28,8 @@
 	body    string
 	cut     bool          // the connection breaks after the body
 	delay   time.Duration // time until the answer
+	hang    bool          // no answer until the attempt is withdrawn
+	reader  io.Reader     // replaces body, if not nil
 	notRun  bool          // the endpoint refuses to run the request
 	refused bool          // the connection fails before any byte is sent
 	reset   bool          // the connection breaks after the request was sent
@@ -48,7 +50,7 @@
 
 func (brokenReader) Read([]byte) (int, error) { return 0, errReset }
 
-func (t *scriptedTransport) Send(_ context.Context, d gooseberrypass.Dispatch) (*gooseberrypass.Reply, error) {
+func (t *scriptedTransport) Send(ctx context.Context, d gooseberrypass.Dispatch) (*gooseberrypass.Reply, error) {
 	t.sent = append(t.sent, d)
 	if t.onSend != nil {
 		t.onSend(d)
@@ -58,10 +60,16 @@
 	switch {
 	case a.refused:
 		return nil, &gooseberrypass.DispatchError{Err: errReset}
+	case a.hang:
+		<-ctx.Done()
+		return nil, &gooseberrypass.DispatchError{Err: ctx.Err(), Sent: true}
 	case a.reset:
 		return nil, &gooseberrypass.DispatchError{Err: errReset, Sent: true}
 	}
 	var body io.Reader = strings.NewReader(a.body)
+	if a.reader != nil {
+		body = a.reader
+	}
 	if a.cut {
 		body = io.MultiReader(body, brokenReader{})
 	}
@@ -105,6 +113,7 @@
 	forwarder *forwarder.Forwarder
 	build     func(forwarder.Chooser) (*forwarder.Forwarder, error)
 	log       bytes.Buffer
+	snapshot  *materializer.Snapshot
 	tracker   forwarder.RequestTracker
 	transport *scriptedTransport
 }
@@ -129,15 +138,25 @@
 		route("/safe/", gooseberrypass.RouteIdempotent, false),
 		route("/stream/", gooseberrypass.RouteStream, true),
 		route("/rigid/", gooseberrypass.RouteStream, false),
-	}, []gooseberrypass.ServiceSpec{{ID: "s", MaxConns: 6}}, map[string]gooseberrypass.AccountSpec{"key": {ID: "account"}}, gooseberrypass.CallerLimits{})
+		{
+			EventGap: 300 * time.Millisecond, Host: "h", Mode: gooseberrypass.RouteStream, MaxAttempts: 2, Name: "model", Objective: time.Second,
+			Prefix: "/model/", Resumable: true, Targets: []gooseberrypass.RouteTarget{{Service: "engines", Weight: 1}}, Timeout: 6 * time.Second,
+		},
+	}, []gooseberrypass.ServiceSpec{{ID: "s", MaxConns: 6}, {ID: "engines", Engine: &gooseberrypass.EngineSpec{Model: "m"}}}, map[string]gooseberrypass.AccountSpec{"key": {ID: "account"}}, gooseberrypass.CallerLimits{})
 	b := balancer.New(f.clock, "r", func(gooseberrypass.FailureDomain) gooseberrypass.Region { return "r" }, balancer.Settings{
-		Ejection: time.Second, MaxEjection: time.Second, PlainFill: 4, SlowTolerance: 2,
+		Ejection: time.Second, Fill: 1, MaxEjection: time.Second, PlainFill: 4, SlowTolerance: 2, VersionCutoff: 300 * time.Millisecond,
+		VersionMargin: 800 * time.Millisecond, VersionTimeout: 8 * time.Second,
 	}, 1)
 	snapshot := &materializer.Snapshot{}
 	for _, id := range []gooseberrypass.ID{"a", "b", "c"} {
 		snapshot.Endpoints = append(snapshot.Endpoints, gooseberrypass.Endpoint{Address: string(id), ID: id, Service: "s", Slots: 4})
 	}
-	f.balancer = b
+	for _, id := range []gooseberrypass.ID{"engine-1", "engine-2"} {
+		snapshot.Endpoints = append(snapshot.Endpoints, gooseberrypass.Endpoint{
+			Address: string(id), ID: id, Models: map[string]int{"m": 1}, Service: "engines", Slots: 4,
+		})
+	}
+	f.balancer, f.snapshot = b, snapshot
 	b.Handle(f.clock.Now(), materializer.Changed{Snapshot: snapshot})
 	log := logrus.New()
 	log.SetOutput(&f.log)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/gooseberrypass/gooseberrypass"
 )
 
@@ -250,3 +252,38 @@
 		}
 	}
 }
+
+// An endlessReader repeats a piece for ever and counts the bytes read.
+type endlessReader struct {
+	clock *clockwork.FakeClock
+	piece string
+	read  int
+}
+
+func (r *endlessReader) Read(p []byte) (int, error) {
+	n := 0
+	for n+len(r.piece) <= len(p) {
+		n += copy(p[n:], r.piece)
+	}
+	r.read += n
+	r.clock.Advance(time.Millisecond)
+	return n, nil
+}
+
+// An event without an end is cut once it is longer than any event may be.
+func TestEventWithoutEndIsCut(t *testing.T) {
+	for name, piece := range map[string]string{"one line": "x", "many lines": "data: x\n", "comments": ":\n"} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, reaction{}, reaction{reset: true})
+			endless := &endlessReader{clock: f.clock, piece: piece}
+			f.transport.reactions[0].reader = endless
+			c := f.send("/stream/x", "key")
+			if c.failure == nil || c.failure.Outcome != gooseberrypass.OutcomeUnknown {
+				t.Errorf("got %v, want an unknown outcome", c.failure)
+			}
+			if most := 2 << 20; endless.read > most {
+				t.Errorf("read %d bytes, want at most %d", endless.read, most)
+			}
+		})
+	}
+}
--- a/forwarder/move.go
+++ b/forwarder/move.go
@@ -18,7 +18,7 @@
 		return false
 	}
 	query := r.endpointQuery()
-	query.Objective, query.Resumed = r.route.EventGap, false // a voluntary move must not wait for a slot
+	query.Objective, query.Resumed, query.Staying = r.route.EventGap, false, true // a stream must neither wait for a slot nor have to move again
 	query.Tried = append(slices.Clone(r.tried), from.Endpoint().ID)
 	ticket, err := f.chooser.Choose(query)
 	if err != nil {
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -17,6 +17,10 @@
 // delivered.
 var errInterrupted = errors.New("answer broke off after part of it was delivered")
 
+// errVersionExpired is the cause of withdrawing a request that an endpoint has not
+// begun when the version that it has loaded goes out of use.
+var errVersionExpired = errors.New("not begun before the endpoint's version went out of use")
+
 const (
 	copyBufferBytes = 32 << 10  // buffer for the rest of an answer longer than MaxBufferedAnswer
 	defaultTimeLeft = time.Hour // time left if neither the caller nor the route sets a limit
@@ -222,13 +226,17 @@
 	r.lastEndpoint, r.inFlight = ticket.Endpoint().ID, ticket.InFlight()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := newWatchdog(f.clock, func() { cancel(context.DeadlineExceeded) })
-	defer watch.stop()
 	left := r.deadline.Sub(f.clock.Now())
 	if r.deadline.IsZero() {
 		left = defaultTimeLeft
 	}
-	watch.reset(r.headTimeout(left))
+	timeout, cause := r.headTimeout(left), context.DeadlineExceeded
+	if latest := ticket.MustBegin(); !latest.IsZero() && latest.Sub(f.clock.Now()) < timeout {
+		timeout, cause = latest.Sub(f.clock.Now()), errVersionExpired
+	}
+	watch := newWatchdog(f.clock, func(cause error) { cancel(cause) })
+	defer watch.stop()
+	watch.reset(timeout, cause)
 	sent := f.clock.Now()
 	reply, err := f.transport.Send(ctx, gooseberrypass.Dispatch{
 		Account: r.account, Endpoint: ticket.Endpoint(), ExpectedVersion: ticket.ExpectedVersion(), MaxIdleConns: r.maxIdleConns(), Request: r.proxyRequest,
@@ -289,11 +297,16 @@
 		r.mayRun = true
 		f.err.Outcome = gooseberrypass.OutcomeUnknown
 	}
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errVersionExpired):
+		f.err.Reason = gooseberrypass.ReasonNotLoaded
+		f.err.Detail = cause.Error()
+		f.result = balancer.ResultInconclusive
+	case errors.Is(cause, context.DeadlineExceeded):
 		f.err.Reason = gooseberrypass.ReasonDeadline
 		f.err.Detail = "no answer in time: " + err.Error()
 		f.result = balancer.ResultTimedOut
-	} else if sent {
+	case sent:
 		r.forwarder.tracker.recordCrash(r.digest)
 	}
 	return f
@@ -327,6 +340,9 @@
 		return &failure{err: unknown(gooseberrypass.ReasonUpstream, "the endpoint answered with an error"), result: balancer.ResultAnswered}
 	}
 	watch.stop()
+	if int64(body.Len()) >= s.MaxBufferedAnswer && reply.Header.Get("Content-Length") == "" {
+		watch.reset(r.timeLeft(), context.DeadlineExceeded) // the rest may have no end
+	}
 	r.start(reply)
 	if err := r.w.Write(body.Bytes()); err != nil {
 		return &failure{err: unknown(gooseberrypass.ReasonCut, err.Error()), result: balancer.ResultAnswered}
@@ -394,18 +410,23 @@
 		if loading && r.reserveMove(ticket) {
 			return &failure{err: unknown(gooseberrypass.ReasonCut, "the stream moves to another endpoint"), moved: true, result: balancer.ResultInconclusive}
 		}
-		watch.reset(r.eventTimeout())
+		watch.reset(r.eventTimeout(), context.DeadlineExceeded)
 	}
 }
 
+// timeLeft returns how long an answer may still take.
+func (r *request) timeLeft() time.Duration {
+	if r.deadline.IsZero() {
+		return defaultTimeLeft
+	}
+	return r.deadline.Sub(r.forwarder.clock.Now()) + r.forwarder.settings.DeadlineGrace
+}
+
 // eventTimeout returns how long the next event of a stream may take. A stream
 // that may be resumed gets less time, so that another endpoint can continue it.
 func (r *request) eventTimeout() time.Duration {
 	f := r.forwarder
-	left := defaultTimeLeft
-	if !r.deadline.IsZero() {
-		left = r.deadline.Sub(f.clock.Now()) + f.settings.DeadlineGrace
-	}
+	left := r.timeLeft()
 	if !r.route.Resumable || r.attempts >= r.route.MaxAttempts || r.route.EventGap == 0 {
 		return left
 	}
--- a/runner/machine.go
+++ b/runner/machine.go
@@ -87,6 +87,7 @@
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
 	maxIdlePerHost    = 16
+	maxHeaderBytes    = 64 << 10 // of an answer; a peer in trouble may send bytes without end
 	idleTimeout       = 30 * time.Second
 )
 
@@ -97,6 +98,7 @@
 	}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dial.DialContext, DisableCompression: true, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxIdlePerHost,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -147,6 +147,7 @@
 			{Name: "stall-times", Type: checker.Float(1, 100), Default: "3", Doc: "As stall, as a multiple of the service's time to the head of an answer; the longer of the two applies."},
 			{Name: "starting-wait", Type: checker.Duration(0, longest), Default: default500ms, Doc: "Delay after which callers are told to retry before the first configuration."},
 			{Name: "stop-delay", Type: checker.Duration(0, longest), Default: default2500ms, Doc: "Time from SIGTERM until no more connections are accepted; the platform checks readiness twice, a second apart."},
+			{Name: "version-cutoff", Type: checker.Duration(0, longest), Default: default300ms, Doc: "Time before the version bound at which a request is withdrawn from an engine of an older version that has not begun it; the delivery of the withdrawal on a busy link."},
 			{Name: "version-margin", Type: checker.Duration(0, longest), Default: defaultVersionMargin, Doc: "Time before the version bound from which only the new version is used; the longest wait of a request at an engine."},
 		},
 	}
@@ -272,6 +273,7 @@
 		SlowTolerance:   s.float(sectionForward, "slow-tolerance"),
 		StallTimeout:    s.forwardDuration("stall"),
 		StallFactor:     s.float(sectionForward, "stall-times"),
+		VersionCutoff:   s.forwardDuration("version-cutoff"),
 		VersionMargin:   s.forwardDuration("version-margin"),
 		VersionTimeout:  s.duration(sectionBounds, "version"),
 	}
