--- a/emulator/origin.go
+++ b/emulator/origin.go
@@ -111,10 +111,32 @@
 	w.Header().Set("Content-Length", strconv.FormatInt(end-start, 10))
 	w.Header().Set("Content-Range", fmt.Sprintf("bytes %d-%d/%d", start, end-1, len(v.weights)))
 	w.WriteHeader(http.StatusPartialContent)
-	n, _ := o.pacer.write(r.Context(), w, body)
+	_, _ = o.pacer.write(r.Context(), servedWriter{ResponseWriter: w, key: key, origin: o}, body)
+}
+
+// A servedWriter counts the bytes of a version before it sends them, so that they are
+// counted when the client has them.
+type servedWriter struct {
+	http.ResponseWriter
+	key    versionKey
+	origin *Origin
+}
+
+// Write implements io.Writer.
+func (w servedWriter) Write(p []byte) (int, error) {
+	w.origin.countServed(w.key, len(p))
+	n, err := w.ResponseWriter.Write(p)
+	w.origin.countServed(w.key, n-len(p))
+	return n, err
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w servedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (o *Origin) countServed(key versionKey, n int) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.servedBytes[key] += int64(n)
-	o.mu.Unlock()
 }
 
 // parseRange parses a Range header with a single range of the form
