Contain panics of controllers, effects and requests

Cause: a panic in a controller or an effect ended the process, so that one malformed record or answer could take an entry or an agent down, and every other one that got it. A panic in a request's handler was contained by net/http, but its place at the endpoint stayed reserved.

Change: the control loop recovers, counts and logs with a digest of the input; the other controllers get the event, and an effect runs again after a second, as its controller waits for the result. An attempt gives back its place on a panic.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -287,3 +287,19 @@
 		})
 	}
 }
+
+// A request whose handling panics gives back its place at the endpoint.
+func TestPanicLeavesNoPlaceReserved(t *testing.T) {
+	f := newFixture(t, reaction{body: "ok"})
+	f.transport.onSend = func(gooseberrypass.Dispatch) { panic(aborted{}) }
+	for range 20 { // more than the places of all endpoints
+		f.send("/once/x", "key")
+	}
+	f.transport.onSend = nil
+	if c := f.send("/once/x", "key"); c.body.String() != "ok" {
+		t.Errorf("got %q (%v), want an answer", c.body.String(), c.failure)
+	}
+	if got := len(f.balancer.OwnLoads()); got != 0 {
+		t.Errorf("got %d endpoints with places reserved, want 0", got)
+	}
+}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -81,7 +81,7 @@
 			return r.settleFailure(r.noEndpoint(err))
 		}
 		r.attempts++
-		failed := r.attempt(ctx, ticket)
+		failed := r.attemptAt(ctx, ticket)
 		if failed == nil {
 			ticket.Done(balancer.ResultAnswered)
 			return nil
@@ -219,6 +219,20 @@
 	return true
 }
 
+// attemptAt makes an attempt, and gives back its place also if the attempt panics.
+func (r *request) attemptAt(ctx context.Context, ticket *balancer.Ticket) *failure {
+	returned := false
+	defer func() {
+		if !returned {
+			ticket.Done(balancer.ResultInconclusive)
+			r.releaseMove()
+		}
+	}()
+	failed := r.attempt(ctx, ticket)
+	returned = true
+	return failed
+}
+
 // attempt sends the request to one endpoint. It returns nil after the whole
 // answer was delivered.
 func (r *request) attempt(ctx context.Context, ticket *balancer.Ticket) *failure {
--- a/looper/looper.go
+++ b/looper/looper.go
@@ -4,10 +4,13 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass"
 )
@@ -16,13 +19,19 @@
 // number of effects that a process has in flight.
 const queueSize = 4096
 
+// panicPause is the time after which an effect that panicked runs again. Its
+// controller waits for the event in which it results.
+const panicPause = time.Second
+
 // A Loop delivers events to controllers one at a time and runs the effects that
-// they return.
+// they return. A panic in either is logged and counted and does not end the process.
 type Loop struct {
 	clock       gooseberrypass.Clock
 	controllers []gooseberrypass.Controller
 	effects     *prometheus.CounterVec
 	events      *prometheus.CounterVec
+	logger      logrus.FieldLogger
+	panics      *prometheus.CounterVec
 	period      time.Duration
 	queue       chan gooseberrypass.Event
 	stopped     chan struct{}
@@ -48,11 +57,16 @@
 			Name: "gooseberrypass_control_events_total",
 			Help: "Events handled on the control goroutine.",
 		}, []string{"event"}),
+		logger: logrus.StandardLogger(),
+		panics: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gooseberrypass_control_panics_total",
+			Help: "Panics of controllers and effects, by the event or effect.",
+		}, []string{"in"}),
 		period:  period,
 		queue:   make(chan gooseberrypass.Event, queueSize),
 		stopped: make(chan struct{}),
 	}
-	for _, c := range []prometheus.Collector{l.effects, l.events} {
+	for _, c := range []prometheus.Collector{l.effects, l.events, l.panics} {
 		if err := registerer.Register(c); err != nil {
 			return nil, err
 		}
@@ -60,6 +74,10 @@
 	return l, nil
 }
 
+// SetLogger sets the logger of panics, logrus.StandardLogger by default. It must not
+// be called after Run.
+func (l *Loop) SetLogger(logger logrus.FieldLogger) { l.logger = logger }
+
 // Add adds controllers. They receive each event after the controllers added
 // before. Add must not be called after Run.
 func (l *Loop) Add(controllers ...gooseberrypass.Controller) {
@@ -98,18 +116,65 @@
 	l.events.WithLabelValues(event.EventName()).Inc()
 	now := l.clock.Now()
 	for _, c := range l.controllers {
-		for _, effect := range c.Handle(now, event) {
+		for _, effect := range l.handleWith(c, now, event) {
 			l.startEffect(ctx, effect)
 		}
 	}
 }
 
+// handleWith passes an event to one controller. If that panics, the event has no
+// effects, and the other controllers still receive it.
+func (l *Loop) handleWith(c gooseberrypass.Controller, now time.Time, event gooseberrypass.Event) (effects []gooseberrypass.Effect) { //nolint:nonamedreturns // set when the call panics
+	defer func() {
+		if cause := recover(); cause != nil {
+			l.recordPanic(event.EventName(), event, cause)
+			effects = nil
+		}
+	}()
+	return c.Handle(now, event)
+}
+
+// recordPanic counts and logs a panic. The digest of the input tells whether the same
+// one caused others.
+func (l *Loop) recordPanic(in string, input, cause any) {
+	l.panics.WithLabelValues(in).Inc()
+	digest := gooseberrypass.DigestOf(fmt.Appendf(nil, "%+v", input))
+	l.logger.WithFields(logrus.Fields{"in": in, "input": digest.Short(), "panic": fmt.Sprint(cause), "stack": string(debug.Stack())}).Error("panic contained")
+}
+
 // startEffect runs an effect on a new goroutine and posts the resulting event.
 func (l *Loop) startEffect(ctx context.Context, effect gooseberrypass.Effect) {
 	l.effects.WithLabelValues(effect.EffectName()).Inc()
 	l.wg.Go(func() {
-		if event := effect.Run(ctx); event != nil {
+		event, ok := l.runEffect(ctx, effect)
+		for !ok && l.pause(ctx) {
+			event, ok = l.runEffect(ctx, effect)
+		}
+		if event != nil {
 			l.Post(event)
 		}
 	})
 }
+
+// runEffect runs an effect and reports whether it ended without a panic.
+func (l *Loop) runEffect(ctx context.Context, effect gooseberrypass.Effect) (event gooseberrypass.Event, ok bool) { //nolint:nonamedreturns // set when the call panics
+	defer func() {
+		if cause := recover(); cause != nil {
+			l.recordPanic(effect.EffectName(), effect, cause)
+			event, ok = nil, false
+		}
+	}()
+	return effect.Run(ctx), true
+}
+
+// pause waits for panicPause and reports whether ctx is still in force.
+func (l *Loop) pause(ctx context.Context) bool {
+	timer := l.clock.NewTimer(panicPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.Chan():
+		return true
+	}
+}
--- a/runner/machine.go
+++ b/runner/machine.go
@@ -70,6 +70,7 @@
 	if m.loop, err = looper.New(m.clock, m.registry, tickPeriod); err != nil {
 		return nil, errors.Wrap(err, "create control loop")
 	}
+	m.loop.SetLogger(m.logger)
 	if m.gossiper, err = gossiper.New(self.Address, m.loop.Post, m.registry, m.logger); err != nil {
 		return nil, err
 	}
--- a/runner/process.go
+++ b/runner/process.go
@@ -76,6 +76,7 @@
 	if p.loop, err = looper.New(p.clock, p.registry, tickPeriod); err != nil {
 		return nil, errors.Wrap(err, "create control loop")
 	}
+	p.loop.SetLogger(p.logger)
 	p.platformClient = p.dialer.Client(dialer.ClassPlatform)
 	p.log = connector.NewLog(p.platformClient, settings.logURL)
 	return p, p.addMembership(selector, options...)
