Let nothing but events with an index extend the wait of a resumable stream

Cause: each event restarted the wait for the next one, also a comment, an empty event or a lone field. A stalled endpoint that sent one now and then kept its stream until the caller's deadline, and without a deadline for ever.

Change: on routes that may be resumed only an event with an index restarts the wait. TestSlowSoundStreamIsNotCut: events 1.1 s apart under a limit of 1.2 s pass.

--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -70,6 +70,9 @@
 	if a.reader != nil {
 		body = a.reader
 	}
+	if r, ok := a.reader.(*stalledReader); ok {
+		r.ctx = ctx
+	}
 	if a.cut {
 		body = io.MultiReader(body, brokenReader{})
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -1,6 +1,9 @@
 package forwarder_test
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -255,7 +258,6 @@
 
 // An endlessReader repeats a piece for ever and counts the bytes read.
 type endlessReader struct {
-	clock *clockwork.FakeClock
 	piece string
 	read  int
 }
@@ -266,7 +268,6 @@
 		n += copy(p[n:], r.piece)
 	}
 	r.read += n
-	r.clock.Advance(time.Millisecond)
 	return n, nil
 }
 
@@ -275,7 +276,7 @@
 	for name, piece := range map[string]string{"one line": "x", "many lines": "data: x\n", "comments": ":\n"} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, reaction{}, reaction{reset: true})
-			endless := &endlessReader{clock: f.clock, piece: piece}
+			endless := &endlessReader{piece: piece}
 			f.transport.reactions[0].reader = endless
 			c := f.send("/stream/x", "key")
 			if c.failure == nil || c.failure.Outcome != gooseberrypass.OutcomeUnknown {
@@ -303,3 +304,88 @@
 		t.Errorf("got %d endpoints with places reserved, want 0", got)
 	}
 }
+
+// A stalled stream that sends something now and then goes on elsewhere after the
+// longest pause between events, which such bytes do not extend.
+func TestStalledStreamEndsWhateverTrickles(t *testing.T) {
+	for name, piece := range map[string]string{"a byte": "d", "a comment": ":\n\n", "an empty event": "\n", "a field": "retry: 1\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, reaction{version: 1}, reaction{body: "id: 1\ndata: b\n\n", version: 1})
+			stalled := &stalledReader{clock: f.clock, piece: piece, pieces: 7, start: "id: 0\ndata: a\n\n", takes: 200 * time.Millisecond}
+			f.transport.reactions[0].reader = stalled
+			c := f.send("/stream/x", "key")
+			if !strings.HasSuffix(c.body.String(), "id: 1\ndata: b\n\n") || c.aborted {
+				t.Errorf("got %q (aborted %t), want the stream to go on elsewhere", c.body.String(), c.aborted)
+			}
+			if !stalled.withdrawn {
+				t.Error("the attempt was not withdrawn after 1.4 s, want 1.2 s")
+			}
+		})
+	}
+}
+
+// A stalledReader reads start, then some pieces, each after a while, and then nothing
+// until the attempt is withdrawn.
+type stalledReader struct {
+	clock     *clockwork.FakeClock
+	ctx       context.Context
+	piece     string
+	pieces    int
+	start     string
+	takes     time.Duration
+	withdrawn bool
+}
+
+func (r *stalledReader) Read(p []byte) (int, error) {
+	if n := copy(p, r.start); n > 0 {
+		r.start = r.start[n:]
+		return n, nil
+	}
+	if r.pieces > 0 && r.ctx.Err() == nil {
+		r.pieces--
+		r.clock.Advance(r.takes)
+		return copy(p, r.piece), nil
+	}
+	select {
+	case <-r.ctx.Done():
+		r.withdrawn = true
+		return 0, r.ctx.Err()
+	case <-time.After(5 * time.Second): // only in a run that fails
+		return 0, errReset
+	}
+}
+
+// A slow stream whose events come just within the limit is never cut.
+func TestSlowSoundStreamIsNotCut(t *testing.T) {
+	f := newFixture(t, reaction{version: 1})
+	var events strings.Builder
+	const n = 4 // 1.1 s apart, within the caller's 5 s
+	for i := range n {
+		fmt.Fprintf(&events, "id: %d\ndata: x\n\n", i)
+	}
+	f.transport.reactions[0].reader = &slowReader{clock: f.clock, pieces: strings.SplitAfter(events.String(), "\n\n"), takes: 1100 * time.Millisecond}
+	c := f.send("/stream/x", "key")
+	if got := c.body.String(); got != events.String() || c.aborted {
+		t.Errorf("got %q (aborted %t), want %q", got, c.aborted, events.String())
+	}
+	if got, want := len(f.transport.sent), 1; got != want {
+		t.Errorf("dispatches: got %d, want %d", got, want)
+	}
+}
+
+// A slowReader reads one piece after another, each after a while.
+type slowReader struct {
+	clock  *clockwork.FakeClock
+	pieces []string
+	takes  time.Duration
+}
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	if len(r.pieces) == 0 || r.pieces[0] == "" {
+		return 0, io.EOF
+	}
+	r.clock.Advance(r.takes)
+	n := copy(p, r.pieces[0])
+	r.pieces = r.pieces[1:]
+	return n, nil
+}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -424,7 +424,9 @@
 		if loading && r.reserveMove(ticket) {
 			return &failure{err: unknown(gooseberrypass.ReasonCut, "the stream moves to another endpoint"), moved: true, result: balancer.ResultInconclusive}
 		}
-		watch.reset(r.eventTimeout(), context.DeadlineExceeded)
+		if event.id >= 0 || !r.route.Resumable {
+			watch.reset(r.eventTimeout(), context.DeadlineExceeded) // an event without an index may be all that a stalled endpoint sends
+		}
 	}
 }
 
