--- /dev/null
+++ b/gossiper/fuzz_test.go
@@ -0,0 +1,41 @@
+package gossiper_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/balancer"
+	"github.com/gooseberrypass/gooseberrypass/gossiper"
+)
+
+// A datagram may hold anything. What is decoded can be encoded again.
+func FuzzDecode(f *testing.F) {
+	body, err := gossiper.Encode(gossiper.Message{
+		Address: "10.0.0.1:7700", CrashCounts: map[uint64]int{1: 2}, From: "a", ListAge: time.Second,
+		EndpointStatus: &balancer.EndpointStatus{Address: "10.0.0.2:1", Loading: true, Models: map[string]int{"m": 1}},
+		Loads:          map[gooseberrypass.ID]balancer.Load{"e": {Requests: 3, UnreadTokens: 1000}},
+		Manifests:      []gooseberrypass.ModelTarget{{Model: "m", Version: 2}},
+		Next:           map[gooseberrypass.Topic]gooseberrypass.Offset{gooseberrypass.TopicOperator: 7}, Refused: []uint64{9}, Region: "r", Role: gooseberrypass.RoleEntry,
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(body)
+	f.Add(body[:len(body)/2])
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		m, err := gossiper.Decode(body)
+		if err != nil {
+			return
+		}
+		for id, load := range m.Loads {
+			if load.Requests < 0 || load.UnreadTokens < 0 {
+				t.Errorf("endpoint %q: got a negative load %+v", id, load)
+			}
+		}
+		if _, err := gossiper.Encode(m); err != nil {
+			t.Errorf("encode what was decoded: %v", err)
+		}
+	})
+}
