Let requests leave an endpoint that no entry hears from

An engine without power gives no reset.

Change: entries tell one another already which endpoints have stalled for them. A request that may be repeated now leaves its endpoint when every entry that has requests there says so, or after twice the stall where it is alone, if the retry budget allows it. An engine that is full sends events to some entry and is left alone, and so are all when most are silent, which is a fault of this process or its link (loss-poll, 100 ms).

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -30,11 +30,16 @@
 // newFixture returns a balancer in region r0 with n engines that have version 1 and
 // 4 slots. Every second engine is in region r1.
 func newFixture(t *testing.T, n int) *fixture {
+	t.Helper()
+	return newFixtureWith(t, n, settings())
+}
+
+func newFixtureWith(t *testing.T, n int, s balancer.Settings) *fixture {
 	t.Helper()
 	f := &fixture{clock: clockwork.NewFakeClock()}
 	f.balancer = balancer.New(f.clock, "r0", func(d gooseberrypass.FailureDomain) gooseberrypass.Region {
 		return gooseberrypass.Region(d)
-	}, settings(), 1)
+	}, s, 1)
 	f.snapshot = &materializer.Snapshot{Targets: map[string]materializer.Targets{}}
 	for i := range n {
 		f.snapshot.Endpoints = append(f.snapshot.Endpoints, gooseberrypass.Endpoint{
@@ -321,3 +326,54 @@
 		t.Errorf("got endpoint %s, want a refusal", ticket.Endpoint().ID)
 	}
 }
+
+// An endpoint is lost when no entry that has requests there hears from it. One that is
+// merely full sends events to others, and silence of most endpoints says nothing about
+// any of them.
+func TestEndpointThatNoEntryHearsFromIsLost(t *testing.T) {
+	const stall = 400 * time.Millisecond
+	here, other := balancer.Load{Requests: 1, Stalled: true}, balancer.Load{Requests: 1}
+	for _, tt := range []struct {
+		name    string
+		reports map[gooseberrypass.ID]balancer.Load // of other entries
+		after   time.Duration
+		want    bool
+	}{
+		{"nobody hears from it", map[gooseberrypass.ID]balancer.Load{"b": here, "c": here}, stall + 1, true},
+		{"another entry hears from it", map[gooseberrypass.ID]balancer.Load{"b": here, "c": other}, stall + 1, false},
+		{"it may just be slow", map[gooseberrypass.ID]balancer.Load{"b": here}, stall, false},
+		{"alone, for a while", nil, 2 * stall, false},
+		{"alone, for long", nil, 2*stall + 1, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := settings()
+			s.StallTimeout, s.StallFactor = stall, 1
+			f := newFixtureWith(t, 1, s)
+			ticket := f.choose(t)
+			f.clock.Advance(tt.after)
+			for entry, load := range tt.reports {
+				f.balancer.SetEntryLoads(f.clock.Now(), entry, map[gooseberrypass.ID]balancer.Load{"e0": load})
+			}
+			if got := ticket.EndpointLost(); got != tt.want {
+				t.Errorf("got lost %t, want %t", got, tt.want)
+			}
+			ticket.EventReceived()
+			if ticket.EndpointLost() {
+				t.Error("lost right after an event")
+			}
+		})
+	}
+}
+
+func TestSilenceOfMostEndpointsLosesNone(t *testing.T) {
+	s := settings()
+	s.StallTimeout, s.StallFactor = 400*time.Millisecond, 1
+	f := newFixtureWith(t, 4, s)
+	tickets := []*balancer.Ticket{f.choose(t), f.choose(t), f.choose(t), f.choose(t)}
+	f.clock.Advance(time.Second)
+	for _, ticket := range tickets {
+		if ticket.EndpointLost() {
+			t.Errorf("endpoint %s is lost though all are silent", ticket.Endpoint().ID)
+		}
+	}
+}
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -31,6 +31,7 @@
 
 // A loadSum is the load of an endpoint that comes from several entries.
 type loadSum struct {
+	entries      int // entries with requests there
 	requests     int
 	stalled      int // entries to which the endpoint has stalled
 	unreadTokens int
@@ -39,6 +40,9 @@
 func (s *loadSum) add(l Load) {
 	s.requests += l.Requests
 	s.unreadTokens += l.UnreadTokens
+	if l.Requests > 0 {
+		s.entries++
+	}
 	if l.Stalled {
 		s.stalled++
 	}
@@ -47,6 +51,9 @@
 func (s *loadSum) subtract(l Load) {
 	s.requests -= l.Requests
 	s.unreadTokens -= l.UnreadTokens
+	if l.Requests > 0 {
+		s.entries--
+	}
 	if l.Stalled {
 		s.stalled--
 	}
@@ -102,6 +109,16 @@
 	return e.others.stalled > 0 || e.stalled(now, limit)
 }
 
+// lost reports whether no entry that has requests at the endpoint has heard from it
+// for limit. An endpoint that is merely full sends events to some of them. An entry
+// that is alone there waits for twice as long.
+func (e *endpoint) lost(now time.Time, limit time.Duration) bool {
+	if e.others.entries == 0 {
+		limit *= 2
+	}
+	return e.stalled(now, limit) && e.others.stalled == e.others.entries
+}
+
 // total returns the load from all entries. The requests that others sent since
 // their last report are unknown. All entries usually see the same free endpoint at
 // the same moment, so that each of them is assumed to have sent as many prompt
--- a/balancer/ticket.go
+++ b/balancer/ticket.go
@@ -56,6 +56,36 @@
 	return b.statuses[t.target.Address].Loading
 }
 
+// EndpointLost reports whether the endpoint seems to be gone: no entry with requests
+// there hears from it. If that is true of most endpoints, this process was suspended or
+// its link failed, and none counts as lost.
+func (t *Ticket) EndpointLost() bool {
+	b := t.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	if b.settings.StallTimeout <= 0 || !t.endpoint.lost(now, b.stallTimeout(t.endpoint)) {
+		return false
+	}
+	p := b.services[t.target.Service]
+	if p == nil {
+		return true
+	}
+	used, silent := 0, 0
+	for _, group := range [][]*endpoint{p.local, p.remote} {
+		for _, e := range group {
+			if e.own.Requests == 0 {
+				continue
+			}
+			used++
+			if e.stalled(now, b.stallTimeout(e)) {
+				silent++
+			}
+		}
+	}
+	return used == 1 || 2*silent <= used
+}
+
 // promptRead removes the prompt from the unread load, because it was read or never will be.
 func (t *Ticket) promptRead() {
 	t.endpoint.own.UnreadTokens -= t.unread
--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -116,6 +116,7 @@
 	forwarder *forwarder.Forwarder
 	build     func(forwarder.Chooser) (*forwarder.Forwarder, error)
 	log       bytes.Buffer
+	settings  forwarder.Settings
 	snapshot  *materializer.Snapshot
 	tracker   forwarder.RequestTracker
 	transport *scriptedTransport
@@ -147,7 +148,7 @@
 		},
 	}, []gooseberrypass.ServiceSpec{{ID: "s", MaxConns: 6}, {ID: "engines", Engine: &gooseberrypass.EngineSpec{Model: "m"}}}, map[string]gooseberrypass.AccountSpec{"key": {ID: "account"}}, gooseberrypass.CallerLimits{})
 	b := balancer.New(f.clock, "r", func(gooseberrypass.FailureDomain) gooseberrypass.Region { return "r" }, balancer.Settings{
-		Ejection: time.Second, Fill: 1, MaxEjection: time.Second, PlainFill: 4, SlowTolerance: 2, VersionCutoff: 300 * time.Millisecond,
+		Ejection: time.Second, Fill: 1, MaxEjection: time.Second, PlainFill: 4, SlowTolerance: 2, StallFactor: 3, StallTimeout: 400 * time.Millisecond, VersionCutoff: 300 * time.Millisecond,
 		VersionMargin: 800 * time.Millisecond, VersionTimeout: 8 * time.Second,
 	}, 1)
 	snapshot := &materializer.Snapshot{}
@@ -164,13 +165,13 @@
 	log := logrus.New()
 	log.SetOutput(&f.log)
 	var err error
-	settings := forwarder.Settings{
+	f.settings = forwarder.Settings{
 		DeadlineGrace: 100 * time.Millisecond, HeadTimeoutFactor: 3, EventTimeoutFactor: 4, MaxBufferedAnswer: 1 << 16, MoveShare: 0.5, QuarantineCrashes: 3, QuarantineTime: time.Minute,
 		RetryAfter: time.Second, RetryRatio: 0.2, RetryEntryFactor: 1, RetrySlack: 20, RetryWindow: 10 * time.Second,
 	}
-	f.tracker = forwarder.RequestTracker{RefusalTracker: forwarder.NewRefusalTracker(f.clock, 5*time.Second), CrashTracker: forwarder.NewCrashTracker(f.clock, settings)}
+	f.tracker = forwarder.RequestTracker{RefusalTracker: forwarder.NewRefusalTracker(f.clock, 5*time.Second), CrashTracker: forwarder.NewCrashTracker(f.clock, f.settings)}
 	f.build = func(chooser forwarder.Chooser) (*forwarder.Forwarder, error) {
-		return forwarder.New(f.clock, deployments{d}, chooser, f.transport, f.tracker, settings, prometheus.NewRegistry(), log)
+		return forwarder.New(f.clock, deployments{d}, chooser, f.transport, f.tracker, f.settings, prometheus.NewRegistry(), log)
 	}
 	f.forwarder, err = f.build(b)
 	if err != nil {
@@ -200,6 +201,16 @@
 	return c
 }
 
+// useLossPoll makes requests check whether their endpoints are lost.
+func (f *fixture) useLossPoll(t *testing.T) {
+	t.Helper()
+	f.settings.LossPoll = 100 * time.Millisecond
+	var err error
+	if f.forwarder, err = f.build(f.balancer); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // send sends a request and returns its caller.
 func (f *fixture) send(path, key string) *caller {
 	c := &caller{}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 	DeadlineGrace      time.Duration // time after the deadline for which an answer in progress may continue
 	EventTimeoutFactor float64       // timeout of the next event of a resumable stream, as a multiple of the route's EventGap
 	HeadTimeoutFactor  float64       // timeout of a repeatable attempt's head, as a multiple of the objective
+	LossPoll           time.Duration // interval of checks whether the endpoint of an attempt is lost; 0 for none
 	MaxBufferedAnswer  int64         // bytes of an answer that are buffered before delivery
 	MoveShare          float64       // share of the retry budget that moves of streams may use
 	QuarantineCrashes  int           // connections broken by a request after which it is quarantined
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -50,7 +51,8 @@
 	repeatDigest  gooseberrypass.Digest // digest that includes the prompt
 	route         *gooseberrypass.Route
 	service       gooseberrypass.ID
-	started       bool // part of the answer was delivered
+	repeatPaid    atomic.Bool // the next repeat is taken from the retry budget already
+	started       bool        // part of the answer was delivered
 	status        int
 	tried         []gooseberrypass.ID // endpoints of earlier attempts
 	version       int                 // version of the weights that began the answer
@@ -212,7 +214,7 @@
 	if f.tracker.isQuarantined(r.digest) {
 		return false
 	}
-	if !f.budget.allowRepeat(now, r.service, f.chooser.Entries()) {
+	if !r.repeatPaid.Swap(false) && !f.budget.allowRepeat(now, r.service, f.chooser.Entries()) {
 		f.metrics.denied.Inc()
 		return false
 	}
@@ -251,6 +253,7 @@
 	watch := newWatchdog(f.clock, func(cause error) { cancel(cause) })
 	defer watch.stop()
 	watch.reset(timeout, cause)
+	defer r.watchEndpoint(ticket, func() { cancel(errEndpointLost) })()
 	sent := f.clock.Now()
 	reply, err := f.transport.Send(ctx, gooseberrypass.Dispatch{
 		Account: r.account, Endpoint: ticket.Endpoint(), ExpectedVersion: ticket.ExpectedVersion(), MaxIdleConns: r.maxIdleConns(), Request: r.proxyRequest,
@@ -316,9 +319,9 @@
 		f.err.Reason = gooseberrypass.ReasonNotLoaded
 		f.err.Detail = cause.Error()
 		f.result = balancer.ResultInconclusive
-	case errors.Is(cause, context.DeadlineExceeded):
+	case errors.Is(cause, context.DeadlineExceeded), errors.Is(cause, errEndpointLost):
 		f.err.Reason = gooseberrypass.ReasonDeadline
-		f.err.Detail = "no answer in time: " + err.Error()
+		f.err.Detail = "no answer in time (" + cause.Error() + "): " + err.Error()
 		f.result = balancer.ResultTimedOut
 	case sent:
 		r.forwarder.tracker.recordCrash(r.digest)
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -29,6 +29,7 @@
 
 // Defaults that several settings share.
 const (
+	default100ms  = "100ms"
 	default500ms  = "500ms"
 	default2500ms = "2500ms"
 	default300ms  = "300ms"
@@ -112,7 +113,7 @@
 		Kind: sectionForward,
 		Keys: []checker.Key{
 			{Name: "connect", Type: checker.Duration(time.Millisecond, longest), Default: "400ms", Doc: "Time limit for a new connection to an endpoint; many round trips between regions."},
-			{Name: "cut-after", Type: checker.Duration(0, longest), Default: "100ms", Doc: "Time after a deadline until an answer is cut off, so that the endpoint's own answer can arrive."},
+			{Name: "cut-after", Type: checker.Duration(0, longest), Default: default100ms, Doc: "Time after a deadline until an answer is cut off, so that the endpoint's own answer can arrive."},
 			{Name: "ejection", Type: checker.Duration(time.Millisecond, longest), Default: default500ms, Doc: "Time for which an endpoint is skipped after two failures in a row; doubled each time."},
 			{Name: "ejection-most", Type: checker.Duration(time.Millisecond, longest), Default: "4s", Doc: "Longest ejection of an endpoint."},
 			{Name: "engine-penalty", Type: checker.Float(0, 100), Default: "1", Doc: "Requests added to the load of an engine in another region when endpoints are compared."},
@@ -124,10 +125,11 @@
 			{Name: "gap-waits", Type: checker.Float(1, 100), Default: "4", Doc: "Silence after which a stream is resumed at another endpoint, as a multiple of the route's longest gap between events; callers leave after 8."},
 			{Name: "idle", Type: checker.Duration(time.Second, longest), Default: "10s", Doc: "Time for which an idle connection to an endpoint is kept."},
 			{Name: "kept", Type: checker.Int(1, 1000), Default: "24", Doc: "Idle connections kept to one endpoint."},
+			{Name: "loss-poll", Type: checker.Duration(0, longest), Default: default100ms, Doc: "Interval at which a repeatable request checks whether any entry hears from its endpoint; 0 for never."},
 			{Name: "max-answer", Type: checker.Size(1024, 1<<30), Default: "1MiB", Doc: "Most bytes of an answer that is buffered until it is complete."},
 			{Name: "move-share", Type: checker.Float(0, 1), Default: "0.5", Doc: "Share of the retry budget for streams that move from an engine which is about to load a version; the rest is left for failures."},
 			{Name: "notice-life", Type: checker.Duration(time.Millisecond, longest), Default: "3s", Doc: "Time for which a report of another process is used."},
-			{Name: "period", Type: checker.Duration(time.Millisecond, longest), Default: "100ms", Doc: "Interval of messages to other entries of the region; a slot becomes free about as often."},
+			{Name: "period", Type: checker.Duration(time.Millisecond, longest), Default: default100ms, Doc: "Interval of messages to other entries of the region; a slot becomes free about as often."},
 			{Name: "plain-fill", Type: checker.Float(0.1, 100), Default: "3", Doc: "Requests at a plain endpoint, as a multiple of its slots, up to which more are sent."},
 			{Name: "plain-penalty", Type: checker.Float(0, 100), Default: "0.4", Doc: "Load, as a multiple of the slots, added to that of a plain endpoint in another region when endpoints are compared."},
 			{Name: "poison-breaks", Type: checker.Int(1, 100), Default: "3", Doc: "Broken connections to endpoints after which the request that was sent on them is refused."},
@@ -284,6 +286,7 @@
 		DeadlineGrace:      s.forwardDuration("cut-after"),
 		HeadTimeoutFactor:  s.float(sectionForward, "first-waits"),
 		EventTimeoutFactor: s.float(sectionForward, "gap-waits"),
+		LossPoll:           s.forwardDuration("loss-poll"),
 		MaxBufferedAnswer:  checker.Get[int64](s.values, sectionForward, "max-answer"),
 		MoveShare:          s.float(sectionForward, "move-share"),
 		QuarantineCrashes:  checker.Get[int](s.values, sectionForward, "poison-breaks"),
