--- /dev/null
+++ b/balancer/choice.go
@@ -0,0 +1,228 @@
+package balancer
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// best returns the available endpoint with the lowest cost among those compared, nil
+// if none is available, and the number of endpoints seen in each state. Silent
+// endpoints are available only with allowSilent.
+func (b *Balancer) best(now time.Time, q Query, allowSilent bool) (*endpoint, stateCounts) {
+	counts := stateCounts{required: b.requiredVersion(now, q.Model)}
+	p := b.services[q.Service]
+	if p == nil {
+		return nil, counts
+	}
+	var best *endpoint
+	bestCost := 0.0
+	for _, group := range []struct {
+		endpoints []*endpoint
+		entries   int // that prefer these endpoints alike
+	}{{p.local, b.localEntries}, {p.remote, len(b.entriesSeen) + 1}} {
+		left := b.sampleSize(len(group.endpoints), group.entries)
+		for i := range group.endpoints {
+			e := pick(b.rng, group.endpoints, i)
+			cost, state := b.evaluate(now, e, q)
+			if state == stateAvailable && !allowSilent && b.silent(now, e) {
+				state = stateSilent
+			}
+			counts.byState[state]++
+			if state != stateAvailable {
+				continue
+			}
+			if best == nil || cost < bestCost {
+				best, bestCost = e, cost
+			}
+			if left--; left == 0 {
+				break
+			}
+		}
+	}
+	return best, counts
+}
+
+// minSample is the smallest number of available endpoints that are compared. The
+// better of two random ones is hardly ever among the fullest.
+const minSample = 2
+
+// sampleSize returns how many available endpoints of a group are compared for a
+// request. Entries know of the load of others only from messages, so those that
+// compared all endpoints would all choose the one that looked least loaded at the
+// last message. With as many as there are for each entry, one of them sees it.
+func (b *Balancer) sampleSize(endpoints, entries int) int {
+	if b.settings.SampleFactor == 0 {
+		return endpoints
+	}
+	return max(minSample, int(math.Ceil(b.settings.SampleFactor*float64(endpoints)/float64(max(entries, 1)))))
+}
+
+// silent reports whether an endpoint has sent nothing for longer than its stall timeout.
+func (b *Balancer) silent(now time.Time, e *endpoint) bool {
+	return b.settings.StallTimeout > 0 && e.silent(now, b.stallTimeout(e))
+}
+
+// stallTimeout returns the silence after which an endpoint with requests gets no more.
+func (b *Balancer) stallTimeout(e *endpoint) time.Duration {
+	return max(b.settings.StallTimeout, time.Duration(b.settings.StallFactor*float64(b.headTimes[e.listed.Service])))
+}
+
+// evaluate returns the cost of an endpoint for a request and whether it is available.
+func (b *Balancer) evaluate(now time.Time, e *endpoint, q Query) (float64, state) {
+	if state := b.eligibility(now, e, q); state != stateAvailable {
+		return 0, state
+	}
+	cost, hasRoom := b.cost(e, q)
+	switch {
+	case slices.Contains(q.Tried, e.listed.ID):
+		return 0, stateTried
+	case !hasRoom || now.Before(e.fullUntil):
+		return 0, stateFull
+	default:
+		return cost, stateAvailable
+	}
+}
+
+// requiredVersion returns the oldest version that requests may run on now, 0 for any.
+func (b *Balancer) requiredVersion(now time.Time, model string) int {
+	return b.snapshot.Targets[model].Required(now, b.settings.VersionTimeout-b.settings.VersionMargin)
+}
+
+// mustBegin returns when the last request may begin on a version of a model, zero if
+// no newer version is wanted.
+func (b *Balancer) mustBegin(model string, version int) time.Time {
+	for _, t := range b.snapshot.Targets[model] {
+		if t.Version > version {
+			return t.Since.Add(b.settings.VersionTimeout - b.settings.VersionCutoff)
+		}
+	}
+	return time.Time{}
+}
+
+// eligibility returns the state that excludes an endpoint whatever its load is,
+// stateAvailable if none does.
+func (b *Balancer) eligibility(now time.Time, e *endpoint, q Query) state {
+	switch {
+	case e.listed.Leaving:
+		return stateLeaving
+	case now.Before(e.ejectedUntil) || e.probation && e.own.Requests > 0:
+		return stateEjected
+	case q.Model == "":
+		return stateAvailable
+	case b.statuses[e.listed.Address].Loading || b.outlivesDrain(now, e, q):
+		return stateLoading
+	}
+	version := b.loadedVersion(e, q.Model)
+	if q.Version > 0 && version != q.Version || version == 0 || version < b.requiredVersion(now, q.Model) {
+		return stateVersion
+	}
+	return stateAvailable
+}
+
+// outlivesDrain reports whether an answer is expected to end after its endpoint
+// starts to drain. It would delay the load: an engine loads a version only after
+// its streams have ended.
+func (b *Balancer) outlivesDrain(now time.Time, e *endpoint, q Query) bool {
+	drainsAt, ok := b.drainsAt[e.listed.Address]
+	if !ok {
+		return false
+	}
+	engine := b.engine(q.Service)
+	if q.Staying || engine == nil || engine.TokensPerEvent == 0 {
+		return q.Staying
+	}
+	tokens := q.AnswerTokens
+	if tokens == 0 {
+		tokens = engine.MeanTokens
+	}
+	events := time.Duration(tokens / engine.TokensPerEvent)
+	return now.Add(b.predictFirstEvent(q.PromptTokens, q.Service, 1) + events*engine.EventInterval).After(drainsAt)
+}
+
+// loadedVersion returns the version of a model that an endpoint has loaded, 0 for
+// none. The agent's report takes precedence over the list, which lags behind.
+func (b *Balancer) loadedVersion(e *endpoint, model string) int {
+	if n, ok := b.statuses[e.listed.Address]; ok {
+		return n.Models[model]
+	}
+	return e.listed.Models[model]
+}
+
+// cost returns the cost of an endpoint for a request, in requests or, for plain
+// services, in requests per slot, and whether it has room. The load of a slow
+// endpoint counts for more.
+func (b *Balancer) cost(e *endpoint, q Query) (float64, bool) {
+	slots := float64(max(e.listed.Slots, 1))
+	slowness := b.slowness(e)
+	remote := b.regionOf(e.listed.FailureDomain) != b.self
+	entries := b.localEntries
+	if remote {
+		entries = len(b.entriesSeen) + 1
+	}
+	load := e.total(entries)
+	// Up to half a request of random load keeps entries that see the same loads
+	// from choosing the same endpoint.
+	total := (float64(load.Requests) + b.rng.Float64()/2) * slowness
+	if q.Model == "" {
+		cost := total / slots
+		if remote {
+			cost += b.settings.PlainPenalty
+		}
+		return cost, total < slots*b.settings.PlainFill
+	}
+	fill := b.settings.Fill
+	switch {
+	case q.Resumed:
+		fill = b.settings.ResumeFill
+	case q.RefusedBefore:
+		fill = b.settings.RetryFill
+	}
+	cost := total
+	if remote {
+		cost += b.settings.EnginePenalty
+	}
+	first := b.predictFirstEvent(load.UnreadTokens+q.PromptTokens, q.Service, slowness)
+	if engine := b.engine(q.Service); engine != nil && engine.EventInterval > 0 {
+		cost += float64(first) / float64(engine.EventInterval)
+	}
+	inTime := q.Objective == 0 || first <= time.Duration(b.settings.FirstEventShare*float64(q.Objective))
+	return cost, total < slots*fill && (inTime || load.UnreadTokens == 0)
+}
+
+// predictFirstEvent predicts the time until an engine has read unread prompt tokens
+// and sent the first event, 0 if the engine's rate is unknown. The engine reads
+// prompts between the passes of its batch.
+func (b *Balancer) predictFirstEvent(unread int, service gooseberrypass.ID, slowness float64) time.Duration {
+	engine := b.engine(service)
+	if engine == nil || engine.ReadRate <= 0 {
+		return 0
+	}
+	read := time.Duration(float64(unread) / engine.ReadRate * float64(time.Second))
+	return time.Duration(slowness * float64(engine.EventInterval+read))
+}
+
+// engine returns the engine model of a service, nil if it is unknown or plain.
+func (b *Balancer) engine(service gooseberrypass.ID) *gooseberrypass.EngineSpec {
+	if b.snapshot.Deployment == nil {
+		return nil
+	}
+	spec, _ := b.snapshot.Deployment.Service(service)
+	return spec.Engine
+}
+
+// slowness returns the ratio of an endpoint's time to the head of an answer to its
+// service's. Ratios below SlowTolerance count as 1.
+func (b *Balancer) slowness(e *endpoint) float64 {
+	service := b.headTimes[e.listed.Service]
+	if service == 0 || e.headTime == 0 {
+		return 1
+	}
+	ratio := float64(e.headTime) / float64(service)
+	if ratio < b.settings.SlowTolerance {
+		return 1
+	}
+	return ratio
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -198,8 +198,8 @@
 	}
 	f.metrics.observe(r, outcome, took)
 	entry := f.logger.WithFields(logrus.Fields{
-		"request": r.proxyRequest.ID, labelOutcome: outcome, "ms": took.Milliseconds(), "tries": r.attempts, "config": r.configVersion,
-		"endpoint": r.lastEndpoint, labelService: r.service, "status": r.status, "first_ms": r.headTime.Milliseconds(), "at_endpoint": r.inFlight, "returned": r.refusedBefore,
+		fieldRequest: r.proxyRequest.ID, labelOutcome: outcome, "ms": took.Milliseconds(), "tries": r.attempts, "config": r.configVersion,
+		fieldEndpoint: r.lastEndpoint, labelService: r.service, "status": r.status, "first_ms": r.headTime.Milliseconds(), "at_endpoint": r.inFlight, "returned": r.refusedBefore,
 	})
 	if r.route != nil {
 		entry = entry.WithField("route", r.route.Name)
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -13,6 +13,12 @@
 	labelService = "service"
 )
 
+// Fields of log lines.
+const (
+	fieldEndpoint = "endpoint"
+	fieldRequest  = "request"
+)
+
 // metrics are the metrics of requests.
 type metrics struct {
 	denied  prometheus.Counter
--- a/forwarder/move.go
+++ b/forwarder/move.go
@@ -30,7 +30,7 @@
 	}
 	f.metrics.moves.Inc()
 	f.logger.WithFields(logrus.Fields{
-		"request": r.proxyRequest.ID, "endpoint": from.Endpoint().ID, "to": ticket.Endpoint().ID, "event": r.lastEvent, "version": r.version,
+		fieldRequest: r.proxyRequest.ID, fieldEndpoint: from.Endpoint().ID, "to": ticket.Endpoint().ID, "event": r.lastEvent, "version": r.version,
 	}).Info("stream moves to another endpoint")
 	r.moveTo = ticket
 	return true
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -100,7 +100,7 @@
 		}
 		again := r.mayRepeat(failed)
 		f.logger.WithFields(logrus.Fields{
-			"request": r.proxyRequest.ID, "endpoint": r.lastEndpoint, "try": r.attempts, "at_endpoint": r.inFlight, "again": again,
+			fieldRequest: r.proxyRequest.ID, fieldEndpoint: r.lastEndpoint, "try": r.attempts, "at_endpoint": r.inFlight, "again": again,
 			"may_have_run": r.mayRun, "expect": ticket.ExpectedVersion(), "ms": f.clock.Since(r.arrivedAt).Milliseconds(),
 		}).WithError(failed.err).Info("attempt failed")
 		if !again {
@@ -396,43 +396,6 @@
 	r.w.Start(reply.Status, reply.Header)
 }
 
-// deliverStream delivers each event of a stream as it arrives.
-func (r *request) deliverStream(ctx context.Context, reply *gooseberrypass.Reply, ticket *balancer.Ticket, watch *watchdog) *failure {
-	events := newEventReader(reply.Body)
-	for {
-		event, err := events.next()
-		if errors.Is(err, io.EOF) {
-			if !r.started {
-				r.start(reply)
-			}
-			return nil
-		}
-		if err != nil {
-			return r.streamFailure(ctx, err)
-		}
-		loading := ticket.EventReceived()
-		if event.id >= 0 && r.lastEvent >= 0 && event.id <= r.lastEvent {
-			continue // delivered before the stream broke off
-		}
-		if event.id >= 0 && r.lastEvent >= 0 && event.id != r.lastEvent+1 {
-			return r.streamFailure(ctx, errors.Errorf("event %d after %d", event.id, r.lastEvent))
-		}
-		r.start(reply)
-		if err := r.w.Write(event.raw); err != nil {
-			return &failure{err: unknown(gooseberrypass.ReasonCut, err.Error()), result: balancer.ResultInconclusive}
-		}
-		if event.id >= 0 {
-			r.lastEvent = event.id
-		}
-		if loading && r.reserveMove(ticket) {
-			return &failure{err: unknown(gooseberrypass.ReasonCut, "the stream moves to another endpoint"), moved: true, result: balancer.ResultInconclusive}
-		}
-		if event.id >= 0 || !r.route.Resumable {
-			watch.reset(r.eventTimeout(), context.DeadlineExceeded) // an event without an index may be all that a stalled endpoint sends
-		}
-	}
-}
-
 // timeLeft returns how long an answer may still take.
 func (r *request) timeLeft() time.Duration {
 	if r.deadline.IsZero() {
@@ -440,21 +403,3 @@
 	}
 	return r.deadline.Sub(r.forwarder.clock.Now()) + r.forwarder.settings.DeadlineGrace
 }
-
-// eventTimeout returns how long the next event of a stream may take. A stream
-// that may be resumed gets less time, so that another endpoint can continue it.
-func (r *request) eventTimeout() time.Duration {
-	f := r.forwarder
-	left := r.timeLeft()
-	if !r.route.Resumable || r.attempts >= r.route.MaxAttempts || r.route.EventGap == 0 {
-		return left
-	}
-	return min(left, time.Duration(f.settings.EventTimeoutFactor*float64(r.route.EventGap)))
-}
-
-// streamFailure returns the failure of a stream that broke off.
-func (r *request) streamFailure(ctx context.Context, err error) *failure {
-	f := r.connectionFailure(ctx, &gooseberrypass.DispatchError{Err: errors.Wrap(err, "stream"), Sent: true})
-	f.err.Reason = gooseberrypass.ReasonCut
-	return f
-}
--- /dev/null
+++ b/forwarder/stream.go
@@ -0,0 +1,78 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/balancer"
+)
+
+// deliverStream delivers each event of a stream as it arrives.
+func (r *request) deliverStream(ctx context.Context, reply *gooseberrypass.Reply, ticket *balancer.Ticket, watch *watchdog) *failure {
+	events := newEventReader(reply.Body)
+	for {
+		event, err := events.next()
+		if errors.Is(err, io.EOF) {
+			r.start(reply)
+			return nil
+		}
+		if err != nil {
+			return r.streamFailure(ctx, err)
+		}
+		loading := ticket.EventReceived()
+		if r.delivered(event) {
+			continue
+		}
+		if failed := r.deliverEvent(ctx, reply, event); failed != nil {
+			return failed
+		}
+		if loading && r.reserveMove(ticket) {
+			return &failure{err: unknown(gooseberrypass.ReasonCut, "the stream moves to another endpoint"), moved: true, result: balancer.ResultInconclusive}
+		}
+		if event.id >= 0 || !r.route.Resumable {
+			watch.reset(r.eventTimeout(), context.DeadlineExceeded) // an event without an index may be all that a stalled endpoint sends
+		}
+	}
+}
+
+// delivered reports whether an event was delivered before the stream was resumed.
+func (r *request) delivered(e event) bool {
+	return e.id >= 0 && r.lastEvent >= 0 && e.id <= r.lastEvent
+}
+
+// deliverEvent delivers one event, which must follow the last one.
+func (r *request) deliverEvent(ctx context.Context, reply *gooseberrypass.Reply, e event) *failure {
+	if e.id >= 0 && r.lastEvent >= 0 && e.id != r.lastEvent+1 {
+		return r.streamFailure(ctx, errors.Errorf("event %d after %d", e.id, r.lastEvent))
+	}
+	r.start(reply)
+	if err := r.w.Write(e.raw); err != nil {
+		return &failure{err: unknown(gooseberrypass.ReasonCut, err.Error()), result: balancer.ResultInconclusive}
+	}
+	if e.id >= 0 {
+		r.lastEvent = e.id
+	}
+	return nil
+}
+
+// eventTimeout returns how long the next event of a stream may take. A stream
+// that may be resumed gets less time, so that another endpoint can continue it.
+func (r *request) eventTimeout() time.Duration {
+	f := r.forwarder
+	left := r.timeLeft()
+	if !r.route.Resumable || r.attempts >= r.route.MaxAttempts || r.route.EventGap == 0 {
+		return left
+	}
+	return min(left, time.Duration(f.settings.EventTimeoutFactor*float64(r.route.EventGap)))
+}
+
+// streamFailure returns the failure of a stream that broke off.
+func (r *request) streamFailure(ctx context.Context, err error) *failure {
+	f := r.connectionFailure(ctx, &gooseberrypass.DispatchError{Err: errors.Wrap(err, "stream"), Sent: true})
+	f.err.Reason = gooseberrypass.ReasonCut
+	return f
+}
