Keep messages between regions and retries at the store within a rate

A third of the processes are turned away by the store for 9 s, and each of their three readers tried again four times a second.

Change: an entry sends at most 60 messages a second to entries of other regions (far-rate), down to one in half the life of a report; agents report to other regions each 3 s, and at once at a change, so the versions that they report now count for 8 s (status-life), that an engine is loading for 3 s as before. Failed reads are tried again after 0.25, 0.5 and then 1 s, registrations after 0.5, 1 and 2 s; a process that never read a topic stands by once another passes on its records.

TestRefusalDetailCountsEndpointStates reported that an engine was loading 7 s before it asked; agents renew that each second, so the report now comes after the wait. The detail that is wanted is unchanged.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -36,11 +36,12 @@
 	PlainFill       float64       // most requests at a plain service's endpoint, as a multiple of its slots
 	PlainPenalty    float64       // cost of a plain endpoint in another region, in requests per slot
 	RefusalBackoff  time.Duration // backoff after a refusal because of load; doubles with refusals in a row
-	ReportTTL       time.Duration // age at which reports of other processes expire
+	ReportTTL       time.Duration // age at which the loads of other entries expire, and that an endpoint is loading
 	ResumeFill      float64       // Fill for interrupted streams that are resumed
 	RetryFill       float64       // Fill for requests that were refused before
 	SampleFactor    float64       // endpoints compared for a request, as a multiple of those for each entry; 0 compares all
 	SlowTolerance   float64       // ratio to the service's time to the head of an answer below which an endpoint is not slow
+	StatusTTL       time.Duration // age at which the status of an endpoint expires
 	StallFactor     float64       // StallTimeout as a multiple of the service's time to the head of an answer; the longer one counts
 	StallTimeout    time.Duration // silence of an endpoint with requests after which it gets no more; 0 disables the check
 	VersionCutoff   time.Duration // time before VersionTimeout at which a request that has not begun on an old version is withdrawn
@@ -168,7 +169,7 @@
 	}
 	b.countLocalEntries()
 	for address, at := range b.statusesSeen {
-		if now.Sub(at) >= b.settings.ReportTTL {
+		if now.Sub(at) >= b.settings.StatusTTL {
 			delete(b.statusesSeen, address)
 			delete(b.statuses, address)
 			delete(b.drainsAt, address)
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -16,7 +16,7 @@
 func settings() balancer.Settings {
 	return balancer.Settings{
 		Ejection: time.Second, MaxEjection: 4 * time.Second, EnginePenalty: 1, Fill: 1.25, RefusalBackoff: 100 * time.Millisecond,
-		ReportTTL: 3 * time.Second, PlainFill: 2, PlainPenalty: 0.4, ResumeFill: 1.5, SlowTolerance: 1.5,
+		ReportTTL: 3 * time.Second, StatusTTL: 8 * time.Second, PlainFill: 2, PlainPenalty: 0.4, ResumeFill: 1.5, SlowTolerance: 1.5,
 		VersionMargin: time.Second, VersionTimeout: 8 * time.Second,
 	}
 }
@@ -198,8 +198,8 @@
 	f.snapshot.Targets["m"] = materializer.Targets{{Since: f.clock.Now(), Version: 2}}
 	f.snapshot.Endpoints[0].Leaving = true
 	f.publish()
-	f.balancer.SetEndpointStatus(f.clock.Now(), balancer.EndpointStatus{Address: "a1", Loading: true})
 	f.clock.Advance(7 * time.Second)
+	f.balancer.SetEndpointStatus(f.clock.Now(), balancer.EndpointStatus{Address: "a1", Loading: true})
 	_, err := f.balancer.Choose(balancer.Query{Model: "m", Service: "s"})
 	var failure *gooseberrypass.RequestError
 	if !errors.As(err, &failure) {
@@ -377,3 +377,22 @@
 		}
 	}
 }
+
+// An agent that dies while its engine loads does not report the end, so that the engine
+// counts as loading only for a while. The versions that it reported count for longer, as
+// agents of other regions report seldom.
+func TestLoadingExpiresBeforeTheVersions(t *testing.T) {
+	f := newFixture(t, 1)
+	f.balancer.SetEndpointStatus(f.clock.Now(), balancer.EndpointStatus{Address: "a0", Loading: true, Models: map[string]int{"m": 2}})
+	f.assertRefused(t, gooseberrypass.ReasonNoEndpoint)
+	f.clock.Advance(3 * time.Second) // ReportTTL
+	f.balancer.Handle(f.clock.Now(), gooseberrypass.Tick{})
+	if _, err := f.balancer.Choose(balancer.Query{Model: "m", Service: "s", Version: 2}); err != nil {
+		t.Errorf("version 2 after the report that it is loaded: %v", err)
+	}
+	f.clock.Advance(5 * time.Second) // StatusTTL
+	f.balancer.Handle(f.clock.Now(), gooseberrypass.Tick{})
+	if ticket, err := f.balancer.Choose(balancer.Query{Model: "m", Service: "s", Version: 2}); err == nil {
+		t.Errorf("got endpoint %s by an expired report, want a refusal", ticket.Endpoint().ID)
+	}
+}
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -112,7 +112,7 @@
 		return stateEjected
 	case q.Model == "":
 		return stateAvailable
-	case b.statuses[e.listed.Address].Loading || b.outlivesDrain(now, e, q):
+	case b.loading(now, e.listed.Address) || b.outlivesDrain(now, e, q):
 		return stateLoading
 	}
 	version := b.loadedVersion(e, q.Model)
@@ -122,6 +122,12 @@
 	return stateAvailable
 }
 
+// loading reports whether an endpoint's agent has just reported that it is loading a
+// version. An agent that dies meanwhile does not report the end.
+func (b *Balancer) loading(now time.Time, address string) bool {
+	return b.statuses[address].Loading && now.Sub(b.statusesSeen[address]) < b.settings.ReportTTL
+}
+
 // outlivesDrain reports whether an answer is expected to end after its endpoint
 // starts to drain. It would delay the load: an engine loads a version only after
 // its streams have ended.
--- a/balancer/ticket.go
+++ b/balancer/ticket.go
@@ -52,8 +52,9 @@
 	b := t.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t.endpoint.lastSign = b.clock.Now()
-	return b.statuses[t.target.Address].Loading
+	now := b.clock.Now()
+	t.endpoint.lastSign = now
+	return b.loading(now, t.target.Address)
 }
 
 // EndpointLost reports whether the endpoint seems to be gone: no entry with requests
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -19,7 +19,7 @@
 	NextOffset func() gooseberrypass.Offset // returns the offset after the last record received from any source; nil if the log is the only source
 	Once       bool                         // stop after the first successful read; other processes announce later changes
 	Pause      time.Duration                // delay between two reads
-	RetryDelay time.Duration                // delay after a failed read
+	RetryDelay time.Duration                // delay after a failed read; doubles up to maxRetryFactor times with each further one
 	ShouldRead func() bool                  // reports whether this process reads the topic; nil if it always does
 	StartDelay time.Duration                // delay of the first read; a follower with Once skips it if records have arrived from another process by then
 }
@@ -27,7 +27,7 @@
 // A Follower reads one topic and posts its changes.
 type Follower struct {
 	clock    gooseberrypass.Clock
-	failing  bool // the last read failed
+	failures int // failed reads in a row
 	log      gooseberrypass.KeyedLog
 	logger   logrus.FieldLogger
 	next     gooseberrypass.Offset // offset of the next read
@@ -75,14 +75,14 @@
 			<-ctx.Done()
 			return nil
 		}
-		if f.started && f.settings.ShouldRead != nil && !f.settings.ShouldRead() {
+		if f.mayStandBy() && !f.settings.ShouldRead() {
 			f.standBy(ctx)
 			continue
 		}
 		pause := f.settings.Pause
 		if err := f.read(ctx); err != nil && ctx.Err() == nil {
 			f.recordFailure(err)
-			pause = f.settings.RetryDelay
+			pause = f.retryDelay()
 		} else if f.settings.Once {
 			<-ctx.Done()
 			return nil
@@ -92,6 +92,20 @@
 	return nil
 }
 
+// maxRetryFactor limits the delay after failed reads. All processes that the store
+// turns away retry, and each of their calls counts against its rate.
+const maxRetryFactor = 4
+
+func (f *Follower) retryDelay() time.Duration {
+	return f.settings.RetryDelay * time.Duration(min(1<<min(f.failures-1, maxRetryFactor), maxRetryFactor))
+}
+
+// mayStandBy reports whether the process may leave the topic to another one: after its
+// first read, or when the store turns it away and another process has passed on records.
+func (f *Follower) mayStandBy() bool {
+	return f.settings.ShouldRead != nil && (f.started || f.failures > 0 && f.nextOffset() > 0)
+}
+
 // nextOffset returns the offset after the last record that this process has from
 // any source.
 func (f *Follower) nextOffset() gooseberrypass.Offset {
@@ -104,7 +118,7 @@
 // standBy waits while another process reads the topic and passes on the records.
 func (f *Follower) standBy(ctx context.Context) {
 	f.logger.WithField("next", f.nextOffset()).Info("topic is read by another process")
-	f.failing = false
+	f.failures = 0
 	f.post(gooseberrypass.TopicRead{Topic: f.topic})
 	for ctx.Err() == nil && !f.settings.ShouldRead() {
 		f.sleep(ctx, standbyPoll)
@@ -131,8 +145,8 @@
 		return err
 	}
 	f.reads.WithLabelValues(string(f.topic), "ok").Inc()
-	if f.failing {
-		f.failing = false
+	if f.failures > 0 {
+		f.failures = 0
 		f.logger.WithField("next", batch.Next).Info("reads of the topic succeed again")
 	}
 	if len(batch.Records) > 0 || batch.Complete {
@@ -162,8 +176,8 @@
 // recordFailure logs the first of several failed reads and posts the error.
 func (f *Follower) recordFailure(err error) {
 	f.reads.WithLabelValues(string(f.topic), "failed").Inc()
-	if !f.failing {
-		f.failing = true
+	f.failures++
+	if f.failures == 1 {
 		f.logger.WithError(err).WithField("next", f.next).Warn("reading the topic failed")
 	}
 	f.post(gooseberrypass.TopicRead{Err: err, Topic: f.topic})
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -156,3 +156,53 @@
 		t.Errorf("calls: got %v, want none", l.calls)
 	}
 }
+
+// Processes that the store turns away must not fill its rate with their retries.
+func TestRetriesOfFailedReadsSlowDown(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	clock := clockwork.NewFakeClock()
+	down := make([]read, 100)
+	for i := range down {
+		down[i].err = errors.New("down")
+	}
+	l := &log{cancel: cancel, reads: down}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	counts, err := follower.NewReadCounter(prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := follower.New(clock, l, "t", follower.Settings{RetryDelay: 250 * time.Millisecond}, func(gooseberrypass.Event) {}, counts, logger)
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	for range 36 { // 9 s
+		if err := clock.BlockUntilContext(ctx, 1); err != nil {
+			t.Fatal(err)
+		}
+		clock.Advance(250 * time.Millisecond)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	// After 0, 0.25 and 0.75 s, and each second from 1.75 s on.
+	if got, most := len(l.calls), 12; got > most {
+		t.Errorf("got %d calls in 9 s, want at most %d", got, most)
+	}
+}
+
+// A process that the store turned away from its start on leaves the topic to the one
+// that passes on its records.
+func TestTurnedAwayProcessStandsByOnceItHasRecords(t *testing.T) {
+	checks := 0
+	settings := follower.Settings{
+		NextOffset: func() gooseberrypass.Offset { return 8 },
+		ShouldRead: func() bool { checks++; return checks > 2 },
+	}
+	calls, _ := followWith(t, settings, read{err: errors.New("turned away")}, read{batch: batch(9, true, "b")})
+	wantCalls(t, calls, "newest", "newest", "tail 9")
+	if checks < 3 {
+		t.Errorf("got %d checks for another reader, want at least 3", checks)
+	}
+}
--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -148,7 +148,7 @@
 		},
 	}, []gooseberrypass.ServiceSpec{{ID: "s", MaxConns: 6}, {ID: "engines", Engine: &gooseberrypass.EngineSpec{Model: "m"}}}, map[string]gooseberrypass.AccountSpec{"key": {ID: "account"}}, gooseberrypass.CallerLimits{})
 	b := balancer.New(f.clock, "r", func(gooseberrypass.FailureDomain) gooseberrypass.Region { return "r" }, balancer.Settings{
-		Ejection: time.Second, Fill: 1, MaxEjection: time.Second, PlainFill: 4, SlowTolerance: 2, StallFactor: 3, StallTimeout: 400 * time.Millisecond, VersionCutoff: 300 * time.Millisecond,
+		Ejection: time.Second, Fill: 1, MaxEjection: time.Second, PlainFill: 4, ReportTTL: 3 * time.Second, SlowTolerance: 2, StallFactor: 3, StallTimeout: 400 * time.Millisecond, VersionCutoff: 300 * time.Millisecond,
 		VersionMargin: 800 * time.Millisecond, VersionTimeout: 8 * time.Second,
 	}, 1)
 	snapshot := &materializer.Snapshot{}
--- a/replicator/greeting_test.go
+++ b/replicator/greeting_test.go
@@ -163,3 +163,58 @@
 	}
 	return n
 }
+
+// Messages between entries of different regions must not grow with the square of their
+// number, and an agent reports to far entries less often, as long as its region has any.
+func TestFarMessagesStayInTheirRate(t *testing.T) {
+	for _, far := range []int{4, 40, 300} {
+		settings := replicator.Settings{
+			FarPeriod: 300 * time.Millisecond, FarPeriodMost: 1500 * time.Millisecond, FarRate: 60, Period: 100 * time.Millisecond, PullTimeout: time.Second,
+		}
+		p := newProcessIn("here", "entry", gooseberrypass.RoleEntry, noLoads{}, settings)
+		var records registrations
+		records.add(t, "near", gooseberrypass.RoleEntry, "near:1", "here")
+		for i := range far {
+			id := gooseberrypass.ID(fmt.Sprintf("far-%d", i))
+			records.add(t, id, gooseberrypass.RoleEntry, string(id), "far")
+		}
+		p.handle(records.since(0))
+		p.sender.to = nil
+		const seconds = 30
+		for i := range seconds * 10 {
+			p.handleAt(now.Add(time.Duration(i)*100*time.Millisecond), gooseberrypass.Tick{})
+		}
+		near := count(p.sender.to, "near:1")
+		got := float64(len(p.sender.to)-near) / seconds
+		most := max(60, float64(far)/1.5) * 1.1 // a tick more or less
+		if got > most {
+			t.Errorf("%d far entries: got %.0f messages a second, want at most %.0f", far, got, most)
+		}
+		if near < seconds*9 {
+			t.Errorf("%d far entries: got %d messages to the near one, want ten a second", far, near)
+		}
+	}
+}
+
+func TestAgentWithoutEntriesInItsRegionReportsToAll(t *testing.T) {
+	settings := replicator.Settings{FarPeriod: 3 * time.Second, Period: time.Second, PullTimeout: time.Second}
+	p := newProcessIn("here", "agent", gooseberrypass.RoleAgent, nil, settings)
+	var records registrations
+	records.add(t, "far", gooseberrypass.RoleEntry, "far:1", "far")
+	p.handle(records.since(0))
+	for i := range 9 {
+		p.handleAt(now.Add(time.Duration(i)*time.Second), gooseberrypass.Tick{})
+	}
+	if got, want := count(p.sender.to, "far:1"), 9; got != want {
+		t.Errorf("got %d messages, want %d", got, want)
+	}
+	records.add(t, "near", gooseberrypass.RoleEntry, "near:1", "here")
+	p.handle(records.since(1))
+	p.sender.to = nil
+	for i := range 9 {
+		p.handleAt(now.Add(time.Duration(9+i)*time.Second), gooseberrypass.Tick{})
+	}
+	if near, far := count(p.sender.to, "near:1"), count(p.sender.to, "far:1"); near != 9 || far != 3 {
+		t.Errorf("got %d messages to the near entry and %d to the far one, want 9 and 3", near, far)
+	}
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -29,6 +29,8 @@
 type Settings struct {
 	Fanout        int           // number of agents to which an agent announces a change
 	FarPeriod     time.Duration // interval of messages to entries of other regions
+	FarPeriodMost time.Duration // longest such interval; the reports of a process must not expire meanwhile
+	FarRate       float64       // messages a second to entries of other regions above which the interval grows, 0 for no limit
 	ListPullDelay time.Duration // lag of own reads of the endpoint list, which changes all the time, after which records are pulled
 	MaxListAge    time.Duration // age of a reader's last read of the endpoint list after which another entry takes over
 	Period        time.Duration // interval of messages to entries of the own region while nothing changes
@@ -75,6 +77,7 @@
 	announcedToAgents gooseberrypass.Offset              // next offset of the operator's topic last announced to agents
 	behindSince       map[gooseberrypass.Topic]time.Time // when this process fell behind another
 	client            *http.Client
+	farEntries        int                           // entries of other regions at the last message to all
 	contacts          map[gooseberrypass.ID]contact // with agents; entries only
 	history           RequestHistory
 	listReadAt        time.Time // last successful own read of the endpoint list
@@ -174,19 +177,40 @@
 // often than those of the own region because links between regions have little
 // bandwidth and requests rarely go there.
 func (r *Replicator) sendPeriodic(now time.Time) {
-	switch {
-	case now.Sub(r.sentAllAt) >= max(r.settings.FarPeriod, r.settings.Period):
+	if now.Sub(r.sentAllAt) >= r.farPeriod() {
 		r.broadcast(now)
-	case now.Sub(r.sentAt) >= r.settings.Period:
-		r.sentAt = now
-		r.sender.Send(r.message(now, gooseberrypass.RoleEntry), r.addresses(gooseberrypass.RoleEntry, r.self.Region))
+		return
+	}
+	if now.Sub(r.sentAt) < r.settings.Period {
+		return
+	}
+	near := r.addresses(gooseberrypass.RoleEntry, r.self.Region)
+	if len(near) == 0 && r.self.Role == gooseberrypass.RoleAgent {
+		r.broadcast(now) // another region's entries serve this one
+		return
+	}
+	r.sentAt = now
+	r.sender.Send(r.message(now, gooseberrypass.RoleEntry), near)
+}
+
+// farPeriod returns the interval of messages to all entries. Each entry sends to every
+// other one, so that the messages of all grow with the square of their number unless
+// the interval grows too.
+func (r *Replicator) farPeriod() time.Duration {
+	period := max(r.settings.FarPeriod, r.settings.Period)
+	if r.settings.FarRate <= 0 {
+		return period
 	}
+	stretched := time.Duration(float64(r.farEntries) / r.settings.FarRate * float64(time.Second))
+	return max(period, min(stretched, r.settings.FarPeriodMost))
 }
 
 // broadcast sends a message to all entries.
 func (r *Replicator) broadcast(now time.Time) {
 	r.sentAt, r.sentAllAt = now, now
-	r.sender.Send(r.message(now, gooseberrypass.RoleEntry), r.addresses(gooseberrypass.RoleEntry, ""))
+	all := r.addresses(gooseberrypass.RoleEntry, "")
+	r.farEntries = len(all) - len(r.addresses(gooseberrypass.RoleEntry, r.self.Region))
+	r.sender.Send(r.message(now, gooseberrypass.RoleEntry), all)
 }
 
 // addresses returns the addresses of the other processes of a role in a region; ""
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -75,11 +75,15 @@
 func (noHistory) SetRefused([]uint64)                              {}
 
 func newProcessWith(id gooseberrypass.ID, role gooseberrypass.Role, l replicator.LoadExchange, settings replicator.Settings) *process {
+	return newProcessIn("", id, role, l, settings)
+}
+
+func newProcessIn(region gooseberrypass.Region, id gooseberrypass.ID, role gooseberrypass.Role, l replicator.LoadExchange, settings replicator.Settings) *process {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	p := &process{materializer: materializer.New(decoder{}, materializer.Settings{}, log), sender: &recordingSender{}}
 	p.answerer = replicator.NewResponder(p.materializer)
-	p.replicator = replicator.New(replicator.Self{Address: string(id), ID: id, Role: role}, p.materializer, p.sender, http.DefaultClient, l, noHistory{},
+	p.replicator = replicator.New(replicator.Self{Address: string(id), ID: id, Region: region, Role: role}, p.materializer, p.sender, http.DefaultClient, l, noHistory{},
 		settings, 1, log)
 	return p
 }
--- a/runner/machine.go
+++ b/runner/machine.go
@@ -27,7 +27,8 @@
 	longPoll           = 25 * time.Second       // longest time for which the store may hold a read
 	followRetryDelay   = 250 * time.Millisecond // delay after a failed read
 	processesReadPause = time.Second            // delay between reads of the processes, so that one read returns those that start together
-	registerRetryDelay = 500 * time.Millisecond // delay after a failed registration
+	registerRetryDelay = 500 * time.Millisecond // delay after a failed registration; doubles up to registerRetryMost
+	registerRetryMost  = 2 * time.Second
 	// operatorReadDelay is how long a starting agent waits to receive the
 	// operator's records from an entry before it reads them from the store. Without
 	// it, all agents would read them at once after a power failure, over links that
@@ -155,14 +156,14 @@
 	if err != nil {
 		return errors.Wrap(err, "encode process registration")
 	}
-	for ctx.Err() == nil {
+	for delay := registerRetryDelay; ctx.Err() == nil; delay = min(2*delay, registerRetryMost) {
 		err := m.store.Put(ctx, gooseberrypass.TopicProcesses, string(m.self.ID), body)
 		if err == nil {
 			m.logger.Info("process registered")
 			break
 		}
 		m.logger.WithError(err).Warn("process registration failed, retrying")
-		timer := m.clock.NewTimer(registerRetryDelay)
+		timer := m.clock.NewTimer(delay)
 		select {
 		case <-ctx.Done():
 		case <-timer.Chan():
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -119,6 +119,7 @@
 			{Name: "engine-penalty", Type: checker.Float(0, 100), Default: "1", Doc: "Requests added to the load of an engine in another region when endpoints are compared."},
 			{Name: "fill", Type: checker.Float(0.1, 10), Default: "1", Doc: "Requests at an engine, as a multiple of its slots, up to which more are sent; those beyond wait without being read."},
 			{Name: "far-period", Type: checker.Duration(time.Millisecond, longest), Default: default300ms, Doc: "Interval of messages to entries of other regions, whose endpoints are chosen only when those of the own region are fuller."},
+			{Name: "far-rate", Type: checker.Float(0, 1e6), Default: "60", Doc: "Messages a second to entries of other regions above which far-period grows, up to half of notice-life; 0 for no limit."},
 			{Name: "first-share", Type: checker.Float(0.01, 10), Default: "0.5", Doc: "Share of the objective within which the first event must be predicted for an engine to get a request; the rest is a margin for what the prediction leaves out."},
 			{Name: "first-waits", Type: checker.Float(1, 100), Default: "3", Doc: "Longest wait for the head of an answer before a repeatable request is tried at another endpoint, as a multiple of the objective."},
 			{Name: "full-pause", Type: checker.Duration(0, longest), Default: "150ms", Doc: "Time for which an endpoint that refused a request for load is skipped; about the time until a slot is free."},
@@ -148,6 +149,7 @@
 			{Name: "stall", Type: checker.Duration(0, longest), Default: "400ms", Doc: "Silence of an endpoint with requests in flight after which it gets no more; as long as an objective, and many passes of an engine."},
 			{Name: "stall-times", Type: checker.Float(1, 100), Default: "3", Doc: "As stall, as a multiple of the service's time to the head of an answer; the longer of the two applies."},
 			{Name: "starting-wait", Type: checker.Duration(0, longest), Default: default500ms, Doc: "Delay after which callers are told to retry before the first configuration."},
+			{Name: "status-life", Type: checker.Duration(time.Millisecond, longest), Default: "8s", Doc: "Time for which an agent's report of its endpoint's versions is used; more than two far-periods of agents."},
 			{Name: "stop-delay", Type: checker.Duration(0, longest), Default: default2500ms, Doc: "Time from SIGTERM until no more connections are accepted; the platform checks readiness twice, a second apart."},
 			{Name: "version-cutoff", Type: checker.Duration(0, longest), Default: default300ms, Doc: "Time before the version bound at which a request is withdrawn from an engine of an older version that has not begun it; the delivery of the withdrawal on a busy link."},
 			{Name: "version-margin", Type: checker.Duration(0, longest), Default: defaultVersionMargin, Doc: "Time before the version bound from which only the new version is used; the longest wait of a request at an engine."},
@@ -164,11 +166,12 @@
 			{Name: "announce", Type: checker.Duration(0, longest), Default: "150ms", Doc: "Time before a load order for which entries send no requests; the delivery of a message and a tick."},
 			{Name: "drain", Type: checker.Duration(0, longest), Default: "1200ms", Doc: "Time before a load is due for which entries send only requests that end by then; the duration of a usual answer."},
 			{Name: "earliest-share", Type: checker.Float(0, 1), Default: "0.44", Doc: "Share of the version bound that must pass after a version is named before an engine in service loads it: engines that serve nothing fetch first."},
+			{Name: "far-period", Type: checker.Duration(time.Millisecond, longest), Default: "3s", Doc: "Interval of messages to entries of other regions when nothing changes; they send few requests to the engine."},
 			{Name: "first-window", Type: checker.Int(1, 10000), Default: "6", Doc: "As window, until transfers prove fast; on a throttled link each further piece delays the engine's requests by a fifth of a second."},
 			{Name: "least-use", Type: checker.Duration(0, longest), Default: "1500ms", Doc: "Shortest remaining use for which an older version is still loaded before a newer one; the time that a load takes an engine out of service."},
 			{Name: "link-share", Type: checker.Float(0.01, 1), Default: "0.75", Doc: "Share of the link's rate for weights; the rest is for the engine's answers."},
 			{Name: "patience", Type: checker.Duration(0, longest), Default: default300ms, Doc: "Longest wait for the first report of the engine when the agent starts; a report takes a few milliseconds."},
-			{Name: "period", Type: checker.Duration(time.Millisecond, longest), Default: "1s", Doc: "Interval of messages to entries when nothing changes."},
+			{Name: "period", Type: checker.Duration(time.Millisecond, longest), Default: "1s", Doc: "Interval of messages to entries of the region when nothing changes."},
 			{Name: "poll", Type: checker.Duration(time.Millisecond, longest), Default: "200ms", Doc: "Interval of reads of the engine's report, which lags by as much."},
 			{Name: "retry", Type: checker.Duration(time.Millisecond, longest), Default: default300ms, Doc: "Delay after a step that failed."},
 			{Name: "skip-share", Type: checker.Float(0, 1), Default: "0.31", Doc: "Longest time between the naming of two versions at which the older one is skipped, as a share of the version bound; the rest is for the fetch of the newer one."},
@@ -273,6 +276,7 @@
 		RetryFill:       s.float(sectionForward, "return-fill"),
 		SampleFactor:    s.float(sectionForward, "sample"),
 		SlowTolerance:   s.float(sectionForward, "slow-tolerance"),
+		StatusTTL:       s.forwardDuration("status-life"),
 		StallTimeout:    s.forwardDuration("stall"),
 		StallFactor:     s.float(sectionForward, "stall-times"),
 		VersionCutoff:   s.forwardDuration("version-cutoff"),
@@ -342,9 +346,10 @@
 func (s *MachineSettings) replicatorSettings() replicator.Settings {
 	repl := replicator.Settings{ListPullDelay: pullTimeout, PullDelay: pullDelay, MaxListAge: maxListAge, ReaderTimeout: readerTimeout, Fanout: announceFanout, PullTimeout: pullTimeout}
 	if s.role == gooseberrypass.RoleAgent {
-		repl.Period = s.duration(sectionWeights, "period")
+		repl.FarPeriod, repl.Period = s.duration(sectionWeights, "far-period"), s.duration(sectionWeights, "period")
 	} else {
 		repl.FarPeriod, repl.Period = s.forwardDuration("far-period"), s.forwardDuration("period")
+		repl.FarPeriodMost, repl.FarRate = s.forwardDuration("notice-life")/2, s.float(sectionForward, "far-rate")
 	}
 	return repl
 }
