Make the margins before a version's bound shares of it

The margin was 0.8 s for every bound.

Change: a tenth of the bound is the margin (0.8 s of 8 s as before, 1.3 s of 13.4 s), a twenty-fifth the cutoff: deployments that name larger bounds have slower ways.

--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -35,9 +35,9 @@
 	default300ms  = "300ms"
 )
 
-// defaultVersionMargin is the default of version-margin, on which entries and agents
+// defaultMarginShare is the default of margin-share, on which entries and agents
 // must agree.
-const defaultVersionMargin = "800ms"
+const defaultMarginShare = "0.1"
 
 // MachineSettings are the settings of a process on a machine that the platform
 // prepares; it renders them from the templates of the deploy folder.
@@ -114,6 +114,7 @@
 		Keys: []checker.Key{
 			{Name: "connect", Type: checker.Duration(time.Millisecond, longest), Default: "400ms", Doc: "Time limit for a new connection to an endpoint; many round trips between regions."},
 			{Name: "cut-after", Type: checker.Duration(0, longest), Default: default100ms, Doc: "Time after a deadline until an answer is cut off, so that the endpoint's own answer can arrive."},
+			{Name: "cutoff-share", Type: checker.Float(0, 1), Default: "0.04", Doc: "Share of the version bound before its end at which a request is withdrawn from an engine of an older version that has not begun it; the delivery of the withdrawal on a busy link."},
 			{Name: "ejection", Type: checker.Duration(time.Millisecond, longest), Default: default500ms, Doc: "Time for which an endpoint is skipped after two failures in a row; doubled each time."},
 			{Name: "ejection-most", Type: checker.Duration(time.Millisecond, longest), Default: "4s", Doc: "Longest ejection of an endpoint."},
 			{Name: "engine-penalty", Type: checker.Float(0, 100), Default: "1", Doc: "Requests added to the load of an engine in another region when endpoints are compared."},
@@ -127,6 +128,7 @@
 			{Name: "idle", Type: checker.Duration(time.Second, longest), Default: "10s", Doc: "Time for which an idle connection to an endpoint is kept."},
 			{Name: "kept", Type: checker.Int(1, 1000), Default: "24", Doc: "Idle connections kept to one endpoint."},
 			{Name: "loss-poll", Type: checker.Duration(0, longest), Default: default100ms, Doc: "Interval at which a repeatable request checks whether any entry hears from its endpoint; 0 for never."},
+			{Name: "margin-share", Type: checker.Float(0, 1), Default: defaultMarginShare, Doc: "Share of the version bound before its end from which only the new version is used; the delivery of a request and its wait at an engine."},
 			{Name: "max-answer", Type: checker.Size(1024, 1<<30), Default: "1MiB", Doc: "Most bytes of an answer that is buffered until it is complete."},
 			{Name: "move-share", Type: checker.Float(0, 1), Default: "0.5", Doc: "Share of the retry budget for streams that move from an engine which is about to load a version; the rest is left for failures."},
 			{Name: "notice-life", Type: checker.Duration(time.Millisecond, longest), Default: "3s", Doc: "Time for which a report of another process is used."},
@@ -151,8 +153,6 @@
 			{Name: "starting-wait", Type: checker.Duration(0, longest), Default: default500ms, Doc: "Delay after which callers are told to retry before the first configuration."},
 			{Name: "status-life", Type: checker.Duration(time.Millisecond, longest), Default: "8s", Doc: "Time for which an agent's report of its endpoint's versions is used; more than two far-periods of agents."},
 			{Name: "stop-delay", Type: checker.Duration(0, longest), Default: default2500ms, Doc: "Time from SIGTERM until no more connections are accepted; the platform checks readiness twice, a second apart."},
-			{Name: "version-cutoff", Type: checker.Duration(0, longest), Default: default300ms, Doc: "Time before the version bound at which a request is withdrawn from an engine of an older version that has not begun it; the delivery of the withdrawal on a busy link."},
-			{Name: "version-margin", Type: checker.Duration(0, longest), Default: defaultVersionMargin, Doc: "Time before the version bound from which only the new version is used; the longest wait of a request at an engine."},
 		},
 	}
 }
@@ -170,6 +170,7 @@
 			{Name: "first-window", Type: checker.Int(1, 10000), Default: "6", Doc: "As window, until transfers prove fast; on a throttled link each further piece delays the engine's requests by a fifth of a second."},
 			{Name: "least-use", Type: checker.Duration(0, longest), Default: "1500ms", Doc: "Shortest remaining use for which an older version is still loaded before a newer one; the time that a load takes an engine out of service."},
 			{Name: "link-share", Type: checker.Float(0.01, 1), Default: "0.75", Doc: "Share of the link's rate for weights; the rest is for the engine's answers."},
+			{Name: "margin-share", Type: checker.Float(0, 1), Default: defaultMarginShare, Doc: "Share of the version bound before its end from which entries use only the new version."},
 			{Name: "patience", Type: checker.Duration(0, longest), Default: default300ms, Doc: "Longest wait for the first report of the engine when the agent starts; a report takes a few milliseconds."},
 			{Name: "period", Type: checker.Duration(time.Millisecond, longest), Default: "1s", Doc: "Interval of messages to entries of the region when nothing changes."},
 			{Name: "poll", Type: checker.Duration(time.Millisecond, longest), Default: "200ms", Doc: "Interval of reads of the engine's report, which lags by as much."},
@@ -178,7 +179,6 @@
 			{Name: "spread-share", Type: checker.Float(0, 1), Default: "0.41", Doc: "Share of the version bound over which the engines in service load a version, one after another."},
 			{Name: "uploads", Type: checker.Int(1, 100), Default: "2", Doc: "Pieces sent at once; more would wait longer in the link's queue, and answers behind them."},
 			{Name: "wait", Type: checker.Duration(time.Millisecond, longest), Default: "1s", Doc: "Longest time for which another agent may hold a request for a piece that it does not have yet."},
-			{Name: "version-margin", Type: checker.Duration(0, longest), Default: defaultVersionMargin, Doc: "Time before the version bound from which entries use only the new version."},
 			{Name: "window", Type: checker.Int(1, 10000), Default: "16", Doc: "Missing pieces requested at once. The origin serves requests in parallel: with more, each piece takes longer than other agents wait for it."},
 		},
 	}
@@ -236,6 +236,11 @@
 	return s.duration(sectionForward, key)
 }
 
+// shareOfVersion returns a share of the version bound.
+func (s *MachineSettings) shareOfVersion(section gooseberrypass.Kind, key string) time.Duration {
+	return time.Duration(s.float(section, key) * float64(s.duration(sectionBounds, "version")))
+}
+
 func (s *MachineSettings) region() gooseberrypass.Region {
 	return gooseberrypass.Region(s.text("region"))
 }
@@ -279,8 +284,8 @@
 		StatusTTL:       s.forwardDuration("status-life"),
 		StallTimeout:    s.forwardDuration("stall"),
 		StallFactor:     s.float(sectionForward, "stall-times"),
-		VersionCutoff:   s.forwardDuration("version-cutoff"),
-		VersionMargin:   s.forwardDuration("version-margin"),
+		VersionCutoff:   s.shareOfVersion(sectionForward, "cutoff-share"),
+		VersionMargin:   s.shareOfVersion(sectionForward, "margin-share"),
 		VersionTimeout:  s.duration(sectionBounds, "version"),
 	}
 }
@@ -357,9 +362,7 @@
 func (s *MachineSettings) stagerSettings() stager.Settings {
 	bound := s.duration(sectionBounds, "version")
 	weights := func(key string) time.Duration { return s.duration(sectionWeights, key) }
-	share := func(key string) time.Duration {
-		return time.Duration(s.float(sectionWeights, key) * float64(bound))
-	}
+	share := func(key string) time.Duration { return s.shareOfVersion(sectionWeights, key) }
 	return stager.Settings{
 		StopLead:       weights("announce"),
 		DrainLead:      weights("drain"),
@@ -370,7 +373,7 @@
 		RetryDelay:     weights("retry"),
 		SkipGap:        share("skip-share"),
 		LoadSpread:     share("spread-share"),
-		PreviousUsable: bound - weights("version-margin"),
+		PreviousUsable: bound - share("margin-share"),
 	}
 }
 
