Hand on the versions named before the newest one

Cause: the store keeps one record for the wanted version of a model.

Change: an answer to a pull of the operator's topic carries all versions that the sender knows, with their ages. A version that is known already keeps its time, as the sender may have assumed one.

--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -73,6 +73,17 @@
 	return append(t[max(0, len(t)+1-maxTargets):len(t):len(t)], target)
 }
 
+// withEarlier returns the targets with a target inserted that another process knows. A
+// version that is known already keeps its time: the other process may have assumed one.
+func (t Targets) withEarlier(target Target) Targets {
+	i, found := slices.BinarySearchFunc(t, target.Version, func(t Target, version int) int { return t.Version - version })
+	if found {
+		return t
+	}
+	merged := slices.Insert(slices.Clone(t), i, target)
+	return merged[max(0, len(merged)-maxTargets):]
+}
+
 // A Snapshot is the state at one moment. It is immutable.
 type Snapshot struct {
 	Deployment *gooseberrypass.Deployment // nil before the first one
@@ -115,6 +126,7 @@
 	agentOffset gooseberrypass.Offset // after the last operator record that agents act on
 	cached      cachedDeployment
 	decoder     Decoder
+	earlier     []gooseberrypass.AgedTarget        // versions that another process knows, to be added at the next snapshot
 	endpoints   map[string]gooseberrypass.Endpoint // by key
 	listeners   []gooseberrypass.Controller
 	logger      logrus.FieldLogger
@@ -163,6 +175,18 @@
 	return m.NextOffset(topic)
 }
 
+// AgedTargets returns all wanted versions that this process knows, with the time since
+// each was named. It must be called on the control goroutine.
+func (m *Materializer) AgedTargets(now time.Time) []gooseberrypass.AgedTarget {
+	var aged []gooseberrypass.AgedTarget
+	for model, targets := range m.Snapshot().Targets {
+		for _, t := range targets {
+			aged = append(aged, gooseberrypass.AgedTarget{Age: now.Sub(t.Since), Model: model, Version: t.Version})
+		}
+	}
+	return aged
+}
+
 // Retained reports whether an endpoint is retained although its record was removed
 // during an outage. It must be called on the control goroutine.
 func (m *Materializer) Retained(key string) bool {
@@ -245,6 +269,8 @@
 			}
 		}
 	}
+	m.earlier = append(m.earlier, e.Targets...)
+	changed = changed || len(e.Targets) > 0
 	t.next = max(t.next, e.Batch.Next)
 	offsets := maps.Clone(*m.offsets.Load())
 	offsets[e.Topic] = t.next
@@ -347,6 +373,10 @@
 func (m *Materializer) publish(now time.Time) []gooseberrypass.Effect {
 	old := m.snapshot.Load()
 	snapshot := &Snapshot{Deployment: old.Deployment, Targets: maps.Clone(old.Targets)}
+	for _, a := range m.earlier {
+		snapshot.Targets[a.Model] = snapshot.Targets[a.Model].withEarlier(Target{Since: now.Add(-a.Age), Version: a.Version})
+	}
+	m.earlier = nil
 	t := m.topic(gooseberrypass.TopicOperator)
 	for _, key := range slices.Sorted(maps.Keys(t.records)) {
 		m.decodeOperatorRecord(snapshot, t, t.records[key])
--- a/replicator/pull.go
+++ b/replicator/pull.go
@@ -22,6 +22,7 @@
 type document struct {
 	Next    gooseberrypass.Offset
 	Records []agedRecord
+	Targets []gooseberrypass.AgedTarget // versions named so far; the store keeps only the record of the newest
 }
 
 // An agedRecord is a record with its age.
@@ -35,7 +36,7 @@
 // event returns the event that a local read of the same records would cause, with
 // the ages of the records.
 func (d document) event(topic gooseberrypass.Topic) gooseberrypass.TopicChanged {
-	e := gooseberrypass.TopicChanged{Ages: []time.Duration{}, Batch: gooseberrypass.KeyedBatch{Next: d.Next}, Retained: map[string]struct{}{}, Topic: topic}
+	e := gooseberrypass.TopicChanged{Targets: d.Targets, Ages: []time.Duration{}, Batch: gooseberrypass.KeyedBatch{Next: d.Next}, Retained: map[string]struct{}{}, Topic: topic}
 	for _, a := range d.Records {
 		if !a.Dropped && a.Record.Value == nil {
 			a.Record.Value = []byte{}
@@ -135,6 +136,9 @@
 	}
 	records, since := r.materializer.RecordsFrom(e.topic, e.from)
 	d := document{Next: r.materializer.NextOffset(e.topic)}
+	if e.topic == gooseberrypass.TopicOperator {
+		d.Targets = r.materializer.AgedTargets(now)
+	}
 	for i, record := range records {
 		d.Records = append(d.Records, agedRecord{
 			Age: now.Sub(since[i]), Dropped: record.Value == nil, Lapsed: e.topic == gooseberrypass.TopicEndpoints && r.materializer.Retained(record.Key), Record: record,
--- a/topic.go
+++ b/topic.go
@@ -45,12 +45,20 @@
 	Tail(ctx context.Context, topic Topic, from Offset, wait time.Duration) (KeyedBatch, error)
 }
 
+// An AgedTarget is a wanted version of a model with the time since it was named.
+type AgedTarget struct {
+	Age     time.Duration
+	Model   string
+	Version int
+}
+
 // A TopicChanged is the event that records of a keyed topic were read.
 type TopicChanged struct {
 	Ages      []time.Duration // time since each record first became known to any process; nil if this process read them from the log
 	Batch     KeyedBatch
 	FirstRead bool                // first read of this process, whose records may be of any age
 	Retained  map[string]struct{} // keys that another process keeps although their records expired during an outage
+	Targets   []AgedTarget        // versions that another process knows; the log keeps only the record of the newest
 	Topic     Topic
 }
 
