--- a/claimer/partition.go
+++ b/claimer/partition.go
@@ -223,41 +223,6 @@
 	return []gooseberrypass.Effect{confirmEffect{read: p.confirmingRead(), waiters: unconfirmed}}
 }
 
-// confirmingRead returns a read of what the log holds now, beside the long poll
-// that may be in progress.
-func (p *partition) confirmingRead() readEffect {
-	return readEffect{clock: p.claimer.clock, from: p.next, log: p.claimer.log, partition: p.index, stream: p.stream()}
-}
-
-// handleConfirm rejects the claims of a failed append that the log did not hold
-// when it was read after the failure. The others stay until the partition's own
-// read applies them in their order.
-func (p *partition) handleConfirm(e confirmCompleted) {
-	found := claimsIn(e.batch.Records)
-	for id, w := range e.waiters {
-		if _, ok := found[id]; !ok || e.err != nil {
-			p.rejectUnconfirmed(id, w)
-		}
-	}
-}
-
-// claimsIn returns the ids of the claims in records.
-func claimsIn(records []gooseberrypass.Record) map[claimID]struct{} {
-	found := map[claimID]struct{}{}
-	for _, record := range records {
-		batch := &wire.ClaimBatch{}
-		if proto.Unmarshal(record.Body, batch) != nil {
-			continue // counted when the partition's own read applies it
-		}
-		for _, entry := range batch.GetEntries() {
-			if entry.GetKind() == wire.ClaimKind_CLAIM_KIND_CLAIM && len(entry.GetClaimId()) == len(claimID{}) {
-				found[claimID(entry.GetClaimId())] = struct{}{}
-			}
-		}
-	}
-	return found
-}
-
 // requeue puts entries that the log refused for its rate back at the head of the
 // queue; they certainly were not appended. The backoff doubles while the log keeps
 // refusing, so that batches grow and the appends of all processes together come
@@ -275,18 +240,6 @@
 	p.outgoing = append(again, p.outgoing...)
 }
 
-// rejectUnconfirmed refuses a call whose claim's append failed, unless its claim
-// has been read back and decided since. It is never dispatched, whether or not the
-// claim reaches the log later, and a release is queued.
-func (p *partition) rejectUnconfirmed(id claimID, w *waiter) {
-	if p.unresolved[id] != w {
-		return
-	}
-	w.decide(refused(gooseberrypass.ReasonLogDown, "the log of claims took no append"))
-	delete(p.unresolved, w.id)
-	p.enqueueRelease(w)
-}
-
 // handleRead applies the records of a read and decides the calls that they settle.
 func (p *partition) handleRead(now time.Time, e readCompleted) {
 	p.reading = false
