Decide once whether an endpoint is in another region

The endpoint now knows, and sharers counts the entries for both uses. A request that must stay is told apart before its answer is predicted.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -144,11 +144,11 @@
 			}
 			b.endpoints[listed.ID] = e
 		}
-		e.listed = listed
+		e.listed, e.remote = listed, b.regionOf(listed.FailureDomain) != b.self
 		if services[listed.Service] == nil {
 			services[listed.Service] = &pool{}
 		}
-		services[listed.Service].add(e, b.regionOf(listed.FailureDomain) != b.self)
+		services[listed.Service].add(e)
 	}
 	for id := range b.endpoints {
 		if _, ok := known[id]; !ok {
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -14,8 +14,8 @@
 func (b *Balancer) best(now time.Time, q Query, allowSilent bool) (*endpoint, stateCounts) {
 	c := comparison{allowSilent: allowSilent, counts: stateCounts{required: b.requiredVersion(now, q.Model)}, now: now, query: q}
 	if p := b.services[q.Service]; p != nil {
-		b.compare(&c, p.local, b.localEntries)
-		b.compare(&c, p.remote, len(b.entriesSeen)+1)
+		b.compare(&c, p.local, b.sharers(false))
+		b.compare(&c, p.remote, b.sharers(true))
 	}
 	return c.best, c.counts
 }
@@ -51,6 +51,15 @@
 	}
 }
 
+// sharers returns the number of entries that prefer the endpoints of this region, or
+// those of other regions, alike.
+func (b *Balancer) sharers(remote bool) int {
+	if remote {
+		return len(b.entriesSeen) + 1
+	}
+	return b.localEntries
+}
+
 // minSample is the smallest number of available endpoints that are compared. The
 // better of two random ones is hardly ever among the fullest.
 const minSample = 2
@@ -142,9 +151,12 @@
 	if !ok {
 		return false
 	}
+	if q.Staying {
+		return true
+	}
 	engine := b.engine(q.Service)
-	if q.Staying || engine == nil || engine.TokensPerEvent == 0 {
-		return q.Staying
+	if engine == nil || engine.TokensPerEvent == 0 {
+		return false
 	}
 	tokens := q.AnswerTokens
 	if tokens == 0 {
@@ -169,18 +181,13 @@
 func (b *Balancer) cost(e *endpoint, q Query) (float64, bool) {
 	slots := float64(max(e.listed.Slots, 1))
 	slowness := b.slowness(e)
-	remote := b.regionOf(e.listed.FailureDomain) != b.self
-	entries := b.localEntries
-	if remote {
-		entries = len(b.entriesSeen) + 1
-	}
-	load := e.total(entries)
+	load := e.total(b.sharers(e.remote))
 	// Up to half a request of random load keeps entries that see the same loads
 	// from choosing the same endpoint.
 	total := (float64(load.Requests) + b.rng.Float64()/2) * slowness
 	if q.Model == "" {
 		cost := total / slots
-		if remote {
+		if e.remote {
 			cost += b.settings.PlainPenalty
 		}
 		return cost, total < slots*b.settings.PlainFill
@@ -193,7 +200,7 @@
 		fill = b.settings.RetryFill
 	}
 	cost := total
-	if remote {
+	if e.remote {
 		cost += b.settings.EnginePenalty
 	}
 	first := b.predictFirstEvent(load.UnreadTokens+q.PromptTokens, q.Service, slowness)
--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -8,8 +8,8 @@
 	remote []*endpoint
 }
 
-func (p *pool) add(e *endpoint, remote bool) {
-	if remote {
+func (p *pool) add(e *endpoint) {
+	if e.remote {
 		p.remote = append(p.remote, e)
 		return
 	}
