Quarantine parts of prompts that crash engines

What callers saw: engines went down one after another and were back for a few seconds each, for as long as callers sent requests with one part in their prompts.

Cause: crashes were attributed to requests by their digest alone. Requests that share a part of the prompt and are new each time never reach the count.

Change: package attributor keeps the interruptions of all entries, groups them into crashes, and quarantines the part that explains crashes under three requests or more which would be a coincidence with less than 1e-5, given the part's share of the requests. An answer that begins on a part clears it. Entries tell one another of interruptions, begins and quarantines. A request that breaks off at its begin is repeated once, and not at all while one of its parts is under suspicion. `attempt failed` tells how far the answer had come.

Tried and dropped: the part with the most hits first (blamed the common first part in the load test, 341 of 4,819 sound requests refused); the share as counted instead of an upper bound, and 1e-4 (28 of 3,520 sound requests refused after all engines crash at once); counting crashes under repeats of one request as misses.

With the quarantine taken out TestRequestsWithPartThatCrashesEnginesAreRefused sees 80 requests at engines instead of 9 at most, and each load test fails in its naive variant.

--- /dev/null
+++ b/attributor/attributor.go
@@ -0,0 +1,194 @@
+// Package attributor attributes crashes of endpoints to parts of prompts and
+// quarantines the parts that crash each endpoint which begins an answer on them.
+package attributor
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// Settings configure an Attributor.
+type Settings struct {
+	QuarantineTime time.Duration // shortest quarantine of a part; doubles with each further one
+}
+
+// An Attributor records which requests endpoints crashed under, here and at other
+// entries, and quarantines the parts of prompts that explain the crashes: endpoints
+// crashed under several requests with the part, more often than the part's share of
+// the requests explains, and none has begun an answer on it since the first of them.
+// It is safe for concurrent use.
+type Attributor struct {
+	clock    gooseberrypass.Clock
+	logger   logrus.FieldLogger
+	metrics  *metrics
+	settings Settings
+
+	mu          sync.Mutex
+	crashes     []*crash // the newest last
+	own         []interruption
+	parts       *partTable
+	quarantines map[part]quarantine
+	rng         *rand.Rand
+	suspected   map[part]gooseberrypass.ID // services of the parts that crashes put under suspicion, nil if not up to date
+}
+
+// New returns an Attributor without evidence. seed spreads the ends of quarantines.
+func New(clock gooseberrypass.Clock, settings Settings, seed uint64, registerer prometheus.Registerer, logger logrus.FieldLogger) (*Attributor, error) {
+	m, err := newMetrics(registerer)
+	if err != nil {
+		return nil, err
+	}
+	return &Attributor{
+		clock: clock, logger: logger, metrics: m, parts: newPartTable(), quarantines: map[part]quarantine{}, rng: rand.New(rand.NewPCG(seed, seed)),
+		settings: settings,
+	}, nil
+}
+
+// A Prompt is a request as far as crashes are attributed to the parts of its prompt.
+// The zero Prompt has no parts that other requests share.
+type Prompt struct {
+	parts   []part
+	request uint64 // first eight bytes of the digest
+	service gooseberrypass.ID
+}
+
+// Register counts a request to a service whose prompt has parts that other requests
+// may share.
+func (a *Attributor) Register(service gooseberrypass.ID, digest gooseberrypass.Digest, shared []string) Prompt {
+	if len(shared) == 0 {
+		return Prompt{}
+	}
+	shared = shared[:min(len(shared), maxPromptParts)]
+	p := Prompt{parts: make([]part, 0, len(shared)), request: digest.Prefix(), service: service}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.parts.rotate(a.clock.Now(), a.crashes)
+	for _, name := range shared {
+		key := newPart(service, name)
+		p.parts = append(p.parts, key)
+		a.parts.count(key, name)
+	}
+	a.parts.countRequest(service)
+	return p
+}
+
+// Quarantine returns the name of a quarantined part of a prompt and the time until it is
+// released, 0 if no part is quarantined.
+func (a *Attributor) Quarantine(p Prompt) (string, time.Duration) {
+	if len(p.parts) == 0 {
+		return "", 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	for _, key := range p.parts {
+		if q, ok := a.quarantines[key]; ok && now.Before(q.until) {
+			return a.parts.name(key), q.until.Sub(now)
+		}
+	}
+	return "", 0
+}
+
+// CountRefusal counts a request that was refused for a quarantined part.
+func (a *Attributor) CountRefusal() { a.metrics.refused.Inc() }
+
+// Suspected reports whether an endpoint crashed under another request with a part of
+// the prompt and none has begun an answer on that part since.
+func (a *Attributor) Suspected(p Prompt) bool {
+	if len(p.parts) == 0 {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, c := range a.crashes {
+		if a.explained(c) {
+			continue
+		}
+		for _, s := range c.suspects() {
+			if s.request != p.request && a.sharesSuspectedPart(c, s, p) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// sharesSuspectedPart reports whether a suspect of a crash shares a part with a prompt
+// on which no endpoint has begun an answer since the crash.
+func (a *Attributor) sharesSuspectedPart(c *crash, s interruption, p Prompt) bool {
+	for _, key := range p.parts {
+		if s.has(key) && c.at.After(a.parts.lastBegin(key)) {
+			return true
+		}
+	}
+	return false
+}
+
+// RecordBegin records that an endpoint sent the begin of an answer, which clears the
+// parts of the prompt.
+func (a *Attributor) RecordBegin(p Prompt) {
+	if len(p.parts) == 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	for _, key := range p.parts {
+		a.recordBegin(key, now)
+	}
+}
+
+func (a *Attributor) recordBegin(key part, at time.Time) {
+	a.parts.begin(key, at)
+	q, ok := a.quarantines[key]
+	if !ok || !at.After(q.since) {
+		return
+	}
+	delete(a.quarantines, key)
+	a.metrics.quarantined.Set(float64(len(a.quarantines)))
+	a.logger.WithField("part", a.parts.name(key)).Info("endpoint answered a quarantined part of prompts, releasing it")
+}
+
+// RecordInterruption records that the connection to an endpoint broke during an
+// attempt that had no event of an answer. begun tells that the endpoint had sent the
+// head of the answer.
+func (a *Attributor) RecordInterruption(p Prompt, endpoint gooseberrypass.ID, begun bool) {
+	if len(p.parts) == 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	i := interruption{at: now, begun: begun, endpoint: endpoint, parts: p.parts, request: p.request, service: p.service}
+	a.own = append(a.shared(now), i)
+	a.own = a.own[max(0, len(a.own)-maxShared):]
+	a.metrics.interruptions.Inc()
+	if c := a.addInterruption(i); c != nil {
+		a.judge(now, []*crash{c})
+	}
+}
+
+// judge quarantines the parts that explain the crashes, the most likely one first.
+// Only those that a changed crash puts under suspicion can have become
+// convincing.
+func (a *Attributor) judge(now time.Time, changed []*crash) {
+	candidates := partsOf(changed)
+	for {
+		found, ok := a.mostLikelyCause(now, candidates)
+		if !ok {
+			return
+		}
+		a.quarantine(now, found)
+		a.logger.WithFields(logrus.Fields{
+			"part": a.parts.name(found.part), "crashes": found.hits, "of": found.trials, "chance": fmt.Sprintf("%.1e", found.chance),
+			"quarantine": a.quarantines[found.part].until.Sub(now).String(),
+		}).Warn("endpoints crashed under a part of prompts, refusing requests that have it")
+	}
+}
--- /dev/null
+++ b/attributor/cause.go
@@ -0,0 +1,140 @@
+package attributor
+
+import (
+	"math"
+	"time"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// The conditions of a quarantine.
+const (
+	// minHits is the smallest number of crashes, each under another request.
+	minHits = 3
+	// maxChance is the largest probability with which crashes that have nothing to do
+	// with a part hit as many requests that have it. Many endpoints may crash at once,
+	// and any common part is then in flight at several of them.
+	maxChance = 1e-5
+)
+
+// A cause is a part that may explain crashes.
+type cause struct {
+	chance float64 // probability that the hits are a coincidence
+	hits   int     // crashes under requests with the part, each under another request
+	part   part
+	share  float64 // of the requests
+	trials int     // crashes since an endpoint last began an answer on the part
+}
+
+// mostLikelyCause returns the convincing candidate whose crashes are least likely a
+// coincidence. Crashes that a quarantined part explains do not count.
+func (a *Attributor) mostLikelyCause(now time.Time, candidates map[part]gooseberrypass.ID) (cause, bool) {
+	var open []*crash
+	for _, c := range a.crashes {
+		if now.Sub(c.at) <= evidenceTTL && !a.explained(c) {
+			open = append(open, c)
+		}
+	}
+	best, found := cause{}, false
+	for key, service := range candidates {
+		candidate := a.assess(key, service, open)
+		if !a.convincing(candidate) {
+			continue
+		}
+		if !found || candidate.chance < best.chance {
+			best, found = candidate, true
+		}
+	}
+	return best, found
+}
+
+// convincing reports whether a part is quarantined as a cause. A part that was
+// quarantined before needs one crash.
+func (a *Attributor) convincing(c cause) bool {
+	if _, ok := a.quarantines[c.part]; ok {
+		return c.hits > 0
+	}
+	return c.hits >= minHits && c.chance <= maxChance
+}
+
+// partsOf returns the parts of the suspects of crashes, and their services.
+func partsOf(crashes []*crash) map[part]gooseberrypass.ID {
+	parts := map[part]gooseberrypass.ID{}
+	for _, c := range crashes {
+		for _, s := range c.suspects() {
+			for _, key := range s.parts {
+				parts[key] = c.service
+			}
+		}
+	}
+	return parts
+}
+
+// assess weighs a part as the cause of crashes. Crashes before the last begin of an
+// answer on the part do not count, and neither do repeats of one request, which other
+// fields of the request may explain.
+func (a *Attributor) assess(key part, service gooseberrypass.ID, crashes []*crash) cause {
+	c := cause{part: key, share: a.parts.share(service, key)}
+	since := a.parts.lastBegin(key)
+	requests := map[uint64]bool{}
+	expected := 0.0
+	for _, crash := range crashes {
+		if crash.service != service || !crash.at.After(since) {
+			continue
+		}
+		hit, repeated := hitBy(key, crash.suspects(), requests)
+		if repeated {
+			continue
+		}
+		c.trials++
+		expected += 1 - math.Pow(1-c.share, float64(len(crash.suspects())))
+		if hit {
+			c.hits++
+		}
+	}
+	if c.trials > 0 {
+		c.chance = binomialTail(c.trials, c.hits, expected/float64(c.trials))
+	}
+	return c
+}
+
+// hitBy reports whether one of the suspects has a part, and otherwise whether one that
+// has it is known from another crash. It adds the first to the known requests.
+func hitBy(key part, suspects []interruption, known map[uint64]bool) (bool, bool) {
+	repeated := false
+	for _, s := range suspects {
+		if !s.has(key) {
+			continue
+		}
+		if !known[s.request] {
+			known[s.request] = true
+			return true, false
+		}
+		repeated = true
+	}
+	return false, repeated
+}
+
+// binomialTail returns the probability of at least k successes in n trials of
+// probability p.
+func binomialTail(n, k int, p float64) float64 {
+	if k <= 0 || p >= 1 {
+		return 1
+	}
+	if p <= 0 {
+		return 0
+	}
+	sum := 0.0
+	for i := k; i <= n; i++ {
+		sum += math.Exp(logChoose(n, i) + float64(i)*math.Log(p) + float64(n-i)*math.Log1p(-p))
+	}
+	return sum
+}
+
+// logChoose returns the logarithm of the number of ways to choose k of n.
+func logChoose(n, k int) float64 {
+	all, _ := math.Lgamma(float64(n + 1))
+	chosen, _ := math.Lgamma(float64(k + 1))
+	rest, _ := math.Lgamma(float64(n - k + 1))
+	return all - chosen - rest
+}
--- /dev/null
+++ b/attributor/crash.go
@@ -0,0 +1,97 @@
+package attributor
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// The limits of what is remembered of crashes.
+const (
+	crashWindow = 2 * time.Second // interruptions at an endpoint within this time are one crash
+	evidenceTTL = 5 * time.Minute
+	maxCrashes  = 256
+	maxSuspects = 64 // interruptions of one crash
+)
+
+// An interruption is an attempt that broke off without an event of an answer.
+type interruption struct {
+	at       time.Time
+	begun    bool // the endpoint had sent the head of the answer
+	endpoint gooseberrypass.ID
+	parts    []part
+	request  uint64
+	service  gooseberrypass.ID
+}
+
+func (i interruption) has(key part) bool { return slices.Contains(i.parts, key) }
+
+// A crash is a set of interruptions at one endpoint that have one cause. It may also
+// be a connection that broke at an endpoint that goes on.
+type crash struct {
+	at            time.Time      // of the first interruption
+	begun         []interruption // those at the begin of their answer
+	endpoint      gooseberrypass.ID
+	interruptions []interruption
+	service       gooseberrypass.ID
+}
+
+// suspects returns the interruptions that may be the cause: those at the begin of
+// their answer, or all if there is none. An endpoint that crashes over a request does
+// so when it begins the answer, and the requests in its queue break off with it.
+func (c *crash) suspects() []interruption {
+	if len(c.begun) > 0 {
+		return c.begun
+	}
+	return c.interruptions
+}
+
+// add adds an interruption and reports whether it is new.
+func (c *crash) add(i interruption) bool {
+	if len(c.interruptions) >= maxSuspects || slices.ContainsFunc(c.interruptions, func(held interruption) bool { return held.request == i.request }) {
+		return false
+	}
+	c.interruptions = append(c.interruptions, i)
+	if i.begun {
+		c.begun = append(c.begun, i)
+	}
+	if i.at.Before(c.at) {
+		c.at = i.at
+	}
+	return true
+}
+
+// addInterruption adds an interruption to its crash. It returns the crash, nil if the
+// interruption is known.
+func (a *Attributor) addInterruption(i interruption) *crash {
+	a.crashes = slices.DeleteFunc(a.crashes, func(c *crash) bool { return i.at.Sub(c.at) > evidenceTTL })
+	for _, c := range slices.Backward(a.crashes) {
+		if c.endpoint != i.endpoint || i.at.Sub(c.at).Abs() > crashWindow {
+			continue
+		}
+		if !c.add(i) {
+			return nil
+		}
+		a.suspected = nil
+		return c
+	}
+	c := &crash{at: i.at, endpoint: i.endpoint, service: i.service}
+	c.add(i)
+	a.crashes = append(a.crashes, c)
+	a.crashes = a.crashes[max(0, len(a.crashes)-maxCrashes):]
+	a.suspected = nil
+	return c
+}
+
+// explained reports whether a quarantined part explains a crash.
+func (a *Attributor) explained(c *crash) bool {
+	for _, s := range c.suspects() {
+		for _, key := range s.parts {
+			if q, ok := a.quarantines[key]; ok && c.at.Before(q.until) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/attributor/part.go
@@ -0,0 +1,143 @@
+package attributor
+
+import (
+	"hash/fnv"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// The limits of what is remembered of parts.
+const (
+	frequencyWindow = 10 * time.Second // requests are counted for one to two of these
+	maxPromptParts  = 32               // parts of one prompt
+	maxParts        = 1 << 14
+)
+
+// A part identifies a part of prompts at one service.
+type part uint64
+
+func newPart(service gooseberrypass.ID, name string) part {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(service)) // never fails
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(name))
+	return part(h.Sum64())
+}
+
+// A windowedCount counts in the current and the previous window.
+type windowedCount struct{ current, previous int }
+
+func (c windowedCount) sum() int { return c.current + c.previous }
+
+// A partRecord is what is known of one part.
+type partRecord struct {
+	lastBegin time.Time // last begin of an answer to a prompt with the part, at any entry
+	name      string    // as callers send it, "" if this entry received none
+	requests  windowedCount
+}
+
+// A partTable has how often parts were requested of late, and when endpoints last
+// began an answer on them.
+type partTable struct {
+	records     map[part]*partRecord
+	services    map[gooseberrypass.ID]windowedCount // requests
+	windowStart time.Time
+}
+
+func newPartTable() *partTable {
+	return &partTable{records: map[part]*partRecord{}, services: map[gooseberrypass.ID]windowedCount{}}
+}
+
+// record returns the record of a part, and creates it if there is room. It returns nil
+// otherwise.
+func (t *partTable) record(key part) *partRecord {
+	r, ok := t.records[key]
+	if !ok && len(t.records) < maxParts {
+		r = &partRecord{}
+		t.records[key] = r
+	}
+	return r
+}
+
+func (t *partTable) count(key part, name string) {
+	if r := t.record(key); r != nil {
+		r.name = name
+		r.requests.current++
+	}
+}
+
+func (t *partTable) countRequest(service gooseberrypass.ID) {
+	c := t.services[service]
+	c.current++
+	t.services[service] = c
+}
+
+func (t *partTable) begin(key part, at time.Time) {
+	if r := t.record(key); r != nil && at.After(r.lastBegin) {
+		r.lastBegin = at
+	}
+}
+
+// lastBegin returns when an endpoint last began an answer on a part, zero if never.
+func (t *partTable) lastBegin(key part) time.Time {
+	if r, ok := t.records[key]; ok {
+		return r.lastBegin
+	}
+	return time.Time{}
+}
+
+// name returns the name of a part for logs.
+func (t *partTable) name(key part) string {
+	if r, ok := t.records[key]; ok && r.name != "" {
+		return r.name
+	}
+	return "#" + strconv.FormatUint(uint64(key), 16)
+}
+
+// share returns an upper bound of the share of the requests to a service that have a
+// part: two standard deviations above what this entry has counted.
+func (t *partTable) share(service gooseberrypass.ID, key part) float64 {
+	requests := 1.0
+	if r, ok := t.records[key]; ok {
+		requests += float64(r.requests.sum())
+	}
+	return min((requests+2*math.Sqrt(requests))/float64(t.services[service].sum()+1), 1)
+}
+
+// rotate starts a new window if the current one is over, and drops the parts that
+// neither requests of late nor crashes have.
+func (t *partTable) rotate(now time.Time, crashes []*crash) {
+	if now.Sub(t.windowStart) < frequencyWindow {
+		return
+	}
+	stale := now.Sub(t.windowStart) >= 2*frequencyWindow
+	t.windowStart = now
+	suspected := map[part]bool{}
+	for _, c := range crashes {
+		for _, s := range c.interruptions {
+			for _, key := range s.parts {
+				suspected[key] = true
+			}
+		}
+	}
+	for service, c := range t.services {
+		t.services[service] = c.next(stale)
+	}
+	for key, r := range t.records {
+		r.requests = r.requests.next(stale)
+		if r.requests.sum() == 0 && !suspected[key] {
+			delete(t.records, key)
+		}
+	}
+}
+
+// next returns the count for a new window. stale drops what was counted in the last one.
+func (c windowedCount) next(stale bool) windowedCount {
+	if stale {
+		return windowedCount{}
+	}
+	return windowedCount{previous: c.current}
+}
--- a/digest.go
+++ b/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"strings"
 
@@ -52,6 +53,12 @@
 	return d == Digest{}
 }
 
+// Prefix returns the first eight bytes of d, which are enough to tell the requests of
+// a few minutes apart.
+func (d Digest) Prefix() uint64 {
+	return binary.BigEndian.Uint64(d[:8])
+}
+
 // MarshalText implements encoding.TextMarshaler. It encodes the zero Digest as "".
 func (d Digest) MarshalText() ([]byte, error) {
 	if d.IsZero() {
--- a/forwarder/crashes.go
+++ b/forwarder/crashes.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"encoding/binary"
 	"sync"
 	"time"
 
@@ -45,10 +44,6 @@
 	return &CrashTracker{clock: clock, peers: map[gooseberrypass.ID]peerCounts{}, records: map[uint64]crashRecord{}, settings: settings}
 }
 
-// keyOf returns the first eight bytes of a digest, which are enough to tell
-// requests apart.
-func keyOf(digest gooseberrypass.Digest) uint64 { return binary.BigEndian.Uint64(digest[:8]) }
-
 // recordCrash counts a connection that broke during a request.
 func (t *CrashTracker) recordCrash(digest gooseberrypass.Digest) {
 	t.mu.Lock()
@@ -57,7 +52,7 @@
 	if len(t.records) >= maxTracked {
 		t.evict(now)
 	}
-	key := keyOf(digest)
+	key := digest.Prefix()
 	t.records[key] = crashRecord{count: t.records[key].count + 1, last: now}
 	t.recent = append(t.recent, key)
 	t.recent = t.recent[max(0, len(t.recent)-maxShared):]
@@ -77,7 +72,7 @@
 func (t *CrashTracker) isQuarantined(digest gooseberrypass.Digest) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now, key := t.clock.Now(), keyOf(digest)
+	now, key := t.clock.Now(), digest.Prefix()
 	count := 0
 	if held := t.records[key]; now.Sub(held.last) <= t.settings.QuarantineTime {
 		count = held.count
--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/attributor"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 	"github.com/gooseberrypass/gooseberrypass/forwarder"
 	"github.com/gooseberrypass/gooseberrypass/materializer"
@@ -164,12 +165,15 @@
 	b.Handle(f.clock.Now(), materializer.Changed{Snapshot: snapshot})
 	log := logrus.New()
 	log.SetOutput(&f.log)
-	var err error
 	f.settings = forwarder.Settings{
 		DeadlineGrace: 100 * time.Millisecond, HeadTimeoutFactor: 3, EventTimeoutFactor: 4, MaxBufferedAnswer: 1 << 16, MoveShare: 0.5, QuarantineCrashes: 3, QuarantineTime: time.Minute,
 		RetryAfter: time.Second, RetryRatio: 0.2, RetryEntryFactor: 1, RetrySlack: 20, RetryWindow: 10 * time.Second,
 	}
-	f.tracker = forwarder.RequestTracker{RefusalTracker: forwarder.NewRefusalTracker(f.clock, 5*time.Second), CrashTracker: forwarder.NewCrashTracker(f.clock, f.settings)}
+	attributions, err := attributor.New(f.clock, attributor.Settings{QuarantineTime: f.settings.QuarantineTime}, 1, prometheus.NewRegistry(), log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.tracker = forwarder.RequestTracker{Attributor: attributions, RefusalTracker: forwarder.NewRefusalTracker(f.clock, 5*time.Second), CrashTracker: forwarder.NewCrashTracker(f.clock, f.settings)}
 	f.build = func(chooser forwarder.Chooser) (*forwarder.Forwarder, error) {
 		return forwarder.New(f.clock, deployments{d}, chooser, f.transport, f.tracker, f.settings, prometheus.NewRegistry(), log)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -136,9 +136,14 @@
 	}
 	r.digest, r.repeatDigest = r.proxyRequest.Digest(), r.proxyRequest.RepeatDigest()
 	r.refusedBefore = f.tracker.refusedRecently(r.repeatDigest)
+	r.prompt = f.tracker.Register(r.service, r.digest, r.proxyRequest.SharedParts)
 	if f.tracker.isQuarantined(r.digest) {
 		return notRun(gooseberrypass.ReasonPoison, "the request broke endpoints before", 0)
 	}
+	if part, left := f.tracker.Quarantine(r.prompt); left > 0 {
+		f.tracker.CountRefusal()
+		return notRun(gooseberrypass.ReasonPoison, "endpoints crashed under the part "+part+" of the prompt", left)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/forwarder/progress.go
@@ -0,0 +1,62 @@
+package forwarder
+
+// A progress is how far the answer of an attempt has come.
+type progress int
+
+// The progress of attempts.
+const (
+	progressNone    progress = iota // no sign of an answer
+	progressHead                    // the endpoint began the answer
+	progressContent                 // an event, or the whole answer, was received
+)
+
+// String returns the progress as it appears in log lines.
+func (p progress) String() string {
+	switch p {
+	case progressHead:
+		return "head"
+	case progressContent:
+		return "content"
+	default:
+		return "none"
+	}
+}
+
+// maxBeginCrashes is the number of endpoints at which the answer to a request may break
+// off at its begin. The request probably crashes each endpoint that begins the answer.
+const maxBeginCrashes = 2
+
+// recordProgress records that content of the answer was received.
+func (r *request) recordProgress() {
+	if r.progress == progressContent {
+		return
+	}
+	r.progress = progressContent
+	r.forwarder.tracker.RecordBegin(r.prompt)
+}
+
+// recordCrash records that the connection to the endpoint broke during an attempt.
+func (r *request) recordCrash() {
+	tracker := r.forwarder.tracker
+	tracker.recordCrash(r.digest)
+	if r.progress == progressContent {
+		return
+	}
+	if r.progress == progressHead {
+		r.beginCrashes++
+	}
+	tracker.RecordInterruption(r.prompt, r.lastEndpoint, r.progress == progressHead)
+}
+
+// crashesEndpoints reports whether the request probably crashed the last endpoint. The
+// begin of an answer takes little time, so that other causes rarely break it off there.
+func (r *request) crashesEndpoints() bool {
+	tracker := r.forwarder.tracker
+	if _, left := tracker.Quarantine(r.prompt); left > 0 && !r.started {
+		return true
+	}
+	if r.model == "" || r.progress != progressHead {
+		return false
+	}
+	return r.beginCrashes >= maxBeginCrashes || tracker.Suspected(r.prompt)
+}
--- a/forwarder/refusals.go
+++ b/forwarder/refusals.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/attributor"
 )
 
 // The limits of what is remembered.
@@ -44,7 +45,7 @@
 func (r *RefusalTracker) recordRefusal(digest gooseberrypass.Digest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now, key := r.clock.Now(), keyOf(digest)
+	now, key := r.clock.Now(), digest.Prefix()
 	r.remember(now, key)
 	r.recent = append(r.sharedAt(now), refusal{at: now, key: key})
 }
@@ -83,7 +84,7 @@
 func (r *RefusalTracker) refusedRecently(digest gooseberrypass.Digest) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	at, ok := r.refusedAt[keyOf(digest)]
+	at, ok := r.refusedAt[digest.Prefix()]
 	return ok && r.clock.Now().Sub(at) <= r.ttl
 }
 
@@ -115,4 +116,5 @@
 type RequestTracker struct {
 	*RefusalTracker
 	*CrashTracker
+	*attributor.Attributor
 }
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/attributor"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 )
 
@@ -32,6 +33,7 @@
 	account       gooseberrypass.ID
 	arrivedAt     time.Time
 	attempts      int   // attempts made
+	beginCrashes  int   // attempts whose answer broke off at its begin
 	configVersion int64 // version of the deployment
 	deadline      time.Time
 	digest        gooseberrypass.Digest
@@ -46,6 +48,8 @@
 	model         string            // "" for a plain service
 	moveTo        *balancer.Ticket  // place reserved for a stream that is being moved
 	priority      int
+	progress      progress // of the last attempt
+	prompt        attributor.Prompt
 	proxyRequest  *gooseberrypass.ProxyRequest
 	refusedBefore bool                  // retry of a request that was refused because of load
 	repeatDigest  gooseberrypass.Digest // digest that includes the prompt
@@ -101,7 +105,7 @@
 		again := r.mayRepeat(failed)
 		f.logger.WithFields(logrus.Fields{
 			fieldRequest: r.proxyRequest.ID, fieldEndpoint: r.lastEndpoint, "try": r.attempts, "at_endpoint": r.inFlight, "again": again,
-			"may_have_run": r.mayRun, "expect": ticket.ExpectedVersion(), "ms": f.clock.Since(r.arrivedAt).Milliseconds(),
+			"may_have_run": r.mayRun, "progress": r.progress, "expect": ticket.ExpectedVersion(), "ms": f.clock.Since(r.arrivedAt).Milliseconds(),
 		}).WithError(failed.err).Info("attempt failed")
 		if !again {
 			return r.settleFailure(r.lastFailure(failed))
@@ -211,7 +215,7 @@
 	if r.attempts > r.route.MaxAttempts || !r.deadline.IsZero() && !now.Before(r.deadline) {
 		return false
 	}
-	if f.tracker.isQuarantined(r.digest) {
+	if f.tracker.isQuarantined(r.digest) || r.crashesEndpoints() {
 		return false
 	}
 	if !r.repeatPaid.Swap(false) && !f.budget.allowRepeat(now, r.service, f.chooser.Entries()) {
@@ -239,7 +243,7 @@
 // answer was delivered.
 func (r *request) attempt(ctx context.Context, ticket *balancer.Ticket) *failure {
 	f := r.forwarder
-	r.lastEndpoint, r.inFlight = ticket.Endpoint().ID, ticket.InFlight()
+	r.lastEndpoint, r.inFlight, r.progress = ticket.Endpoint().ID, ticket.InFlight(), progressNone
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	left := r.deadline.Sub(f.clock.Now())
@@ -267,7 +271,7 @@
 		return r.rejection(reply)
 	}
 	ticket.HeadReceived(f.clock.Since(sent))
-	r.mayRun = true
+	r.mayRun, r.progress = true, progressHead
 	if !reply.Signed && reply.Status < 300 {
 		return &failure{err: unknown(gooseberrypass.ReasonUpstream, "answer without a signature"), result: balancer.ResultFailed}
 	}
@@ -324,7 +328,7 @@
 		f.err.Detail = "no answer in time (" + cause.Error() + "): " + err.Error()
 		f.result = balancer.ResultTimedOut
 	case sent:
-		r.forwarder.tracker.recordCrash(r.digest)
+		r.recordCrash()
 	}
 	return f
 }
@@ -357,6 +361,7 @@
 		return &failure{err: unknown(gooseberrypass.ReasonUpstream, "the endpoint answered with an error"), result: balancer.ResultAnswered}
 	}
 	watch.stop()
+	r.recordProgress()
 	if int64(body.Len()) >= s.MaxBufferedAnswer && reply.Header.Get("Content-Length") == "" {
 		watch.reset(r.timeLeft(), context.DeadlineExceeded) // the rest may have no end
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -24,6 +24,7 @@
 			return r.streamFailure(ctx, err)
 		}
 		loading := ticket.EventReceived()
+		r.recordProgress()
 		if r.delivered(event) {
 			continue
 		}
--- a/gossiper/encoding.go
+++ b/gossiper/encoding.go
@@ -38,6 +38,7 @@
 			g.Notice.Models[model] = int32(version)
 		}
 	}
+	g.CrashEvidence = encodeEvidence(m.CrashEvidence)
 	body, err := proto.Marshal(g)
 	return body, errors.Wrap(err, "encode message")
 }
@@ -52,6 +53,7 @@
 		ListAge: time.Duration(g.GetListAgeMillis()) * time.Millisecond, Refused: g.GetRefused(), Region: gooseberrypass.Region(g.GetRegion()),
 		Role: gooseberrypass.Role(g.GetRole()), Loads: make(map[gooseberrypass.ID]balancer.Load, len(g.GetShares())),
 	}
+	m.CrashEvidence = decodeEvidence(g.GetCrashEvidence())
 	for key, n := range g.GetBreaks() {
 		m.CrashCounts[key] = int(n)
 	}
--- /dev/null
+++ b/gossiper/evidence.go
@@ -0,0 +1,54 @@
+package gossiper
+
+import (
+	"time"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/attributor"
+	"github.com/gooseberrypass/gooseberrypass/wire"
+)
+
+// encodeEvidence returns the wire form of crash evidence, nil if there is none.
+func encodeEvidence(e attributor.Evidence) *wire.CrashEvidence {
+	if len(e.Interruptions)+len(e.Begins)+len(e.Quarantines) == 0 {
+		return nil
+	}
+	w := &wire.CrashEvidence{}
+	for _, i := range e.Interruptions {
+		w.Interruptions = append(w.Interruptions, &wire.Interruption{
+			AgeMillis: i.Age.Milliseconds(), Begun: i.Begun, Endpoint: string(i.Endpoint), Parts: i.Parts, Request: i.Request, Service: string(i.Service),
+		})
+	}
+	for _, b := range e.Begins {
+		w.Begins = append(w.Begins, &wire.PartBegin{AgeMillis: b.Age.Milliseconds(), Part: b.Part})
+	}
+	for _, q := range e.Quarantines {
+		w.Quarantines = append(w.Quarantines, &wire.PartQuarantine{AgeMillis: q.Age.Milliseconds(), Count: uint32(max(q.Count, 0)), Part: q.Part})
+	}
+	return w
+}
+
+func decodeEvidence(w *wire.CrashEvidence) attributor.Evidence {
+	var e attributor.Evidence
+	for _, i := range w.GetInterruptions() {
+		e.Interruptions = append(e.Interruptions, attributor.Interruption{
+			Age: decodeAge(i.GetAgeMillis()), Begun: i.GetBegun(), Endpoint: gooseberrypass.ID(i.GetEndpoint()), Parts: i.GetParts(), Request: i.GetRequest(),
+			Service: gooseberrypass.ID(i.GetService()),
+		})
+	}
+	for _, b := range w.GetBegins() {
+		e.Begins = append(e.Begins, attributor.Begin{Age: decodeAge(b.GetAgeMillis()), Part: b.GetPart()})
+	}
+	for _, q := range w.GetQuarantines() {
+		e.Quarantines = append(e.Quarantines, attributor.Quarantine{Age: decodeAge(q.GetAgeMillis()), Count: int(q.GetCount()), Part: q.GetPart()})
+	}
+	return e
+}
+
+// maxAge is the largest age that is taken from a message.
+const maxAge = 24 * time.Hour
+
+// decodeAge returns an age from a message, which is never negative.
+func decodeAge(millis int64) time.Duration {
+	return time.Duration(min(max(millis, 0), maxAge.Milliseconds())) * time.Millisecond
+}
--- a/gossiper/fuzz_test.go
+++ b/gossiper/fuzz_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/attributor"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 	"github.com/gooseberrypass/gooseberrypass/gossiper"
 )
@@ -13,6 +14,7 @@
 func FuzzDecode(f *testing.F) {
 	body, err := gossiper.Encode(gossiper.Message{
 		Address: "10.0.0.1:7700", CrashCounts: map[uint64]int{1: 2}, From: "a", ListAge: time.Second,
+		CrashEvidence:  attributor.Evidence{Interruptions: []attributor.Interruption{{Age: time.Second, Endpoint: "e", Parts: []uint64{1}}}},
 		EndpointStatus: &balancer.EndpointStatus{Address: "10.0.0.2:1", Loading: true, Models: map[string]int{"m": 1}},
 		Loads:          map[gooseberrypass.ID]balancer.Load{"e": {Requests: 3, UnreadTokens: 1000}},
 		Manifests:      []gooseberrypass.ModelTarget{{Model: "m", Version: 2}},
@@ -29,6 +31,11 @@
 		if err != nil {
 			return
 		}
+		for _, i := range m.CrashEvidence.Interruptions {
+			if i.Age < 0 {
+				t.Errorf("interruption at %q: got a negative age %s", i.Endpoint, i.Age)
+			}
+		}
 		for id, load := range m.Loads {
 			if load.Requests < 0 || load.UnreadTokens < 0 {
 				t.Errorf("endpoint %q: got a negative load %+v", id, load)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/attributor"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 )
 
@@ -23,6 +24,7 @@
 type Message struct {
 	Address        string                   // sender's address for other processes
 	CrashCounts    map[uint64]int           // recent endpoint failures that each request is suspected of
+	CrashEvidence  attributor.Evidence      // from entries
 	EndpointStatus *balancer.EndpointStatus // endpoint of an agent, nil from an entry
 	From           gooseberrypass.ID
 	ListAge        time.Duration                                  // age of an entry's last own read of the endpoint list
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/attributor"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 	"github.com/gooseberrypass/gooseberrypass/gossiper"
 )
@@ -30,7 +31,12 @@
 	tests := map[string]gossiper.Message{
 		"entry": {
 			Address: "10.0.0.1:7700", CrashCounts: map[uint64]int{1<<63 + 5: 2}, From: "e1", ListAge: 300 * time.Millisecond, Refused: []uint64{7, 1 << 63}, Region: "r", Role: gooseberrypass.RoleEntry,
-			Next:  map[gooseberrypass.Topic]gooseberrypass.Offset{gooseberrypass.TopicOperator: 1 << 40, gooseberrypass.TopicEndpoints: 0},
+			Next: map[gooseberrypass.Topic]gooseberrypass.Offset{gooseberrypass.TopicOperator: 1 << 40, gooseberrypass.TopicEndpoints: 0},
+			CrashEvidence: attributor.Evidence{
+				Begins:        []attributor.Begin{{Age: time.Second, Part: 1 << 63}},
+				Interruptions: []attributor.Interruption{{Age: 20 * time.Millisecond, Begun: true, Endpoint: "i-1", Parts: []uint64{3, 1 << 63}, Request: 9, Service: "s"}},
+				Quarantines:   []attributor.Quarantine{{Age: time.Minute, Count: 2, Part: 3}},
+			},
 			Loads: map[gooseberrypass.ID]balancer.Load{"i-1": {Requests: 3, UnreadTokens: 4100}, "i-2": {Requests: 1, Stalled: true}},
 		},
 		"agent": {
--- a/proxy.go
+++ b/proxy.go
@@ -20,10 +20,11 @@
 	MaxTokens       int    // largest number of tokens in the answer, 0 if unknown
 	Method          string
 	Model           string
-	Path            string // without the query
-	PromptParts     string // identifiers of the parts of the prompt; the last part is unique to the request
-	PromptTokens    int    // 0 if unknown
-	URI             string // path and query as sent by the caller
+	Path            string   // without the query
+	PromptParts     string   // identifiers of the parts of the prompt; the last part is unique to the request
+	PromptTokens    int      // 0 if unknown
+	SharedParts     []string // identifiers of the parts of the prompt that other requests may have, in order
+	URI             string   // path and query as sent by the caller
 }
 
 // fields returns the fields by which requests are compared: account, host, method,
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/attributor"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 	"github.com/gooseberrypass/gooseberrypass/gossiper"
 	"github.com/gooseberrypass/gooseberrypass/materializer"
@@ -53,10 +54,13 @@
 }
 
 // A RequestHistory exchanges what entries remember of requests: how many endpoint
-// failures each is suspected of, and which were refused for load. Requests are
+// failures each is suspected of, under which parts of prompts endpoints crashed, and
+// which were refused for load. Requests are
 // identified by the first eight bytes of their digests. It is nil in agents.
 type RequestHistory interface {
+	AddCrashEvidence(e attributor.Evidence)
 	CrashCounts() map[uint64]int
+	CrashEvidence() attributor.Evidence
 	Refused() []uint64
 	SetCrashCounts(from gooseberrypass.ID, counts map[uint64]int)
 	SetRefused(keys []uint64)
@@ -166,7 +170,7 @@
 		m.Manifests = r.manifests
 	}
 	if r.loads != nil && to == gooseberrypass.RoleEntry {
-		m.CrashCounts, m.Refused = r.history.CrashCounts(), r.history.Refused()
+		m.CrashCounts, m.CrashEvidence, m.Refused = r.history.CrashCounts(), r.history.CrashEvidence(), r.history.Refused()
 		m.ListAge, m.Loads = r.listAge(now), r.loads.OwnLoads()
 		m.Next[gooseberrypass.TopicEndpoints] = next(gooseberrypass.TopicEndpoints)
 	}
@@ -267,6 +271,7 @@
 	if r.loads != nil {
 		if m.Role == gooseberrypass.RoleEntry {
 			r.recordReader(now, m)
+			r.history.AddCrashEvidence(m.CrashEvidence)
 			r.history.SetCrashCounts(m.From, m.CrashCounts)
 			r.history.SetRefused(m.Refused)
 			r.loads.SetEntryLoads(now, m.From, m.Loads)
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/attributor"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 	"github.com/gooseberrypass/gooseberrypass/gossiper"
 	"github.com/gooseberrypass/gooseberrypass/materializer"
@@ -69,6 +70,8 @@
 // noHistory is the request history of an entry that has had no requests.
 type noHistory struct{}
 
+func (noHistory) AddCrashEvidence(attributor.Evidence)             {}
+func (noHistory) CrashEvidence() attributor.Evidence               { return attributor.Evidence{} }
 func (noHistory) CrashCounts() map[uint64]int                      { return nil }
 func (noHistory) Refused() []uint64                                { return nil }
 func (noHistory) SetCrashCounts(gooseberrypass.ID, map[uint64]int) {}
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/attributor"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 	"github.com/gooseberrypass/gooseberrypass/follower"
 	"github.com/gooseberrypass/gooseberrypass/forwarder"
@@ -47,6 +48,9 @@
 		RefusalTracker: forwarder.NewRefusalTracker(m.clock, settings.forwardDuration("return-time")),
 		CrashTracker:   forwarder.NewCrashTracker(m.clock, settings.forwarderSettings()),
 	}
+	if g.history.Attributor, err = attributor.New(m.clock, settings.attributorSettings(), m.seed, m.registry, m.logger); err != nil {
+		return nil, err
+	}
 	g.balancer = balancer.New(m.clock, settings.region(), settings.regionOf, settings.balancerSettings(), m.seed)
 	m.materializer = materializer.New(platform.Decoder{}, settings.materializerSettings(), m.logger, g.balancer)
 	repl := m.newReplicator(g.balancer, g.history)
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/attributor"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 	"github.com/gooseberrypass/gooseberrypass/checker"
 	"github.com/gooseberrypass/gooseberrypass/fetcher"
@@ -136,7 +137,7 @@
 			{Name: "plain-fill", Type: checker.Float(0.1, 100), Default: "3", Doc: "Requests at a plain endpoint, as a multiple of its slots, up to which more are sent."},
 			{Name: "plain-penalty", Type: checker.Float(0, 100), Default: "0.4", Doc: "Load, as a multiple of the slots, added to that of a plain endpoint in another region when endpoints are compared."},
 			{Name: "poison-breaks", Type: checker.Int(1, 100), Default: "3", Doc: "Broken connections to endpoints after which the request that was sent on them is refused."},
-			{Name: "poison-time", Type: checker.Duration(time.Second, time.Hour), Default: "60s", Doc: "Time for which a request that reached poison-breaks is refused."},
+			{Name: "poison-time", Type: checker.Duration(time.Second, time.Hour), Default: "60s", Doc: "Time for which a request that reached poison-breaks is refused, and shortest time for which requests with a part of a prompt that crashes endpoints are."},
 			{Name: "probe", Type: checker.Duration(time.Second, longest), Default: "1s", Doc: "Interval of keep-alive probes on silent connections; the kernel takes whole seconds."},
 			{Name: "queue-poll", Type: checker.Duration(time.Millisecond, longest), Default: "12ms", Doc: "Interval at which a waiting request checks for an endpoint with capacity."},
 			{Name: "queue-share", Type: checker.Float(0, 1), Default: "0.12", Doc: "Share of the objective for which a request waits for an endpoint with capacity."},
@@ -311,6 +312,10 @@
 	}
 }
 
+func (s *MachineSettings) attributorSettings() attributor.Settings {
+	return attributor.Settings{QuarantineTime: s.forwardDuration("poison-time")}
+}
+
 func (s *MachineSettings) transportLimits() platform.TransportLimits {
 	return platform.TransportLimits{
 		ConnectTimeout: s.forwardDuration("connect"),
