Keep requests in the regions of their route and account

Cause: the regions were not decoded, and the choice of endpoints knew nothing of them.

Change: Route and AccountSpec have Regions; the choice skips endpoints of regions outside both, for first attempts, repeats, resumed and moved streams.

The tests do not compile without the change.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -55,8 +55,9 @@
 	Model         string        // "" for a plain service
 	Objective     time.Duration // target time to the first event, 0 for none
 	PromptTokens  int
-	RefusedBefore bool // refused because of load earlier, so that its answer is already late
-	Resumed       bool // resumes an interrupted stream
+	Regions       gooseberrypass.RegionSet // regions whose endpoints may be chosen
+	RefusedBefore bool                     // refused because of load earlier, so that its answer is already late
+	Resumed       bool                     // resumes an interrupted stream
 	Service       gooseberrypass.ID
 	Tried         []gooseberrypass.ID // endpoints that are not chosen again
 	Staying       bool                // the endpoint must not have announced a drain
@@ -144,7 +145,8 @@
 			}
 			b.endpoints[listed.ID] = e
 		}
-		e.listed, e.remote = listed, b.regionOf(listed.FailureDomain) != b.self
+		e.listed, e.region = listed, b.regionOf(listed.FailureDomain)
+		e.remote = e.region != b.self
 		if services[listed.Service] == nil {
 			services[listed.Service] = &pool{}
 		}
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -121,6 +121,8 @@
 // stateAvailable if none does.
 func (b *Balancer) eligibility(now time.Time, e *endpoint, q Query) state {
 	switch {
+	case !q.Regions.Contains(e.region):
+		return stateExcluded
 	case e.listed.Leaving:
 		return stateLeaving
 	case now.Before(e.ejectedUntil) || e.probation && e.own.Requests > 0:
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -20,7 +20,8 @@
 	own          Load    // load from this entry
 	probation    bool    // was ejected and has not answered since, gets one request at a time
 	refusals     int     // refusals because of load in a row
-	remote       bool    // in another region
+	region       gooseberrypass.Region
+	remote       bool // in another region than this entry
 }
 
 // A Load is the part of an endpoint's load that comes from one entry.
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -14,6 +14,7 @@
 const (
 	stateAvailable state = iota
 	stateEjected         // failed or timed out, or is on probation with a request in flight
+	stateExcluded        // in a region that may not serve the request
 	stateFull            // at its limit, or refused because of load
 	stateLeaving         // listed as leaving
 	stateLoading         // loading a version, or about to
@@ -28,6 +29,8 @@
 	switch s {
 	case stateEjected:
 		return "ejected"
+	case stateExcluded:
+		return "in a region that may not serve the request"
 	case stateFull:
 		return "full"
 	case stateLeaving:
--- a/deployment.go
+++ b/deployment.go
@@ -31,9 +31,10 @@
 	Name        string
 	Objective   time.Duration // objective for the time to the answer or to the first event of a stream, 0 for none
 	Prefix      string
-	Priority    int  // 0 is the highest
-	Public      bool // requests need no client account
-	Resumable   bool // an interrupted stream may be resumed at another endpoint
+	Priority    int      // 0 is the highest
+	Public      bool     // requests need no client account
+	Regions     []Region // regions that may serve its requests, empty for all
+	Resumable   bool     // an interrupted stream may be resumed at another endpoint
 	Targets     []RouteTarget
 	Timeout     time.Duration // time limit of a request, 0 for none
 }
@@ -43,6 +44,30 @@
 	return r.Mode == RouteIdempotent || r.Mode == RouteStream && r.Resumable
 }
 
+// A RegionSet is a set of regions. A nil set has all regions.
+type RegionSet map[Region]struct{}
+
+// Contains reports whether a region is in the set.
+func (s RegionSet) Contains(region Region) bool {
+	_, ok := s[region]
+	return s == nil || ok
+}
+
+// Intersect returns the set without the regions that are not listed. An empty list
+// restricts nothing.
+func (s RegionSet) Intersect(regions []Region) RegionSet {
+	if len(regions) == 0 {
+		return s
+	}
+	both := RegionSet{}
+	for _, region := range regions {
+		if s.Contains(region) {
+			both[region] = struct{}{}
+		}
+	}
+	return both
+}
+
 // An EngineSpec describes the model engines of a service.
 type EngineSpec struct {
 	Chunks         int           // number of chunks of one version
@@ -83,7 +108,8 @@
 // An AccountSpec describes a client account of a deployment.
 type AccountSpec struct {
 	ID       ID
-	Priority int // overrides that of the route, -1 for no override
+	Priority int      // overrides that of the route, -1 for no override
+	Regions  []Region // regions that may serve its requests, empty for all
 }
 
 // A Deployment is one version of the configuration that the platform's operator
--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -143,11 +143,12 @@
 		route("/safe/", gooseberrypass.RouteIdempotent, false),
 		route("/stream/", gooseberrypass.RouteStream, true),
 		route("/rigid/", gooseberrypass.RouteStream, false),
+		{Host: "h", MaxAttempts: 2, Mode: gooseberrypass.RouteIdempotent, Name: "home", Prefix: "/home/", Regions: []gooseberrypass.Region{"r1", "r2"}, Targets: target},
 		{
 			EventGap: 300 * time.Millisecond, Host: "h", Mode: gooseberrypass.RouteStream, MaxAttempts: 2, Name: "model", Objective: time.Second,
 			Prefix: "/model/", Resumable: true, Targets: []gooseberrypass.RouteTarget{{Service: "engines", Weight: 1}}, Timeout: 6 * time.Second,
 		},
-	}, []gooseberrypass.ServiceSpec{{ID: "s", MaxConns: 6}, {ID: "engines", Engine: &gooseberrypass.EngineSpec{Model: "m"}}}, map[string]gooseberrypass.AccountSpec{"key": {ID: "account"}}, gooseberrypass.CallerLimits{})
+	}, []gooseberrypass.ServiceSpec{{ID: "s", MaxConns: 6}, {ID: "engines", Engine: &gooseberrypass.EngineSpec{Model: "m"}}}, map[string]gooseberrypass.AccountSpec{"key": {ID: "account", Regions: []gooseberrypass.Region{"r", "r2"}}}, gooseberrypass.CallerLimits{})
 	b := balancer.New(f.clock, "r", func(gooseberrypass.FailureDomain) gooseberrypass.Region { return "r" }, balancer.Settings{
 		Ejection: time.Second, Fill: 1, MaxEjection: time.Second, PlainFill: 4, ReportTTL: 3 * time.Second, SlowTolerance: 2, StallFactor: 3, StallTimeout: 400 * time.Millisecond, VersionCutoff: 300 * time.Millisecond,
 		VersionMargin: 800 * time.Millisecond, VersionTimeout: 8 * time.Second,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -112,12 +112,14 @@
 	}
 	r.route, r.configVersion = route, d.Version()
 	r.priority = route.Priority
+	r.regions = r.regions.Intersect(route.Regions)
 	if !route.Public && d.HasAccounts() {
 		account, ok := d.Account(r.proxyRequest.AccountKey)
 		if !ok {
 			return notRun(gooseberrypass.ReasonUnknownClient, "unknown key", 0)
 		}
 		r.account = account.ID
+		r.regions = r.regions.Intersect(account.Regions)
 		if account.Priority >= 0 {
 			r.priority = account.Priority
 		}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -389,3 +389,18 @@
 	r.pieces = r.pieces[1:]
 	return n, nil
 }
+
+// A request must not leave the regions of its route and its client account.
+func TestRegionsOfRouteAndAccountRestrictTheChoice(t *testing.T) {
+	f := newFixture(t, reaction{})
+	full := f.useFullChooser(t)
+	f.send("/home/x", "key")
+	if got, want := len(full.queries), 1; got != want {
+		t.Fatalf("got %d queries, want %d", got, want)
+	}
+	for region, want := range map[gooseberrypass.Region]bool{"r1": false, "r2": true, "r3": false} {
+		if got := full.queries[0].Regions.Contains(region); got != want {
+			t.Errorf("%s: got allowed %t, want %t", region, got, want)
+		}
+	}
+}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -51,8 +51,9 @@
 	progress      progress // of the last attempt
 	prompt        attributor.Prompt
 	proxyRequest  *gooseberrypass.ProxyRequest
-	refusedBefore bool                  // retry of a request that was refused because of load
-	repeatDigest  gooseberrypass.Digest // digest that includes the prompt
+	regions       gooseberrypass.RegionSet // regions that may serve the request
+	refusedBefore bool                     // retry of a request that was refused because of load
+	repeatDigest  gooseberrypass.Digest    // digest that includes the prompt
 	route         *gooseberrypass.Route
 	service       gooseberrypass.ID
 	repeatPaid    atomic.Bool // the next repeat is taken from the retry budget already
@@ -159,7 +160,7 @@
 	}
 	return balancer.Query{
 		AnswerTokens: answer, Tried: r.tried, Model: r.model, Objective: r.route.Objective, PromptTokens: r.proxyRequest.PromptTokens,
-		Resumed: r.started, RefusedBefore: r.refusedBefore, Service: r.service, Version: r.version,
+		Regions: r.regions, Resumed: r.started, RefusedBefore: r.refusedBefore, Service: r.service, Version: r.version,
 	}
 }
 
