--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -328,6 +328,7 @@
 		f.err.Reason = gooseberrypass.ReasonDeadline
 		f.err.Detail = "no answer in time (" + cause.Error() + "): " + err.Error()
 		f.result = balancer.ResultTimedOut
+	case errors.Is(cause, context.Canceled): // the caller left
 	case sent:
 		r.recordCrash()
 	}
