--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -363,7 +363,9 @@
 		return &failure{err: unknown(gooseberrypass.ReasonUpstream, "the endpoint answered with an error"), result: balancer.ResultAnswered}
 	}
 	watch.stop()
-	r.recordProgress()
+	if reply.Status < 300 {
+		r.recordProgress()
+	}
 	if int64(body.Len()) >= s.MaxBufferedAnswer && reply.Header.Get("Content-Length") == "" {
 		watch.reset(r.timeLeft(), context.DeadlineExceeded) // the rest may have no end
 	}
