--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -16,8 +16,9 @@
 
 // An event is one event of a stream as it was received.
 type event struct {
-	id  int // index of the event, -1 if it has none
-	raw []byte
+	comment bool // consists of comments
+	id      int  // index of the event, -1 if it has none
+	raw     []byte
 }
 
 // An eventReader splits a text/event-stream into events.
@@ -32,7 +33,7 @@
 // next returns the next complete event. It returns io.EOF after the last one and
 // io.ErrUnexpectedEOF if the stream ends within an event.
 func (e *eventReader) next() (event, error) {
-	ev := event{id: -1}
+	ev := event{comment: true, id: -1}
 	for {
 		line, err := e.reader.ReadSlice('\n')
 		ev.raw = append(ev.raw, line...)
@@ -59,5 +60,6 @@
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return ev, nil
 		}
+		ev.comment = ev.comment && line[0] == ':'
 	}
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -24,7 +24,9 @@
 			return r.streamFailure(ctx, err)
 		}
 		loading := ticket.EventReceived()
-		r.recordProgress()
+		if !event.comment {
+			r.recordProgress()
+		}
 		if r.delivered(event) {
 			continue
 		}
