--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -28,6 +28,7 @@
 type reaction struct {
 	body    string
 	cut     bool          // the connection breaks after the body
+	endless bool          // the answer has neither a length nor chunks
 	delay   time.Duration // time until the answer
 	hang    bool          // no answer until the attempt is withdrawn
 	reader  io.Reader     // replaces body, if not nil
@@ -81,7 +82,7 @@
 		a.status = http.StatusOK
 	}
 	return &gooseberrypass.Reply{
-		Body: io.NopCloser(body), Header: http.Header{}, ModelVersion: a.version, NotRun: a.notRun, Signed: !a.notRun, Status: a.status,
+		Body: io.NopCloser(body), EndsWithConnection: a.endless, Header: http.Header{}, ModelVersion: a.version, NotRun: a.notRun, Signed: !a.notRun, Status: a.status,
 	}, nil
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -16,6 +16,9 @@
 	events := newEventReader(reply.Body)
 	for {
 		event, err := events.next()
+		if errors.Is(err, io.EOF) && reply.EndsWithConnection && r.progress != progressContent {
+			err = io.ErrUnexpectedEOF // a crash ends the connection too
+		}
 		if errors.Is(err, io.EOF) {
 			r.start(reply)
 			return nil
--- a/proxy.go
+++ b/proxy.go
@@ -60,15 +60,17 @@
 // A Reply is the response of an endpoint. Body returns io.EOF only after the complete
 // response, and another error if the response was interrupted.
 type Reply struct {
-	Body         io.ReadCloser
-	Header       http.Header // end-to-end headers
-	Load         *EngineLoad // nil if not reported
-	Misdirected  bool        // the endpoint or its loaded version is not the expected one
-	ModelVersion int         // version of the weights, 0 if not reported
-	NotRun       bool        // the endpoint did not run the request
-	Replaced     bool        // the address now belongs to another endpoint
-	Signed       bool        // has the endpoint's signature
-	Status       int         // HTTP status code
+	Body io.ReadCloser
+	// The answer has neither a length nor chunks, so that its end looks like a crash.
+	EndsWithConnection bool
+	Header             http.Header // end-to-end headers
+	Load               *EngineLoad // nil if not reported
+	Misdirected        bool        // the endpoint or its loaded version is not the expected one
+	ModelVersion       int         // version of the weights, 0 if not reported
+	NotRun             bool        // the endpoint did not run the request
+	Replaced           bool        // the address now belongs to another endpoint
+	Signed             bool        // has the endpoint's signature
+	Status             int         // HTTP status code
 }
 
 // A DispatchError is the error of a dispatch without a usable response.
