--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -142,13 +142,27 @@
 	if f.tracker.isQuarantined(r.digest) {
 		return notRun(gooseberrypass.ReasonPoison, "the request broke endpoints before", 0)
 	}
-	if part, left := f.tracker.Quarantine(r.prompt); left > 0 {
-		f.tracker.CountRefusal()
-		return notRun(gooseberrypass.ReasonPoison, "endpoints crashed under the part "+part+" of the prompt", left)
+	if refusal := r.quarantined(); refusal != nil {
+		return refusal
 	}
 	return nil
 }
 
+// quarantined returns the error of a request with a quarantined part, nil if it has none.
+func (r *request) quarantined() *gooseberrypass.RequestError {
+	tracker := r.forwarder.tracker
+	part, left := tracker.Quarantine(r.prompt)
+	if left <= 0 {
+		return nil
+	}
+	tracker.CountRefusal()
+	detail := "endpoints crashed under the part " + part + " of the prompt"
+	if r.mayRun {
+		return unknown(gooseberrypass.ReasonPoison, detail)
+	}
+	return notRun(gooseberrypass.ReasonPoison, detail, left)
+}
+
 // setDeadline sets the earlier of the caller's deadline and the route's timeout.
 // It reports whether any time is left.
 func (r *request) setDeadline() bool {
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -87,6 +87,10 @@
 		if err != nil {
 			return r.settleFailure(r.noEndpoint(err))
 		}
+		if refusal := r.quarantined(); refusal != nil && !r.started { // quarantined while it waited
+			ticket.Done(balancer.ResultInconclusive)
+			return r.settleFailure(refusal)
+		}
 		r.attempts++
 		failed := r.attemptAt(ctx, ticket)
 		if failed == nil {
