--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -168,7 +169,10 @@
 	now := a.clock.Now()
 	i := interruption{at: now, begun: begun, endpoint: endpoint, parts: p.parts, request: p.request, service: p.service}
 	a.own = append(a.shared(now), i)
-	a.own = a.own[max(0, len(a.own)-maxShared):]
+	if len(a.own) > maxShared {
+		drop := max(slices.IndexFunc(a.own, func(held interruption) bool { return !held.begun }), 0)
+		a.own = slices.Delete(a.own, drop, drop+1)
+	}
 	a.metrics.interruptions.Inc()
 	if c := a.addInterruption(i); c != nil {
 		a.judge(now, []*crash{c})
--- a/attributor/crash.go
+++ b/attributor/crash.go
@@ -49,7 +49,10 @@
 
 // add adds an interruption and reports whether it is new.
 func (c *crash) add(i interruption) bool {
-	if len(c.interruptions) >= maxSuspects || slices.ContainsFunc(c.interruptions, func(held interruption) bool { return held.request == i.request }) {
+	if i.begun && len(c.begun) >= maxSuspects || !i.begun && len(c.interruptions) >= maxSuspects {
+		return false
+	}
+	if slices.ContainsFunc(c.interruptions, func(held interruption) bool { return held.request == i.request }) {
 		return false
 	}
 	c.interruptions = append(c.interruptions, i)
