--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -108,8 +108,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.clock.Now()
 	for _, c := range a.crashes {
-		if a.explained(c) {
+		if now.Sub(c.at) > evidenceTTL || a.explained(c) {
 			continue
 		}
 		for _, s := range c.suspects() {
@@ -183,6 +184,7 @@
 // Only those that a changed crash puts under suspicion can have become
 // convincing.
 func (a *Attributor) judge(now time.Time, changed []*crash) {
+	a.dropQuarantines(now)
 	candidates := partsOf(changed)
 	for {
 		found, ok := a.mostLikelyCause(now, candidates)
--- a/attributor/crash.go
+++ b/attributor/crash.go
@@ -68,7 +68,7 @@
 // addInterruption adds an interruption to its crash. It returns the crash, nil if the
 // interruption is known.
 func (a *Attributor) addInterruption(i interruption) *crash {
-	a.crashes = slices.DeleteFunc(a.crashes, func(c *crash) bool { return i.at.Sub(c.at) > evidenceTTL })
+	a.dropCrashes(i.at)
 	for _, c := range slices.Backward(a.crashes) {
 		if c.endpoint != i.endpoint || i.at.Sub(c.at).Abs() > crashWindow {
 			continue
@@ -87,6 +87,15 @@
 	return c
 }
 
+// dropCrashes drops the crashes of long ago.
+func (a *Attributor) dropCrashes(now time.Time) {
+	known := len(a.crashes)
+	a.crashes = slices.DeleteFunc(a.crashes, func(c *crash) bool { return now.Sub(c.at) > evidenceTTL })
+	if len(a.crashes) < known {
+		a.suspected = nil
+	}
+}
+
 // explained reports whether a quarantined part explains a crash.
 func (a *Attributor) explained(c *crash) bool {
 	for _, s := range c.suspects() {
--- a/attributor/exchange.go
+++ b/attributor/exchange.go
@@ -75,6 +75,7 @@
 // suspicion. Other entries may not have answered a request with such a part.
 func (a *Attributor) begins(now time.Time) []Begin {
 	var begins []Begin
+	a.dropCrashes(now)
 	if a.suspected == nil {
 		a.suspected = partsOf(a.crashes)
 	}
