--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -35,6 +35,7 @@
 	crashes     []*crash // the newest last
 	own         []interruption
 	parts       *partTable
+	released    map[part]time.Time // until when other entries are told of the begin that released a part
 	quarantines map[part]quarantine
 	rng         *rand.Rand
 	suspected   map[part]gooseberrypass.ID // services of the parts that crashes put under suspicion, nil if not up to date
@@ -47,7 +48,7 @@
 		return nil, err
 	}
 	return &Attributor{
-		clock: clock, logger: logger, metrics: m, parts: newPartTable(), quarantines: map[part]quarantine{}, rng: rand.New(rand.NewPCG(seed, seed)),
+		clock: clock, logger: logger, metrics: m, parts: newPartTable(), quarantines: map[part]quarantine{}, released: map[part]time.Time{}, rng: rand.New(rand.NewPCG(seed, seed)),
 		settings: settings,
 	}, nil
 }
@@ -154,6 +155,7 @@
 		return
 	}
 	delete(a.quarantines, key)
+	a.tellRelease(key)
 	a.metrics.quarantined.Set(float64(len(a.quarantines)))
 	a.logger.WithField("part", a.parts.name(key)).Info("endpoint answered a quarantined part of prompts, releasing it")
 }
--- a/attributor/exchange.go
+++ b/attributor/exchange.go
@@ -79,7 +79,17 @@
 	if a.suspected == nil {
 		a.suspected = partsOf(a.crashes)
 	}
+	for key, until := range a.released {
+		if !now.Before(until) {
+			delete(a.released, key)
+		} else if len(begins) < maxShared {
+			begins = append(begins, Begin{Age: now.Sub(a.parts.lastBegin(key)), Part: uint64(key)})
+		}
+	}
 	for key := range a.suspected {
+		if _, ok := a.released[key]; ok {
+			continue
+		}
 		at := a.parts.lastBegin(key)
 		if len(begins) < maxShared && now.Sub(at) <= shareTime {
 			begins = append(begins, Begin{Age: now.Sub(at), Part: uint64(key)})
@@ -119,9 +129,21 @@
 // adoptQuarantine takes over a quarantine that this entry does not know, unless an
 // endpoint has begun an answer on the part since.
 func (a *Attributor) adoptQuarantine(key part, since time.Time, count int) {
-	if count <= a.quarantines[key].count || a.parts.lastBegin(key).After(since) {
+	if a.parts.lastBegin(key).After(since) {
+		a.tellRelease(key)
+		return
+	}
+	if count <= a.quarantines[key].count {
 		return
 	}
 	a.setQuarantine(key, since, count)
 	a.logger.WithField("part", a.parts.name(key)).Warn("another entry quarantined a part of prompts, refusing requests that have it")
 }
+
+// tellRelease tells other entries of the last begin of an answer on a part, which ends
+// its quarantine.
+func (a *Attributor) tellRelease(key part) {
+	if len(a.released) < maxQuarantines {
+		a.released[key] = a.clock.Now().Add(shareTime)
+	}
+}
