--- a/attributor/cause.go
+++ b/attributor/cause.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/gooseberrypass/gooseberrypass"
@@ -36,13 +37,16 @@
 		}
 	}
 	best, found := cause{}, false
+	begun := slices.DeleteFunc(slices.Clone(open), func(c *crash) bool { return len(c.begun) == 0 })
 	for key, service := range candidates {
-		candidate := a.assess(key, service, open)
-		if !a.convincing(candidate) {
-			continue
-		}
-		if !found || candidate.chance < best.chance {
-			best, found = candidate, true
+		for _, crashes := range [][]*crash{open, begun} { // connections that break all the time hide crashes
+			candidate := a.assess(key, service, crashes)
+			if !a.convincing(candidate) {
+				continue
+			}
+			if !found || candidate.chance < best.chance {
+				best, found = candidate, true
+			}
 		}
 	}
 	return best, found
--- a/attributor/crash.go
+++ b/attributor/crash.go
@@ -82,7 +82,10 @@
 	c := &crash{at: i.at, endpoint: i.endpoint, service: i.service}
 	c.add(i)
 	a.crashes = append(a.crashes, c)
-	a.crashes = a.crashes[max(0, len(a.crashes)-maxCrashes):]
+	if len(a.crashes) > maxCrashes {
+		drop := max(slices.IndexFunc(a.crashes, func(held *crash) bool { return len(held.begun) == 0 }), 0)
+		a.crashes = slices.Delete(a.crashes, drop, drop+1)
+	}
 	a.suspected = nil
 	return c
 }
