--- a/attributor/cause.go
+++ b/attributor/cause.go
@@ -120,7 +120,7 @@
 }
 
 // binomialTail returns the probability of at least k successes in n trials of
-// probability p.
+// probability p, 1 if that is more than about a half.
 func binomialTail(n, k int, p float64) float64 {
 	if k <= 0 || p >= 1 {
 		return 1
@@ -128,9 +128,14 @@
 	if p <= 0 {
 		return 0
 	}
-	sum := 0.0
-	for i := k; i <= n; i++ {
-		sum += math.Exp(logChoose(n, i) + float64(i)*math.Log(p) + float64(n-i)*math.Log1p(-p))
+	if float64(k) <= float64(n)*p {
+		return 1 // not below a half
+	}
+	term := math.Exp(logChoose(n, k) + float64(k)*math.Log(p) + float64(n-k)*math.Log1p(-p))
+	sum := term
+	for i := k; i < n && term > sum*1e-9; i++ {
+		term *= float64(n-i) / float64(i+1) * p / (1 - p)
+		sum += term
 	}
 	return sum
 }
