Estimate shares of parts from all entries, and judge crashes at intervals

What callers would see: sound requests refused at all entries after a power loss, where callers of one entry use parts that others never see; and engines that go on crashing where many entries have few requests each.

Parts beyond the 32nd of a prompt did not count (TestPartsOfLongPromptsCount).

Change: entries tell how often parts under suspicion were requested; the share at the entry that sent a request is mixed with an upper bound of that at all. 256 parts of a prompt count, the 16 least common ones are told. Changed crashes are judged every 50 ms at most. Parts without a record, which cannot be cleared, are not blamed. RecordBegin is RecordAnswer: it means content, not the head.

The exchange of TestEntriesWithFewRequestsFindTheCause now sends every entry's messages each second, as entries do; before, only the entry with the crash sent any, which no code could use to learn how many requests the others have. Its bound is as it was.

--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -35,7 +35,10 @@
 	crashes     []*crash // the newest last
 	own         []interruption
 	parts       *partTable
-	released    map[part]time.Time // until when other entries are told of the begin that released a part
+	released    map[part]time.Time // until when other entries are told of the answer that released a part
+	pending     bool               // crashes have changed since the last judgement
+	judgedAt    time.Time
+	reports     map[gooseberrypass.ID]report // counts of other entries
 	quarantines map[part]quarantine
 	rng         *rand.Rand
 	suspected   map[part]gooseberrypass.ID // services of the parts that crashes put under suspicion, nil if not up to date
@@ -48,7 +51,8 @@
 		return nil, err
 	}
 	return &Attributor{
-		clock: clock, logger: logger, metrics: m, parts: newPartTable(), quarantines: map[part]quarantine{}, released: map[part]time.Time{}, rng: rand.New(rand.NewPCG(seed, seed)),
+		clock: clock, logger: logger, metrics: m, parts: newPartTable(), quarantines: map[part]quarantine{}, released: map[part]time.Time{},
+		reports: map[gooseberrypass.ID]report{}, rng: rand.New(rand.NewPCG(seed, seed)),
 		settings: settings,
 	}, nil
 }
@@ -90,6 +94,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
+	a.judge(now)
 	for _, key := range p.parts {
 		if q, ok := a.quarantines[key]; ok && now.Before(q.until) {
 			return a.parts.name(key), q.until.Sub(now)
@@ -127,16 +132,16 @@
 // on which no endpoint has begun an answer since the crash.
 func (a *Attributor) sharesSuspectedPart(c *crash, s interruption, p Prompt) bool {
 	for _, key := range p.parts {
-		if s.has(key) && c.at.After(a.parts.lastBegin(key)) {
+		if s.has(key) && c.at.After(a.parts.lastAnswer(key)) {
 			return true
 		}
 	}
 	return false
 }
 
-// RecordBegin records that an endpoint sent the begin of an answer, which clears the
+// RecordAnswer records that an endpoint sent content of an answer, which clears the
 // parts of the prompt.
-func (a *Attributor) RecordBegin(p Prompt) {
+func (a *Attributor) RecordAnswer(p Prompt) {
 	if len(p.parts) == 0 {
 		return
 	}
@@ -144,12 +149,12 @@
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	for _, key := range p.parts {
-		a.recordBegin(key, now)
+		a.recordAnswer(key, now)
 	}
 }
 
-func (a *Attributor) recordBegin(key part, at time.Time) {
-	a.parts.begin(key, at)
+func (a *Attributor) recordAnswer(key part, at time.Time) {
+	a.parts.answered(key, at)
 	q, ok := a.quarantines[key]
 	if !ok || !at.After(q.since) {
 		return
@@ -177,17 +182,24 @@
 		a.own = slices.Delete(a.own, drop, drop+1)
 	}
 	a.metrics.interruptions.Inc()
-	if c := a.addInterruption(i); c != nil {
-		a.judge(now, []*crash{c})
-	}
+	a.addInterruption(i)
+	a.judge(now)
 }
 
+// judgeInterval is the shortest time between two judgements, for which all requests wait.
+const judgeInterval = 50 * time.Millisecond
+
 // judge quarantines the parts that explain the crashes, the most likely one first.
 // Only those that a changed crash puts under suspicion can have become
 // convincing.
-func (a *Attributor) judge(now time.Time, changed []*crash) {
+func (a *Attributor) judge(now time.Time) {
+	if !a.pending || now.Sub(a.judgedAt) < judgeInterval {
+		return
+	}
+	a.dropCrashes(now)
 	a.dropQuarantines(now)
-	candidates := partsOf(changed)
+	candidates := partsOf(a.takeChanged())
+	a.judgedAt = now
 	for {
 		found, ok := a.mostLikelyCause(now, candidates)
 		if !ok {
--- a/attributor/attributor_test.go
+++ b/attributor/attributor_test.go
@@ -77,13 +77,13 @@
 			a, clock := newWarm(t)
 			other := newAttributor(t, clock, 2)
 			crashUnder(a, clock, 2, 1, "rare")
-			other.AddCrashEvidence(a.CrashEvidence())
+			other.AddCrashEvidence("a", a.CrashEvidence())
 			clock.Advance(time.Millisecond)
 			if elsewhere {
-				other.RecordBegin(other.Register(service, digestOf(9), []string{"rare"}))
-				a.AddCrashEvidence(other.CrashEvidence())
+				other.RecordAnswer(other.Register(service, digestOf(9), []string{"rare"}))
+				a.AddCrashEvidence("other", other.CrashEvidence())
 			} else {
-				a.RecordBegin(a.Register(service, digestOf(9), []string{"rare"}))
+				a.RecordAnswer(a.Register(service, digestOf(9), []string{"rare"}))
 			}
 			if a.Suspected(a.Register(service, digestOf(10), []string{"rare"})) {
 				t.Error("the part is still under suspicion")
@@ -106,13 +106,13 @@
 	other := newAttributor(t, clock, 2)
 	inFlight := a.Register(service, digestOf(99), []string{"rare"})
 	crashUnder(a, clock, 4, 1, "rare")
-	other.AddCrashEvidence(a.CrashEvidence())
+	other.AddCrashEvidence("a", a.CrashEvidence())
 	if !isQuarantined(a, service, "rare") || !isQuarantined(other, service, "rare") {
 		t.Fatal("not quarantined")
 	}
 	clock.Advance(time.Second)
-	a.RecordBegin(inFlight)
-	other.AddCrashEvidence(a.CrashEvidence())
+	a.RecordAnswer(inFlight)
+	other.AddCrashEvidence("a", a.CrashEvidence())
 	if isQuarantined(a, service, "rare") || isQuarantined(other, service, "rare") {
 		t.Error("still quarantined after an answer")
 	}
@@ -153,7 +153,7 @@
 	ends := map[time.Duration]bool{}
 	for seed := range uint64(20) {
 		started := newAttributor(t, clock, seed)
-		started.AddCrashEvidence(attributor.Evidence{Quarantines: evidence.Quarantines})
+		started.AddCrashEvidence("other", attributor.Evidence{Quarantines: evidence.Quarantines})
 		_, left := started.Quarantine(started.Register(service, digestOf(0), []string{"deadly"}))
 		if left == 0 {
 			t.Fatalf("seed %d: not quarantined", seed)
@@ -190,17 +190,17 @@
 func TestEvidenceIsBounded(t *testing.T) {
 	a, clock := newWarm(t)
 	for i := range 2000 {
-		e := attributor.Evidence{Begins: []attributor.Begin{{Part: uint64(i)}}, Quarantines: []attributor.Quarantine{{Count: 1 << 30, Part: uint64(i) << 20}}}
+		e := attributor.Evidence{Answers: []attributor.Answer{{Part: uint64(i)}}, Quarantines: []attributor.Quarantine{{Count: 1 << 30, Part: uint64(i) << 20}}}
 		for j := range 8 {
 			e.Interruptions = append(e.Interruptions, attributor.Interruption{
 				Endpoint: gooseberrypass.ID(strconv.Itoa(i)), Parts: make([]uint64, 100), Request: uint64(j), Service: gooseberrypass.ID(fmt.Sprint("s-", j)),
 			})
 		}
-		a.AddCrashEvidence(e)
+		a.AddCrashEvidence("other", e)
 		clock.Advance(time.Millisecond)
 	}
 	evidence := a.CrashEvidence()
-	for name, got := range map[string]int{"begins": len(evidence.Begins), "interruptions": len(evidence.Interruptions), "quarantines": len(evidence.Quarantines)} {
+	for name, got := range map[string]int{"begins": len(evidence.Answers), "interruptions": len(evidence.Interruptions), "quarantines": len(evidence.Quarantines)} {
 		if want := 32; got > want {
 			t.Errorf("%s: got %d, want at most %d", name, got, want)
 		}
--- a/attributor/cause.go
+++ b/attributor/cause.go
@@ -23,8 +23,7 @@
 	chance float64 // probability that the hits are a coincidence
 	hits   int     // crashes under requests with the part, each under another request
 	part   part
-	share  float64 // of the requests
-	trials int     // crashes since an endpoint last began an answer on the part
+	trials int // crashes since an endpoint last began an answer on the part
 }
 
 // mostLikelyCause returns the convincing candidate whose crashes are least likely a
@@ -39,6 +38,9 @@
 	best, found := cause{}, false
 	begun := slices.DeleteFunc(slices.Clone(open), func(c *crash) bool { return len(c.begun) == 0 })
 	for key, service := range candidates {
+		if !a.parts.tracks(key) {
+			continue
+		}
 		for _, crashes := range [][]*crash{open, begun} { // connections that break all the time hide crashes
 			candidate := a.assess(key, service, crashes)
 			if !a.convincing(candidate) {
@@ -74,12 +76,12 @@
 	return parts
 }
 
-// assess weighs a part as the cause of crashes. Crashes before the last begin of an
+// assess weighs a part as the cause of crashes. Crashes before the last
 // answer on the part do not count, and neither do repeats of one request, which other
 // fields of the request may explain.
 func (a *Attributor) assess(key part, service gooseberrypass.ID, crashes []*crash) cause {
-	c := cause{part: key, share: a.parts.share(service, key)}
-	since := a.parts.lastBegin(key)
+	c, share := cause{part: key}, a.sharers(service, key)
+	since := a.parts.lastAnswer(key)
 	requests := map[uint64]bool{}
 	expected := 0.0
 	for _, crash := range crashes {
@@ -91,7 +93,11 @@
 			continue
 		}
 		c.trials++
-		expected += 1 - math.Pow(1-c.share, float64(len(crash.suspects())))
+		spared := 1.0 // probability that no suspect has the part by coincidence
+		for _, s := range crash.suspects() {
+			spared *= 1 - share(s.entry)
+		}
+		expected += 1 - spared
 		if hit {
 			c.hits++
 		}
--- a/attributor/crash.go
+++ b/attributor/crash.go
@@ -20,6 +20,7 @@
 	at       time.Time
 	begun    bool // the endpoint had sent the head of the answer
 	endpoint gooseberrypass.ID
+	entry    gooseberrypass.ID // that sent the request, "" for this one
 	parts    []part
 	request  uint64
 	service  gooseberrypass.ID
@@ -32,6 +33,7 @@
 type crash struct {
 	at            time.Time      // of the first interruption
 	begun         []interruption // those at the begin of their answer
+	changed       bool           // since the last judgement
 	endpoint      gooseberrypass.ID
 	interruptions []interruption
 	service       gooseberrypass.ID
@@ -65,19 +67,17 @@
 	return true
 }
 
-// addInterruption adds an interruption to its crash. It returns the crash, nil if the
+// addInterruption adds an interruption to its crash, which is judged next unless the
 // interruption is known.
-func (a *Attributor) addInterruption(i interruption) *crash {
-	a.dropCrashes(i.at)
+func (a *Attributor) addInterruption(i interruption) {
 	for _, c := range slices.Backward(a.crashes) {
 		if c.endpoint != i.endpoint || i.at.Sub(c.at).Abs() > crashWindow {
 			continue
 		}
-		if !c.add(i) {
-			return nil
+		if c.add(i) {
+			a.markChanged(c)
 		}
-		a.suspected = nil
-		return c
+		return
 	}
 	c := &crash{at: i.at, endpoint: i.endpoint, service: i.service}
 	c.add(i)
@@ -86,8 +86,25 @@
 		drop := max(slices.IndexFunc(a.crashes, func(held *crash) bool { return len(held.begun) == 0 }), 0)
 		a.crashes = slices.Delete(a.crashes, drop, drop+1)
 	}
-	a.suspected = nil
-	return c
+	a.markChanged(c)
+}
+
+// markChanged notes that a crash has changed since the last judgement.
+func (a *Attributor) markChanged(c *crash) {
+	c.changed, a.pending, a.suspected = true, true, nil
+}
+
+// takeChanged returns the crashes that have changed since the last judgement.
+func (a *Attributor) takeChanged() []*crash {
+	a.pending = false
+	var changed []*crash
+	for _, c := range a.crashes {
+		if c.changed {
+			c.changed = false
+			changed = append(changed, c)
+		}
+	}
+	return changed
 }
 
 // dropCrashes drops the crashes of long ago.
--- a/attributor/elsewhere_test.go
+++ b/attributor/elsewhere_test.go
@@ -18,7 +18,7 @@
 	for i := range 1000 {
 		here.Register(service, digestOf(-i-1), []string{fmt.Sprint("north-", i%20)})
 		p := there.Register(service, digestOf(-i-10001), []string{fmt.Sprint("south-", i%3)})
-		there.RecordBegin(p)
+		there.RecordAnswer(p)
 	}
 	clock.Advance(100 * time.Millisecond)
 	for i := range 14 {
@@ -26,8 +26,8 @@
 		there.RecordInterruption(p, gooseberrypass.ID(fmt.Sprint("engine-", i)), false)
 	}
 	for range 3 {
-		here.AddCrashEvidence(there.CrashEvidence())
-		there.AddCrashEvidence(here.CrashEvidence())
+		here.AddCrashEvidence("there", there.CrashEvidence())
+		there.AddCrashEvidence("here", here.CrashEvidence())
 	}
 	for i := range 3 {
 		if name := fmt.Sprint("south-", i); isQuarantined(there, service, name) {
@@ -42,16 +42,16 @@
 	clock := clockwork.NewFakeClock()
 	here, there := newAttributor(t, clock, 1), newAttributor(t, clock, 2)
 	for i := range 500 {
-		here.RecordBegin(here.Register(service, digestOf(-i-1), []string{fmt.Sprint("common-", i%20)}))
-		there.RecordBegin(there.Register(service, digestOf(-i-10001), []string{fmt.Sprint("common-", i%20), fmt.Sprint("local-", i%5)}))
+		here.RecordAnswer(here.Register(service, digestOf(-i-1), []string{fmt.Sprint("common-", i%20)}))
+		there.RecordAnswer(there.Register(service, digestOf(-i-10001), []string{fmt.Sprint("common-", i%20), fmt.Sprint("local-", i%5)}))
 	}
 	clock.Advance(100 * time.Millisecond)
 	for i := range 25 {
 		p := there.Register(service, digestOf(100+i), []string{fmt.Sprint("common-", i%20), fmt.Sprint("local-", i%5)})
 		there.RecordInterruption(p, gooseberrypass.ID(fmt.Sprint("engine-", i)), false)
 	}
-	here.AddCrashEvidence(there.CrashEvidence())
-	there.AddCrashEvidence(here.CrashEvidence())
+	here.AddCrashEvidence("there", there.CrashEvidence())
+	there.AddCrashEvidence("here", here.CrashEvidence())
 	for i := range 5 {
 		if name := fmt.Sprint("local-", i); isQuarantined(there, service, name) {
 			t.Errorf("%s, in a fifth of the requests of the entry: got a quarantine, want none", name)
--- a/attributor/evidencebench_test.go
+++ b/attributor/evidencebench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -15,12 +16,12 @@
 // interruptions at one of 3,200 engines that crashed at once.
 func BenchmarkEvidenceOfManyCrashes(b *testing.B) {
 	for _, engines := range []int{200, 3200} {
-		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+		b.Run(strconv.Itoa(engines), func(b *testing.B) {
 			clock := clockwork.NewFakeClock()
 			t := &testing.T{}
 			a := newAttributor(t, clock, 1)
 			warmUp(a)
-			var messages []attributor.Evidence
+			messages := make([]attributor.Evidence, 0, 359)
 			for i := range 359 {
 				other := newAttributor(t, clock, uint64(i))
 				for j := range 32 {
@@ -32,7 +33,7 @@
 			b.ResetTimer()
 			start := time.Now()
 			for i := range b.N {
-				a.AddCrashEvidence(messages[i%len(messages)])
+				a.AddCrashEvidence(gooseberrypass.ID(fmt.Sprint("entry-", i%len(messages))), messages[i%len(messages)])
 			}
 			b.ReportMetric(float64(time.Since(start).Microseconds())/float64(b.N), "us/message")
 		})
--- a/attributor/exchange.go
+++ b/attributor/exchange.go
@@ -10,19 +10,36 @@
 // The limits of what entries tell one another.
 const (
 	shareTime = 3 * time.Second // time for which an interruption is repeated to other entries, because messages may be lost
-	maxShared = 32              // interruptions, begins and quarantines, each
+	maxShared = 32              // interruptions, answers and quarantines, each
+	maxCounts = 64              // parts whose requests are counted
+	// maxSharedParts is the number of parts of one interruption, the least common ones.
+	maxSharedParts = 16
 )
 
 // Evidence is what an entry tells others of crashes. Ages are relative to the moment
 // of sending. Parts and requests are identified by hashes.
 type Evidence struct {
-	Begins        []Begin
+	Answers       []Answer
+	Counts        []Count // of parts under suspicion
 	Interruptions []Interruption
 	Quarantines   []Quarantine
+	Requests      []Total // by service, if any part is under suspicion
 }
 
-// A Begin is the last begin of an answer on a part that crashes put under suspicion.
-type Begin struct {
+// A Count is the number of recent requests with a part.
+type Count struct {
+	Part     uint64
+	Requests int
+}
+
+// A Total is the number of recent requests to a service.
+type Total struct {
+	Requests int
+	Service  gooseberrypass.ID
+}
+
+// An Answer is the last answer on a part that crashes put under suspicion.
+type Answer struct {
 	Age  time.Duration
 	Part uint64
 }
@@ -50,14 +67,14 @@
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	a.own = a.shared(now)
-	e := Evidence{Begins: a.begins(now)}
+	a.judge(now)
+	e := Evidence{Answers: a.answers(now)}
 	for _, i := range a.own {
-		parts := make([]uint64, 0, len(i.parts))
-		for _, key := range i.parts {
-			parts = append(parts, uint64(key))
-		}
-		e.Interruptions = append(e.Interruptions, Interruption{Age: now.Sub(i.at), Begun: i.begun, Endpoint: i.endpoint, Parts: parts, Request: i.request, Service: i.service})
+		e.Interruptions = append(e.Interruptions, Interruption{
+			Age: now.Sub(i.at), Begun: i.begun, Endpoint: i.endpoint, Parts: a.rarest(i.parts), Request: i.request, Service: i.service,
+		})
 	}
+	a.addCounts(&e)
 	for key, q := range a.quarantines {
 		if len(e.Quarantines) < maxShared && now.Before(q.until) {
 			e.Quarantines = append(e.Quarantines, Quarantine{Age: now.Sub(q.since), Count: q.count, Part: uint64(key)})
@@ -66,15 +83,59 @@
 	return e
 }
 
+// rarest returns the least common of the parts of a prompt.
+func (a *Attributor) rarest(parts []part) []uint64 {
+	sorted := slices.Clone(parts)
+	slices.SortStableFunc(sorted, func(p, q part) int { return a.parts.requestsWith(p) - a.parts.requestsWith(q) })
+	keys := make([]uint64, 0, min(len(sorted), maxSharedParts))
+	for _, key := range sorted[:cap(keys)] {
+		keys = append(keys, uint64(key))
+	}
+	return keys
+}
+
+// addCounts adds the counts by which other entries tell common parts from rare ones: first
+// of the parts that they hear of in the same message.
+func (a *Attributor) addCounts(e *Evidence) {
+	if len(a.suspected) == 0 {
+		return
+	}
+	for service := range a.parts.services {
+		e.Requests = append(e.Requests, Total{Requests: a.parts.requests(service), Service: service})
+	}
+	added := map[part]bool{}
+	add := func(key part) {
+		if len(e.Counts) < maxCounts && !added[key] {
+			added[key] = true
+			e.Counts = append(e.Counts, Count{Part: uint64(key), Requests: a.parts.requestsWith(key)})
+		}
+	}
+	for _, i := range e.Interruptions {
+		for _, key := range i.Parts {
+			add(part(key))
+		}
+	}
+	for _, c := range slices.Backward(a.crashes) {
+		for _, s := range c.begun {
+			for _, key := range s.parts {
+				add(key)
+			}
+		}
+	}
+	for key := range a.suspected {
+		add(key)
+	}
+}
+
 // shared returns the own interruptions that are still repeated to others.
 func (a *Attributor) shared(now time.Time) []interruption {
 	return slices.DeleteFunc(a.own, func(i interruption) bool { return now.Sub(i.at) > shareTime })
 }
 
-// begins returns the recent begins of answers on parts that crashes put under
+// answers returns the recent answers on parts that crashes put under
 // suspicion. Other entries may not have answered a request with such a part.
-func (a *Attributor) begins(now time.Time) []Begin {
-	var begins []Begin
+func (a *Attributor) answers(now time.Time) []Answer {
+	var answers []Answer
 	a.dropCrashes(now)
 	if a.suspected == nil {
 		a.suspected = partsOf(a.crashes)
@@ -82,54 +143,54 @@
 	for key, until := range a.released {
 		if !now.Before(until) {
 			delete(a.released, key)
-		} else if len(begins) < maxShared {
-			begins = append(begins, Begin{Age: now.Sub(a.parts.lastBegin(key)), Part: uint64(key)})
+		} else if len(answers) < maxShared {
+			answers = append(answers, Answer{Age: now.Sub(a.parts.lastAnswer(key)), Part: uint64(key)})
 		}
 	}
 	for key := range a.suspected {
 		if _, ok := a.released[key]; ok {
 			continue
 		}
-		at := a.parts.lastBegin(key)
-		if len(begins) < maxShared && now.Sub(at) <= shareTime {
-			begins = append(begins, Begin{Age: now.Sub(at), Part: uint64(key)})
+		at := a.parts.lastAnswer(key)
+		if len(answers) < maxShared && now.Sub(at) <= shareTime {
+			answers = append(answers, Answer{Age: now.Sub(at), Part: uint64(key)})
 		}
 	}
-	return begins
+	return answers
 }
 
 // AddCrashEvidence takes in what another entry tells.
-func (a *Attributor) AddCrashEvidence(e Evidence) {
+func (a *Attributor) AddCrashEvidence(from gooseberrypass.ID, e Evidence) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
-	for _, b := range e.Begins {
-		a.recordBegin(part(b.Part), now.Add(-b.Age))
+	a.addReport(now, from, e)
+	for _, b := range e.Answers {
+		a.recordAnswer(part(b.Part), now.Add(-b.Age))
 	}
 	for _, q := range e.Quarantines {
 		a.adoptQuarantine(part(q.Part), now.Add(-q.Age), q.Count)
 	}
-	var changed []*crash
 	for _, i := range e.Interruptions {
-		parts := make([]part, 0, len(i.Parts))
-		for _, key := range i.Parts[:min(len(i.Parts), maxPromptParts)] {
-			parts = append(parts, part(key))
-			a.parts.record(part(key))
-		}
-		c := a.addInterruption(interruption{at: now.Add(-i.Age), begun: i.Begun, endpoint: i.Endpoint, parts: parts, request: i.Request, service: i.Service})
-		if c != nil {
-			changed = append(changed, c)
-		}
+		a.addInterruption(a.received(now, from, i))
 	}
-	if len(changed) > 0 {
-		a.judge(now, changed)
+	a.judge(now)
+}
+
+// received returns an interruption that another entry tells of.
+func (a *Attributor) received(now time.Time, from gooseberrypass.ID, i Interruption) interruption {
+	parts := make([]part, 0, min(len(i.Parts), maxSharedParts))
+	for _, key := range i.Parts[:cap(parts)] {
+		parts = append(parts, part(key))
+		a.parts.track(part(key))
 	}
+	return interruption{at: now.Add(-min(i.Age, shareTime)), begun: i.Begun, endpoint: i.Endpoint, entry: from, parts: parts, request: i.Request, service: i.Service}
 }
 
 // adoptQuarantine takes over a quarantine that this entry does not know, unless an
 // endpoint has begun an answer on the part since.
 func (a *Attributor) adoptQuarantine(key part, since time.Time, count int) {
-	if a.parts.lastBegin(key).After(since) {
+	if a.parts.lastAnswer(key).After(since) {
 		a.tellRelease(key)
 		return
 	}
@@ -140,7 +201,7 @@
 	a.logger.WithField("part", a.parts.name(key)).Warn("another entry quarantined a part of prompts, refusing requests that have it")
 }
 
-// tellRelease tells other entries of the last begin of an answer on a part, which ends
+// tellRelease tells other entries of the last answer on a part, which ends
 // its quarantine.
 func (a *Attributor) tellRelease(key part) {
 	if len(a.released) < maxQuarantines {
--- a/attributor/fewrequests_test.go
+++ b/attributor/fewrequests_test.go
@@ -24,7 +24,7 @@
 	for _, every := range []int{1, 2, 5, 10} { // seconds between two requests of an entry
 		t.Run(fmt.Sprintf("a request every %d s", every), func(t *testing.T) {
 			clock := clockwork.NewFakeClock()
-			var entries []*attributor.Attributor
+			entries := make([]*attributor.Attributor, 0, entryCount)
 			for i := range entryCount {
 				entries = append(entries, newAttributor(t, clock, uint64(i)))
 			}
@@ -33,9 +33,10 @@
 				clock.Advance(time.Second)
 				for i, a := range entries {
 					if (second+i)%every == 0 {
-						a.RecordBegin(a.Register(service, digestOf(-1000*i-second-1), []string{fmt.Sprint("common-", (i+second)%20)}))
+						a.RecordAnswer(a.Register(service, digestOf(-1000*i-second-1), []string{fmt.Sprint("common-", (i+second)%20)}))
 					}
 				}
+				exchange(entries)
 				if second < 20 {
 					continue
 				}
@@ -46,19 +47,6 @@
 				}
 				crashes++
 				a.RecordInterruption(p, gooseberrypass.ID(fmt.Sprint("engine-", second)), true)
-				evidence := a.CrashEvidence()
-				for _, to := range entries {
-					if to != a {
-						to.AddCrashEvidence(evidence)
-					}
-				}
-				for _, from := range entries {
-					for _, to := range entries {
-						if e := from.CrashEvidence(); to != from && len(e.Quarantines) > 0 {
-							to.AddCrashEvidence(e)
-						}
-					}
-				}
 			}
 			if crashes > want {
 				t.Errorf("got %d crashes in %d s under requests with one part, at %d entries, want at most %d", crashes, seconds, entryCount, want)
@@ -66,3 +54,15 @@
 		})
 	}
 }
+
+// exchange sends the evidence of each entry to each other one.
+func exchange(entries []*attributor.Attributor) {
+	for i, from := range entries {
+		e := from.CrashEvidence()
+		for j, to := range entries {
+			if i != j {
+				to.AddCrashEvidence(gooseberrypass.ID(fmt.Sprint("entry-", i)), e)
+			}
+		}
+	}
+}
--- a/attributor/fleet_test.go
+++ b/attributor/fleet_test.go
@@ -219,7 +219,7 @@
 				continue
 			}
 			a.begun, a.ends = true, now.Add(answerTime)
-			f.entries[a.entry].RecordBegin(a.prompt)
+			f.entries[a.entry].RecordAnswer(a.prompt)
 		case a.begun && !now.Before(a.ends):
 			e.remove(a)
 		}
@@ -256,7 +256,7 @@
 		evidence := from.CrashEvidence()
 		for j, to := range f.entries {
 			if i != j && f.rng.Float64() >= messageLoss {
-				to.AddCrashEvidence(evidence)
+				to.AddCrashEvidence(gooseberrypass.ID(fmt.Sprint("entry-", i)), evidence)
 			}
 		}
 	}
--- a/attributor/forgotten_test.go
+++ b/attributor/forgotten_test.go
@@ -15,8 +15,8 @@
 	if a.Suspected(p) {
 		t.Error("an hour after a crash: got a suspicion, want none")
 	}
-	a.RecordBegin(a.Register(service, digestOf(51), []string{"rare"}))
-	if got := len(a.CrashEvidence().Begins); got > 0 {
+	a.RecordAnswer(a.Register(service, digestOf(51), []string{"rare"}))
+	if got := len(a.CrashEvidence().Answers); got > 0 {
 		t.Errorf("an hour after a crash: got %d begins to tell, want 0", got)
 	}
 }
--- a/attributor/hidden_test.go
+++ b/attributor/hidden_test.go
@@ -30,7 +30,7 @@
 					if n%(requestsASecond/resets) == 0 {
 						a.RecordInterruption(q, gooseberrypass.ID(fmt.Sprint("engine-", sent%3200)), false)
 					}
-					a.RecordBegin(q)
+					a.RecordAnswer(q)
 				}
 			}
 			if want := 11; crashes > want {
--- a/attributor/part.go
+++ b/attributor/part.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"math"
 	"strconv"
 	"time"
 
@@ -12,7 +11,7 @@
 // The limits of what is remembered of parts.
 const (
 	frequencyWindow = 10 * time.Second // requests are counted for one to two of these
-	maxPromptParts  = 32               // parts of one prompt
+	maxPromptParts  = 256              // parts of one prompt
 	maxParts        = 1 << 14
 )
 
@@ -34,9 +33,9 @@
 
 // A partRecord is what is known of one part.
 type partRecord struct {
-	lastBegin time.Time // last begin of an answer to a prompt with the part, at any entry
-	name      string    // as callers send it, "" if this entry received none
-	requests  windowedCount
+	lastAnswer time.Time // last content of an answer to a prompt with the part, at any entry
+	name       string    // as callers send it, "" if this entry received none
+	requests   windowedCount
 }
 
 // A partTable has how often parts were requested of late, and when endpoints last
@@ -62,6 +61,9 @@
 	return r
 }
 
+// track creates the record of a part if there is room.
+func (t *partTable) track(key part) { t.record(key) }
+
 func (t *partTable) count(key part, name string) {
 	if r := t.record(key); r != nil {
 		r.name = name
@@ -75,16 +77,16 @@
 	t.services[service] = c
 }
 
-func (t *partTable) begin(key part, at time.Time) {
-	if r := t.record(key); r != nil && at.After(r.lastBegin) {
-		r.lastBegin = at
+func (t *partTable) answered(key part, at time.Time) {
+	if r := t.record(key); r != nil && at.After(r.lastAnswer) {
+		r.lastAnswer = at
 	}
 }
 
-// lastBegin returns when an endpoint last began an answer on a part, zero if never.
-func (t *partTable) lastBegin(key part) time.Time {
+// lastAnswer returns when an endpoint last began an answer on a part, zero if never.
+func (t *partTable) lastAnswer(key part) time.Time {
 	if r, ok := t.records[key]; ok {
-		return r.lastBegin
+		return r.lastAnswer
 	}
 	return time.Time{}
 }
@@ -97,14 +99,21 @@
 	return "#" + strconv.FormatUint(uint64(key), 16)
 }
 
-// share returns an upper bound of the share of the requests to a service that have a
-// part: two standard deviations above what this entry has counted.
-func (t *partTable) share(service gooseberrypass.ID, key part) float64 {
-	requests := 1.0
+// requests returns the number of recent requests to a service.
+func (t *partTable) requests(service gooseberrypass.ID) int { return t.services[service].sum() }
+
+// requestsWith returns the number of recent requests with a part.
+func (t *partTable) requestsWith(key part) int {
 	if r, ok := t.records[key]; ok {
-		requests += float64(r.requests.sum())
+		return r.requests.sum()
 	}
-	return min((requests+2*math.Sqrt(requests))/float64(t.services[service].sum()+1), 1)
+	return 0
+}
+
+// tracks reports whether a part has a record. The others cannot be cleared.
+func (t *partTable) tracks(key part) bool {
+	_, ok := t.records[key]
+	return ok
 }
 
 // rotate starts a new window if the current one is over, and drops the parts that
--- a/attributor/queued_test.go
+++ b/attributor/queued_test.go
@@ -22,7 +22,7 @@
 			a.RecordInterruption(a.Register(service, digestOf(2000+100*i+j), []string{fmt.Sprint("common-", j%20)}), endpoint, false)
 		}
 		e := a.CrashEvidence()
-		other.AddCrashEvidence(attributor.Evidence{Interruptions: e.Interruptions, Begins: e.Begins})
+		other.AddCrashEvidence("a", attributor.Evidence{Answers: e.Answers, Counts: e.Counts, Interruptions: e.Interruptions, Requests: e.Requests})
 		clock.Advance(3100 * time.Millisecond)
 	}
 	if !isQuarantined(a, service, "deadly") {
--- a/attributor/release_test.go
+++ b/attributor/release_test.go
@@ -14,13 +14,13 @@
 	crashUnder(a, clock, 5, 1, "rare")
 	started := newAttributor(t, clock, 2)
 	inFlight := started.Register(service, digestOf(99), []string{"rare"})
-	started.AddCrashEvidence(attributor.Evidence{Quarantines: a.CrashEvidence().Quarantines})
+	started.AddCrashEvidence("a", attributor.Evidence{Quarantines: a.CrashEvidence().Quarantines})
 	if !isQuarantined(a, service, "rare") || !isQuarantined(started, service, "rare") {
 		t.Fatal("not quarantined")
 	}
 	clock.Advance(time.Second)
-	started.RecordBegin(inFlight)
-	a.AddCrashEvidence(started.CrashEvidence())
+	started.RecordAnswer(inFlight)
+	a.AddCrashEvidence("started", started.CrashEvidence())
 	if isQuarantined(a, service, "rare") {
 		t.Error("entry that heard of the answer: got a quarantine, want none")
 	}
@@ -33,21 +33,21 @@
 	cutOff := newAttributor(t, clock, 2)
 	inFlight := a.Register(service, digestOf(99), []string{"rare"})
 	crashUnder(a, clock, 5, 1, "rare")
-	cutOff.AddCrashEvidence(a.CrashEvidence())
+	cutOff.AddCrashEvidence("a", a.CrashEvidence())
 	clock.Advance(time.Second)
-	a.RecordBegin(inFlight)
+	a.RecordAnswer(inFlight)
 	clock.Advance(5 * time.Second)
 	for range 5 {
-		a.AddCrashEvidence(cutOff.CrashEvidence())
-		cutOff.AddCrashEvidence(a.CrashEvidence())
+		a.AddCrashEvidence("cutOff", cutOff.CrashEvidence())
+		cutOff.AddCrashEvidence("a", a.CrashEvidence())
 		clock.Advance(100 * time.Millisecond)
 	}
 	if isQuarantined(cutOff, service, "rare") {
 		t.Error("entry that was cut off: got a quarantine, want none")
 	}
 	started := newAttributor(t, clock, 3)
-	started.AddCrashEvidence(cutOff.CrashEvidence())
-	started.AddCrashEvidence(a.CrashEvidence())
+	started.AddCrashEvidence("cutOff", cutOff.CrashEvidence())
+	started.AddCrashEvidence("a", a.CrashEvidence())
 	if isQuarantined(started, service, "rare") {
 		t.Error("entry that started: got a quarantine, want none")
 	}
--- a/forwarder/errorbegin_test.go
+++ b/forwarder/errorbegin_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 // on the prompt. That cleared the part under which engines crash.
 func TestErrorOfEngineDoesNotClearPart(t *testing.T) {
 	for _, status := range []int{http.StatusInternalServerError, http.StatusGatewayTimeout} {
-		t.Run(fmt.Sprint(status), func(t *testing.T) {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
 			f := newFixture(t, reaction{body: "id: 0\n\n", version: 1})
 			for n := range 500 {
 				f.sendPrompt("/model/", 1000+n, fmt.Sprint("common-", n%20))
--- a/forwarder/progress.go
+++ b/forwarder/progress.go
@@ -32,7 +32,7 @@
 		return
 	}
 	r.progress = progressContent
-	r.forwarder.tracker.RecordBegin(r.prompt)
+	r.forwarder.tracker.RecordAnswer(r.prompt)
 }
 
 // recordCrash records that the connection to the endpoint broke during an attempt.
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -33,7 +33,9 @@
 			Address: "10.0.0.1:7700", CrashCounts: map[uint64]int{1<<63 + 5: 2}, From: "e1", ListAge: 300 * time.Millisecond, Refused: []uint64{7, 1 << 63}, Region: "r", Role: gooseberrypass.RoleEntry,
 			Next: map[gooseberrypass.Topic]gooseberrypass.Offset{gooseberrypass.TopicOperator: 1 << 40, gooseberrypass.TopicEndpoints: 0},
 			CrashEvidence: attributor.Evidence{
-				Begins:        []attributor.Begin{{Age: time.Second, Part: 1 << 63}},
+				Answers:       []attributor.Answer{{Age: time.Second, Part: 1 << 63}},
+				Counts:        []attributor.Count{{Part: 3, Requests: 7}},
+				Requests:      []attributor.Total{{Requests: 400, Service: "s"}},
 				Interruptions: []attributor.Interruption{{Age: 20 * time.Millisecond, Begun: true, Endpoint: "i-1", Parts: []uint64{3, 1 << 63}, Request: 9, Service: "s"}},
 				Quarantines:   []attributor.Quarantine{{Age: time.Minute, Count: 2, Part: 3}},
 			},
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -58,7 +58,7 @@
 // which were refused for load. Requests are
 // identified by the first eight bytes of their digests. It is nil in agents.
 type RequestHistory interface {
-	AddCrashEvidence(e attributor.Evidence)
+	AddCrashEvidence(from gooseberrypass.ID, e attributor.Evidence)
 	CrashCounts() map[uint64]int
 	CrashEvidence() attributor.Evidence
 	Refused() []uint64
@@ -271,7 +271,7 @@
 	if r.loads != nil {
 		if m.Role == gooseberrypass.RoleEntry {
 			r.recordReader(now, m)
-			r.history.AddCrashEvidence(m.CrashEvidence)
+			r.history.AddCrashEvidence(m.From, m.CrashEvidence)
 			r.history.SetCrashCounts(m.From, m.CrashCounts)
 			r.history.SetRefused(m.Refused)
 			r.loads.SetEntryLoads(now, m.From, m.Loads)
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -70,12 +70,12 @@
 // noHistory is the request history of an entry that has had no requests.
 type noHistory struct{}
 
-func (noHistory) AddCrashEvidence(attributor.Evidence)             {}
-func (noHistory) CrashEvidence() attributor.Evidence               { return attributor.Evidence{} }
-func (noHistory) CrashCounts() map[uint64]int                      { return nil }
-func (noHistory) Refused() []uint64                                { return nil }
-func (noHistory) SetCrashCounts(gooseberrypass.ID, map[uint64]int) {}
-func (noHistory) SetRefused([]uint64)                              {}
+func (noHistory) AddCrashEvidence(gooseberrypass.ID, attributor.Evidence) {}
+func (noHistory) CrashEvidence() attributor.Evidence                      { return attributor.Evidence{} }
+func (noHistory) CrashCounts() map[uint64]int                             { return nil }
+func (noHistory) Refused() []uint64                                       { return nil }
+func (noHistory) SetCrashCounts(gooseberrypass.ID, map[uint64]int)        {}
+func (noHistory) SetRefused([]uint64)                                     {}
 
 func newProcessWith(id gooseberrypass.ID, role gooseberrypass.Role, l replicator.LoadExchange, settings replicator.Settings) *process {
 	return newProcessIn("", id, role, l, settings)
