Keep an event whole whose line fills the read buffer

Callers saw half an event as the end of a whole stream, or half an event joined to the next one: a line of exactly 2,048 bytes, or a multiple, left a rest that was only its line break, and that rest was taken for the blank line that ends an event. A stream that was cut there looked whole and its resumption went on after an event that the caller did not have in full. In the same way "id:" within a long line was taken for the event's index.

The reader now looks at whole lines. Ruled out: a larger buffer, which only moves the size.

TestStreamCutAfterALongLineIsNotWhole failed before for one and two buffers, resumed and not (2,070 bytes delivered as whole in place of 15; 2,070 of 2,071 after a resumption), and TestEventIDIsNotReadFromWithinALine delivered 2,061 bytes of 2,076. Both pass now, with all tests of the package.

--- /dev/null
+++ b/forwarder/ending_test.go
@@ -0,0 +1,42 @@
+package forwarder_test
+
+import (
+	"strings"
+	"testing"
+)
+
+// readBufferSize is the size of the buffer through which events are read.
+const readBufferSize = 2 << 10
+
+// A line that fills the read buffer must not end its event: a stream that is cut after
+// it would look whole, and its resumption would be joined to the half event.
+func TestStreamCutAfterALongLineIsNotWhole(t *testing.T) {
+	const first = "id: 0\ndata: a\n\n"
+	for name, size := range map[string]int{"one buffer": readBufferSize, "two buffers": 2 * readBufferSize, "a byte more": readBufferSize + 1} {
+		t.Run(name, func(t *testing.T) {
+			line := "data: " + strings.Repeat("x", size-len("data: ")) + "\n"
+			f := newFixture(t, reaction{body: first + "id: 1\n" + line})
+			c := f.send("/rigid/x", "key")
+			if got := c.body.String(); got != first || !c.aborted {
+				t.Errorf("got %d bytes (aborted %t), want the %d of the first event and a cut connection", len(got), c.aborted, len(first))
+			}
+			whole := "id: 1\n" + line + "\n"
+			f = newFixture(t, reaction{body: first + "id: 1\n" + line, version: 1}, reaction{body: whole, version: 1})
+			c = f.send("/stream/x", "key")
+			if got, want := c.body.String(), first+whole; got != want || c.aborted {
+				t.Errorf("resumed: got %d bytes (aborted %t), want %d", len(got), c.aborted, len(want))
+			}
+		})
+	}
+}
+
+// The rest of a line that fills the read buffer is no line of its own.
+func TestEventIDIsNotReadFromWithinALine(t *testing.T) {
+	line := "data: " + strings.Repeat("x", readBufferSize-len("data: ")) + "id: 7\n"
+	events := "id: 0\n" + line + "\nid: 1\ndata: b\n\n"
+	f := newFixture(t, reaction{body: events, version: 1}, reaction{reset: true})
+	c := f.send("/stream/x", "key")
+	if got := c.body.String(); got != events || c.aborted {
+		t.Errorf("got %d bytes (aborted %t), want %d", len(got), c.aborted, len(events))
+	}
+}
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -33,24 +33,24 @@
 // io.ErrUnexpectedEOF if the stream ends within an event.
 func (e *eventReader) next() (event, error) {
 	ev := event{id: -1}
+	lineStart := 0 // in ev.raw
 	for {
-		line, err := e.reader.ReadSlice('\n')
-		ev.raw = append(ev.raw, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			err = nil
-			if len(ev.raw) < maxEventBytes {
-				continue
-			}
-		}
+		part, err := e.reader.ReadSlice('\n')
+		ev.raw = append(ev.raw, part...)
 		if len(ev.raw) >= maxEventBytes {
 			return ev, errors.Errorf("event of more than %d bytes", maxEventBytes)
 		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue // the line is longer than the buffer
+		}
 		if errors.Is(err, io.EOF) && len(ev.raw) > 0 {
 			return ev, io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return ev, err
 		}
+		line := ev.raw[lineStart:]
+		lineStart = len(ev.raw)
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			if n, err := strconv.Atoi(string(bytes.TrimSpace(value))); err == nil {
 				ev.id = n
