Take a stream that ends with its connection before any event for broken off

Callers of a stream whose endpoint crashed right after the head of its answer, and whose answer had neither a length nor chunks, got a whole stream without events: such an answer ends with its connection, and the crash ends the connection too. The request was not repeated, and its crash was not counted.

A reply now says whether its end is that of the connection (Reply.Unframed). A stream of that kind without an event, of which the caller has none, counts as broken off. Ruled out: the same for the rest of a resumed stream. A stream that is moved or cut after its last event has no rest, and nothing tells this from a crash; it stays whole, as the users' page says of a stream that ends between events. So does an empty stream with a length or chunks.

--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"github.com/gooseberrypass/gooseberrypass"
 )
 
 // readBufferSize is the size of the buffer through which events are read.
@@ -40,3 +42,41 @@
 		t.Errorf("got %d bytes (aborted %t), want %d", len(got), c.aborted, len(events))
 	}
 }
+
+// An endpoint that crashes when it begins an answer may leave only the head. Without a
+// length or chunks its end looks like that of a whole stream without events.
+func TestStreamThatEndsWithItsConnectionBeforeAnyEventIsNotWhole(t *testing.T) {
+	whole := "id: 0\ndata: a\n\n"
+	f := newFixture(t, reaction{unframed: true, version: 1}, reaction{body: whole, unframed: true, version: 1})
+	c := f.send("/stream/x", "key")
+	if got := c.body.String(); got != whole || c.aborted {
+		t.Errorf("resumable: got %q (aborted %t), want %q", got, c.aborted, whole)
+	}
+	f = newFixture(t, reaction{unframed: true})
+	c = f.send("/rigid/x", "key")
+	if c.status != 0 || c.failure == nil || c.failure.Outcome != gooseberrypass.OutcomeUnknown {
+		t.Errorf("not resumable: got status %d, %v, want an unknown outcome", c.status, c.failure)
+	}
+	for range 2 {
+		f.send("/rigid/x", "key")
+	}
+	before := len(f.transport.sent)
+	f.send("/rigid/x", "key")
+	if got := len(f.transport.sent); got != before {
+		t.Errorf("dispatches after as many breaks as quarantine a request: got %d, want %d", got, before)
+	}
+}
+
+// A stream without events is whole if its end is marked, and so is the rest of a stream
+// of which the caller has every event.
+func TestStreamWithoutEventsThatIsWhole(t *testing.T) {
+	f := newFixture(t, reaction{})
+	if c := f.send("/rigid/x", "key"); c.status != 200 || c.aborted {
+		t.Errorf("with a length or chunks: got status %d (aborted %t), want 200", c.status, c.aborted)
+	}
+	whole := "id: 0\ndata: a\n\n"
+	f = newFixture(t, reaction{body: whole, cut: true, version: 1}, reaction{unframed: true, version: 1})
+	if c := f.send("/stream/x", "key"); c.body.String() != whole || c.aborted {
+		t.Errorf("rest: got %q (aborted %t), want %q", c.body.String(), c.aborted, whole)
+	}
+}
--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -25,16 +25,17 @@
 
 // A reaction is how an endpoint reacts to one dispatch.
 type reaction struct {
-	body    string
-	cut     bool          // the connection breaks after the body
-	delay   time.Duration // time until the answer
-	hang    bool          // no answer until the attempt is withdrawn
-	reader  io.Reader     // replaces body, if not nil
-	notRun  bool          // the endpoint refuses to run the request
-	refused bool          // the connection fails before any byte is sent
-	reset   bool          // the connection breaks after the request was sent
-	status  int
-	version int // of the model weights
+	body     string
+	cut      bool          // the connection breaks after the body
+	delay    time.Duration // time until the answer
+	hang     bool          // no answer until the attempt is withdrawn
+	reader   io.Reader     // replaces body, if not nil
+	notRun   bool          // the endpoint refuses to run the request
+	refused  bool          // the connection fails before any byte is sent
+	reset    bool          // the connection breaks after the request was sent
+	status   int
+	unframed bool // the answer has neither a length nor chunks
+	version  int  // of the model weights
 }
 
 // A scriptedTransport answers each dispatch with the next reaction, and repeats the
@@ -81,6 +82,7 @@
 	}
 	return &gooseberrypass.Reply{
 		Body: io.NopCloser(body), Header: http.Header{}, ModelVersion: a.version, NotRun: a.notRun, Signed: !a.notRun, Status: a.status,
+		Unframed: a.unframed,
 	}, nil
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -16,6 +16,9 @@
 	events := newEventReader(reply.Body)
 	for {
 		event, err := events.next()
+		if errors.Is(err, io.EOF) && reply.Unframed && !r.started && r.lastEvent < 0 {
+			err = io.ErrUnexpectedEOF // a crash after the head looks the same
+		}
 		if errors.Is(err, io.EOF) {
 			r.start(reply)
 			return nil
--- a/proxy.go
+++ b/proxy.go
@@ -68,6 +68,7 @@
 	Replaced     bool        // the address now belongs to another endpoint
 	Signed       bool        // has the endpoint's signature
 	Status       int         // HTTP status code
+	Unframed     bool        // has neither a length nor chunks, so that the end of the connection is that of Body
 }
 
 // A DispatchError is the error of a dispatch without a usable response.
