Do not read a rejection without a length to its end

A request that an endpoint rejects is sent elsewhere only after the rejection has been read, so that its connection can be reused. A rejection with neither a length nor chunks ends with its connection, which cannot be reused, and an endpoint that keeps it open held the request until the timeout of the head, although it was known that it had not run.

The body of such a rejection is now left unread. TestRejectionWithoutLengthIsNotReadToItsEnd failed before (the request waited for the reader's 5 s) and passes now, with all tests of the package.

--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -80,3 +80,18 @@
 		t.Errorf("rest: got %q (aborted %t), want %q", c.body.String(), c.aborted, whole)
 	}
 }
+
+// A rejection without a length ends with its connection, which an endpoint may keep open.
+// The request must not wait for that before it is sent elsewhere.
+func TestRejectionWithoutLengthIsNotReadToItsEnd(t *testing.T) {
+	f := newFixture(t, reaction{notRun: true, status: 503, unframed: true}, reaction{body: "ok"})
+	open := &stalledReader{clock: f.clock, start: "full"}
+	f.transport.reactions[0].reader = open
+	c := f.send("/once/x", "key")
+	if got := c.body.String(); got != "ok" {
+		t.Errorf("got %q (%v), want ok", got, c.failure)
+	}
+	if open.start == "" {
+		t.Error("the body of the rejection was read, want the request sent elsewhere at once")
+	}
+}
--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -28,6 +28,7 @@
 	body     string
 	cut      bool          // the connection breaks after the body
 	delay    time.Duration // time until the answer
+	header   http.Header   // of the answer
 	hang     bool          // no answer until the attempt is withdrawn
 	reader   io.Reader     // replaces body, if not nil
 	notRun   bool          // the endpoint refuses to run the request
@@ -80,8 +81,11 @@
 	if a.status == 0 {
 		a.status = http.StatusOK
 	}
+	if a.header == nil {
+		a.header = http.Header{}
+	}
 	return &gooseberrypass.Reply{
-		Body: io.NopCloser(body), Header: http.Header{}, ModelVersion: a.version, NotRun: a.notRun, Signed: !a.notRun, Status: a.status,
+		Body: io.NopCloser(body), Header: a.header, ModelVersion: a.version, NotRun: a.notRun, Signed: !a.notRun, Status: a.status,
 		Unframed: a.unframed,
 	}, nil
 }
@@ -91,6 +95,7 @@
 	aborted bool
 	body    bytes.Buffer
 	failure *gooseberrypass.RequestError
+	header  http.Header
 	status  int
 }
 
@@ -104,7 +109,7 @@
 
 func (c *caller) Refuse(err *gooseberrypass.RequestError) { c.failure = err }
 
-func (c *caller) Start(status int, _ http.Header) { c.status = status }
+func (c *caller) Start(status int, header http.Header) { c.header, c.status = header, status }
 
 func (c *caller) Write(piece []byte) error {
 	c.body.Write(piece)
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -339,7 +339,9 @@
 	if reply.Replaced {
 		f.result = balancer.ResultReplaced
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, r.forwarder.settings.MaxBufferedAnswer)) // an unread body would prevent reuse of the connection
+	if !reply.Unframed {
+		_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, r.forwarder.settings.MaxBufferedAnswer)) // an unread body would prevent reuse of the connection
+	}
 	return f
 }
 
