Declare no length for a stream that may be resumed

A caller got the length that the first endpoint declared for its stream. When the stream broke off and went on elsewhere with a rest of another length, the caller's answer was cut at the declared length, or its connection was closed for the bytes that were missing.

The length is dropped for routes whose streams may be resumed; the answer is chunked. Other streams keep theirs. TestStreamThatMayBeResumedDeclaresNoLength failed before (length 14, want none) and passes now, with all tests of the package.

--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 
@@ -95,3 +96,14 @@
 		t.Error("the body of the rejection was read, want the request sent elsewhere at once")
 	}
 }
+
+// The rest of a resumed stream may be longer or shorter than what the first endpoint
+// declared, so a length would cut the caller's answer or leave it waiting for more.
+func TestStreamThatMayBeResumedDeclaresNoLength(t *testing.T) {
+	for path, want := range map[string]string{"/stream/x": "", "/rigid/x": "14"} {
+		f := newFixture(t, reaction{body: "id: 0\ndata: a\n\n", header: http.Header{"Content-Length": {"14"}}})
+		if got := f.send(path, "key").header.Get("Content-Length"); got != want {
+			t.Errorf("%s: got length %q, want %q", path, got, want)
+		}
+	}
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -13,6 +13,9 @@
 
 // deliverStream delivers each event of a stream as it arrives.
 func (r *request) deliverStream(ctx context.Context, reply *gooseberrypass.Reply, ticket *balancer.Ticket, watch *watchdog) *failure {
+	if r.route.Resumable {
+		reply.Header.Del("Content-Length") // the rest may come from another endpoint
+	}
 	events := newEventReader(reply.Body)
 	for {
 		event, err := events.next()
