Prove that an answer without a length or an end is cut at the deadline

TestEndlessFramingOfABodyIsCut covers bodies in chunks; a body that ends with its connection is bounded by the time left alone, which no test showed. Nothing was wrong. Without the timeout for the rest of a long answer the row "delivered" fails.

--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/gooseberrypass/gooseberrypass"
 )
@@ -107,3 +108,30 @@
 		}
 	}
 }
+
+// An answer without a length may have no end. It is cut at the deadline, also when part of
+// it was delivered, and does not look whole.
+func TestAnswerWithoutLengthOrEndIsCut(t *testing.T) {
+	for name, tt := range map[string]struct {
+		piece string
+		path  string
+		begun bool
+	}{
+		"held":      {piece: "x", path: "/once/x"},
+		"delivered": {piece: strings.Repeat("x", 8<<10), path: "/once/x", begun: true},
+		"stream":    {piece: "data: x\n\n", path: "/rigid/x", begun: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, reaction{unframed: true})
+			endless := &stalledReader{clock: f.clock, piece: tt.piece, pieces: 60, takes: 100 * time.Millisecond} // 6 s, of which the caller has 5
+			f.transport.reactions[0].reader = endless
+			c := f.send(tt.path, "key")
+			if c.aborted != tt.begun || !tt.begun && c.failure == nil {
+				t.Errorf("got aborted %t, %v, want a failure (aborted %t)", c.aborted, c.failure, tt.begun)
+			}
+			if !endless.withdrawn {
+				t.Error("the attempt was not withdrawn")
+			}
+		})
+	}
+}
