Drop lines that are logged after the log was closed

A gateway that was told to stop and got a SIGHUP meanwhile panicked at its end, "send on closed channel": the reload reads the settings in a goroutine of its own, which the stop does not wait for, and its line came after logwriter.Writer.Close had closed the queue. Any other goroutine that outlives the work could do the same.

The writer no longer closes its queue; Close writes what is queued and later lines are dropped. Ruled out: to wait for the reload only, as that leaves all other goroutines.

--- a/logwriter/logwriter.go
+++ b/logwriter/logwriter.go
@@ -14,6 +14,7 @@
 // A Writer queues lines for a goroutine that writes them. It drops lines while the
 // queue is full, and writes a line with their number once there is room.
 type Writer struct {
+	closing chan struct{}
 	done    chan struct{}
 	dropped atomic.Uint64 // lines dropped since the last report
 	lines   chan []byte
@@ -22,7 +23,7 @@
 
 // New returns a writer to out. The caller must call Close to stop its goroutine.
 func New(out io.Writer) *Writer {
-	w := &Writer{done: make(chan struct{}), lines: make(chan []byte, queueSize), out: out}
+	w := &Writer{closing: make(chan struct{}), done: make(chan struct{}), lines: make(chan []byte, queueSize), out: out}
 	go w.run()
 	return w
 }
@@ -38,9 +39,9 @@
 }
 
 // Close writes the queued lines and stops the goroutine. It returns after limit at
-// the latest. Write must not be called after Close.
+// the latest. Lines that are written later are dropped.
 func (w *Writer) Close(limit time.Duration) {
-	close(w.lines)
+	close(w.closing)
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
@@ -51,10 +52,28 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	for line := range w.lines {
-		if n := w.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(w.out, "{\"level\":\"warning\",\"msg\":\"log lines dropped because the queue was full\",\"lines\":%d}\n", n) // a write error cannot be reported
+	for {
+		select {
+		case line := <-w.lines:
+			w.emit(line)
+		case <-w.closing:
+			w.flush()
+			return
 		}
-		_, _ = w.out.Write(line) // a write error cannot be reported
 	}
 }
+
+// flush writes the lines that are queued now.
+func (w *Writer) flush() {
+	for range len(w.lines) {
+		w.emit(<-w.lines)
+	}
+}
+
+// emit writes one line after a report of those dropped before it.
+func (w *Writer) emit(line []byte) {
+	if n := w.dropped.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(w.out, "{\"level\":\"warning\",\"msg\":\"log lines dropped because the queue was full\",\"lines\":%d}\n", n) // a write error cannot be reported
+	}
+	_, _ = w.out.Write(line) // a write error cannot be reported
+}
