--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -13,11 +13,14 @@
 
 // deliverStream delivers each event of a stream as it arrives.
 func (r *request) deliverStream(ctx context.Context, reply *gooseberrypass.Reply, ticket *balancer.Ticket, watch *watchdog) *failure {
+	if r.route.Resumable {
+		reply.Header.Del("Content-Length") // the rest may come from another endpoint
+	}
 	events := newEventReader(reply.Body)
 	for {
 		event, err := events.next()
-		if errors.Is(err, io.EOF) && reply.EndsWithConnection && r.progress != progressContent {
-			err = io.ErrUnexpectedEOF // a crash ends the connection too
+		if errors.Is(err, io.EOF) && reply.Unframed && r.progress != progressContent && r.lastEvent < 0 {
+			err = io.ErrUnexpectedEOF // a crash after the head looks the same
 		}
 		if errors.Is(err, io.EOF) {
 			r.start(reply)
