--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -18,10 +18,7 @@
 	}
 	events := newEventReader(reply.Body)
 	for {
-		event, err := events.next()
-		if errors.Is(err, io.EOF) && reply.Unframed && r.progress != progressContent && r.lastEvent < 0 {
-			err = io.ErrUnexpectedEOF // a crash after the head looks the same
-		}
+		event, err := r.nextEvent(events, reply)
 		if errors.Is(err, io.EOF) {
 			r.start(reply)
 			return nil
@@ -48,6 +45,16 @@
 	}
 }
 
+// nextEvent returns the next event of a stream. A stream that has no events and ends with
+// its connection has broken off: a crash after the head looks the same.
+func (r *request) nextEvent(events *eventReader, reply *gooseberrypass.Reply) (event, error) {
+	ev, err := events.next()
+	if errors.Is(err, io.EOF) && reply.Unframed && r.progress != progressContent && r.lastEvent < 0 {
+		return ev, io.ErrUnexpectedEOF
+	}
+	return ev, err
+}
+
 // delivered reports whether an event was delivered before the stream was resumed.
 func (r *request) delivered(e event) bool {
 	return e.id >= 0 && r.lastEvent >= 0 && e.id <= r.lastEvent
