Let entries tell one another when versions were named

Cause: the bound of a version counts from the moment at which a process learns of it. The age of a record went with pulls alone. An entry that reads the record itself, late (the store had turned it away, it follows a reader that died, the log was trimmed past it), counted from its own read; being up to date then, it never pulled, and where it did, a version that it knew kept its time.

Change: messages between entries carry the versions named within twice the bound, with the time since a process first saw each being named; the earliest such time counts. Assumed ages of an entry that has just started are not spread, and stay in force where they are earlier. Older processes ignore the new field.

Ruled out: reported versions whose age is assumed replacing known ones (TestMessageCarriesNoAssumedAge, TestKnownVersionKeepsItsTime); clock steps (all ages are differences of monotonic times within one process); several models (versions are kept by model).

--- a/gossiper/encoding.go
+++ b/gossiper/encoding.go
@@ -32,6 +32,9 @@
 	for _, t := range m.Manifests {
 		g.Manifests = append(g.Manifests, &wire.ModelVersion{Model: t.Model, Version: int32(t.Version)})
 	}
+	for _, t := range m.Targets {
+		g.Named = append(g.Named, &wire.NamedVersion{AgeMillis: t.Age.Milliseconds(), Model: t.Model, Version: int32(t.Version)})
+	}
 	if n := m.EndpointStatus; n != nil {
 		g.Notice = &wire.EndpointNotice{Address: n.Address, BornUnixMillis: n.EngineStartMillis, ClosesInMillis: n.DrainsIn.Milliseconds(), Loading: n.Loading, Models: make(map[string]int32, len(n.Models))}
 		for model, version := range n.Models {
@@ -64,6 +67,9 @@
 	for _, v := range g.GetManifests() {
 		m.Manifests = append(m.Manifests, gooseberrypass.ModelTarget{Model: v.GetModel(), Version: int(v.GetVersion())})
 	}
+	for _, v := range g.GetNamed() {
+		m.Targets = append(m.Targets, gooseberrypass.AgedTarget{Age: time.Duration(max(v.GetAgeMillis(), 0)) * time.Millisecond, Model: v.GetModel(), Observed: true, Version: int(v.GetVersion())})
+	}
 	if n := g.GetNotice(); n != nil {
 		m.EndpointStatus = &balancer.EndpointStatus{Address: n.GetAddress(), EngineStartMillis: n.GetBornUnixMillis(), DrainsIn: time.Duration(n.GetClosesInMillis()) * time.Millisecond, Loading: n.GetLoading(), Models: make(map[string]int, len(n.GetModels()))}
 		for model, version := range n.GetModels() {
--- a/gossiper/fuzz_test.go
+++ b/gossiper/fuzz_test.go
@@ -17,6 +17,7 @@
 		Loads:          map[gooseberrypass.ID]balancer.Load{"e": {Requests: 3, UnreadTokens: 1000}},
 		Manifests:      []gooseberrypass.ModelTarget{{Model: "m", Version: 2}},
 		Next:           map[gooseberrypass.Topic]gooseberrypass.Offset{gooseberrypass.TopicOperator: 7}, Refused: []uint64{9}, Region: "r", Role: gooseberrypass.RoleEntry,
+		Targets: []gooseberrypass.AgedTarget{{Age: time.Second, Model: "m", Observed: true, Version: 2}},
 	})
 	if err != nil {
 		f.Fatal(err)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -32,6 +32,7 @@
 	Refused        []uint64                                       // requests that an entry has just refused for load
 	Region         gooseberrypass.Region
 	Role           gooseberrypass.Role
+	Targets        []gooseberrypass.AgedTarget // versions that an entry has seen being named of late, or has heard so
 }
 
 // Received is the event that a message was received.
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -30,8 +30,9 @@
 	tests := map[string]gossiper.Message{
 		"entry": {
 			Address: "10.0.0.1:7700", CrashCounts: map[uint64]int{1<<63 + 5: 2}, From: "e1", ListAge: 300 * time.Millisecond, Refused: []uint64{7, 1 << 63}, Region: "r", Role: gooseberrypass.RoleEntry,
-			Next:  map[gooseberrypass.Topic]gooseberrypass.Offset{gooseberrypass.TopicOperator: 1 << 40, gooseberrypass.TopicEndpoints: 0},
-			Loads: map[gooseberrypass.ID]balancer.Load{"i-1": {Requests: 3, UnreadTokens: 4100}, "i-2": {Requests: 1, Stalled: true}},
+			Next:    map[gooseberrypass.Topic]gooseberrypass.Offset{gooseberrypass.TopicOperator: 1 << 40, gooseberrypass.TopicEndpoints: 0},
+			Loads:   map[gooseberrypass.ID]balancer.Load{"i-1": {Requests: 3, UnreadTokens: 4100}, "i-2": {Requests: 1, Stalled: true}},
+			Targets: []gooseberrypass.AgedTarget{{Age: 2500 * time.Millisecond, Model: "m", Observed: true, Version: 8}},
 		},
 		"agent": {
 			Address: "10.0.0.2:7700", CrashCounts: map[uint64]int{}, From: "g1", Role: gooseberrypass.RoleAgent,
--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -35,8 +35,31 @@
 
 // A Target is a version of a model that the operator wants loaded.
 type Target struct {
-	Since   time.Time // when the version was named, as far as known; never later
-	Version int
+	ObservedAt time.Time // when a process first saw the version being named, as far as known; zero if none did
+	Since      time.Time // when the bound of the version starts: at ObservedAt, or at an earlier assumed time
+	Version    int
+}
+
+// aged returns the target with its age. An assumed age is used only if there is no other.
+func (t Target) aged(now time.Time, model string) gooseberrypass.AgedTarget {
+	if t.ObservedAt.IsZero() {
+		return gooseberrypass.AgedTarget{Age: now.Sub(t.Since), Model: model, Version: t.Version}
+	}
+	return gooseberrypass.AgedTarget{Age: now.Sub(t.ObservedAt), Model: model, Observed: true, Version: t.Version}
+}
+
+// newTarget returns the target of a version of an age.
+func newTarget(now time.Time, a gooseberrypass.AgedTarget) Target {
+	t := Target{Since: now.Add(-a.Age), Version: a.Version}
+	if a.Observed {
+		t.ObservedAt = t.Since
+	}
+	return t
+}
+
+// improves reports whether the target was observed at least by earlier than known.
+func (t Target) improves(known Target, by time.Duration) bool {
+	return !t.ObservedAt.IsZero() && (known.ObservedAt.IsZero() || known.ObservedAt.Sub(t.ObservedAt) > by)
 }
 
 // Targets are the wanted versions of one model, the newest last.
@@ -73,13 +96,27 @@
 	return append(t[max(0, len(t)+1-maxTargets):len(t):len(t)], target)
 }
 
-// withEarlier returns the targets with a target inserted that another process knows. A
-// version that is known already keeps its time: the other process may have assumed one.
-func (t Targets) withEarlier(target Target) Targets {
-	i, found := slices.BinarySearchFunc(t, target.Version, func(t Target, version int) int { return t.Version - version })
-	if found {
+// find returns the position of a version and whether it is known.
+func (t Targets) find(version int) (int, bool) {
+	return slices.BinarySearchFunc(t, version, func(t Target, version int) int { return t.Version - version })
+}
+
+// withReported returns the targets with a target that another process knows. Of two
+// times at which a version was seen being named, the earlier one counts, since a process
+// may read a record late. A time that the other process assumed does not replace any.
+func (t Targets) withReported(target Target) Targets {
+	i, found := t.find(target.Version)
+	if found && !target.improves(t[i], 0) {
 		return t
 	}
+	if found {
+		merged := slices.Clone(t)
+		merged[i].ObservedAt = target.ObservedAt
+		if target.Since.Before(merged[i].Since) {
+			merged[i].Since = target.Since
+		}
+		return merged
+	}
 	merged := slices.Insert(slices.Clone(t), i, target)
 	return merged[max(0, len(merged)-maxTargets):]
 }
@@ -108,11 +145,21 @@
 
 // A topicRecords holds the records of one topic.
 type topicRecords struct {
+	observed   map[string]bool                       // whether this process saw the record being written, by key
 	knownSince map[string]time.Time                  // when any process first knew the record, by key
 	next       gooseberrypass.Offset                 // offset after the last known record
 	records    map[string]gooseberrypass.KeyedRecord // by key; a nil value is a tombstone
 }
 
+// target returns the target of the version that the record of a key names.
+func (t *topicRecords) target(key string, version int) Target {
+	target := Target{Since: t.knownSince[key], Version: version}
+	if t.observed[key] {
+		target.ObservedAt = target.Since
+	}
+	return target
+}
+
 // A cachedDeployment is the deployment of a record. It is cached because decoding
 // is expensive.
 type cachedDeployment struct {
@@ -126,11 +173,11 @@
 	agentOffset gooseberrypass.Offset // after the last operator record that agents act on
 	cached      cachedDeployment
 	decoder     Decoder
-	earlier     []gooseberrypass.AgedTarget        // versions that another process knows, to be added at the next snapshot
 	endpoints   map[string]gooseberrypass.Endpoint // by key
 	listeners   []gooseberrypass.Controller
 	logger      logrus.FieldLogger
 	offsets     atomic.Pointer[map[gooseberrypass.Topic]gooseberrypass.Offset] // next offset of each topic
+	reported    []gooseberrypass.AgedTarget                                    // versions that another process knows, to be added at the next snapshot
 	outage      bool                                                           // the last read of the endpoints failed
 	retained    map[string]time.Time                                           // endpoints removed during an outage and the end of their retention, by key
 	settings    Settings
@@ -181,12 +228,33 @@
 	var aged []gooseberrypass.AgedTarget
 	for model, targets := range m.Snapshot().Targets {
 		for _, t := range targets {
-			aged = append(aged, gooseberrypass.AgedTarget{Age: now.Sub(t.Since), Model: model, Version: t.Version})
+			aged = append(aged, t.aged(now, model))
 		}
 	}
 	return aged
 }
 
+// minCorrection is the smallest difference for which the time of a version is corrected:
+// messages take between a fraction of a millisecond and a few.
+const minCorrection = 10 * time.Millisecond
+
+// NewTargets returns those of the versions that another process knows which this one
+// does not know, or counts from a later time. It must be called on the control goroutine.
+func (m *Materializer) NewTargets(now time.Time, reported []gooseberrypass.AgedTarget) []gooseberrypass.AgedTarget {
+	var news []gooseberrypass.AgedTarget
+	for _, a := range reported {
+		known := m.Snapshot().Targets[a.Model]
+		i, found := known.find(a.Version)
+		if !found && i == 0 && len(known) == maxTargets {
+			continue // older than those that are kept
+		}
+		if !found || newTarget(now, a).improves(known[i], minCorrection) {
+			news = append(news, a)
+		}
+	}
+	return news
+}
+
 // Retained reports whether an endpoint is retained although its record was removed
 // during an outage. It must be called on the control goroutine.
 func (m *Materializer) Retained(key string) bool {
@@ -217,7 +285,7 @@
 func (m *Materializer) topic(topic gooseberrypass.Topic) *topicRecords {
 	t, ok := m.topics[topic]
 	if !ok {
-		t = &topicRecords{records: map[string]gooseberrypass.KeyedRecord{}, knownSince: map[string]time.Time{}}
+		t = &topicRecords{observed: map[string]bool{}, records: map[string]gooseberrypass.KeyedRecord{}, knownSince: map[string]time.Time{}}
 		m.topics[topic] = t
 	}
 	return t
@@ -257,6 +325,7 @@
 		}
 		t.records[r.Key] = r
 		t.knownSince[r.Key] = now.Add(-m.recordAge(e, i))
+		t.observed[r.Key] = e.Ages == nil && !e.FirstRead
 		_, lapsed := e.Retained[r.Key]
 		changed = m.applyRecord(now, e.Topic, r, inOutage || lapsed) || changed
 	}
@@ -269,7 +338,7 @@
 			}
 		}
 	}
-	m.earlier = append(m.earlier, e.Targets...)
+	m.reported = append(m.reported, e.Targets...)
 	changed = changed || len(e.Targets) > 0
 	t.next = max(t.next, e.Batch.Next)
 	offsets := maps.Clone(*m.offsets.Load())
@@ -373,10 +442,10 @@
 func (m *Materializer) publish(now time.Time) []gooseberrypass.Effect {
 	old := m.snapshot.Load()
 	snapshot := &Snapshot{Deployment: old.Deployment, Targets: maps.Clone(old.Targets)}
-	for _, a := range m.earlier {
-		snapshot.Targets[a.Model] = snapshot.Targets[a.Model].withEarlier(Target{Since: now.Add(-a.Age), Version: a.Version})
+	for _, a := range m.reported {
+		snapshot.Targets[a.Model] = snapshot.Targets[a.Model].withReported(newTarget(now, a))
 	}
-	m.earlier = nil
+	m.reported = nil
 	t := m.topic(gooseberrypass.TopicOperator)
 	for _, key := range slices.Sorted(maps.Keys(t.records)) {
 		m.decodeOperatorRecord(snapshot, t, t.records[key])
@@ -403,7 +472,7 @@
 	}
 	if ok {
 		m.agentOffset = max(m.agentOffset, r.Offset+1)
-		snapshot.Targets[target.Model] = snapshot.Targets[target.Model].withNewer(Target{Since: t.knownSince[r.Key], Version: target.Version})
+		snapshot.Targets[target.Model] = snapshot.Targets[target.Model].withNewer(t.target(r.Key, target.Version))
 		return
 	}
 	if m.cached.record.Value != nil && m.cached.record.Key == r.Key && m.cached.record.Offset == r.Offset {
--- a/replicator/history_test.go
+++ b/replicator/history_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/gossiper"
+	"github.com/gooseberrypass/gooseberrypass/replicator"
 )
 
 // An operator names two versions two seconds apart, and a process that starts then takes
@@ -40,3 +42,42 @@
 		t.Errorf("version 6 was named at %s, want %s", got, now)
 	}
 }
+
+// A store that turned an entry away serves it again three seconds after a version was
+// named, and the entry reads the record before it hears of it. It used the older version
+// three seconds past the bound; the next message of another entry must tell it.
+func TestMessageCorrectsTheBoundOfAVersionThatWasReadLate(t *testing.T) {
+	const version, bound, late = 6, 8 * time.Second, 3 * time.Second
+	settings := replicator.Settings{Period: time.Second, PullTimeout: time.Second, VersionLife: 2 * bound}
+	from, to := newProcessWith("a", gooseberrypass.RoleEntry, noLoads{}, settings), newProcessWith("b", gooseberrypass.RoleEntry, noLoads{}, settings)
+	from.handle(gooseberrypass.TopicChanged{Batch: gooseberrypass.KeyedBatch{Next: 1, Records: []gooseberrypass.KeyedRecord{
+		{Key: "b", Value: []byte(`{"address":"b","id":"b","role":"entry"}`)},
+	}}, Topic: gooseberrypass.TopicProcesses})
+	from.handle(operatorRecord("version", version))
+	to.handleAt(now.Add(late), operatorRecord("version", version))
+	from.handleAt(now.Add(late), gooseberrypass.Tick{})
+	to.handleAt(now.Add(late), gossiper.Received{Message: from.sender.last})
+	targets := to.materializer.Snapshot().Targets["m"]
+	if got, want := targets.Required(now.Add(bound), bound), version; got != want {
+		t.Errorf("required version at the bound: got %d, want %d", got, want)
+	}
+	if got, want := targets[0].ObservedAt, now; got.Before(want) {
+		t.Errorf("the version was seen at %s, before it was named at %s", got, want)
+	}
+}
+
+// An entry that has just started assumes the age of a version, and must not make others,
+// which saw it being named, use the newer version early.
+func TestMessageCarriesNoAssumedAge(t *testing.T) {
+	settings := replicator.Settings{Period: time.Second, PullTimeout: time.Second, VersionLife: time.Minute}
+	from := newProcessWith("a", gooseberrypass.RoleEntry, noLoads{}, settings)
+	from.handle(gooseberrypass.TopicChanged{Batch: gooseberrypass.KeyedBatch{Next: 1, Records: []gooseberrypass.KeyedRecord{
+		{Key: "b", Value: []byte(`{"address":"b","id":"b","role":"entry"}`)},
+	}}, Topic: gooseberrypass.TopicProcesses})
+	e := operatorRecord("version", 6)
+	e.FirstRead = true
+	from.handle(e)
+	if got := from.sender.last; got.Next[gooseberrypass.TopicOperator] != 7 || len(got.Targets) > 0 {
+		t.Errorf("got targets %+v in message %+v, want none", got.Targets, got)
+	}
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,7 @@
 	PullDelay     time.Duration // lag of own reads of other topics after which records are pulled
 	PullTimeout   time.Duration // limit of one pull
 	ReaderTimeout time.Duration // time without a message from a reader after which another entry takes over
+	VersionLife   time.Duration // age up to which messages to entries carry a version; at least the time for which older ones may be used
 }
 
 // A Sender sends messages, which may be lost.
@@ -168,11 +170,19 @@
 	if r.loads != nil && to == gooseberrypass.RoleEntry {
 		m.CrashCounts, m.Refused = r.history.CrashCounts(), r.history.Refused()
 		m.ListAge, m.Loads = r.listAge(now), r.loads.OwnLoads()
+		m.Targets = r.recentTargets(now)
 		m.Next[gooseberrypass.TopicEndpoints] = next(gooseberrypass.TopicEndpoints)
 	}
 	return m
 }
 
+// recentTargets returns the versions that were seen being named within VersionLife.
+func (r *Replicator) recentTargets(now time.Time) []gooseberrypass.AgedTarget {
+	return slices.DeleteFunc(r.materializer.AgedTargets(now), func(a gooseberrypass.AgedTarget) bool {
+		return !a.Observed || a.Age > r.settings.VersionLife
+	})
+}
+
 // sendPeriodic sends the regular messages. Entries of other regions get them less
 // often than those of the own region because links between regions have little
 // bandwidth and requests rarely go there.
@@ -282,6 +292,10 @@
 		}
 	}
 	var effects []gooseberrypass.Effect
+	if news := r.materializer.NewTargets(now, m.Targets); len(news) > 0 {
+		r.logger.WithFields(logrus.Fields{"peer": m.From, "versions": news}).Info("another process saw versions being named earlier")
+		effects = append(effects, redispatch{event: gooseberrypass.TopicChanged{Ages: []time.Duration{}, Targets: news, Topic: gooseberrypass.TopicOperator}})
+	}
 	for topic, next := range m.Next {
 		if r.follows(topic) && r.shouldPull(now, topic, next) {
 			r.pulling[topic] = true
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -348,8 +348,15 @@
 // With 4, a share of e^-4 of the agents is told by no other agent.
 const announceFanout = 4
 
+// versionLifeFactor is the age up to which entries tell one another of a version, as a
+// multiple of its bound: an entry that reads it late would count the bound once more.
+const versionLifeFactor = 2
+
 func (s *MachineSettings) replicatorSettings() replicator.Settings {
-	repl := replicator.Settings{ListPullDelay: pullTimeout, PullDelay: pullDelay, MaxListAge: maxListAge, ReaderTimeout: readerTimeout, Fanout: announceFanout, PullTimeout: pullTimeout}
+	repl := replicator.Settings{
+		ListPullDelay: pullTimeout, PullDelay: pullDelay, MaxListAge: maxListAge, ReaderTimeout: readerTimeout, Fanout: announceFanout, PullTimeout: pullTimeout,
+		VersionLife: versionLifeFactor * s.duration(sectionBounds, "version"),
+	}
 	if s.role == gooseberrypass.RoleAgent {
 		repl.FarPeriod, repl.Period = s.duration(sectionWeights, "far-period"), s.duration(sectionWeights, "period")
 	} else {
--- a/topic.go
+++ b/topic.go
@@ -47,9 +47,10 @@
 
 // An AgedTarget is a wanted version of a model with the time since it was named.
 type AgedTarget struct {
-	Age     time.Duration
-	Model   string
-	Version int
+	Age      time.Duration
+	Model    string
+	Observed bool // a process saw the version being named; otherwise Age may be an assumption
+	Version  int
 }
 
 // A TopicChanged is the event that records of a keyed topic were read.
