Withdraw requests that wait past a bound named after they were sent

Callers' view: a request that waits at a full or slow engine begins on an older version after the bound of a newer one.

Cause: the latest time at which a request may begin was taken once, when the engine was chosen.

Change: a ticket tells of the latest begin whenever a newer version makes it known or earlier, until the engine has begun the request. Where the record of the version in between was read late, the bound of the newest one counts.

Ruled out: that the answer's head ends the limit of a stream (only its first event does).

Evidence: TestWaitingRequestIsWithdrawnBeforeTheBoundOfAVersionNamedMeanwhile failed before (the request still waits at the engine of the older version).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -91,6 +91,7 @@
 	snapshot     *materializer.Snapshot
 	statuses     map[string]EndpointStatus // last reported statuses, by address of the endpoint
 	statusesSeen map[string]time.Time      // last report of each status, by address
+	waiting      map[*Ticket]struct{}      // tickets of requests that have not begun
 }
 
 // New returns a balancer for an entry in region self.
@@ -111,6 +112,7 @@
 		services:     map[gooseberrypass.ID]*pool{},
 		settings:     settings,
 		snapshot:     &materializer.Snapshot{},
+		waiting:      map[*Ticket]struct{}{},
 	}
 }
 
@@ -156,6 +158,9 @@
 		}
 	}
 	b.services = services
+	for t := range b.waiting {
+		t.updateMustBegin()
+	}
 }
 
 // expire drops the reports of processes that have not reported for ReportTTL.
@@ -274,12 +279,12 @@
 	if best == nil {
 		return nil, counts.refusal()
 	}
-	t := &Ticket{balancer: b, endpoint: best, expectedVersion: q.Version, target: best.listed, inFlight: best.total(1).Requests, unread: q.PromptTokens}
-	if t.expectedVersion == 0 && counts.required > 0 {
-		t.expectedVersion = b.loadedVersion(best, q.Model)
-	}
+	t := &Ticket{balancer: b, endpoint: best, expectedVersion: q.Version, target: best.listed, inFlight: best.total(1).Requests, model: q.Model, unread: q.PromptTokens}
 	if q.Model != "" {
-		t.mustBegin = b.mustBegin(q.Model, b.loadedVersion(best, q.Model))
+		t.version = b.loadedVersion(best, q.Model)
+	}
+	if t.expectedVersion == 0 && counts.required > 0 {
+		t.expectedVersion = t.version
 	}
 	if best.own.Requests == 0 {
 		best.busySince = now
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -170,6 +171,31 @@
 	}
 }
 
+// Requests began past a bound that was named, or became known to be earlier, while they
+// waited at an engine. Their tickets must tell, until they have begun.
+func TestWaitingRequestHearsOfBoundsNamedMeanwhile(t *testing.T) {
+	f := newFixture(t, 1)
+	sent := f.clock.Now()
+	var got []time.Duration
+	begun := f.choose(t).WatchMustBegin(func(latest time.Time) { got = append(got, latest.Sub(sent)) })
+	for _, targets := range []materializer.Targets{
+		{{Since: sent.Add(time.Second), Version: 2}},
+		{{Since: sent.Add(time.Second), Version: 2}, {Since: sent.Add(2 * time.Second), Version: 3}},
+		{{Since: sent, Version: 2}, {Since: sent.Add(2 * time.Second), Version: 3}},
+		{{Since: sent, Version: 2}, {Since: sent.Add(-time.Second), Version: 3}}, // version 2 was read late
+	} {
+		f.snapshot.Targets["m"] = targets
+		f.publish()
+	}
+	begun()
+	f.snapshot.Targets["m"] = materializer.Targets{{Since: sent.Add(-2 * time.Second), Version: 3}}
+	f.publish()
+	bound := settings().VersionTimeout
+	if want := []time.Duration{bound + time.Second, bound, bound - time.Second}; !slices.Equal(got, want) {
+		t.Errorf("latest begins: got %v, want %v", got, want)
+	}
+}
+
 func TestNewerVersionThanRequiredIsExpected(t *testing.T) {
 	f := newFixture(t, 1)
 	f.snapshot.Targets["m"] = materializer.Targets{{Since: f.clock.Now(), Version: 2}, {Since: f.clock.Now().Add(4 * time.Second), Version: 3}}
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -107,14 +107,19 @@
 }
 
 // mustBegin returns when the last request may begin on a version of a model, zero if
-// no newer version is wanted.
+// no newer version is wanted. The bound of the newest version may start before that of
+// one in between, whose record was read late.
 func (b *Balancer) mustBegin(model string, version int) time.Time {
+	var earliest time.Time
 	for _, t := range b.snapshot.Targets[model] {
-		if t.Version > version {
-			return t.Since.Add(b.settings.VersionTimeout - b.settings.VersionCutoff)
+		if t.Version > version && (earliest.IsZero() || t.Since.Before(earliest)) {
+			earliest = t.Since
 		}
 	}
-	return time.Time{}
+	if earliest.IsZero() {
+		return earliest
+	}
+	return earliest.Add(b.settings.VersionTimeout - b.settings.VersionCutoff)
 }
 
 // eligibility returns the state that excludes an endpoint whatever its load is,
--- a/balancer/ticket.go
+++ b/balancer/ticket.go
@@ -13,9 +13,12 @@
 	endpoint        *endpoint
 	expectedVersion int
 	inFlight        int
-	mustBegin       time.Time // latest begin on the endpoint's version, zero for none
+	model           string                 // "" for a plain service
+	mustBegin       time.Time              // latest begin on the endpoint's version, zero for none
+	onMustBegin     func(latest time.Time) // nil if nobody waits for the request to begin
 	target          gooseberrypass.Endpoint
 	unread          int // prompt tokens, 0 after the first event
+	version         int // version of the model at the endpoint when it was chosen
 }
 
 // Endpoint returns the chosen endpoint.
@@ -28,9 +31,36 @@
 // the endpoint when it was chosen.
 func (t *Ticket) InFlight() int { return t.inFlight }
 
-// MustBegin returns when the endpoint must have begun the request at the latest, as
-// its version is out of use then. It is zero if no newer version is wanted.
-func (t *Ticket) MustBegin() time.Time { return t.mustBegin }
+// WatchMustBegin calls f with the time at which the endpoint must have begun the request
+// at the latest, as its version is out of use then: now, if a newer version is wanted, and
+// whenever one named later makes that time known or earlier. f must not call the balancer.
+// The function that is returned ends the calls; it must be called.
+func (t *Ticket) WatchMustBegin(f func(latest time.Time)) func() {
+	b := t.balancer
+	if t.model == "" {
+		return func() {}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.onMustBegin = f
+	b.waiting[t] = struct{}{}
+	t.updateMustBegin()
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.waiting, t)
+	}
+}
+
+// updateMustBegin tells the watcher if the latest begin has become known or earlier.
+func (t *Ticket) updateMustBegin() {
+	latest := t.balancer.mustBegin(t.model, t.version)
+	if latest.IsZero() || !t.mustBegin.IsZero() && !latest.Before(t.mustBegin) {
+		return
+	}
+	t.mustBegin = latest
+	t.onMustBegin(latest)
+}
 
 // HeadReceived records the time that the endpoint took to the head of its answer.
 func (t *Ticket) HeadReceived(took time.Duration) {
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -18,10 +18,6 @@
 // delivered.
 var errInterrupted = errors.New("answer broke off after part of it was delivered")
 
-// errVersionExpired is the cause of withdrawing a request that an endpoint has not
-// begun when the version that it has loaded goes out of use.
-var errVersionExpired = errors.New("not begun before the endpoint's version went out of use")
-
 const (
 	copyBufferBytes = 32 << 10  // buffer for the rest of an answer longer than MaxBufferedAnswer
 	defaultTimeLeft = time.Hour // time left if neither the caller nor the route sets a limit
@@ -246,13 +242,11 @@
 	if r.deadline.IsZero() {
 		left = defaultTimeLeft
 	}
-	timeout, cause := r.headTimeout(left), context.DeadlineExceeded
-	if latest := ticket.MustBegin(); !latest.IsZero() && latest.Sub(f.clock.Now()) < timeout {
-		timeout, cause = latest.Sub(f.clock.Now()), errVersionExpired
-	}
 	watch := newWatchdog(f.clock, func(cause error) { cancel(cause) })
 	defer watch.stop()
-	watch.reset(timeout, cause)
+	watch.reset(r.headTimeout(left), context.DeadlineExceeded)
+	begun := r.watchVersion(ticket, func() { cancel(errVersionExpired) })
+	defer begun()
 	defer r.watchEndpoint(ticket, func() { cancel(errEndpointLost) })()
 	sent := f.clock.Now()
 	reply, err := f.transport.Send(ctx, gooseberrypass.Dispatch{
@@ -275,9 +269,9 @@
 		return &failure{err: unknown(gooseberrypass.ReasonCut, "another version goes on"), result: balancer.ResultInconclusive}
 	}
 	if r.route.Mode == gooseberrypass.RouteStream && reply.Status < 300 {
-		return r.deliverStream(ctx, reply, ticket, watch)
+		return r.deliverStream(ctx, reply, ticket, watch, begun)
 	}
-	return r.deliverWhole(ctx, reply, watch)
+	return r.deliverWhole(ctx, reply, watch, begun)
 }
 
 // idleConnShare is the share of an endpoint's connections that all entries
@@ -345,7 +339,7 @@
 
 // deliverWhole delivers an answer once it is complete. A longer answer than
 // MaxBufferedAnswer is delivered as it arrives after that many bytes.
-func (r *request) deliverWhole(ctx context.Context, reply *gooseberrypass.Reply, watch *watchdog) *failure {
+func (r *request) deliverWhole(ctx context.Context, reply *gooseberrypass.Reply, watch *watchdog, begun func()) *failure {
 	s := r.forwarder.settings
 	var body bytes.Buffer
 	_, err := io.Copy(&body, io.LimitReader(reply.Body, s.MaxBufferedAnswer))
@@ -356,6 +350,7 @@
 		r.fallback = &heldResponse{body: body.Bytes(), reply: reply}
 		return &failure{err: unknown(gooseberrypass.ReasonUpstream, "the endpoint answered with an error"), result: balancer.ResultAnswered}
 	}
+	begun()
 	watch.stop()
 	if int64(body.Len()) >= s.MaxBufferedAnswer && reply.Header.Get("Content-Length") == "" {
 		watch.reset(r.timeLeft(), context.DeadlineExceeded) // the rest may have no end
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -11,8 +11,9 @@
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 )
 
-// deliverStream delivers each event of a stream as it arrives.
-func (r *request) deliverStream(ctx context.Context, reply *gooseberrypass.Reply, ticket *balancer.Ticket, watch *watchdog) *failure {
+// deliverStream delivers each event of a stream as it arrives, and calls begun after the
+// first one.
+func (r *request) deliverStream(ctx context.Context, reply *gooseberrypass.Reply, ticket *balancer.Ticket, watch *watchdog, begun func()) *failure {
 	events := newEventReader(reply.Body)
 	for {
 		event, err := events.next()
@@ -34,6 +35,7 @@
 			return &failure{err: unknown(gooseberrypass.ReasonCut, "the stream moves to another endpoint"), moved: true, result: balancer.ResultInconclusive}
 		}
 		if event.id >= 0 || !r.route.Resumable {
+			begun()
 			watch.reset(r.eventTimeout(), context.DeadlineExceeded) // an event without an index may be all that a stalled endpoint sends
 		}
 	}
--- a/forwarder/version_test.go
+++ b/forwarder/version_test.go
@@ -43,3 +43,35 @@
 		t.Errorf("engine %s is not at fault and must not be ejected: %v", first, err)
 	}
 }
+
+// A version is named, or an entry learns of it late, while a request waits at an engine.
+// The request must not begin after the bound, although none was known when it was sent.
+func TestWaitingRequestIsWithdrawnBeforeTheBoundOfAVersionNamedMeanwhile(t *testing.T) {
+	f := newFixture(t, reaction{hang: true}, reaction{body: threeEvents, version: 2})
+	sent, done := make(chan struct{}, 2), make(chan *caller)
+	f.transport.onSend = func(gooseberrypass.Dispatch) { sent <- struct{}{} }
+	go func() { done <- f.send("/model/x", "key") }()
+	<-sent
+	first := f.transport.sent[0].Endpoint
+	for _, id := range []string{"engine-1", "engine-2"} {
+		if id != first.Address {
+			f.balancer.SetEndpointStatus(f.clock.Now(), balancer.EndpointStatus{Address: id, Models: map[string]int{"m": 2}})
+		}
+	}
+	snapshot := *f.snapshot
+	snapshot.Targets = map[string]materializer.Targets{"m": {{Since: f.clock.Now().Add(-7 * time.Second), Version: 2}}}
+	f.balancer.Handle(f.clock.Now(), materializer.Changed{Snapshot: &snapshot})
+	f.clock.Advance(699 * time.Millisecond)
+	if got, want := len(sent), 0; got != want {
+		t.Errorf("dispatches before the cutoff: got %d more, want %d", got, want)
+	}
+	f.clock.Advance(time.Millisecond) // 300 ms before version 1 expires
+	select {
+	case <-sent:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request still waits at the engine of the older version")
+	}
+	if got := (<-done).body.String(); got != threeEvents {
+		t.Errorf("body: got %q, want %q", got, threeEvents)
+	}
+}
