End streams that have nothing left after a move

Callers' view: the connection closed in the middle of an answer that was complete.

Cause: a stream moves from an engine that is about to load, or is resumed after a cut, when its last event has been delivered. The next engine has nothing left to send and answers 200 without naming a version; that counted as another version, and the answer was broken off.

Change: an answer that names no version may end a stream; its events are still refused.

Evidence: TestStreamThatIsCutAfterItsLastEventEnds failed before (aborted true).

--- a/forwarder/move_test.go
+++ b/forwarder/move_test.go
@@ -81,3 +81,25 @@
 		t.Errorf("moves: got %d, want 1 to %d", moves, most)
 	}
 }
+
+// A stream moves, or is cut, after its last event. The next engine has nothing left to
+// send and names no version; the answer was broken off although it was complete.
+func TestStreamThatIsCutAfterItsLastEventEnds(t *testing.T) {
+	f := newFixture(t, reaction{body: threeEvents, cut: true, version: 1}, reaction{})
+	c := f.send("/stream/x", "key")
+	if got, want := c.body.String(), threeEvents; got != want || c.aborted {
+		t.Errorf("got %q (aborted %t), want %q and an end", got, c.aborted, want)
+	}
+	if got, want := len(f.transport.sent), 2; got != want {
+		t.Errorf("dispatches: got %d, want %d", got, want)
+	}
+}
+
+// Events of an engine that names no version may be of another one.
+func TestStreamNeverGoesOnWithAnUnknownVersion(t *testing.T) {
+	f := newFixture(t, reaction{body: "id: 0\ndata: a\n\n", cut: true, version: 1}, reaction{body: "id: 1\ndata: b\n\n"})
+	c := f.send("/stream/x", "key")
+	if got, want := c.body.String(), "id: 0\ndata: a\n\n"; got != want || !c.aborted {
+		t.Errorf("got %q (aborted %t), want %q and a cut connection", got, c.aborted, want)
+	}
+}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -265,8 +265,9 @@
 	if !reply.Signed && reply.Status < 300 {
 		return &failure{err: unknown(gooseberrypass.ReasonUpstream, "answer without a signature"), result: balancer.ResultFailed}
 	}
-	if r.started && (reply.Status >= 300 || reply.ModelVersion != r.version) {
-		return &failure{err: unknown(gooseberrypass.ReasonCut, "another version goes on"), result: balancer.ResultInconclusive}
+	// An endpoint with nothing left to send names no version.
+	if r.started && (reply.Status >= 300 || reply.ModelVersion != r.version && reply.ModelVersion != 0) {
+		return otherVersion()
 	}
 	if r.route.Mode == gooseberrypass.RouteStream && reply.Status < 300 {
 		return r.deliverStream(ctx, reply, ticket, watch, begun)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -51,6 +51,9 @@
 	if e.id >= 0 && r.lastEvent >= 0 && e.id != r.lastEvent+1 {
 		return r.streamFailure(ctx, errors.Errorf("event %d after %d", e.id, r.lastEvent))
 	}
+	if r.started && reply.ModelVersion != r.version {
+		return otherVersion()
+	}
 	r.start(reply)
 	if err := r.w.Write(e.raw); err != nil {
 		return &failure{err: unknown(gooseberrypass.ReasonCut, err.Error()), result: balancer.ResultInconclusive}
@@ -61,6 +64,11 @@
 	return nil
 }
 
+// otherVersion returns the failure of a stream that would go on with another version.
+func otherVersion() *failure {
+	return &failure{err: unknown(gooseberrypass.ReasonCut, "another version goes on"), result: balancer.ResultInconclusive}
+}
+
 // eventTimeout returns how long the next event of a stream may take. A stream
 // that may be resumed gets less time, so that another endpoint can continue it.
 func (r *request) eventTimeout() time.Duration {
