Name the newest version in requests before it is required

Callers' view: a request runs on an older version than the entry believes its engine to have, and may begin there after the bound.

Cause: until the first version's bound, requests named no version. A request to an engine that was believed to have the newest one had no latest begin either. If the engine has crashed and its agent has loaded the version before it, for which use is left, the request waits and begins there without any limit, until the agent's next report.

Change: a request to an engine that is believed to have the newest version names it, so another one turns it away. Requests to engines of older versions stay as they were: the engine may load a newer one while they wait, and run them on it.

What remains: with two versions named within a bound, a request to an engine that is believed to have the first of them, and has crashed and loaded the one before, must begin by the second one's bound only.

Evidence: TestNewestVersionIsExpectedBeforeItIsRequired failed before (expected version 0, want 2).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -283,7 +283,8 @@
 	if q.Model != "" {
 		t.version = b.loadedVersion(best, q.Model)
 	}
-	if t.expectedVersion == 0 && counts.required > 0 {
+	newest, wanted := b.snapshot.Targets[q.Model].Newest()
+	if t.expectedVersion == 0 && (counts.required > 0 || wanted && t.version >= newest.Version) {
 		t.expectedVersion = t.version
 	}
 	if best.own.Requests == 0 {
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -196,6 +196,18 @@
 	}
 }
 
+// An engine that crashed is loaded with the older version while its new one is still
+// believed to be there. A request without a latest begin must not run on the older one.
+func TestNewestVersionIsExpectedBeforeItIsRequired(t *testing.T) {
+	f := newFixture(t, 1)
+	f.snapshot.Targets["m"] = materializer.Targets{{Since: f.clock.Now(), Version: 2}}
+	f.snapshot.Endpoints[0].Models = map[string]int{"m": 2}
+	f.publish()
+	if got, want := f.choose(t).ExpectedVersion(), 2; got != want {
+		t.Errorf("expected version: got %d, want %d", got, want)
+	}
+}
+
 func TestNewerVersionThanRequiredIsExpected(t *testing.T) {
 	f := newFixture(t, 1)
 	f.snapshot.Targets["m"] = materializer.Targets{{Since: f.clock.Now(), Version: 2}, {Since: f.clock.Now().Add(4 * time.Second), Version: 3}}
