--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -11,8 +11,9 @@
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 )
 
-// deliverStream delivers each event of a stream as it arrives.
-func (r *request) deliverStream(ctx context.Context, reply *gooseberrypass.Reply, ticket *balancer.Ticket, watch *watchdog) *failure {
+// deliverStream delivers each event of a stream as it arrives, and calls begun after the
+// first one.
+func (r *request) deliverStream(ctx context.Context, reply *gooseberrypass.Reply, ticket *balancer.Ticket, watch *watchdog, begun func()) *failure {
 	if r.route.Resumable {
 		reply.Header.Del("Content-Length") // the rest may come from another endpoint
 	}
@@ -40,6 +41,7 @@
 			return &failure{err: unknown(gooseberrypass.ReasonCut, "the stream moves to another endpoint"), moved: true, result: balancer.ResultInconclusive}
 		}
 		if event.id >= 0 || !r.route.Resumable {
+			begun()
 			watch.reset(r.eventTimeout(), context.DeadlineExceeded) // an event without an index may be all that a stalled endpoint sends
 		}
 	}
@@ -65,6 +67,9 @@
 	if e.id >= 0 && r.lastEvent >= 0 && e.id != r.lastEvent+1 {
 		return r.streamFailure(ctx, errors.Errorf("event %d after %d", e.id, r.lastEvent))
 	}
+	if r.started && reply.ModelVersion != r.version {
+		return otherVersion()
+	}
 	r.start(reply)
 	if err := r.w.Write(e.raw); err != nil {
 		return &failure{err: unknown(gooseberrypass.ReasonCut, err.Error()), result: balancer.ResultInconclusive}
@@ -75,6 +80,11 @@
 	return nil
 }
 
+// otherVersion returns the failure of a stream that would go on with another version.
+func otherVersion() *failure {
+	return &failure{err: unknown(gooseberrypass.ReasonCut, "another version goes on"), result: balancer.ResultInconclusive}
+}
+
 // eventTimeout returns how long the next event of a stream may take. A stream
 // that may be resumed gets less time, so that another endpoint can continue it.
 func (r *request) eventTimeout() time.Duration {
