Count requests without shared parts among prompts and suspects

What callers would see: engines that go on crashing under one part where most prompts share none, and sound parts refused for crashes under requests that share none.

Cause: requests without shared parts were left out. The part seemed to be in most requests, and requests in the queue were the only suspects of a crash under one that was left out.

Change: every request to a model is registered, with whatever parts it has.

Measured: TestRequestsWithoutPartsCount and TestCrashUnderRequestWithoutPartsBlamesNoPart failed before.

--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -57,8 +57,8 @@
 	}, nil
 }
 
-// A Prompt is a request as far as crashes are attributed to the parts of its prompt.
-// The zero Prompt has no parts that other requests share.
+// A Prompt is a request as far as crashes are attributed to the parts of its prompt. The
+// zero Prompt is a request without a prompt.
 type Prompt struct {
 	parts   []part
 	request uint64 // first eight bytes of the digest
@@ -68,9 +68,6 @@
 // Register counts a request to a service whose prompt has parts that other requests
 // may share.
 func (a *Attributor) Register(service gooseberrypass.ID, digest gooseberrypass.Digest, shared []string) Prompt {
-	if len(shared) == 0 {
-		return Prompt{}
-	}
 	shared = shared[:min(len(shared), maxPromptParts)]
 	p := Prompt{parts: make([]part, 0, len(shared)), request: digest.Prefix(), service: service}
 	a.mu.Lock()
@@ -169,7 +166,7 @@
 // attempt that had no event of an answer. begun tells that the endpoint had sent the
 // head of the answer.
 func (a *Attributor) RecordInterruption(p Prompt, endpoint gooseberrypass.ID, begun bool) {
-	if len(p.parts) == 0 {
+	if p.service == "" {
 		return
 	}
 	a.mu.Lock()
--- a/attributor/attributor_test.go
+++ b/attributor/attributor_test.go
@@ -209,3 +209,33 @@
 		t.Errorf("common part: got a quarantine of %s, want none", left)
 	}
 }
+
+// Requests whose prompts have no parts that others share make the other ones rare.
+func TestRequestsWithoutPartsCount(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a := newAttributor(t, clock, 1)
+	for i := range 500 {
+		a.Register(service, digestOf(-i-1), nil)
+	}
+	crashUnder(a, clock, 4, 1, "deadly")
+	if !isQuarantined(a, service, "deadly") {
+		t.Error("the only part under which endpoints crashed is not quarantined")
+	}
+}
+
+// Endpoints crash when they begin requests whose prompts share nothing: the requests that
+// wait behind them are not to blame.
+func TestCrashUnderRequestWithoutPartsBlamesNoPart(t *testing.T) {
+	a, clock := newWarm(t)
+	for i := range 8 {
+		endpoint := gooseberrypass.ID(fmt.Sprint("engine-", i))
+		queued := a.Register(service, digestOf(100+i), []string{"queued"})
+		cause := a.Register(service, digestOf(200+i), nil)
+		clock.Advance(100 * time.Millisecond)
+		a.RecordInterruption(queued, endpoint, false)
+		a.RecordInterruption(cause, endpoint, true)
+	}
+	if isQuarantined(a, service, "queued") {
+		t.Error("the part of the queued requests is quarantined")
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -138,7 +138,9 @@
 	}
 	r.digest, r.repeatDigest = r.proxyRequest.Digest(), r.proxyRequest.RepeatDigest()
 	r.refusedBefore = f.tracker.refusedRecently(r.repeatDigest)
-	r.prompt = f.tracker.Register(r.service, r.digest, r.proxyRequest.SharedParts)
+	if r.model != "" {
+		r.prompt = f.tracker.Register(r.service, r.digest, r.proxyRequest.SharedParts)
+	}
 	if f.tracker.isQuarantined(r.digest) {
 		return notRun(gooseberrypass.ReasonPoison, "the request broke endpoints before", 0)
 	}
