Pass on deletions that happened before a process's first read

Cause: the first read of a topic returns the newest record of every key and no deletions. Entry edge-norte-a-1 read up to offset 151, after the endpoint's record had been deleted; edge-norte-a-2 had read up to 144 and pulled six records for the seven offsets up to 151 from it. The same holds after a trim: a process that reads every key again notes a deletion under the offset of the deleted record, below those that are pulled.

Change: a process knows from which offset on it has every deletion, and answers a pull from before that with all its records and says that they are complete. The line 'pulled records from another process' has a field complete.

Ruled out: the pull (it asked from the right offset and got all that the other one had), the entry's state (no line named the endpoint after the pull). Topics looked at: the list of endpoints, the processes (the same fault; a deregistered process stayed in the lists of agents), the operator's records (keys are not deleted, and earlier versions are passed on by themselves).

--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -108,6 +108,7 @@
 
 // A topicRecords holds the records of one topic.
 type topicRecords struct {
+	complete   gooseberrypass.Offset                 // offset from which on every record is known, deletions included
 	knownSince map[string]time.Time                  // when any process first knew the record, by key
 	next       gooseberrypass.Offset                 // offset after the last known record
 	records    map[string]gooseberrypass.KeyedRecord // by key; a nil value is a tombstone
@@ -194,23 +195,29 @@
 	return ok
 }
 
-// RecordsFrom returns the records of a topic from an offset on, in the order of their
-// offsets, and the time from which each has been known. It must be called on the
-// control goroutine.
-func (m *Materializer) RecordsFrom(topic gooseberrypass.Topic, from gooseberrypass.Offset) ([]gooseberrypass.KeyedRecord, []time.Time) {
+// An Extract is a part of the records of a topic.
+type Extract struct {
+	Complete bool                         // it has every key, so that any other key has been deleted
+	Records  []gooseberrypass.KeyedRecord // in the order of their offsets
+	Since    []time.Time                  // when each record first became known to any process
+}
+
+// RecordsFrom returns the records of a topic from an offset on. If deletions after that
+// offset may be unknown here, it returns the records of all keys. It must be called on
+// the control goroutine.
+func (m *Materializer) RecordsFrom(topic gooseberrypass.Topic, from gooseberrypass.Offset) Extract {
 	t := m.topic(topic)
-	var records []gooseberrypass.KeyedRecord
+	extract := Extract{Complete: from < t.complete}
 	for _, r := range t.records {
-		if r.Offset >= from {
-			records = append(records, r)
+		if r.Offset >= from || extract.Complete {
+			extract.Records = append(extract.Records, r)
 		}
 	}
-	slices.SortFunc(records, func(a, b gooseberrypass.KeyedRecord) int { return int(int64(a.Offset) - int64(b.Offset)) })
-	since := make([]time.Time, 0, len(records))
-	for _, r := range records {
-		since = append(since, t.knownSince[r.Key])
+	slices.SortFunc(extract.Records, func(a, b gooseberrypass.KeyedRecord) int { return int(int64(a.Offset) - int64(b.Offset)) })
+	for _, r := range extract.Records {
+		extract.Since = append(extract.Since, t.knownSince[r.Key])
 	}
-	return records, since
+	return extract
 }
 
 // topic returns the records of a topic, and creates them for a new topic.
@@ -249,9 +256,9 @@
 	// available to that process.
 	inOutage := m.outage && e.Ages == nil
 	changed := false
-	seen := make(map[string]struct{}, len(e.Batch.Records))
+	exists := make(map[string]bool, len(e.Batch.Records))
 	for i, r := range e.Batch.Records {
-		seen[r.Key] = struct{}{}
+		exists[r.Key] = r.Value != nil
 		if held, ok := t.records[r.Key]; ok && held.Offset >= r.Offset {
 			continue
 		}
@@ -262,12 +269,15 @@
 	}
 	if e.Batch.Complete {
 		for key, held := range t.records {
-			if _, ok := seen[key]; !ok && held.Value != nil && held.Offset < e.Batch.Next {
+			if !exists[key] && held.Value != nil && held.Offset < e.Batch.Next {
 				held.Value = nil
 				t.records[key] = held
-				changed = m.applyRecord(now, e.Topic, held, inOutage) || changed
+				_, lapsed := e.Retained[key]
+				changed = m.applyRecord(now, e.Topic, held, inOutage || lapsed) || changed
 			}
 		}
+		// A read of every key returns no deletions.
+		t.complete = max(t.complete, e.Batch.Next)
 	}
 	m.earlier = append(m.earlier, e.Targets...)
 	changed = changed || len(e.Targets) > 0
--- a/replicator/pull.go
+++ b/replicator/pull.go
@@ -20,9 +20,10 @@
 // with many routes shrinks to a sixth of its size, and is sent to many processes
 // over low-bandwidth links.
 type document struct {
-	Next    gooseberrypass.Offset
-	Records []agedRecord
-	Targets []gooseberrypass.AgedTarget // versions named so far; the store keeps only the record of the newest
+	Complete bool // Records has every key, so that any other key below Next has been deleted
+	Next     gooseberrypass.Offset
+	Records  []agedRecord
+	Targets  []gooseberrypass.AgedTarget // versions named so far; the store keeps only the record of the newest
 }
 
 // An agedRecord is a record with its age.
@@ -36,7 +37,7 @@
 // event returns the event that a local read of the same records would cause, with
 // the ages of the records.
 func (d document) event(topic gooseberrypass.Topic) gooseberrypass.TopicChanged {
-	e := gooseberrypass.TopicChanged{Targets: d.Targets, Ages: []time.Duration{}, Batch: gooseberrypass.KeyedBatch{Next: d.Next}, Retained: map[string]struct{}{}, Topic: topic}
+	e := gooseberrypass.TopicChanged{Targets: d.Targets, Ages: []time.Duration{}, Batch: gooseberrypass.KeyedBatch{Complete: d.Complete, Next: d.Next}, Retained: map[string]struct{}{}, Topic: topic}
 	for _, a := range d.Records {
 		if !a.Dropped && a.Record.Value == nil {
 			a.Record.Value = []byte{}
@@ -134,14 +135,14 @@
 	if !ok {
 		return nil
 	}
-	records, since := r.materializer.RecordsFrom(e.topic, e.from)
-	d := document{Next: r.materializer.NextOffset(e.topic)}
+	extract := r.materializer.RecordsFrom(e.topic, e.from)
+	d := document{Complete: extract.Complete, Next: r.materializer.NextOffset(e.topic)}
 	if e.topic == gooseberrypass.TopicOperator {
 		d.Targets = r.materializer.AgedTargets(now)
 	}
-	for i, record := range records {
+	for i, record := range extract.Records {
 		d.Records = append(d.Records, agedRecord{
-			Age: now.Sub(since[i]), Dropped: record.Value == nil, Lapsed: e.topic == gooseberrypass.TopicEndpoints && r.materializer.Retained(record.Key), Record: record,
+			Age: now.Sub(extract.Since[i]), Dropped: record.Value == nil, Lapsed: e.topic == gooseberrypass.TopicEndpoints && r.materializer.Retained(record.Key), Record: record,
 		})
 	}
 	e.response <- d
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -358,7 +358,7 @@
 		r.logger.WithError(e.err).WithField("peer", e.peer).WithField("topic", e.topic).Info("pulling records from another process failed")
 		return nil
 	}
-	r.logger.WithFields(logrus.Fields{"peer": e.peer, "topic": e.topic, "next": e.document.Next, "records": len(e.document.Records)}).Info("pulled records from another process")
+	r.logger.WithFields(logrus.Fields{"peer": e.peer, "topic": e.topic, "next": e.document.Next, "complete": e.document.Complete, "records": len(e.document.Records)}).Info("pulled records from another process")
 	return []gooseberrypass.Effect{redispatch{event: e.document.event(e.topic)}}
 }
 
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -25,8 +24,8 @@
 	return gooseberrypass.NewDeployment(int64(r.Offset), nil, nil, nil, gooseberrypass.CallerLimits{}), nil
 }
 
-func (decoder) Endpoint(gooseberrypass.KeyedRecord) (gooseberrypass.Endpoint, error) {
-	return gooseberrypass.Endpoint{}, errors.New("none")
+func (decoder) Endpoint(r gooseberrypass.KeyedRecord) (gooseberrypass.Endpoint, error) {
+	return gooseberrypass.Endpoint{ID: gooseberrypass.ID(r.Key), Leaving: string(r.Value) == "leaving"}, nil
 }
 
 func (decoder) Target(r gooseberrypass.KeyedRecord) (gooseberrypass.ModelTarget, bool, error) {
@@ -237,7 +236,7 @@
 	}}, Topic: gooseberrypass.TopicOperator})
 	address := from.serve(t)
 	to.handle(messageFromAhead(address))
-	records, _ := to.materializer.RecordsFrom(gooseberrypass.TopicOperator, 0)
+	records := to.materializer.RecordsFrom(gooseberrypass.TopicOperator, 0).Records
 	if got, want := len(records), 2; got != want {
 		t.Fatalf("records: got %d, want %d", got, want)
 	}
