Tell an outage of the store from one of an entry's own reads

Cause: an entry that was cut off for 5.5 s read again 1.2 s after the end of the cut and found the record of an endpoint deleted. The guard of removeEndpoint asked its own copy, as old as the cut, and took the deletion for a record that had expired because nobody could renew it. But the store had worked all the time, and the three other entries had removed the endpoint half a second before.

Change: entries tell in each message how old their last read is. If another one read while the own reads failed, a deletion removes the endpoint at once. If others that should read are heard and none can, records of running endpoints may have expired, and they are retained until 2.5 s after the first read that anybody reports. If neither is known, an endpoint is retained only while the process is exempt from the bounds, which the start of its last failed read shows (new field of TopicRead). What remains of a retention is passed on with the record instead of beginning anew, and a process that heard that the list is readable does not retain for another one. A key that another process merely lacks is no deletion in an outage. The lines on removals say what decided.

Ruled out, without a play: a shorter retention for all (running endpoints that expired would be lost), deciding by the kind of error of the failed read (a cut and a silent store look alike), removing all at once when nobody is heard.

--- a/deployment.go
+++ b/deployment.go
@@ -180,6 +180,7 @@
 	Address       string
 	FailureDomain FailureDomain
 	ID            ID
+	Lapsed        bool // its record expired during an outage of the list, it may be gone
 	Leaving       bool
 	Models        map[string]int // loaded version of each model
 	Service       ID
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -80,8 +80,9 @@
 			continue
 		}
 		pause := f.settings.Pause
+		started := f.clock.Now()
 		if err := f.read(ctx); err != nil && ctx.Err() == nil {
-			f.recordFailure(err)
+			f.recordFailure(started, err)
 			pause = f.retryDelay()
 		} else if f.settings.Once {
 			<-ctx.Done()
@@ -174,11 +175,11 @@
 }
 
 // recordFailure logs the first of several failed reads and posts the error.
-func (f *Follower) recordFailure(err error) {
+func (f *Follower) recordFailure(started time.Time, err error) {
 	f.reads.WithLabelValues(string(f.topic), "failed").Inc()
 	f.failures++
 	if f.failures == 1 {
 		f.logger.WithError(err).WithField("next", f.next).Warn("reading the topic failed")
 	}
-	f.post(gooseberrypass.TopicRead{Err: err, Topic: f.topic})
+	f.post(gooseberrypass.TopicRead{Err: err, Started: started, Topic: f.topic})
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -206,3 +206,42 @@
 		t.Errorf("got %d checks for another reader, want at least 3", checks)
 	}
 }
+
+// A slowLog takes a while to fail.
+type slowLog struct {
+	log
+	clock *clockwork.FakeClock
+	takes time.Duration
+}
+
+func (l *slowLog) Newest(ctx context.Context, topic gooseberrypass.Topic) (gooseberrypass.KeyedBatch, error) {
+	l.clock.Advance(l.takes)
+	return l.log.Newest(ctx, topic)
+}
+
+// What a failed read shows of an outage holds from its start on.
+func TestStartOfAFailedReadIsReported(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	clock := clockwork.NewFakeClock()
+	began := clock.Now()
+	l := &slowLog{clock: clock, log: log{cancel: cancel, reads: []read{{err: errors.New("no answer")}}}, takes: 2 * time.Second}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	counts, err := follower.NewReadCounter(prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var reads []gooseberrypass.TopicRead
+	post := func(e gooseberrypass.Event) {
+		if r, ok := e.(gooseberrypass.TopicRead); ok {
+			reads = append(reads, r)
+		}
+	}
+	if err := follower.New(clock, l, "t", follower.Settings{}, post, counts, logger).Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if len(reads) != 1 || reads[0].Err == nil || !reads[0].Started.Equal(began) {
+		t.Errorf("reads: got %+v, want a failed one that began at %s", reads, began)
+	}
+}
--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -103,6 +103,8 @@
 // Settings configure a Materializer.
 type Settings struct {
 	AssumedAge time.Duration // assumed age of versions that were named before the process started
+	Exemption  time.Duration // time after an outage of its reads for which the process is exempt from the bounds
+	MaxListAge time.Duration // age of the last read of the endpoint list up to which a process counts as able to read
 	Retention  time.Duration // time after an outage for which endpoints removed during it are retained
 }
 
@@ -132,8 +134,8 @@
 	listeners   []gooseberrypass.Controller
 	logger      logrus.FieldLogger
 	offsets     atomic.Pointer[map[gooseberrypass.Topic]gooseberrypass.Offset] // next offset of each topic
-	outage      bool                                                           // the last read of the endpoints failed
-	retained    map[string]time.Time                                           // endpoints removed during an outage and the end of their retention, by key
+	outage      outage
+	retained    map[string]time.Time // endpoints removed during an outage and the end of their retention, by key
 	settings    Settings
 	snapshot    atomic.Pointer[Snapshot]
 	topics      map[gooseberrypass.Topic]*topicRecords
@@ -189,10 +191,17 @@
 }
 
 // Retained reports whether an endpoint is retained although its record was removed
-// during an outage. It must be called on the control goroutine.
-func (m *Materializer) Retained(key string) bool {
-	_, ok := m.retained[key]
-	return ok
+// during an outage, and for how much longer. It must be called on the control goroutine.
+func (m *Materializer) Retained(now time.Time, key string) (time.Duration, bool) {
+	until, ok := m.retained[key]
+	return max(until.Sub(now), 0), ok
+}
+
+// ObserveRead records that another process last read the list of endpoints age ago. near
+// reports whether it is of the own region and would take over the reads. ObserveRead must
+// be called on the control goroutine.
+func (m *Materializer) ObserveRead(now time.Time, age time.Duration, near bool) {
+	m.outage.observe(now, age, m.settings.MaxListAge, near)
 }
 
 // An Extract is a part of the records of a topic.
@@ -237,7 +246,7 @@
 	case gooseberrypass.TopicChanged:
 		changed = m.merge(now, e)
 	case gooseberrypass.TopicRead:
-		m.recordOutage(e)
+		m.recordOutage(now, e)
 	case gooseberrypass.Tick:
 		changed = m.expire(now)
 	}
@@ -251,10 +260,6 @@
 // whether the snapshot changes.
 func (m *Materializer) merge(now time.Time, e gooseberrypass.TopicChanged) bool {
 	t := m.topic(e.Topic)
-	// The read that ends an outage brings the removals that happened during it.
-	// Removals received from another process happened while the store was
-	// available to that process.
-	inOutage := m.outage && e.Ages == nil
 	changed := false
 	exists := make(map[string]bool, len(e.Batch.Records))
 	for i, r := range e.Batch.Records {
@@ -264,16 +269,14 @@
 		}
 		t.records[r.Key] = r
 		t.knownSince[r.Key] = now.Add(-m.recordAge(e, i))
-		_, lapsed := e.Retained[r.Key]
-		changed = m.applyRecord(now, e.Topic, r, inOutage || lapsed) || changed
+		changed = m.applyRecord(now, e.Topic, r, m.retention(now, e, r.Key)) || changed
 	}
 	if e.Batch.Complete {
 		for key, held := range t.records {
 			if !exists[key] && held.Value != nil && held.Offset < e.Batch.Next {
 				held.Value = nil
 				t.records[key] = held
-				_, lapsed := e.Retained[key]
-				changed = m.applyRecord(now, e.Topic, held, inOutage || lapsed) || changed
+				changed = m.applyRecord(now, e.Topic, held, m.retention(now, e, key)) || changed
 			}
 		}
 		// A read of every key returns no deletions.
@@ -303,7 +306,7 @@
 }
 
 // applyRecord applies a new record and reports whether the snapshot changes.
-func (m *Materializer) applyRecord(now time.Time, topic gooseberrypass.Topic, r gooseberrypass.KeyedRecord, inOutage bool) bool {
+func (m *Materializer) applyRecord(now time.Time, topic gooseberrypass.Topic, r gooseberrypass.KeyedRecord, retention time.Duration) bool {
 	if topic == gooseberrypass.TopicProcesses {
 		return true
 	}
@@ -313,7 +316,7 @@
 	}
 	held, known := m.endpoints[r.Key]
 	if r.Value == nil {
-		return known && m.removeEndpoint(now, r.Key, held, inOutage)
+		return known && m.removeEndpoint(now, r.Key, held, retention)
 	}
 	endpoint, err := m.decoder.Endpoint(r)
 	if err != nil {
@@ -331,36 +334,60 @@
 	return true
 }
 
+// retention returns for how long an endpoint is retained whose record an event removes,
+// 0 if it is not.
+func (m *Materializer) retention(now time.Time, e gooseberrypass.TopicChanged, key string) time.Duration {
+	if e.Topic != gooseberrypass.TopicEndpoints || m.outage.isAvailable(now, m.settings) {
+		return 0
+	}
+	if keptFor, ok := e.Retained[key]; ok {
+		return min(keptFor, m.settings.Retention)
+	}
+	// The read that ends an outage brings the removals that happened during it.
+	// Another process received them while it could read the store, unless it has
+	// started since and merely lacks the key.
+	if !m.outage.failing || e.Ages != nil && hasKey(e.Batch, key) {
+		return 0
+	}
+	return m.outage.retention(now, m.settings)
+}
+
+func hasKey(batch gooseberrypass.KeyedBatch, key string) bool {
+	return slices.ContainsFunc(batch.Records, func(r gooseberrypass.KeyedRecord) bool { return r.Key == key })
+}
+
 // removeEndpoint removes an endpoint. An endpoint whose record was removed during
 // an outage is retained for a while instead, because it may be running and
 // register again.
-func (m *Materializer) removeEndpoint(now time.Time, key string, held gooseberrypass.Endpoint, inOutage bool) bool {
+func (m *Materializer) removeEndpoint(now time.Time, key string, held gooseberrypass.Endpoint, retention time.Duration) bool {
 	if _, ok := m.retained[key]; ok {
 		return false
 	}
-	if inOutage && !held.Leaving {
-		m.retained[key] = now.Add(m.settings.Retention)
-		m.logger.WithField("endpoint", held.ID).WithField("kept_for", m.settings.Retention).Info("endpoint record removed during an outage, retaining the endpoint")
-		return false
+	logger := m.logger.WithFields(m.outage.fields(now, m.settings)).WithField("endpoint", held.ID)
+	if retention > 0 && !held.Leaving {
+		m.retained[key] = now.Add(retention)
+		held.Lapsed = true
+		m.endpoints[key] = held
+		logger.WithField("kept_for", retention).Info("endpoint record removed during an outage, retaining the endpoint")
+		return true
 	}
 	delete(m.endpoints, key)
-	m.logger.WithField("endpoint", held.ID).Info("endpoint removed")
+	logger.Info("endpoint removed")
 	return true
 }
 
 // equalEndpoints reports whether two records describe an endpoint in the same
 // way.
 func equalEndpoints(a, b gooseberrypass.Endpoint) bool {
-	return a.Address == b.Address && a.Leaving == b.Leaving && a.Service == b.Service && a.Slots == b.Slots &&
+	return a.Address == b.Address && a.Lapsed == b.Lapsed && a.Leaving == b.Leaving && a.Service == b.Service && a.Slots == b.Slots &&
 		a.FailureDomain == b.FailureDomain && maps.Equal(a.Models, b.Models)
 }
 
 // recordOutage records whether the last read of the endpoints failed.
-func (m *Materializer) recordOutage(e gooseberrypass.TopicRead) {
-	if e.Topic != gooseberrypass.TopicEndpoints {
-		return
+func (m *Materializer) recordOutage(now time.Time, e gooseberrypass.TopicRead) {
+	if e.Topic == gooseberrypass.TopicEndpoints {
+		m.outage.record(now, e)
 	}
-	m.outage = e.Err != nil
 }
 
 // expire removes the retained endpoints that did not register again after an
@@ -368,7 +395,7 @@
 func (m *Materializer) expire(now time.Time) bool {
 	changed := false
 	for key, until := range m.retained {
-		if m.outage || now.Before(until) {
+		if now.Before(until) || m.outage.failing && !m.outage.isOwn(now, m.settings) {
 			continue
 		}
 		delete(m.retained, key)
--- a/materializer/materializer_test.go
+++ b/materializer/materializer_test.go
@@ -42,6 +42,8 @@
 
 const (
 	assumedAge = 5 * time.Second
+	exemption  = 7 * time.Second
+	maxListAge = time.Second
 	retention  = 2 * time.Second
 )
 
@@ -51,7 +53,7 @@
 func newMaterializer() *materializer.Materializer {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return materializer.New(textDecoder{}, materializer.Settings{AssumedAge: assumedAge, Retention: retention}, log)
+	return materializer.New(textDecoder{}, materializer.Settings{AssumedAge: assumedAge, Exemption: exemption, MaxListAge: maxListAge, Retention: retention}, log)
 }
 
 func record(key, value string, offset gooseberrypass.Offset) gooseberrypass.KeyedRecord {
@@ -208,7 +210,7 @@
 	m.Handle(startTime, gooseberrypass.TopicChanged{
 		Ages:     []time.Duration{0, 0},
 		Batch:    gooseberrypass.KeyedBatch{Next: 4, Records: []gooseberrypass.KeyedRecord{record("kept", "", 2), record("gone", "", 3)}},
-		Retained: map[string]struct{}{"kept": {}}, Topic: gooseberrypass.TopicEndpoints,
+		Retained: map[string]time.Duration{"kept": retention}, Topic: gooseberrypass.TopicEndpoints,
 	})
 	if got := m.Snapshot().Endpoints; len(got) != 1 || got[0].ID != "kept" {
 		t.Errorf("endpoints: got %v, want the retained one", got)
--- a/replicator/pull.go
+++ b/replicator/pull.go
@@ -30,6 +30,7 @@
 type agedRecord struct {
 	Age     time.Duration // time since the record first became known to any process
 	Dropped bool          // the key was deleted; gob does not distinguish a nil value from an empty one
+	KeptFor time.Duration // rest of the retention of an endpoint with Lapsed
 	Lapsed  bool          // the endpoint is kept although its record expired during an outage
 	Record  gooseberrypass.KeyedRecord
 }
@@ -37,13 +38,13 @@
 // event returns the event that a local read of the same records would cause, with
 // the ages of the records.
 func (d document) event(topic gooseberrypass.Topic) gooseberrypass.TopicChanged {
-	e := gooseberrypass.TopicChanged{Targets: d.Targets, Ages: []time.Duration{}, Batch: gooseberrypass.KeyedBatch{Complete: d.Complete, Next: d.Next}, Retained: map[string]struct{}{}, Topic: topic}
+	e := gooseberrypass.TopicChanged{Targets: d.Targets, Ages: []time.Duration{}, Batch: gooseberrypass.KeyedBatch{Complete: d.Complete, Next: d.Next}, Retained: map[string]time.Duration{}, Topic: topic}
 	for _, a := range d.Records {
 		if !a.Dropped && a.Record.Value == nil {
 			a.Record.Value = []byte{}
 		}
 		if a.Lapsed {
-			e.Retained[a.Record.Key] = struct{}{}
+			e.Retained[a.Record.Key] = a.KeptFor
 		}
 		e.Ages = append(e.Ages, a.Age)
 		e.Batch.Records = append(e.Batch.Records, a.Record)
@@ -141,8 +142,13 @@
 		d.Targets = r.materializer.AgedTargets(now)
 	}
 	for i, record := range extract.Records {
+		var keptFor time.Duration
+		lapsed := false
+		if e.topic == gooseberrypass.TopicEndpoints {
+			keptFor, lapsed = r.materializer.Retained(now, record.Key)
+		}
 		d.Records = append(d.Records, agedRecord{
-			Age: now.Sub(extract.Since[i]), Dropped: record.Value == nil, Lapsed: e.topic == gooseberrypass.TopicEndpoints && r.materializer.Retained(record.Key), Record: record,
+			Age: now.Sub(extract.Since[i]), Dropped: record.Value == nil, KeptFor: keptFor, Lapsed: lapsed, Record: record,
 		})
 	}
 	e.response <- d
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -267,6 +267,7 @@
 	if r.loads != nil {
 		if m.Role == gooseberrypass.RoleEntry {
 			r.recordReader(now, m)
+			r.materializer.ObserveRead(now, m.ListAge, m.Region == r.self.Region)
 			r.history.SetCrashCounts(m.From, m.CrashCounts)
 			r.history.SetRefused(m.Refused)
 			r.loads.SetEntryLoads(now, m.From, m.Loads)
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -100,7 +100,7 @@
 			{Name: "retry-ratio", Required: true, Type: checker.Float(0, 10), Doc: "Retries that a service may get in the window, as a ratio of its requests."},
 			{Name: "retry-slack", Required: true, Type: checker.Float(0, 1e6), Doc: "Retries beyond the ratio in the window, by all entries together."},
 			{Name: "retry-window", Required: true, Type: checker.Duration(time.Second, longest), Doc: "Window in which requests and retries are counted."},
-			{Name: "stable", Required: true, Type: checker.Duration(0, longest), Doc: "Time after its start for which a process is exempt from the bounds."},
+			{Name: "stable", Required: true, Type: checker.Duration(0, longest), Doc: "Time after its start, or after its path to the store was disrupted, for which a process is exempt from the bounds."},
 			{Name: "version", Required: true, Type: checker.Duration(time.Second, longest), Doc: "Time after a version is named until the last request may begin on an older one."},
 		},
 	}
@@ -322,7 +322,7 @@
 
 func (s *MachineSettings) materializerSettings() materializer.Settings {
 	version, stable := s.duration(sectionBounds, "version"), s.duration(sectionBounds, "stable")
-	return materializer.Settings{AssumedAge: max(version-stable, 0), Retention: s.duration(sectionBounds, "lapse")}
+	return materializer.Settings{AssumedAge: max(version-stable, 0), Exemption: stable, MaxListAge: maxListAge, Retention: s.duration(sectionBounds, "lapse")}
 }
 
 // pullTimeout is the time limit of a pull of records from another process, and how
--- a/topic.go
+++ b/topic.go
@@ -56,9 +56,9 @@
 type TopicChanged struct {
 	Ages      []time.Duration // time since each record first became known to any process; nil if this process read them from the log
 	Batch     KeyedBatch
-	FirstRead bool                // first read of this process, whose records may be of any age
-	Retained  map[string]struct{} // keys that another process keeps although their records expired during an outage
-	Targets   []AgedTarget        // versions that another process knows; the log keeps only the record of the newest
+	FirstRead bool                     // first read of this process, whose records may be of any age
+	Retained  map[string]time.Duration // keys that another process keeps although their records expired during an outage, with the rest of their retention
+	Targets   []AgedTarget             // versions that another process knows; the log keeps only the record of the newest
 	Topic     Topic
 }
 
@@ -68,8 +68,9 @@
 // A TopicRead is the event that a read of a topic ended. Err is nil if it succeeded,
 // whether or not it returned records.
 type TopicRead struct {
-	Err   error
-	Topic Topic
+	Err     error
+	Started time.Time // when a failed read began
+	Topic   Topic
 }
 
 // EventName implements Event.
