Send work to endpoints that may be gone only if no other one has room

Callers saw: nothing yet; the case is the retention of endpoints whose records expired in an outage. Some of them have left, and requests sent there fail or come later than the bound for leaving endpoints.

Change: the balancer compares retained endpoints only if no other endpoint of the service, of whatever region, is available.

--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -10,12 +10,16 @@
 
 // best returns the available endpoint with the lowest cost among those compared, nil
 // if none is available, and the number of endpoints seen in each state. Silent
-// endpoints are available only with allowSilent.
+// endpoints are available only with allowSilent, and those whose records have lapsed
+// only if no other one is available.
 func (b *Balancer) best(now time.Time, q Query, allowSilent bool) (*endpoint, stateCounts) {
 	c := comparison{allowSilent: allowSilent, counts: stateCounts{required: b.requiredVersion(now, q.Model)}, now: now, query: q}
 	if p := b.services[q.Service]; p != nil {
 		b.compare(&c, p.local, b.sharers(false))
 		b.compare(&c, p.remote, b.sharers(true))
+		if c.best == nil {
+			b.compare(&c, p.lapsed, b.sharers(true))
+		}
 	}
 	return c.best, c.counts
 }
--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -4,16 +4,20 @@
 
 // A pool holds the endpoints of one service. Choosing shuffles them.
 type pool struct {
+	lapsed []*endpoint // in any region; they may be gone
 	local  []*endpoint // in this entry's region
 	remote []*endpoint
 }
 
 func (p *pool) add(e *endpoint) {
-	if e.remote {
+	switch {
+	case e.listed.Lapsed:
+		p.lapsed = append(p.lapsed, e)
+	case e.remote:
 		p.remote = append(p.remote, e)
-		return
+	default:
+		p.local = append(p.local, e)
 	}
-	p.local = append(p.local, e)
 }
 
 // len returns the number of endpoints.
@@ -21,7 +25,7 @@
 	if p == nil {
 		return 0
 	}
-	return len(p.local) + len(p.remote)
+	return len(p.lapsed) + len(p.local) + len(p.remote)
 }
 
 // pick moves a random endpoint of those from i on to i and returns it, so that
