--- a/materializer/versions_test.go
+++ b/materializer/versions_test.go
@@ -86,11 +86,11 @@
 	if from.next() <= r.next() {
 		return
 	}
-	records, since := from.m.RecordsFrom(gooseberrypass.TopicOperator, r.next())
+	extract := from.m.RecordsFrom(gooseberrypass.TopicOperator, r.next())
 	e := gooseberrypass.TopicChanged{
-		Ages: []time.Duration{}, Batch: gooseberrypass.KeyedBatch{Next: from.next(), Records: records}, Targets: from.m.AgedTargets(now), Topic: gooseberrypass.TopicOperator,
+		Ages: []time.Duration{}, Batch: gooseberrypass.KeyedBatch{Complete: extract.Complete, Next: from.next(), Records: extract.Records}, Targets: from.m.AgedTargets(now), Topic: gooseberrypass.TopicOperator,
 	}
-	for _, at := range since {
+	for _, at := range extract.Since {
 		e.Ages = append(e.Ages, now.Sub(at))
 	}
 	r.m.Handle(now, e)
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -282,6 +282,7 @@
 		if m.Role == gooseberrypass.RoleEntry {
 			r.recordReader(now, m)
 			r.history.AddCrashEvidence(m.From, m.CrashEvidence)
+			r.materializer.ObserveRead(now, m.ListAge, m.Region == r.self.Region)
 			r.history.SetCrashCounts(m.From, m.CrashCounts)
 			r.history.SetRefused(m.Refused)
 			r.loads.SetEntryLoads(now, m.From, m.Loads)
@@ -377,7 +378,7 @@
 		r.logger.WithError(e.err).WithField("peer", e.peer).WithField("topic", e.topic).Info("pulling records from another process failed")
 		return nil
 	}
-	r.logger.WithFields(logrus.Fields{"peer": e.peer, "topic": e.topic, "next": e.document.Next, "records": len(e.document.Records)}).Info("pulled records from another process")
+	r.logger.WithFields(logrus.Fields{"peer": e.peer, "topic": e.topic, "next": e.document.Next, "complete": e.document.Complete, "records": len(e.document.Records)}).Info("pulled records from another process")
 	return []gooseberrypass.Effect{redispatch{event: e.document.event(e.topic)}}
 }
 
