Tell the counts of parts for a short time after crashes only

Messages between entries carried up to 64 counts for the five minutes for which the evidence of a crash is kept, about 1 KB ten times a second to each entry of the region. They carry them for 3 s after a crash now, as the interruptions themselves; other entries use what they heard for 20 s.

TestEvidenceIsToldForAShortTime; the other tests of the package passed.

--- a/attributor/attributor_test.go
+++ b/attributor/attributor_test.go
@@ -239,3 +239,19 @@
 		t.Error("the part of the queued requests is quarantined")
 	}
 }
+
+// Messages between entries are small again soon after a crash, although its evidence is
+// kept for minutes.
+func TestEvidenceIsToldForAShortTime(t *testing.T) {
+	a, clock := newWarm(t)
+	crashUnder(a, clock, 2, 1, "rare")
+	e := a.CrashEvidence()
+	if len(e.Counts) == 0 || len(e.Interruptions) == 0 || len(e.Requests) == 0 {
+		t.Errorf("after a crash: got %+v, want interruptions and counts", e)
+	}
+	clock.Advance(4 * time.Second)
+	e = a.CrashEvidence()
+	if len(e.Answers)+len(e.Counts)+len(e.Interruptions)+len(e.Requests) > 0 {
+		t.Errorf("4 s later: got %+v, want nothing", e)
+	}
+}
--- a/attributor/exchange.go
+++ b/attributor/exchange.go
@@ -20,10 +20,10 @@
 // of sending. Parts and requests are identified by hashes.
 type Evidence struct {
 	Answers       []Answer
-	Counts        []Count // of parts under suspicion
+	Counts        []Count // of parts under suspicion, shortly after a crash
 	Interruptions []Interruption
 	Quarantines   []Quarantine
-	Requests      []Total // by service, if any part is under suspicion
+	Requests      []Total // by service, with Counts
 }
 
 // A Count is the number of recent requests with a part.
@@ -74,7 +74,7 @@
 			Age: now.Sub(i.at), Begun: i.begun, Endpoint: i.endpoint, Parts: a.rarest(i.parts), Request: i.request, Service: i.service,
 		})
 	}
-	a.addCounts(&e)
+	a.addCounts(now, &e)
 	for key, q := range a.quarantines {
 		if len(e.Quarantines) < maxShared && now.Before(q.until) {
 			e.Quarantines = append(e.Quarantines, Quarantine{Age: now.Sub(q.since), Count: q.count, Part: uint64(key)})
@@ -95,9 +95,10 @@
 }
 
 // addCounts adds the counts by which other entries tell common parts from rare ones: first
-// of the parts that they hear of in the same message.
-func (a *Attributor) addCounts(e *Evidence) {
-	if len(a.suspected) == 0 {
+// of the parts that they hear of in the same message. They are told for shareTime after a
+// crash.
+func (a *Attributor) addCounts(now time.Time, e *Evidence) {
+	if !slices.ContainsFunc(a.crashes, func(c *crash) bool { return now.Sub(c.at) <= shareTime }) {
 		return
 	}
 	for service := range a.parts.services {
@@ -165,8 +166,8 @@
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	a.addReport(now, from, e)
-	for _, b := range e.Answers {
-		a.recordAnswer(part(b.Part), now.Add(-b.Age))
+	for _, t := range e.Answers {
+		a.recordAnswer(part(t.Part), now.Add(-t.Age))
 	}
 	for _, q := range e.Quarantines {
 		a.adoptQuarantine(part(q.Part), now.Add(-q.Age), q.Count)
