Count lapsed endpoints when most endpoints are silent

Callers saw: nothing yet. After an outage of the store in which all records expired, a process that was suspended takes every endpoint for lost, withdraws all its requests and spends the retry budget on their repeats.

Cause: EndpointLost counts the local and the remote endpoints. Since retained endpoints have a group of their own, they are missing there; with none in the other groups, 0 of 0 endpoints are silent, which counts as few.

Evidence: TestSilenceOfMostLapsedEndpointsLosesNone failed before.

--- a/balancer/ticket.go
+++ b/balancer/ticket.go
@@ -103,7 +103,7 @@
 		return true
 	}
 	used, silent := 0, 0
-	for _, group := range [][]*endpoint{p.local, p.remote} {
+	for _, group := range [][]*endpoint{p.lapsed, p.local, p.remote} {
 		for _, e := range group {
 			if e.own.Requests == 0 {
 				continue
