Treat a resumed stream that names a version and has no events as broken off

What callers would see: a stream that ends as complete before its last event, if it is resumed at an engine that crashes right after the head of an answer with neither a length nor chunks.

Cause: such an answer counted as whole if the caller has events, as an engine with nothing left to send looks the same.

TestResumedStreamWithoutEventsHasBrokenOff failed before. The rest in TestStreamWithoutEventsThatIsWhole named a version, which no engine with nothing left does; it names none now and must still be whole.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -48,10 +48,11 @@
 }
 
 // nextEvent returns the next event of a stream. A stream that has no events and ends with
-// its connection has broken off: a crash after the head looks the same.
+// its connection has broken off: a crash after the head looks the same. Only an endpoint
+// that names no version may have nothing left of a stream that is resumed.
 func (r *request) nextEvent(events *eventReader, reply *gooseberrypass.Reply) (event, error) {
 	ev, err := events.next()
-	if errors.Is(err, io.EOF) && reply.Unframed && r.progress != progressContent && r.lastEvent < 0 {
+	if errors.Is(err, io.EOF) && reply.Unframed && r.progress != progressContent && (r.lastEvent < 0 || reply.ModelVersion != 0) {
 		return ev, io.ErrUnexpectedEOF
 	}
 	return ev, err
