--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -23,7 +23,7 @@
 // An Attributor records which requests endpoints crashed under, here and at other
 // entries, and quarantines the parts of prompts that explain the crashes: endpoints
 // crashed under several requests with the part, more often than the part's share of
-// the requests explains, and none has begun an answer on it since the first of them.
+// the requests explains, and none has answered on it since the first of them.
 // It is safe for concurrent use.
 type Attributor struct {
 	clock    gooseberrypass.Clock
@@ -33,13 +33,13 @@
 
 	mu          sync.Mutex
 	crashes     []*crash // the newest last
+	judgedAt    time.Time
 	own         []interruption
 	parts       *partTable
-	released    map[part]time.Time // until when other entries are told of the answer that released a part
-	pending     bool               // crashes have changed since the last judgement
-	judgedAt    time.Time
-	reports     map[gooseberrypass.ID]report // counts of other entries
+	pending     bool // crashes have changed since the last judgement
 	quarantines map[part]quarantine
+	released    map[part]time.Time           // until when other entries are told of the answer that released a part
+	reports     map[gooseberrypass.ID]report // counts of other entries
 	rng         *rand.Rand
 	suspected   map[part]gooseberrypass.ID // services of the parts that crashes put under suspicion, nil if not up to date
 }
@@ -65,8 +65,8 @@
 	service gooseberrypass.ID
 }
 
-// Register counts a request to a service whose prompt has parts that other requests
-// may share.
+// Register counts a request to a service. shared are the parts of its prompt that other
+// requests may have.
 func (a *Attributor) Register(service gooseberrypass.ID, digest gooseberrypass.Digest, shared []string) Prompt {
 	shared = shared[:min(len(shared), maxPromptParts)]
 	p := Prompt{parts: make([]part, 0, len(shared)), request: digest.Prefix(), service: service}
@@ -183,7 +183,7 @@
 	a.judge(now)
 }
 
-// judgeInterval is the shortest time between two judgements, for which all requests wait.
+// judgeInterval is the shortest time between two judgements, during which requests wait.
 const judgeInterval = 50 * time.Millisecond
 
 // judge quarantines the parts that explain the crashes, the most likely one first.
--- a/attributor/cause.go
+++ b/attributor/cause.go
@@ -23,7 +23,7 @@
 	chance float64 // probability that the hits are a coincidence
 	hits   int     // crashes under requests with the part, each under another request
 	part   part
-	trials int // crashes since an endpoint last began an answer on the part
+	trials int // crashes since the last answer on the part
 }
 
 // mostLikelyCause returns the convincing candidate whose crashes are least likely a
--- a/balancer/ticket.go
+++ b/balancer/ticket.go
@@ -15,7 +15,7 @@
 	inFlight        int
 	model           string                 // "" for a plain service
 	mustBegin       time.Time              // latest begin on the endpoint's version, zero for none
-	onMustBegin     func(latest time.Time) // nil if nobody waits for the request to begin
+	onMustBegin     func(latest time.Time) // set by WatchMustBegin
 	target          gooseberrypass.Endpoint
 	unread          int // prompt tokens, 0 after the first event
 	version         int // version of the model at the endpoint when it was chosen
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -34,7 +34,7 @@
 	Refused        []uint64                                       // requests that an entry has just refused for load
 	Region         gooseberrypass.Region
 	Role           gooseberrypass.Role
-	Targets        []gooseberrypass.AgedTarget // versions that an entry has seen being named of late, or has heard so
+	Targets        []gooseberrypass.AgedTarget // versions named of late, as this entry saw it or was told
 }
 
 // Received is the event that a message was received.
