Read ages in one place, and check started streams for quarantines no more

The age of a named version is decoded as those of crash evidence are, within the same bound. A stream that has begun was looked up among the quarantined parts for nothing, and counted as refused in gooseberrypass_attribution_refused_total though it went on. A method that only called another one is gone.

No decision changes.

--- a/attributor/exchange.go
+++ b/attributor/exchange.go
@@ -183,7 +183,7 @@
 	parts := make([]part, 0, min(len(i.Parts), maxSharedParts))
 	for _, key := range i.Parts[:cap(parts)] {
 		parts = append(parts, part(key))
-		a.parts.track(part(key))
+		a.parts.record(part(key)) // so that answers can clear it
 	}
 	return interruption{at: now.Add(-min(i.Age, shareTime)), begun: i.Begun, endpoint: i.Endpoint, entry: from, parts: parts, request: i.Request, service: i.Service}
 }
--- a/attributor/part.go
+++ b/attributor/part.go
@@ -61,9 +61,6 @@
 	return r
 }
 
-// track creates the record of a part if there is room.
-func (t *partTable) track(key part) { t.record(key) }
-
 func (t *partTable) count(key part, name string) {
 	if r := t.record(key); r != nil {
 		r.name = name
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -83,9 +83,11 @@
 		if err != nil {
 			return r.settleFailure(r.noEndpoint(err))
 		}
-		if refusal := r.quarantined(); refusal != nil && !r.started { // quarantined while it waited
-			ticket.Done(balancer.ResultInconclusive)
-			return r.settleFailure(refusal)
+		if !r.started {
+			if refusal := r.quarantined(); refusal != nil { // quarantined while it waited
+				ticket.Done(balancer.ResultInconclusive)
+				return r.settleFailure(refusal)
+			}
 		}
 		r.attempts++
 		failed := r.attemptAt(ctx, ticket)
--- a/gossiper/encoding.go
+++ b/gossiper/encoding.go
@@ -70,7 +70,7 @@
 		m.Manifests = append(m.Manifests, gooseberrypass.ModelTarget{Model: v.GetModel(), Version: int(v.GetVersion())})
 	}
 	for _, v := range g.GetNamed() {
-		m.Targets = append(m.Targets, gooseberrypass.AgedTarget{Age: time.Duration(max(v.GetAgeMillis(), 0)) * time.Millisecond, Model: v.GetModel(), Observed: true, Version: int(v.GetVersion())})
+		m.Targets = append(m.Targets, gooseberrypass.AgedTarget{Age: decodeAge(v.GetAgeMillis()), Model: v.GetModel(), Observed: true, Version: int(v.GetVersion())})
 	}
 	if n := g.GetNotice(); n != nil {
 		m.EndpointStatus = &balancer.EndpointStatus{Address: n.GetAddress(), EngineStartMillis: n.GetBornUnixMillis(), DrainsIn: time.Duration(n.GetClosesInMillis()) * time.Millisecond, Loading: n.GetLoading(), Models: make(map[string]int, len(n.GetModels()))}
