Hear the rate limits that endpoints name, and log them

An answer may name the requests per second that its endpoint takes from all entries together. It is decoded once, kept beside the endpoint's other state with the time it was heard and by whom, and told to the other entries: the newest one counts. Late copies of earlier answers do not count, and a value that is no rate is ignored and logged.

Nothing obeys a limit yet.

--- /dev/null
+++ b/balancer/advisory.go
@@ -0,0 +1,117 @@
+package balancer
+
+import (
+	"math"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+const fieldEndpoint = "endpoint" // log field
+
+// An advisory is the newest advisory of an endpoint that any entry has heard.
+type advisory struct {
+	gooseberrypass.Advisory
+	heardAt time.Time // zero if none was heard
+	own     bool      // heard by this entry
+}
+
+// An AdvisoryReport is an advisory that an entry has heard, as it tells other entries.
+type AdvisoryReport struct {
+	Advisory gooseberrypass.Advisory
+	Age      time.Duration // time since it was heard
+	Endpoint gooseberrypass.ID
+}
+
+// AdvisoryReceived records what the endpoint says in an answer about the requests that
+// it wants. It must be called for answers with any status.
+func (t *Ticket) AdvisoryReceived(a gooseberrypass.Advisory) {
+	b := t.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.Invalid != "" && a.Invalid != t.endpoint.advisory.Invalid {
+		b.logger.WithFields(logrus.Fields{fieldEndpoint: t.target.ID, "value": a.Invalid}).Warn("endpoint sent an advisory that cannot be read, ignoring it")
+	}
+	if !a.Limited && !t.endpoint.advisory.Limited {
+		t.endpoint.advisory.Invalid = a.Invalid
+		return
+	}
+	b.setAdvisory(t.endpoint, advisory{Advisory: a, heardAt: b.clock.Now(), own: true}, b.self.ID)
+}
+
+// OwnAdvisories returns the advisories that this entry has heard itself, for other
+// entries. The end of a limit is reported for as long as others may remember the limit.
+func (b *Balancer) OwnAdvisories() []AdvisoryReport {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	var reports []AdvisoryReport
+	for id, e := range b.endpoints {
+		life := b.settings.LimitTTL
+		if e.advisory.Limited {
+			life = b.settings.ReportTTL
+		}
+		age := now.Sub(e.advisory.heardAt)
+		if e.advisory.own && age < life {
+			reports = append(reports, AdvisoryReport{Advisory: e.advisory.Advisory, Age: age, Endpoint: id})
+		}
+	}
+	return reports
+}
+
+// AddAdvisories records the advisories that another entry reports, unless newer ones are
+// known.
+func (b *Balancer) AddAdvisories(now time.Time, from gooseberrypass.ID, reports []AdvisoryReport) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range reports {
+		heard := advisory{Advisory: r.Advisory, heardAt: now.Add(-r.Age)}
+		if e, ok := b.endpoints[r.Endpoint]; ok && heard.heardAt.After(e.advisory.heardAt) {
+			b.setAdvisory(e, heard, from)
+		}
+	}
+}
+
+// LimitedEndpoints returns the number of endpoints that limit their rate.
+func (b *Balancer) LimitedEndpoints() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, e := range b.endpoints {
+		if e.advisory.Limited {
+			n++
+		}
+	}
+	return n
+}
+
+// minLoggedChange is the smallest relative change of a limit that is logged.
+const minLoggedChange = 0.2
+
+// setAdvisory replaces the advisory of an endpoint, which the entry from heard.
+func (b *Balancer) setAdvisory(e *endpoint, heard advisory, from gooseberrypass.ID) {
+	old := e.advisory
+	e.advisory = heard
+	logger := b.logger.WithFields(logrus.Fields{fieldEndpoint: e.listed.ID, "heard_by": from, "service": e.listed.Service})
+	switch {
+	case heard.Limited && (!old.Limited || math.Abs(heard.Rate-old.Rate) > minLoggedChange*old.Rate):
+		logger.WithFields(logrus.Fields{"old_rate": old.Rate, "rate": heard.Rate}).Info("endpoint limits its request rate")
+	case old.Limited && !heard.Limited:
+		logger.WithField("old_rate", old.Rate).Info("endpoint no longer limits its request rate")
+	}
+}
+
+// expireAdvisories forgets the limits that no entry has heard for LimitTTL.
+func (b *Balancer) expireAdvisories(now time.Time) {
+	for _, e := range b.endpoints {
+		if e.advisory.heardAt.IsZero() || now.Sub(e.advisory.heardAt) < b.settings.LimitTTL {
+			continue
+		}
+		if e.advisory.Limited {
+			b.logger.WithFields(logrus.Fields{fieldEndpoint: e.listed.ID, "rate": e.advisory.Rate}).Info("no entry has heard the rate limit of an endpoint for long, forgetting it")
+		}
+		e.advisory = advisory{}
+	}
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/materializer"
 )
@@ -32,6 +34,7 @@
 	EnginePenalty   float64       // cost of an engine in another region, in requests
 	Fill            float64       // most requests at an engine, as a multiple of its slots
 	FirstEventShare float64       // share of the objective within which the first event must be predicted
+	LimitTTL        time.Duration // time for which the rate limit of an endpoint is remembered after an entry last heard it
 	MaxEjection     time.Duration // longest ejection
 	PlainFill       float64       // most requests at a plain service's endpoint, as a multiple of its slots
 	PlainPenalty    float64       // cost of a plain endpoint in another region, in requests per slot
@@ -73,12 +76,19 @@
 	Models            map[string]int // loaded version of each model
 }
 
+// Self is the entry that a Balancer belongs to.
+type Self struct {
+	ID     gooseberrypass.ID
+	Region gooseberrypass.Region
+}
+
 // A Balancer chooses endpoints. It is safe for concurrent use.
 type Balancer struct {
 	clock    gooseberrypass.Clock
+	logger   logrus.FieldLogger
 	regionOf func(gooseberrypass.FailureDomain) gooseberrypass.Region
 	rng      *rand.Rand
-	self     gooseberrypass.Region
+	self     Self
 	settings Settings
 
 	mu           sync.Mutex
@@ -95,8 +105,8 @@
 	waiting      map[*Ticket]struct{}      // tickets of requests that have not begun
 }
 
-// New returns a balancer for an entry in region self.
-func New(clock gooseberrypass.Clock, self gooseberrypass.Region, regionOf func(gooseberrypass.FailureDomain) gooseberrypass.Region, settings Settings, seed uint64) *Balancer {
+// New returns the balancer of an entry.
+func New(clock gooseberrypass.Clock, self Self, regionOf func(gooseberrypass.FailureDomain) gooseberrypass.Region, settings Settings, seed uint64, logger logrus.FieldLogger) *Balancer {
 	return &Balancer{
 		clock:        clock,
 		drainsAt:     map[string]time.Time{},
@@ -106,6 +116,7 @@
 		entriesSeen:  map[gooseberrypass.ID]time.Time{},
 		statusesSeen: map[string]time.Time{},
 		statuses:     map[string]EndpointStatus{},
+		logger:       logger,
 		regionOf:     regionOf,
 		rng:          rand.New(rand.NewPCG(seed, seed)),
 		self:         self,
@@ -148,7 +159,7 @@
 			b.endpoints[listed.ID] = e
 		}
 		e.listed, e.region = listed, b.regionOf(listed.FailureDomain)
-		e.remote = e.region != b.self
+		e.remote = e.region != b.self.Region
 		if services[listed.Service] == nil {
 			services[listed.Service] = &pool{}
 		}
@@ -175,6 +186,7 @@
 		b.replaceReport(id, nil)
 	}
 	b.countLocalEntries()
+	b.expireAdvisories(now)
 	for address, at := range b.statusesSeen {
 		if now.Sub(at) >= b.settings.StatusTTL {
 			delete(b.statusesSeen, address)
@@ -189,7 +201,7 @@
 func (b *Balancer) countLocalEntries() {
 	b.localEntries = len(b.entriesSeen) + 1
 	for _, p := range b.snapshot.Processes {
-		if _, ok := b.entriesSeen[p.ID]; ok && p.Region != b.self {
+		if _, ok := b.entriesSeen[p.ID]; ok && p.Region != b.self.Region {
 			b.localEntries--
 		}
 	}
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
@@ -17,11 +19,17 @@
 func settings() balancer.Settings {
 	return balancer.Settings{
 		Ejection: time.Second, MaxEjection: 4 * time.Second, EnginePenalty: 1, Fill: 1.25, RefusalBackoff: 100 * time.Millisecond,
-		ReportTTL: 3 * time.Second, StatusTTL: 8 * time.Second, PlainFill: 2, PlainPenalty: 0.4, ResumeFill: 1.5, SlowTolerance: 1.5,
+		LimitTTL: 30 * time.Second, ReportTTL: 3 * time.Second, StatusTTL: 8 * time.Second, PlainFill: 2, PlainPenalty: 0.4, ResumeFill: 1.5, SlowTolerance: 1.5,
 		VersionMargin: time.Second, VersionTimeout: 8 * time.Second,
 	}
 }
 
+func quietLogger() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
 type fixture struct {
 	balancer *balancer.Balancer
 	clock    *clockwork.FakeClock
@@ -38,9 +46,9 @@
 func newFixtureWith(t *testing.T, n int, s balancer.Settings) *fixture {
 	t.Helper()
 	f := &fixture{clock: clockwork.NewFakeClock()}
-	f.balancer = balancer.New(f.clock, "r0", func(d gooseberrypass.FailureDomain) gooseberrypass.Region {
+	f.balancer = balancer.New(f.clock, balancer.Self{ID: "self", Region: "r0"}, func(d gooseberrypass.FailureDomain) gooseberrypass.Region {
 		return gooseberrypass.Region(d)
-	}, s, 1)
+	}, s, 1, quietLogger())
 	f.snapshot = &materializer.Snapshot{Targets: map[string]materializer.Targets{}}
 	for i := range n {
 		f.snapshot.Endpoints = append(f.snapshot.Endpoints, gooseberrypass.Endpoint{
@@ -328,9 +336,9 @@
 	f := newFixture(t, n)
 	s := settings()
 	s.StallTimeout, s.StallFactor, s.EnginePenalty = stall, 3, 0
-	f.balancer = balancer.New(f.clock, "r0", func(d gooseberrypass.FailureDomain) gooseberrypass.Region {
+	f.balancer = balancer.New(f.clock, balancer.Self{ID: "self", Region: "r0"}, func(d gooseberrypass.FailureDomain) gooseberrypass.Region {
 		return gooseberrypass.Region(d)
-	}, s, 1)
+	}, s, 1, quietLogger())
 	f.publish()
 	return f
 }
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -8,6 +8,7 @@
 
 // An endpoint is what this entry knows about one endpoint.
 type endpoint struct {
+	advisory     advisory
 	busySince    time.Time // start of the time in which this entry has had requests there
 	ejectedUntil time.Time
 	ejections    int           // shift of the next ejection; each answer halves it
--- a/balancer/load_test.go
+++ b/balancer/load_test.go
@@ -125,7 +125,7 @@
 	s := settings()
 	s.Fill, s.FirstEventShare, s.EnginePenalty, s.RetryFill, s.SampleFactor = 1, 0.5, 0, 0.85, sampleFactor
 	for i := range p.entries {
-		b.entries = append(b.entries, balancer.New(clock, "r", func(gooseberrypass.FailureDomain) gooseberrypass.Region { return "r" }, s, uint64(i)))
+		b.entries = append(b.entries, balancer.New(clock, balancer.Self{ID: "self", Region: "r"}, func(gooseberrypass.FailureDomain) gooseberrypass.Region { return "r" }, s, uint64(i), quietLogger()))
 	}
 	for i := range p.engines {
 		b.endpoints = append(b.endpoints, gooseberrypass.Endpoint{
--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -156,10 +156,12 @@
 			Prefix: "/model/", Resumable: true, Targets: []gooseberrypass.RouteTarget{{Service: "engines", Weight: 1}}, Timeout: 6 * time.Second,
 		},
 	}, []gooseberrypass.ServiceSpec{{ID: "s", MaxConns: 6}, {ID: "engines", Engine: &gooseberrypass.EngineSpec{Model: "m"}}}, map[string]gooseberrypass.AccountSpec{"key": {ID: "account", Regions: []gooseberrypass.Region{"r", "r2"}}}, gooseberrypass.CallerLimits{})
-	b := balancer.New(f.clock, "r", func(gooseberrypass.FailureDomain) gooseberrypass.Region { return "r" }, balancer.Settings{
+	log := logrus.New()
+	log.SetOutput(&f.log)
+	b := balancer.New(f.clock, balancer.Self{ID: "self", Region: "r"}, func(gooseberrypass.FailureDomain) gooseberrypass.Region { return "r" }, balancer.Settings{
 		Ejection: time.Second, Fill: 1, MaxEjection: time.Second, PlainFill: 4, ReportTTL: 3 * time.Second, SlowTolerance: 2, StallFactor: 3, StallTimeout: 400 * time.Millisecond, VersionCutoff: 300 * time.Millisecond,
 		VersionMargin: 800 * time.Millisecond, VersionTimeout: 8 * time.Second,
-	}, 1)
+	}, 1, log)
 	snapshot := &materializer.Snapshot{}
 	for _, id := range []gooseberrypass.ID{"a", "b", "c"} {
 		snapshot.Endpoints = append(snapshot.Endpoints, gooseberrypass.Endpoint{Address: string(id), ID: id, Service: "s", Slots: 4})
@@ -171,8 +173,6 @@
 	}
 	f.balancer, f.snapshot = b, snapshot
 	b.Handle(f.clock.Now(), materializer.Changed{Snapshot: snapshot})
-	log := logrus.New()
-	log.SetOutput(&f.log)
 	f.settings = forwarder.Settings{
 		DeadlineGrace: 100 * time.Millisecond, HeadTimeoutFactor: 3, EventTimeoutFactor: 4, MaxBufferedAnswer: 1 << 16, MoveShare: 0.5, QuarantineCrashes: 3, QuarantineTime: time.Minute,
 		RetryAfter: time.Second, RetryRatio: 0.2, RetryEntryFactor: 1, RetrySlack: 20, RetryWindow: 10 * time.Second,
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -268,6 +268,7 @@
 		return r.connectionFailure(ctx, err)
 	}
 	defer func() { _ = reply.Body.Close() }()
+	ticket.AdvisoryReceived(reply.Advisory)
 	if reply.NotRun {
 		return r.rejection(reply)
 	}
--- a/gossiper/encoding.go
+++ b/gossiper/encoding.go
@@ -29,6 +29,7 @@
 			Endpoint: string(id), Requests: uint32(max(load.Requests, 0)), Silent: load.Stalled, UnreadTokens: uint32(max(load.UnreadTokens, 0)),
 		})
 	}
+	g.Advisories = encodeAdvisories(m.Advisories)
 	for _, t := range m.Manifests {
 		g.Manifests = append(g.Manifests, &wire.ModelVersion{Model: t.Model, Version: int32(t.Version)})
 	}
@@ -66,6 +67,7 @@
 	for _, s := range g.GetShares() {
 		m.Loads[gooseberrypass.ID(s.GetEndpoint())] = balancer.Load{Requests: int(s.GetRequests()), Stalled: s.GetSilent(), UnreadTokens: int(s.GetUnreadTokens())}
 	}
+	m.Advisories = decodeAdvisories(g.GetAdvisories())
 	for _, v := range g.GetManifests() {
 		m.Manifests = append(m.Manifests, gooseberrypass.ModelTarget{Model: v.GetModel(), Version: int(v.GetVersion())})
 	}
--- a/gossiper/fuzz_test.go
+++ b/gossiper/fuzz_test.go
@@ -1,6 +1,7 @@
 package gossiper_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -13,7 +14,8 @@
 // A datagram may hold anything. What is decoded can be encoded again.
 func FuzzDecode(f *testing.F) {
 	body, err := gossiper.Encode(gossiper.Message{
-		Address: "10.0.0.1:7700", CrashCounts: map[uint64]int{1: 2}, From: "a", ListAge: time.Second,
+		Advisories: []balancer.AdvisoryReport{{Advisory: gooseberrypass.Advisory{Limited: true, Rate: 3.7}, Age: time.Second, Endpoint: "e"}},
+		Address:    "10.0.0.1:7700", CrashCounts: map[uint64]int{1: 2}, From: "a", ListAge: time.Second,
 		CrashEvidence:  attributor.Evidence{Interruptions: []attributor.Interruption{{Age: time.Second, Endpoint: "e", Parts: []uint64{1}}}},
 		EndpointStatus: &balancer.EndpointStatus{Address: "10.0.0.2:1", Loading: true, Models: map[string]int{"m": 1}},
 		Loads:          map[gooseberrypass.ID]balancer.Load{"e": {Requests: 3, UnreadTokens: 1000}},
@@ -37,6 +39,11 @@
 				t.Errorf("interruption at %q: got a negative age %s", i.Endpoint, i.Age)
 			}
 		}
+		for _, r := range m.Advisories {
+			if r.Age < 0 || math.IsNaN(r.Advisory.Rate) || r.Advisory.Rate < 0 {
+				t.Errorf("endpoint %q: got an age or rate that cannot be: %+v", r.Endpoint, r)
+			}
+		}
 		for id, load := range m.Loads {
 			if load.Requests < 0 || load.UnreadTokens < 0 {
 				t.Errorf("endpoint %q: got a negative load %+v", id, load)
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -30,6 +30,9 @@
 func TestMessageArrivesAsItWasSent(t *testing.T) {
 	tests := map[string]gossiper.Message{
 		"entry": {
+			Advisories: []balancer.AdvisoryReport{
+				{Advisory: gooseberrypass.Advisory{Limited: true, Rate: 3.7}, Age: 250 * time.Millisecond, Endpoint: "i-1"}, {Age: time.Second, Endpoint: "i-2"},
+			},
 			Address: "10.0.0.1:7700", CrashCounts: map[uint64]int{1<<63 + 5: 2}, From: "e1", ListAge: 300 * time.Millisecond, Refused: []uint64{7, 1 << 63}, Region: "r", Role: gooseberrypass.RoleEntry,
 			Next: map[gooseberrypass.Topic]gooseberrypass.Offset{gooseberrypass.TopicOperator: 1 << 40, gooseberrypass.TopicEndpoints: 0},
 			CrashEvidence: attributor.Evidence{
--- a/proxy.go
+++ b/proxy.go
@@ -60,6 +60,7 @@
 // A Reply is the response of an endpoint. Body returns io.EOF only after the complete
 // response, and another error if the response was interrupted.
 type Reply struct {
+	Advisory     Advisory
 	Body         io.ReadCloser
 	Header       http.Header // end-to-end headers
 	Load         *EngineLoad // nil if not reported
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -47,9 +47,11 @@
 	Send(m gossiper.Message, addresses []string)
 }
 
-// A LoadExchange exchanges an entry's load on the endpoints with that of other
-// entries. It is nil in agents.
+// A LoadExchange exchanges an entry's load on the endpoints, and what it has heard from
+// them, with other entries. It is nil in agents.
 type LoadExchange interface {
+	AddAdvisories(now time.Time, from gooseberrypass.ID, reports []balancer.AdvisoryReport)
+	OwnAdvisories() []balancer.AdvisoryReport
 	SetEndpointStatus(now time.Time, status balancer.EndpointStatus)
 	SetEntryLoads(now time.Time, from gooseberrypass.ID, loads map[gooseberrypass.ID]balancer.Load)
 	OwnLoads() map[gooseberrypass.ID]balancer.Load
@@ -173,7 +175,7 @@
 	}
 	if r.loads != nil && to == gooseberrypass.RoleEntry {
 		m.CrashCounts, m.CrashEvidence, m.Refused = r.history.CrashCounts(), r.history.CrashEvidence(), r.history.Refused()
-		m.ListAge, m.Loads = r.listAge(now), r.loads.OwnLoads()
+		m.Advisories, m.ListAge, m.Loads = r.loads.OwnAdvisories(), r.listAge(now), r.loads.OwnLoads()
 		m.Targets = r.recentTargets(now)
 		m.Next[gooseberrypass.TopicEndpoints] = next(gooseberrypass.TopicEndpoints)
 	}
@@ -286,6 +288,7 @@
 			r.history.SetCrashCounts(m.From, m.CrashCounts)
 			r.history.SetRefused(m.Refused)
 			r.loads.SetEntryLoads(now, m.From, m.Loads)
+			r.loads.AddAdvisories(now, m.From, m.Advisories)
 		}
 		if m.EndpointStatus != nil {
 			r.handleStatus(now, m)
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/attributor"
@@ -51,7 +52,10 @@
 	if g.history.Attributor, err = attributor.New(m.clock, settings.attributorSettings(), m.seed, m.registry, m.logger); err != nil {
 		return nil, err
 	}
-	g.balancer = balancer.New(m.clock, settings.region(), settings.regionOf, settings.balancerSettings(), m.seed)
+	g.balancer = balancer.New(m.clock, balancer.Self{ID: m.self.ID, Region: m.self.Region}, settings.regionOf, settings.balancerSettings(), m.seed, m.logger)
+	if err := m.registry.Register(g.limitGauge()); err != nil {
+		return nil, errors.Wrap(err, "register balancer metrics")
+	}
 	m.materializer = materializer.New(platform.Decoder{}, settings.materializerSettings(), m.logger, g.balancer)
 	repl := m.newReplicator(g.balancer, g.history)
 	m.loop.Add(m.materializer, replicator.NewResponder(m.materializer), g.balancer, repl)
@@ -65,6 +69,13 @@
 	return g, g.bind(ctx)
 }
 
+func (g *Gateway) limitGauge() prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "gooseberrypass_limited_endpoints",
+		Help: "Endpoints that limit the rate of their requests.",
+	}, func() float64 { return float64(g.balancer.LimitedEndpoints()) })
+}
+
 func (g *Gateway) bind(ctx context.Context) error {
 	f, err := forwarder.New(g.clock, g.materializer, g.balancer, g.transport, g.history, g.settings.forwarderSettings(), g.registry, g.logger)
 	if err != nil {
