Send endpoints no more than the rate that they take from all entries

Cause: no part of the code knew of limits that endpoints name. The limit is of all entries together, so each entry has a token bucket with its share. Shares follow from the demand that entries report, and sum up to the limit; one that has not reported yet counts as much as the own one. Each entry may save up a request, so only a few share a low limit, those of the endpoint's region first, in an order that all compute alike. A request that only limits keep from an endpoint is refused at once, with the time until there is room as Retry-After.

Tried: each entry for itself breaks with 4, 11 and 40 entries; with equal shares an endpoint takes 63 to 71 requests where 82 are wanted at least, if most come to one entry.

--- a/balancer/advisory.go
+++ b/balancer/advisory.go
@@ -94,10 +94,11 @@
 func (b *Balancer) setAdvisory(e *endpoint, heard advisory, from gooseberrypass.ID) {
 	old := e.advisory
 	e.advisory = heard
+	b.shareLimit(b.clock.Now(), e)
 	logger := b.logger.WithFields(logrus.Fields{fieldEndpoint: e.listed.ID, "heard_by": from, "service": e.listed.Service})
 	switch {
 	case heard.Limited && (!old.Limited || math.Abs(heard.Rate-old.Rate) > minLoggedChange*old.Rate):
-		logger.WithFields(logrus.Fields{"old_rate": old.Rate, "rate": heard.Rate}).Info("endpoint limits its request rate")
+		logger.WithFields(logrus.Fields{"entries": len(e.limit.order), "old_rate": old.Rate, "rate": heard.Rate, "share": float64(e.limit.bucket.Limit())}).Info("endpoint limits its request rate")
 	case old.Limited && !heard.Limited:
 		logger.WithField("old_rate", old.Rate).Info("endpoint no longer limits its request rate")
 	}
@@ -111,7 +112,9 @@
 		}
 		if e.advisory.Limited {
 			b.logger.WithFields(logrus.Fields{fieldEndpoint: e.listed.ID, "rate": e.advisory.Rate}).Info("no entry has heard the rate limit of an endpoint for long, forgetting it")
+			e.probation = true // one request is enough to hear it again
 		}
 		e.advisory = advisory{}
+		b.shareLimit(now, e)
 	}
 }
--- a/balancer/advisory_test.go
+++ b/balancer/advisory_test.go
@@ -8,7 +8,7 @@
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 )
 
-func limited(rate float64) gooseberrypass.Advisory { //nolint:unparam // other tests have other rates
+func limited(rate float64) gooseberrypass.Advisory {
 	return gooseberrypass.Advisory{Limited: true, Rate: rate}
 }
 
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -56,6 +56,7 @@
 type Query struct {
 	AnswerTokens  int           // tokens of the answer as the caller estimates them, 0 if unknown
 	Model         string        // "" for a plain service
+	Polled        bool          // the same request has been refused and waits for an endpoint
 	Objective     time.Duration // target time to the first event, 0 for none
 	PromptTokens  int
 	Regions       gooseberrypass.RegionSet // regions whose endpoints may be chosen
@@ -92,12 +93,15 @@
 	settings Settings
 
 	mu           sync.Mutex
-	drainsAt     map[string]time.Time // announced start of the drain of endpoints, by address
+	demands      map[gooseberrypass.ID]*demand // of this entry, by service
+	drainsAt     map[string]time.Time          // announced start of the drain of endpoints, by address
 	endpoints    map[gooseberrypass.ID]*endpoint
-	entriesSeen  map[gooseberrypass.ID]time.Time                  // last report of each other entry
-	headTimes    map[gooseberrypass.ID]time.Duration              // moving average of the time to the head of an answer, by service
-	localEntries int                                              // entries in this entry's region, including itself
-	reports      map[gooseberrypass.ID]map[gooseberrypass.ID]Load // last load that each other entry reported, by endpoint
+	entriesEpoch int                                                 // rises when entries come or go
+	entryDemands map[gooseberrypass.ID]map[gooseberrypass.ID]float64 // last demand that each other entry reported, by service
+	entriesSeen  map[gooseberrypass.ID]time.Time                     // last report of each other entry
+	headTimes    map[gooseberrypass.ID]time.Duration                 // moving average of the time to the head of an answer, by service
+	localEntries int                                                 // entries in this entry's region, including itself
+	reports      map[gooseberrypass.ID]map[gooseberrypass.ID]Load    // last load that each other entry reported, by endpoint
 	services     map[gooseberrypass.ID]*pool
 	snapshot     *materializer.Snapshot
 	statuses     map[string]EndpointStatus // last reported statuses, by address of the endpoint
@@ -109,7 +113,9 @@
 func New(clock gooseberrypass.Clock, self Self, regionOf func(gooseberrypass.FailureDomain) gooseberrypass.Region, settings Settings, seed uint64, logger logrus.FieldLogger) *Balancer {
 	return &Balancer{
 		clock:        clock,
+		demands:      map[gooseberrypass.ID]*demand{},
 		drainsAt:     map[string]time.Time{},
+		entryDemands: map[gooseberrypass.ID]map[gooseberrypass.ID]float64{},
 		endpoints:    map[gooseberrypass.ID]*endpoint{},
 		localEntries: 1,
 		headTimes:    map[gooseberrypass.ID]time.Duration{},
@@ -171,6 +177,7 @@
 		}
 	}
 	b.services = services
+	b.entriesEpoch++
 	for t := range b.waiting {
 		t.updateMustBegin()
 	}
@@ -183,10 +190,13 @@
 			continue
 		}
 		delete(b.entriesSeen, id)
+		delete(b.entryDemands, id)
 		b.replaceReport(id, nil)
+		b.entriesEpoch++
 	}
 	b.countLocalEntries()
 	b.expireAdvisories(now)
+	b.shareLimits(now)
 	for address, at := range b.statusesSeen {
 		if now.Sub(at) >= b.settings.StatusTTL {
 			delete(b.statusesSeen, address)
@@ -212,6 +222,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if _, ok := b.entriesSeen[from]; !ok {
+		b.entriesEpoch++
 		defer b.countLocalEntries()
 	}
 	b.entriesSeen[from] = now
@@ -284,6 +295,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	if !q.Polled {
+		b.countDemand(now, q.Service)
+	}
 	best, counts := b.best(now, q, false)
 	// If most endpoints are silent, this process was suspended or its link failed,
 	// so silence says nothing about the endpoints.
@@ -301,6 +315,7 @@
 	if t.expectedVersion == 0 && (counts.required > 0 || wanted && t.version >= newest.Version) {
 		t.expectedVersion = t.version
 	}
+	best.takeFromLimit(now)
 	if best.own.Requests == 0 {
 		best.busySince = now
 	}
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -45,6 +45,9 @@
 			state = stateSilent
 		}
 		c.counts.byState[state]++
+		if state == stateLimited {
+			c.counts.addLimitWait(e.limitWait(c.now))
+		}
 		if state != stateAvailable {
 			continue
 		}
@@ -100,6 +103,8 @@
 		return 0, stateTried
 	case !hasRoom || now.Before(e.fullUntil):
 		return 0, stateFull
+	case e.limitWait(now) > 0:
+		return 0, stateLimited
 	default:
 		return cost, stateAvailable
 	}
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -16,6 +16,7 @@
 	fullUntil    time.Time     // end of the backoff after a refusal because of load
 	headTime     time.Duration // moving average of the time to the head of an answer
 	lastSign     time.Time     // last data received
+	limit        limit
 	listed       gooseberrypass.Endpoint
 	others       loadSum // load from other entries
 	own          Load    // load from this entry
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/gooseberrypass/gooseberrypass"
 )
@@ -17,6 +18,7 @@
 	stateExcluded        // in a region that may not serve the request
 	stateFull            // at its limit, or refused because of load
 	stateLeaving         // listed as leaving
+	stateLimited         // has got what this entry may send under its rate limit
 	stateLoading         // loading a version, or about to
 	stateSilent          // has requests and has sent nothing for its stall timeout
 	stateTried           // an earlier attempt of the request was sent there
@@ -35,6 +37,8 @@
 		return "full"
 	case stateLeaving:
 		return "leaving"
+	case stateLimited:
+		return "at its rate limit"
 	case stateLoading:
 		return "loading"
 	case stateSilent:
@@ -50,18 +54,30 @@
 
 // A stateCounts holds the number of endpoints in each state.
 type stateCounts struct {
-	required int // required version, 0 for any
-	byState  [numStates]int
+	required  int // required version, 0 for any
+	byState   [numStates]int
+	limitWait time.Duration // shortest time until an endpoint may get a request under its rate limit
+}
+
+// addLimitWait records the time until an endpoint may get a request under its rate limit.
+func (c *stateCounts) addLimitWait(wait time.Duration) {
+	if c.byState[stateLimited] == 1 || wait < c.limitWait {
+		c.limitWait = wait
+	}
 }
 
 // refusal returns the error for a request without an available endpoint. Its
-// detail has the number of endpoints in each state.
+// detail has the number of endpoints in each state. RetryAfter is set if only rate limits
+// keep endpoints from taking the request.
 func (c stateCounts) refusal() *gooseberrypass.RequestError {
 	err := &gooseberrypass.RequestError{Outcome: gooseberrypass.OutcomeNotRun, Reason: gooseberrypass.ReasonNoEndpoint}
 	text := "no endpoint takes work"
-	if c.byState[stateFull]+c.byState[stateSilent]+c.byState[stateTried] > 0 {
+	if c.byState[stateFull]+c.byState[stateLimited]+c.byState[stateSilent]+c.byState[stateTried] > 0 {
 		err.Reason, text = gooseberrypass.ReasonOverloaded, "every endpoint is full"
 	}
+	if c.byState[stateFull]+c.byState[stateSilent] == 0 {
+		err.RetryAfter = c.limitWait
+	}
 	var parts []string
 	for s, n := range c.byState {
 		if n > 0 {
--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -26,6 +26,7 @@
 
 // A reaction is how an endpoint reacts to one dispatch.
 type reaction struct {
+	advisory gooseberrypass.Advisory
 	body     string
 	cut      bool          // the connection breaks after the body
 	delay    time.Duration // time until the answer
@@ -86,7 +87,7 @@
 		a.header = http.Header{}
 	}
 	return &gooseberrypass.Reply{
-		Body: io.NopCloser(body), Header: a.header, ModelVersion: a.version, NotRun: a.notRun, Signed: !a.notRun, Status: a.status,
+		Advisory: a.advisory, Body: io.NopCloser(body), Header: a.header, ModelVersion: a.version, NotRun: a.notRun, Signed: !a.notRun, Status: a.status,
 		Unframed: a.unframed,
 	}, nil
 }
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -135,13 +135,15 @@
 		return reserved, nil
 	}
 	until := r.arrivedAt.Add(time.Duration(f.settings.QueueWaitShare * float64(r.route.Objective)))
-	for {
-		ticket, err := f.chooser.Choose(r.endpointQuery())
+	for polled := false; ; polled = true {
+		query := r.endpointQuery()
+		query.Polled = polled
+		ticket, err := f.chooser.Choose(query)
 		var refusal *gooseberrypass.RequestError
 		if err == nil || !errors.As(err, &refusal) || refusal.Reason != gooseberrypass.ReasonOverloaded {
 			return ticket, err
 		}
-		if !f.clock.Now().Add(f.settings.QueuePoll).Before(until) {
+		if f.clock.Until(until) <= max(f.settings.QueuePoll, refusal.RetryAfter) {
 			return nil, err
 		}
 		timer := f.clock.NewTimer(f.settings.QueuePoll)
@@ -178,15 +180,15 @@
 	if r.mayRun {
 		return unknown(gooseberrypass.ReasonUpstream, "an endpoint failed and no other has room")
 	}
-	refusal.RetryAfter = r.retryAfter()
+	refusal.RetryAfter = r.retryAfter(refusal.RetryAfter)
 	r.forwarder.tracker.recordRefusal(r.repeatDigest)
 	return refusal
 }
 
-// retryAfter returns the Retry-After of a refusal. It is at most a third of the
-// caller's time.
-func (r *request) retryAfter() time.Duration {
-	wait := r.forwarder.settings.RetryAfter
+// retryAfter returns the Retry-After of a refusal: the usual one, or the time until an
+// endpoint takes requests if that is longer. It is at most a third of the caller's time.
+func (r *request) retryAfter(room time.Duration) time.Duration {
+	wait := max(r.forwarder.settings.RetryAfter, room)
 	if !r.proxyRequest.Deadline.IsZero() {
 		wait = min(wait, r.proxyRequest.Deadline.Sub(r.arrivedAt)/3)
 	}
@@ -203,7 +205,7 @@
 		return last.err
 	}
 	last.err.Outcome = gooseberrypass.OutcomeNotRun
-	last.err.RetryAfter = r.retryAfter()
+	last.err.RetryAfter = r.retryAfter(0)
 	return last.err
 }
 
--- a/gossiper/advisory.go
+++ b/gossiper/advisory.go
@@ -24,7 +24,7 @@
 func decodeAdvisories(advisories []*wire.EndpointAdvisory) []balancer.AdvisoryReport {
 	var reports []balancer.AdvisoryReport
 	for _, a := range advisories {
-		if math.IsNaN(a.GetRate()) || a.GetRate() < 0 {
+		if !isRate(a.GetRate()) {
 			continue
 		}
 		reports = append(reports, balancer.AdvisoryReport{
@@ -34,3 +34,30 @@
 	}
 	return reports
 }
+
+// isRate reports whether a number from a message is a rate.
+func isRate(rate float64) bool { return rate >= 0 && !math.IsInf(rate, 1) }
+
+// encodeDemand returns the wire form of the demand for services.
+func encodeDemand(demand map[gooseberrypass.ID]float64) map[string]float64 {
+	encoded := make(map[string]float64, len(demand))
+	for service, rate := range demand {
+		encoded[string(service)] = rate
+	}
+	return encoded
+}
+
+// decodeDemand returns the demand of a message without the numbers that are no rates.
+func decodeDemand(encoded map[string]float64) map[gooseberrypass.ID]float64 {
+	var demand map[gooseberrypass.ID]float64
+	for service, rate := range encoded {
+		if !isRate(rate) {
+			continue
+		}
+		if demand == nil {
+			demand = map[gooseberrypass.ID]float64{}
+		}
+		demand[gooseberrypass.ID(service)] = rate
+	}
+	return demand
+}
--- a/gossiper/encoding.go
+++ b/gossiper/encoding.go
@@ -29,7 +29,7 @@
 			Endpoint: string(id), Requests: uint32(max(load.Requests, 0)), Silent: load.Stalled, UnreadTokens: uint32(max(load.UnreadTokens, 0)),
 		})
 	}
-	g.Advisories = encodeAdvisories(m.Advisories)
+	g.Advisories, g.Demand = encodeAdvisories(m.Advisories), encodeDemand(m.Demand)
 	for _, t := range m.Manifests {
 		g.Manifests = append(g.Manifests, &wire.ModelVersion{Model: t.Model, Version: int32(t.Version)})
 	}
@@ -67,7 +67,7 @@
 	for _, s := range g.GetShares() {
 		m.Loads[gooseberrypass.ID(s.GetEndpoint())] = balancer.Load{Requests: int(s.GetRequests()), Stalled: s.GetSilent(), UnreadTokens: int(s.GetUnreadTokens())}
 	}
-	m.Advisories = decodeAdvisories(g.GetAdvisories())
+	m.Advisories, m.Demand = decodeAdvisories(g.GetAdvisories()), decodeDemand(g.GetDemand())
 	for _, v := range g.GetManifests() {
 		m.Manifests = append(m.Manifests, gooseberrypass.ModelTarget{Model: v.GetModel(), Version: int(v.GetVersion())})
 	}
--- a/gossiper/fuzz_test.go
+++ b/gossiper/fuzz_test.go
@@ -17,6 +17,7 @@
 		Advisories: []balancer.AdvisoryReport{{Advisory: gooseberrypass.Advisory{Limited: true, Rate: 3.7}, Age: time.Second, Endpoint: "e"}},
 		Address:    "10.0.0.1:7700", CrashCounts: map[uint64]int{1: 2}, From: "a", ListAge: time.Second,
 		CrashEvidence:  attributor.Evidence{Interruptions: []attributor.Interruption{{Age: time.Second, Endpoint: "e", Parts: []uint64{1}}}},
+		Demand:         map[gooseberrypass.ID]float64{"s": 12.5},
 		EndpointStatus: &balancer.EndpointStatus{Address: "10.0.0.2:1", Loading: true, Models: map[string]int{"m": 1}},
 		Loads:          map[gooseberrypass.ID]balancer.Load{"e": {Requests: 3, UnreadTokens: 1000}},
 		Manifests:      []gooseberrypass.ModelTarget{{Model: "m", Version: 2}},
@@ -44,6 +45,11 @@
 				t.Errorf("endpoint %q: got an age or rate that cannot be: %+v", r.Endpoint, r)
 			}
 		}
+		for service, rate := range m.Demand {
+			if math.IsNaN(rate) || rate < 0 {
+				t.Errorf("service %q: got a demand that cannot be: %g", service, rate)
+			}
+		}
 		for id, load := range m.Loads {
 			if load.Requests < 0 || load.UnreadTokens < 0 {
 				t.Errorf("endpoint %q: got a negative load %+v", id, load)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -22,11 +22,12 @@
 // A Message is the state that one process announces to others. Requests are
 // identified by the first eight bytes of their digests.
 type Message struct {
-	Address        string                    // sender's address for other processes
-	Advisories     []balancer.AdvisoryReport // that an entry has heard from endpoints
-	CrashCounts    map[uint64]int            // recent endpoint failures that each request is suspected of
-	CrashEvidence  attributor.Evidence       // from entries
-	EndpointStatus *balancer.EndpointStatus  // endpoint of an agent, nil from an entry
+	Address        string                        // sender's address for other processes
+	Advisories     []balancer.AdvisoryReport     // that an entry has heard from endpoints
+	CrashCounts    map[uint64]int                // recent endpoint failures that each request is suspected of
+	CrashEvidence  attributor.Evidence           // from entries
+	Demand         map[gooseberrypass.ID]float64 // requests per second that come to an entry, by service with a limited endpoint
+	EndpointStatus *balancer.EndpointStatus      // endpoint of an agent, nil from an entry
 	From           gooseberrypass.ID
 	ListAge        time.Duration                                  // age of an entry's last own read of the endpoint list
 	Loads          map[gooseberrypass.ID]balancer.Load            // load that an entry puts on each endpoint
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -52,7 +52,9 @@
 type LoadExchange interface {
 	AddAdvisories(now time.Time, from gooseberrypass.ID, reports []balancer.AdvisoryReport)
 	OwnAdvisories() []balancer.AdvisoryReport
+	OwnDemand() map[gooseberrypass.ID]float64
 	SetEndpointStatus(now time.Time, status balancer.EndpointStatus)
+	SetEntryDemand(from gooseberrypass.ID, demand map[gooseberrypass.ID]float64)
 	SetEntryLoads(now time.Time, from gooseberrypass.ID, loads map[gooseberrypass.ID]balancer.Load)
 	OwnLoads() map[gooseberrypass.ID]balancer.Load
 }
@@ -175,7 +177,8 @@
 	}
 	if r.loads != nil && to == gooseberrypass.RoleEntry {
 		m.CrashCounts, m.CrashEvidence, m.Refused = r.history.CrashCounts(), r.history.CrashEvidence(), r.history.Refused()
-		m.Advisories, m.ListAge, m.Loads = r.loads.OwnAdvisories(), r.listAge(now), r.loads.OwnLoads()
+		m.Advisories, m.Demand, m.Loads = r.loads.OwnAdvisories(), r.loads.OwnDemand(), r.loads.OwnLoads()
+		m.ListAge = r.listAge(now)
 		m.Targets = r.recentTargets(now)
 		m.Next[gooseberrypass.TopicEndpoints] = next(gooseberrypass.TopicEndpoints)
 	}
@@ -289,6 +292,7 @@
 			r.history.SetRefused(m.Refused)
 			r.loads.SetEntryLoads(now, m.From, m.Loads)
 			r.loads.AddAdvisories(now, m.From, m.Advisories)
+			r.loads.SetEntryDemand(m.From, m.Demand)
 		}
 		if m.EndpointStatus != nil {
 			r.handleStatus(now, m)
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -62,8 +62,11 @@
 // noLoads is the load of an entry without requests.
 type noLoads struct{}
 
-func (noLoads) AddAdvisories(time.Time, gooseberrypass.ID, []balancer.AdvisoryReport)           {}
-func (noLoads) OwnAdvisories() []balancer.AdvisoryReport                                        { return nil }
+func (noLoads) AddAdvisories(time.Time, gooseberrypass.ID, []balancer.AdvisoryReport) {}
+func (noLoads) OwnAdvisories() []balancer.AdvisoryReport                              { return nil }
+
+func (noLoads) OwnDemand() map[gooseberrypass.ID]float64                                        { return nil }
+func (noLoads) SetEntryDemand(gooseberrypass.ID, map[gooseberrypass.ID]float64)                 {}
 func (noLoads) SetEndpointStatus(time.Time, balancer.EndpointStatus)                            {}
 func (noLoads) SetEntryLoads(time.Time, gooseberrypass.ID, map[gooseberrypass.ID]balancer.Load) {}
 func (noLoads) OwnLoads() map[gooseberrypass.ID]balancer.Load                                   { return nil }
