--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -4,6 +4,7 @@
 package materializer
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -15,6 +16,8 @@
 	"github.com/gooseberrypass/gooseberrypass"
 )
 
+const fieldOffset = "offset" // log field
+
 // A Decoder decodes the records of the keyed topics.
 type Decoder interface {
 	Deployment(r gooseberrypass.KeyedRecord) (*gooseberrypass.Deployment, error)
@@ -245,6 +248,7 @@
 	for i, r := range e.Batch.Records {
 		exists[r.Key] = r.Value != nil
 		if held, ok := t.records[r.Key]; ok && held.Offset >= r.Offset {
+			m.logIgnored(e.Topic, held, r)
 			continue
 		}
 		t.records[r.Key] = r
@@ -272,6 +276,14 @@
 	return changed
 }
 
+// logIgnored logs that an operator's record is ignored although it differs from the held one.
+func (m *Materializer) logIgnored(topic gooseberrypass.Topic, held, r gooseberrypass.KeyedRecord) {
+	if topic != gooseberrypass.TopicOperator || bytes.Equal(held.Value, r.Value) {
+		return
+	}
+	m.logger.WithFields(logrus.Fields{"held_offset": held.Offset, "key": r.Key, fieldOffset: r.Offset, "topic": topic}).Warn("ignoring operator record that is older than the known one")
+}
+
 // recordAge returns the time for which a record has been known. The age of a
 // record that was there when the process started is unknown, so AssumedAge is
 // used.
@@ -292,7 +304,7 @@
 		return true
 	}
 	if topic == gooseberrypass.TopicOperator {
-		m.logger.WithFields(logrus.Fields{"key": r.Key, "offset": r.Offset, "topic": topic, "bytes": len(r.Value)}).Info("operator record received")
+		m.logger.WithFields(logrus.Fields{"key": r.Key, fieldOffset: r.Offset, "topic": topic, "bytes": len(r.Value)}).Info("operator record received")
 		return true
 	}
 	held, known := m.endpoints[r.Key]
@@ -301,7 +313,7 @@
 	}
 	endpoint, err := m.decoder.Endpoint(r)
 	if err != nil {
-		m.logger.WithError(err).WithField("offset", r.Offset).Warn("ignoring endpoint record that cannot be decoded")
+		m.logger.WithError(err).WithField(fieldOffset, r.Offset).Warn("ignoring endpoint record that cannot be decoded")
 		return false
 	}
 	delete(m.retained, r.Key)
@@ -310,7 +322,7 @@
 		return false
 	}
 	m.logger.WithFields(logrus.Fields{
-		"address": endpoint.Address, "endpoint": endpoint.ID, "leaving": endpoint.Leaving, "models": endpoint.Models, "offset": r.Offset, "service": endpoint.Service,
+		"address": endpoint.Address, "endpoint": endpoint.ID, "leaving": endpoint.Leaving, "models": endpoint.Models, fieldOffset: r.Offset, "service": endpoint.Service,
 	}).Info("endpoint listed")
 	return true
 }
