Order records across restores of the store by what their writers say

Cause: copies of a record were compared by their position alone, and a restored store gives out positions again. The log showed version 16 ignored at offset 3 because offset 3 was known. Offsets of keyed topics now hold the number of restores, which the store names in each answer, so that reads, messages, pulls and extracts all order by it. Across a restore the position says nothing, so the writer's revision decides: the copy neither takes back a configuration nor brings back an endpoint that has left. What the copy lacks is kept until it is written again, endpoints for as long as after an outage. The same cause acted on registrations, which were never written again, and on long polls that wait at an offset which the store reaches again; both have tests.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -19,6 +19,7 @@
 	NextOffset func() gooseberrypass.Offset // returns the offset after the last record received from any source; nil if the log is the only source
 	Once       bool                         // stop after the first successful read; other processes announce later changes
 	Pause      time.Duration                // delay between two reads
+	Restores   *Restores                    // restores that the followers of the process have seen; nil if this one is alone
 	RetryDelay time.Duration                // delay after a failed read; doubles up to maxRetryFactor times with each further one
 	ShouldRead func() bool                  // reports whether this process reads the topic; nil if it always does
 	StartDelay time.Duration                // delay of the first read; a follower with Once skips it if records have arrived from another process by then
@@ -57,6 +58,9 @@
 	reads *prometheus.CounterVec,
 	logger logrus.FieldLogger,
 ) *Follower {
+	if settings.Restores == nil {
+		settings.Restores = NewRestores()
+	}
 	return &Follower{
 		clock: clock, log: log, logger: logger.WithField("topic", topic), post: post,
 		reads: reads, settings: settings, topic: topic,
@@ -118,14 +122,14 @@
 
 // standBy waits while another process reads the topic and passes on the records.
 func (f *Follower) standBy(ctx context.Context) {
-	f.logger.WithField("next", f.nextOffset()).Info("topic is read by another process")
+	f.logger.WithFields(offsetFields(f.nextOffset())).Info("topic is read by another process")
 	f.failures = 0
 	f.post(gooseberrypass.TopicRead{Topic: f.topic})
 	for ctx.Err() == nil && !f.settings.ShouldRead() {
 		f.sleep(ctx, standbyPoll)
 	}
 	f.next = f.nextOffset()
-	f.logger.WithField("next", f.next).Info("reading the topic again")
+	f.logger.WithFields(offsetFields(f.next)).Info("reading the topic again")
 }
 
 func (f *Follower) sleep(ctx context.Context, d time.Duration) {
@@ -148,8 +152,9 @@
 	f.reads.WithLabelValues(string(f.topic), "ok").Inc()
 	if f.failures > 0 {
 		f.failures = 0
-		f.logger.WithField("next", batch.Next).Info("reads of the topic succeed again")
+		f.logger.WithFields(offsetFields(batch.Next)).Info("reads of the topic succeed again")
 	}
+	f.settings.Restores.observe(batch.Next.Restores())
 	if len(batch.Records) > 0 || batch.Complete {
 		f.post(gooseberrypass.TopicChanged{Batch: batch, FirstRead: !f.started, Topic: f.topic})
 	}
@@ -158,28 +163,66 @@
 	return nil
 }
 
-// fetch returns the newest record of every key on the first read and when the log
-// has trimmed records that were not read yet, otherwise the records since the last
-// read.
+// fetch returns the newest record of every key on the first read, when the log has
+// trimmed records that were not read yet and when it came back from an older copy,
+// otherwise the records since the last read.
 func (f *Follower) fetch(ctx context.Context) (gooseberrypass.KeyedBatch, error) {
 	if !f.started {
 		return f.log.Newest(ctx, f.topic)
 	}
-	batch, err := f.log.Tail(ctx, f.topic, f.next, f.settings.LongPoll)
+	batch, err := f.tail(ctx)
 	var trimmed *gooseberrypass.TrimmedError
-	if errors.As(err, &trimmed) {
-		f.logger.WithField("first", trimmed.First).WithField("next", f.next).Info("topic trimmed past the read offset, reading every key")
-		return f.log.Newest(ctx, f.topic)
+	var restored *gooseberrypass.RestoredError
+	logger := f.logger.WithFields(offsetFields(f.next))
+	switch {
+	case errors.As(err, &trimmed):
+		logger.WithField("first", trimmed.First.Index()).Info("topic trimmed past the read offset, reading every key")
+	case errors.As(err, &restored) && restored.Restores > f.next.Restores():
+		f.settings.Restores.observe(restored.Restores)
+		logger.WithField("restores", restored.Restores).Warn("log came back from an older copy, reading every key")
+	default:
+		return batch, err
+	}
+	return f.log.Newest(ctx, f.topic)
+}
+
+// tail returns the records since the last read. It ends early if another follower sees
+// that the log came back from an older copy: at the same offset the log may then hold
+// another record, and wait for the next one.
+func (f *Follower) tail(ctx context.Context) (gooseberrypass.KeyedBatch, error) {
+	wait := f.settings.LongPoll
+	if f.failures > 0 {
+		wait = 0 // the log may have come back from an older copy
+	}
+	polling, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := f.settings.Restores.watch(f.next.Restores(), func(restores uint64) {
+		cancel(&gooseberrypass.RestoredError{Restores: restores})
+	})
+	defer stop()
+	batch, err := f.log.Tail(polling, f.topic, f.next, wait)
+	var restored *gooseberrypass.RestoredError
+	if err != nil && errors.As(context.Cause(polling), &restored) {
+		return batch, restored
 	}
 	return batch, err
 }
 
+// offsetFields returns the log fields of the offset of the next read.
+func offsetFields(next gooseberrypass.Offset) logrus.Fields {
+	fields := logrus.Fields{"next": next.Index()}
+	if next.Restores() > 0 {
+		fields["restores"] = next.Restores()
+	}
+	return fields
+}
+
 // recordFailure logs the first of several failed reads and posts the error.
 func (f *Follower) recordFailure(started time.Time, err error) {
 	f.reads.WithLabelValues(string(f.topic), "failed").Inc()
 	f.failures++
 	if f.failures == 1 {
-		f.logger.WithError(err).WithField("next", f.next).Warn("reading the topic failed")
+		f.logger.WithError(err).WithFields(offsetFields(f.next)).Warn("reading the topic failed")
 	}
 	f.post(gooseberrypass.TopicRead{Err: err, Started: started, Topic: f.topic})
 }
--- a/gossiper/encoding.go
+++ b/gossiper/encoding.go
@@ -24,6 +24,9 @@
 	for topic, next := range m.Next {
 		g.Next[string(topic)] = uint64(next)
 	}
+	for _, topic := range m.Outranked {
+		g.Outranked = append(g.Outranked, string(topic))
+	}
 	for id, load := range m.Loads {
 		g.Shares = append(g.Shares, &wire.LoadShare{
 			Endpoint: string(id), Requests: uint32(max(load.Requests, 0)), Silent: load.Stalled, UnreadTokens: uint32(max(load.UnreadTokens, 0)),
@@ -64,6 +67,9 @@
 	for topic, next := range g.GetNext() {
 		m.Next[gooseberrypass.Topic(topic)] = gooseberrypass.Offset(next)
 	}
+	for _, topic := range g.GetOutranked() {
+		m.Outranked = append(m.Outranked, gooseberrypass.Topic(topic))
+	}
 	for _, s := range g.GetShares() {
 		m.Loads[gooseberrypass.ID(s.GetEndpoint())] = balancer.Load{Requests: int(s.GetRequests()), Stalled: s.GetSilent(), UnreadTokens: int(s.GetUnreadTokens())}
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -33,6 +33,7 @@
 	Loads          map[gooseberrypass.ID]balancer.Load            // load that an entry puts on each endpoint
 	Manifests      []gooseberrypass.ModelTarget                   // manifests that an agent offers
 	Next           map[gooseberrypass.Topic]gooseberrypass.Offset // offset after the last known record of each topic
+	Outranked      []gooseberrypass.Topic                         // topics of which an entry knows newer records than the restored log
 	Refused        []uint64                                       // requests that an entry has just refused for load
 	Region         gooseberrypass.Region
 	Role           gooseberrypass.Role
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -42,9 +42,10 @@
 				Interruptions: []attributor.Interruption{{Age: 20 * time.Millisecond, Begun: true, Endpoint: "i-1", Parts: []uint64{3, 1 << 63}, Request: 9, Service: "s"}},
 				Quarantines:   []attributor.Quarantine{{Age: time.Minute, Count: 2, Part: 3}},
 			},
-			Demand:  map[gooseberrypass.ID]float64{"s": 12.5},
-			Loads:   map[gooseberrypass.ID]balancer.Load{"i-1": {Requests: 3, UnreadTokens: 4100}, "i-2": {Requests: 1, Stalled: true}},
-			Targets: []gooseberrypass.AgedTarget{{Age: 2500 * time.Millisecond, Model: "m", Observed: true, Version: 8}},
+			Demand:    map[gooseberrypass.ID]float64{"s": 12.5},
+			Loads:     map[gooseberrypass.ID]balancer.Load{"i-1": {Requests: 3, UnreadTokens: 4100}, "i-2": {Requests: 1, Stalled: true}},
+			Outranked: []gooseberrypass.Topic{gooseberrypass.TopicOperator},
+			Targets:   []gooseberrypass.AgedTarget{{Age: 2500 * time.Millisecond, Model: "m", Observed: true, Version: 8}},
 		},
 		"agent": {
 			Address: "10.0.0.2:7700", CrashCounts: map[uint64]int{}, From: "g1", Role: gooseberrypass.RoleAgent,
--- a/log.go
+++ b/log.go
@@ -8,10 +8,6 @@
 	"github.com/pkg/errors"
 )
 
-// An Offset is the position of a record in a stream of the log. Offsets start at 1
-// and are consecutive; 0 means "before the first record".
-type Offset uint64
-
 // A Stream is the name of a stream of the log.
 type Stream string
 
--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -4,7 +4,6 @@
 package materializer
 
 import (
-	"bytes"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -16,12 +15,18 @@
 	"github.com/gooseberrypass/gooseberrypass"
 )
 
-const fieldOffset = "offset" // log field
+// Log fields.
+const (
+	fieldKey    = "key"
+	fieldOffset = "offset"
+	fieldTopic  = "topic"
+)
 
 // A Decoder decodes the records of the keyed topics.
 type Decoder interface {
 	Deployment(r gooseberrypass.KeyedRecord) (*gooseberrypass.Deployment, error)
 	Endpoint(r gooseberrypass.KeyedRecord) (gooseberrypass.Endpoint, error)
+	Revision(topic gooseberrypass.Topic, r gooseberrypass.KeyedRecord) gooseberrypass.Revision
 	Target(r gooseberrypass.KeyedRecord) (gooseberrypass.ModelTarget, bool, error)
 }
 
@@ -56,28 +61,11 @@
 type Settings struct {
 	AssumedAge time.Duration // assumed age of versions that were named before the process started
 	Exemption  time.Duration // time after an outage of its reads for which the process is exempt from the bounds
+	Lease      time.Duration // time after which the log drops the record of an endpoint that no longer renews it
 	MaxListAge time.Duration // age of the last read of the endpoint list up to which a process counts as able to read
 	Retention  time.Duration // time after an outage for which endpoints removed during it are retained
 }
 
-// A topicRecords holds the records of one topic.
-type topicRecords struct {
-	complete   gooseberrypass.Offset                 // offset from which on every record is known, deletions included
-	observed   map[string]bool                       // whether this process saw the record being written, by key
-	knownSince map[string]time.Time                  // when any process first knew the record, by key
-	next       gooseberrypass.Offset                 // offset after the last known record
-	records    map[string]gooseberrypass.KeyedRecord // by key; a nil value is a tombstone
-}
-
-// target returns the target of the version that the record of a key names.
-func (t *topicRecords) target(key string, version int) Target {
-	target := Target{Since: t.knownSince[key], Version: version}
-	if t.observed[key] {
-		target.ObservedAt = target.Since
-	}
-	return target
-}
-
 // A cachedDeployment is the deployment of a record. It is cached because decoding
 // is expensive.
 type cachedDeployment struct {
@@ -212,16 +200,6 @@
 	return extract
 }
 
-// topic returns the records of a topic, and creates them for a new topic.
-func (m *Materializer) topic(topic gooseberrypass.Topic) *topicRecords {
-	t, ok := m.topics[topic]
-	if !ok {
-		t = &topicRecords{observed: map[string]bool{}, records: map[string]gooseberrypass.KeyedRecord{}, knownSince: map[string]time.Time{}}
-		m.topics[topic] = t
-	}
-	return t
-}
-
 // Handle implements gooseberrypass.Controller.
 func (m *Materializer) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
 	changed := false
@@ -232,6 +210,7 @@
 		m.recordOutage(now, e)
 	case gooseberrypass.Tick:
 		changed = m.expire(now)
+		changed = m.releaseRestored(now) || changed
 	}
 	if !changed {
 		return nil
@@ -239,72 +218,13 @@
 	return m.publish(now)
 }
 
-// merge stores the records that are newer than the known ones, and reports
-// whether the snapshot changes.
-func (m *Materializer) merge(now time.Time, e gooseberrypass.TopicChanged) bool {
-	t := m.topic(e.Topic)
-	changed := false
-	exists := make(map[string]bool, len(e.Batch.Records))
-	for i, r := range e.Batch.Records {
-		exists[r.Key] = r.Value != nil
-		if held, ok := t.records[r.Key]; ok && held.Offset >= r.Offset {
-			m.logIgnored(e.Topic, held, r)
-			continue
-		}
-		t.records[r.Key] = r
-		t.knownSince[r.Key] = now.Add(-m.recordAge(e, i))
-		t.observed[r.Key] = e.Ages == nil && !e.FirstRead
-		changed = m.applyRecord(now, e.Topic, r, m.retention(now, e, r.Key)) || changed
-	}
-	if e.Batch.Complete {
-		for key, held := range t.records {
-			if !exists[key] && held.Value != nil && held.Offset < e.Batch.Next {
-				held.Value = nil
-				t.records[key] = held
-				changed = m.applyRecord(now, e.Topic, held, m.retention(now, e, key)) || changed
-			}
-		}
-		// A read of every key returns no deletions.
-		t.complete = max(t.complete, e.Batch.Next)
-	}
-	m.reported = append(m.reported, e.Targets...)
-	changed = changed || len(e.Targets) > 0
-	t.next = max(t.next, e.Batch.Next)
-	offsets := maps.Clone(*m.offsets.Load())
-	offsets[e.Topic] = t.next
-	m.offsets.Store(&offsets)
-	return changed
-}
-
-// logIgnored logs that an operator's record is ignored although it differs from the held one.
-func (m *Materializer) logIgnored(topic gooseberrypass.Topic, held, r gooseberrypass.KeyedRecord) {
-	if topic != gooseberrypass.TopicOperator || bytes.Equal(held.Value, r.Value) {
-		return
-	}
-	m.logger.WithFields(logrus.Fields{"held_offset": held.Offset, "key": r.Key, fieldOffset: r.Offset, "topic": topic}).Warn("ignoring operator record that is older than the known one")
-}
-
-// recordAge returns the time for which a record has been known. The age of a
-// record that was there when the process started is unknown, so AssumedAge is
-// used.
-func (m *Materializer) recordAge(e gooseberrypass.TopicChanged, i int) time.Duration {
-	switch {
-	case i < len(e.Ages):
-		return e.Ages[i]
-	case e.FirstRead:
-		return m.settings.AssumedAge
-	default:
-		return 0
-	}
-}
-
 // applyRecord applies a new record and reports whether the snapshot changes.
 func (m *Materializer) applyRecord(now time.Time, topic gooseberrypass.Topic, r gooseberrypass.KeyedRecord, retention time.Duration) bool {
 	if topic == gooseberrypass.TopicProcesses {
 		return true
 	}
 	if topic == gooseberrypass.TopicOperator {
-		m.logger.WithFields(logrus.Fields{"key": r.Key, fieldOffset: r.Offset, "topic": topic, "bytes": len(r.Value)}).Info("operator record received")
+		m.logger.WithFields(logrus.Fields{fieldKey: r.Key, fieldOffset: r.Offset.Index(), fieldTopic: topic, "bytes": len(r.Value)}).Info("operator record received")
 		return true
 	}
 	held, known := m.endpoints[r.Key]
@@ -313,7 +233,7 @@
 	}
 	endpoint, err := m.decoder.Endpoint(r)
 	if err != nil {
-		m.logger.WithError(err).WithField(fieldOffset, r.Offset).Warn("ignoring endpoint record that cannot be decoded")
+		m.logger.WithError(err).WithField(fieldOffset, r.Offset.Index()).Warn("ignoring endpoint record that cannot be decoded")
 		return false
 	}
 	delete(m.retained, r.Key)
@@ -322,7 +242,7 @@
 		return false
 	}
 	m.logger.WithFields(logrus.Fields{
-		"address": endpoint.Address, "endpoint": endpoint.ID, "leaving": endpoint.Leaving, "models": endpoint.Models, fieldOffset: r.Offset, "service": endpoint.Service,
+		"address": endpoint.Address, "endpoint": endpoint.ID, "leaving": endpoint.Leaving, "models": endpoint.Models, fieldOffset: r.Offset.Index(), "service": endpoint.Service,
 	}).Info("endpoint listed")
 	return true
 }
@@ -465,7 +385,7 @@
 		}
 		var p Process
 		if err := json.Unmarshal(r.Value, &p); err != nil || p.Address == "" {
-			m.logger.WithError(err).WithField("key", key).Warn("ignoring process record that cannot be decoded or has no address")
+			m.logger.WithError(err).WithField(fieldKey, key).Warn("ignoring process record that cannot be decoded or has no address")
 			continue
 		}
 		processes = append(processes, p)
--- a/materializer/materializer_test.go
+++ b/materializer/materializer_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -40,6 +41,16 @@
 	return gooseberrypass.ModelTarget{Model: "m", Version: int(r.Value[0] - '0')}, true, nil
 }
 
+// Revision returns the number after a "#".
+func (textDecoder) Revision(_ gooseberrypass.Topic, r gooseberrypass.KeyedRecord) gooseberrypass.Revision {
+	_, text, ok := strings.Cut(string(r.Value), "#")
+	if !ok {
+		return gooseberrypass.Revision{}
+	}
+	n, _ := strconv.Atoi(text) // 0 is unknown
+	return gooseberrypass.Revision{Number: int64(n)}
+}
+
 const (
 	assumedAge = 5 * time.Second
 	exemption  = 7 * time.Second
--- a/replicator/outageorders_test.go
+++ b/replicator/outageorders_test.go
@@ -26,7 +26,8 @@
 	simDial       = 400 * time.Millisecond
 	simExemption  = 3 * time.Second // a process that was cut off is not judged for so long
 	simHeartbeat  = 1200 * time.Millisecond
-	simLapse      = 2 * simHeartbeat // shortest outage in which a record can expire, after three heartbeats without one
+	simLease      = 3*simHeartbeat + time.Second // after which a record that is not renewed is seen to be gone
+	simLapse      = 2 * simHeartbeat             // shortest outage in which a record can expire, after three heartbeats without one
 	simListAge    = 1100 * time.Millisecond
 	simReadPause  = 500 * time.Millisecond
 	simRetryDelay = 250 * time.Millisecond
@@ -47,25 +48,38 @@
 
 // A simTopic is a keyed topic of the simulated store.
 type simTopic struct {
-	first   gooseberrypass.Offset
-	records []gooseberrypass.KeyedRecord
+	first    gooseberrypass.Offset
+	records  []gooseberrypass.KeyedRecord
+	restores uint64
 }
 
 func (s *simTopic) put(key, value string) {
-	r := gooseberrypass.KeyedRecord{Key: key, Offset: gooseberrypass.Offset(len(s.records))}
+	r := gooseberrypass.KeyedRecord{Key: key, Offset: s.end()}
 	if value != "" {
 		r.Value = []byte(value)
 	}
 	s.records = append(s.records, r)
 }
 
-func (s *simTopic) end() gooseberrypass.Offset { return gooseberrypass.Offset(len(s.records)) }
+func (s *simTopic) end() gooseberrypass.Offset {
+	return gooseberrypass.NewOffset(s.restores, uint64(len(s.records)))
+}
+
+// restore goes back to the first n records, whose offsets are given out anew.
+func (s *simTopic) restore(n int) {
+	s.restores++
+	s.records = slices.Clone(s.records[:n])
+	for i := range s.records {
+		s.records[i].Offset = gooseberrypass.NewOffset(s.restores, uint64(i))
+	}
+	s.first = min(s.first, s.end())
+}
 
 // read returns what a read from an offset returns: every key if the process has not read
-// before or the offset is trimmed.
+// before, the offset is trimmed or it was given out before a restore.
 func (s *simTopic) read(started bool, from gooseberrypass.Offset) gooseberrypass.KeyedBatch {
-	if started && from >= s.first {
-		return gooseberrypass.KeyedBatch{Next: s.end(), Records: slices.Clone(s.records[from:])}
+	if started && from.Restores() == s.restores && from.Index() >= s.first.Index() {
+		return gooseberrypass.KeyedBatch{Next: s.end(), Records: slices.Clone(s.records[from.Index():])}
 	}
 	batch := gooseberrypass.KeyedBatch{Complete: true, Next: s.end()}
 	newest := map[string]gooseberrypass.KeyedRecord{}
@@ -102,6 +116,7 @@
 type simulation struct {
 	cutFromOthers map[gooseberrypass.ID]bool
 	cutFromStore  map[gooseberrypass.ID]bool
+	decoder       materializer.Decoder
 	now           time.Time
 	processes     []*simProcess
 	topics        map[gooseberrypass.Topic]*simTopic
@@ -109,7 +124,7 @@
 
 func newSimulation() *simulation {
 	return &simulation{
-		cutFromOthers: map[gooseberrypass.ID]bool{}, cutFromStore: map[gooseberrypass.ID]bool{}, now: now,
+		decoder: decoder{}, cutFromOthers: map[gooseberrypass.ID]bool{}, cutFromStore: map[gooseberrypass.ID]bool{}, now: now,
 		topics: map[gooseberrypass.Topic]*simTopic{gooseberrypass.TopicEndpoints: {}, gooseberrypass.TopicOperator: {}, gooseberrypass.TopicProcesses: {}},
 	}
 }
@@ -136,7 +151,8 @@
 func (s *simulation) start(id gooseberrypass.ID, role gooseberrypass.Role) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	m := materializer.New(decoder{}, materializer.Settings{Exemption: simExemption, MaxListAge: simListAge, Retention: simRetention}, log)
+	log.SetLevel(logrus.PanicLevel) // formatting the lines would take most of the time
+	m := materializer.New(s.decoder, materializer.Settings{Exemption: simExemption, Lease: simLease, MaxListAge: simListAge, Retention: simRetention}, log)
 	p := &simProcess{id: id, process: &process{answerer: replicator.NewResponder(m), materializer: m, sender: &recordingSender{}}, readers: map[gooseberrypass.Topic]*simReader{}}
 	var loads replicator.LoadExchange
 	if role == gooseberrypass.RoleEntry {
@@ -420,7 +436,7 @@
 // entry: it learns of the newest version and of a process that has deregistered, also if
 // the entry has started anew meanwhile and read only the newest records.
 func TestEveryOrderOfEventsAroundAnOutageOfAnAgent(t *testing.T) {
-	const versionNamed, entryRestarts = "version named", "entry restarts"
+	const versionNamed = "version named"
 	orders := permutations([]string{cutBegins, versionNamed, recordRemoved, entryRestarts, compaction, readsSucceed})
 	broken := 0
 	for _, order := range orders {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -179,7 +179,7 @@
 		m.CrashCounts, m.CrashEvidence, m.Refused = r.history.CrashCounts(), r.history.CrashEvidence(), r.history.Refused()
 		m.Advisories, m.Demand, m.Loads = r.loads.OwnAdvisories(), r.loads.OwnDemand(), r.loads.OwnLoads()
 		m.ListAge = r.listAge(now)
-		m.Targets = r.recentTargets(now)
+		m.Outranked, m.Targets = r.outranked(), r.recentTargets(now)
 		m.Next[gooseberrypass.TopicEndpoints] = next(gooseberrypass.TopicEndpoints)
 	}
 	return m
@@ -284,25 +284,7 @@
 		return nil
 	}
 	if r.loads != nil {
-		if m.Role == gooseberrypass.RoleEntry {
-			r.recordReader(now, m)
-			r.history.AddCrashEvidence(m.From, m.CrashEvidence)
-			r.materializer.ObserveRead(now, m.ListAge, m.Region == r.self.Region)
-			r.history.SetCrashCounts(m.From, m.CrashCounts)
-			r.history.SetRefused(m.Refused)
-			r.loads.SetEntryLoads(now, m.From, m.Loads)
-			r.loads.AddAdvisories(now, m.From, m.Advisories)
-			r.loads.SetEntryDemand(m.From, m.Demand)
-		}
-		if m.EndpointStatus != nil {
-			r.handleStatus(now, m)
-		}
-		if m.Role == gooseberrypass.RoleAgent {
-			r.contacts[m.From] = contact{heardAt: now}
-		}
-		if m.Role == gooseberrypass.RoleAgent && r.isAheadOf(m) {
-			r.sender.Send(r.message(now, gooseberrypass.RoleAgent), []string{m.Address})
-		}
+		r.receiveAtEntry(now, m)
 	}
 	var effects []gooseberrypass.Effect
 	if news := r.materializer.NewTargets(now, m.Targets); len(news) > 0 {
@@ -311,13 +293,57 @@
 	}
 	for topic, next := range m.Next {
 		if r.follows(topic) && r.shouldPull(now, topic, next) {
-			r.pulling[topic] = true
-			effects = append(effects, pull{client: r.client, from: r.materializer.NextOffset(topic), peer: m.Address, timeout: r.settings.PullTimeout, topic: topic})
+			effects = append(effects, r.pull(topic, m.Address, r.materializer.NextOffset(topic)))
+		}
+	}
+	for _, topic := range m.Outranked {
+		if r.follows(topic) && !r.pulling[topic] && r.materializer.MissedRestore(topic) {
+			effects = append(effects, r.pull(topic, m.Address, 0))
 		}
 	}
 	return effects
 }
 
+// receiveAtEntry handles the parts of a message that only entries need.
+func (r *Replicator) receiveAtEntry(now time.Time, m gossiper.Message) {
+	if m.Role == gooseberrypass.RoleEntry {
+		r.recordReader(now, m)
+		r.history.AddCrashEvidence(m.From, m.CrashEvidence)
+		r.materializer.ObserveRead(now, m.ListAge, m.Region == r.self.Region)
+		r.history.SetCrashCounts(m.From, m.CrashCounts)
+		r.history.SetRefused(m.Refused)
+		r.loads.SetEntryLoads(now, m.From, m.Loads)
+		r.loads.AddAdvisories(now, m.From, m.Advisories)
+		r.loads.SetEntryDemand(m.From, m.Demand)
+	}
+	if m.EndpointStatus != nil {
+		r.handleStatus(now, m)
+	}
+	if m.Role == gooseberrypass.RoleAgent {
+		r.contacts[m.From] = contact{heardAt: now}
+	}
+	if m.Role == gooseberrypass.RoleAgent && r.isAheadOf(m) {
+		r.sender.Send(r.message(now, gooseberrypass.RoleAgent), []string{m.Address})
+	}
+}
+
+// pull returns the effect that pulls the records of a topic from an offset on.
+func (r *Replicator) pull(topic gooseberrypass.Topic, peer string, from gooseberrypass.Offset) gooseberrypass.Effect {
+	r.pulling[topic] = true
+	return pull{client: r.client, from: from, peer: peer, timeout: r.settings.PullTimeout, topic: topic}
+}
+
+// outranked returns the topics of which this process knows newer records than the log.
+func (r *Replicator) outranked() []gooseberrypass.Topic {
+	var topics []gooseberrypass.Topic
+	for _, topic := range []gooseberrypass.Topic{gooseberrypass.TopicEndpoints, gooseberrypass.TopicOperator, gooseberrypass.TopicProcesses} {
+		if r.materializer.Outranks(topic) {
+			topics = append(topics, topic)
+		}
+	}
+	return topics
+}
+
 // shouldPull reports whether to pull records of a topic from a process that has
 // read it up to next. A message from a process that is behind as well does not
 // reset the time since when this one has been behind.
@@ -385,7 +411,7 @@
 		r.logger.WithError(e.err).WithField("peer", e.peer).WithField("topic", e.topic).Info("pulling records from another process failed")
 		return nil
 	}
-	r.logger.WithFields(logrus.Fields{"peer": e.peer, "topic": e.topic, "next": e.document.Next, "complete": e.document.Complete, "records": len(e.document.Records)}).Info("pulled records from another process")
+	r.logger.WithFields(logrus.Fields{"peer": e.peer, "topic": e.topic, "next": e.document.Next.Index(), "complete": e.document.Complete, "records": len(e.document.Records)}).Info("pulled records from another process")
 	return []gooseberrypass.Effect{redispatch{event: e.document.event(e.topic)}}
 }
 
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -29,6 +29,10 @@
 	return gooseberrypass.Endpoint{ID: gooseberrypass.ID(r.Key), Leaving: string(r.Value) == "leaving"}, nil
 }
 
+func (decoder) Revision(gooseberrypass.Topic, gooseberrypass.KeyedRecord) gooseberrypass.Revision {
+	return gooseberrypass.Revision{}
+}
+
 func (decoder) Target(r gooseberrypass.KeyedRecord) (gooseberrypass.ModelTarget, bool, error) {
 	return gooseberrypass.ModelTarget{Model: "m", Version: int(r.Offset)}, r.Key == "version", nil
 }
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -58,7 +58,10 @@
 	}
 	m.materializer = materializer.New(platform.Decoder{}, settings.materializerSettings(), m.logger, g.balancer)
 	repl := m.newReplicator(g.balancer, g.history)
-	m.loop.Add(m.materializer, replicator.NewResponder(m.materializer), g.balancer, repl)
+	if m.registrar, err = m.newRegistrar(); err != nil {
+		return nil, err
+	}
+	m.loop.Add(m.materializer, replicator.NewResponder(m.materializer), g.balancer, repl, m.registrar)
 	reads, err := follower.NewReadCounter(m.registry)
 	if err != nil {
 		return nil, err
--- a/runner/machine.go
+++ b/runner/machine.go
@@ -19,6 +19,7 @@
 	"github.com/gooseberrypass/gooseberrypass/looper"
 	"github.com/gooseberrypass/gooseberrypass/materializer"
 	"github.com/gooseberrypass/gooseberrypass/platform"
+	"github.com/gooseberrypass/gooseberrypass/registrar"
 	"github.com/gooseberrypass/gooseberrypass/replicator"
 )
 
@@ -27,8 +28,6 @@
 	longPoll           = 25 * time.Second       // longest time for which the store may hold a read
 	followRetryDelay   = 250 * time.Millisecond // delay after a failed read
 	processesReadPause = time.Second            // delay between reads of the processes, so that one read returns those that start together
-	registerRetryDelay = 500 * time.Millisecond // delay after a failed registration; doubles up to registerRetryMost
-	registerRetryMost  = 2 * time.Second
 	// operatorReadDelay is how long a starting agent waits to receive the
 	// operator's records from an entry before it reads them from the store. Without
 	// it, all agents would read them at once after a power failure, over links that
@@ -48,7 +47,9 @@
 	loop         *looper.Loop
 	materializer *materializer.Materializer
 	metrics      *listener.Server // serves the metrics
+	registrar    *registrar.Registrar
 	registry     *prometheus.Registry
+	restores     *follower.Restores // of the store
 	seed         uint64
 	self         materializer.Process
 	settings     *MachineSettings
@@ -62,6 +63,7 @@
 		clock:    d.Clock,
 		logger:   d.Logger.WithField("instance", self.ID),
 		registry: d.Registry,
+		restores: follower.NewRestores(),
 		seed:     uint64(d.Clock.Now().UnixNano()),
 		self:     self,
 		settings: settings,
@@ -106,7 +108,7 @@
 
 // follow adds a follower of a topic.
 func (m *machineProcess) follow(reads *prometheus.CounterVec, topic gooseberrypass.Topic, settings follower.Settings) {
-	settings.RetryDelay = followRetryDelay
+	settings.Restores, settings.RetryDelay = m.restores, followRetryDelay
 	m.followers = append(m.followers, follower.New(m.clock, m.store, topic, settings, m.loop.Post, reads, m.logger))
 }
 
@@ -117,6 +119,16 @@
 	return func() gooseberrypass.Offset { return m.materializer.NextOffset(topic) }
 }
 
+// newRegistrar returns the registrar of the process, which must come after the
+// materializer in the control loop.
+func (m *machineProcess) newRegistrar() (*registrar.Registrar, error) {
+	body, err := json.Marshal(m.self)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode process registration")
+	}
+	return registrar.New(m.clock, m.store, m.materializer, string(m.self.ID), body, m.seed, m.logger), nil
+}
+
 // newReplicator returns the replicator of the process. loads and history are nil in
 // an agent.
 func (m *machineProcess) newReplicator(loads replicator.LoadExchange, history replicator.RequestHistory) *replicator.Replicator {
@@ -142,43 +154,9 @@
 		return func(ctx context.Context) error { return l.Run(ctx, closeTimeout) }
 	}
 	funcs := make([]runFunc, 0, len(m.followers)+5)
-	funcs = append(funcs, m.loop.Run, m.gossiper.Run, m.register, serve(m.internal), serve(m.metrics))
+	funcs = append(funcs, m.loop.Run, m.gossiper.Run, m.registrar.Run, serve(m.internal), serve(m.metrics))
 	for _, f := range m.followers {
 		funcs = append(funcs, f.Run)
 	}
 	return funcs
 }
-
-// register writes the process to the store, from which the others learn of it,
-// retrying until that succeeds. It removes the process when ctx is done.
-func (m *machineProcess) register(ctx context.Context) error {
-	body, err := json.Marshal(m.self)
-	if err != nil {
-		return errors.Wrap(err, "encode process registration")
-	}
-	for delay := registerRetryDelay; ctx.Err() == nil; delay = min(2*delay, registerRetryMost) {
-		err := m.store.Put(ctx, gooseberrypass.TopicProcesses, string(m.self.ID), body)
-		if err == nil {
-			m.logger.Info("process registered")
-			break
-		}
-		m.logger.WithError(err).Warn("process registration failed, retrying")
-		timer := m.clock.NewTimer(delay)
-		select {
-		case <-ctx.Done():
-		case <-timer.Chan():
-		}
-		timer.Stop()
-	}
-	<-ctx.Done()
-	m.deregister(context.WithoutCancel(ctx))
-	return nil
-}
-
-// deregister removes the process from the store. If that fails, the others detect
-// on their own that it is gone.
-func (m *machineProcess) deregister(ctx context.Context) {
-	if err := m.store.Put(ctx, gooseberrypass.TopicProcesses, string(m.self.ID), nil); err != nil {
-		m.logger.WithError(err).Warn("process deregistration failed")
-	}
-}
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -97,6 +97,7 @@
 		Kind: sectionBounds,
 		Keys: []checker.Key{
 			{Name: "grace", Required: true, Type: checker.Duration(time.Second, longest), Doc: "Time between SIGTERM and SIGKILL."},
+			{Name: "heartbeat", Type: checker.Duration(time.Millisecond, longest), Default: "1200ms", Doc: "Interval at which endpoints renew their records; a record expires after three without a renewal."},
 			{Name: "lapse", Type: checker.Duration(0, longest), Default: default2500ms, Doc: "Time after an outage of the store for which endpoints that expired in it are kept; 2 s by the platform's contract and a margin for a read."},
 			{Name: "retry-ratio", Required: true, Type: checker.Float(0, 10), Doc: "Retries that a service may get in the window, as a ratio of its requests."},
 			{Name: "retry-slack", Required: true, Type: checker.Float(0, 1e6), Doc: "Retries beyond the ratio in the window, by all entries together."},
@@ -329,9 +330,18 @@
 
 func (s *MachineSettings) materializerSettings() materializer.Settings {
 	version, stable := s.duration(sectionBounds, "version"), s.duration(sectionBounds, "stable")
-	return materializer.Settings{AssumedAge: max(version-stable, 0), Exemption: stable, MaxListAge: maxListAge, Retention: s.duration(sectionBounds, "lapse")}
+	return materializer.Settings{AssumedAge: max(version-stable, 0), Exemption: stable, MaxListAge: maxListAge, Lease: leaseTime(s.duration(sectionBounds, "heartbeat")), Retention: s.duration(sectionBounds, "lapse")}
 }
 
+// The lease of an endpoint's record in the store, and the time that its expiry takes to
+// reach a process.
+const (
+	leaseHeartbeats = 3
+	leaseMargin     = time.Second
+)
+
+func leaseTime(heartbeat time.Duration) time.Duration { return leaseHeartbeats*heartbeat + leaseMargin }
+
 // pullTimeout is the time limit of a pull of records from another process, and how
 // long an entry's own reads of the endpoint list may lag behind those of another
 // process before it pulls. Both must be a fraction of the bounds for a new
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -84,7 +84,10 @@
 	m.materializer = materializer.New(platform.Decoder{}, settings.materializerSettings(), m.logger, adapter, stg)
 	repl := m.newReplicator(nil, nil)
 	notifier.replicator = repl
-	m.loop.Add(m.materializer, replicator.NewResponder(m.materializer), repl, f, stg)
+	if m.registrar, err = m.newRegistrar(); err != nil {
+		return nil, err
+	}
+	m.loop.Add(m.materializer, replicator.NewResponder(m.materializer), repl, f, stg, m.registrar)
 	reads, err := follower.NewReadCounter(m.registry)
 	if err != nil {
 		return nil, err
--- a/topic.go
+++ b/topic.go
@@ -1,6 +1,7 @@
 package gooseberrypass
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -18,9 +19,27 @@
 
 // A KeyedRecord is the newest record of a key. Value is nil if the key was deleted.
 type KeyedRecord struct {
-	Key    string
-	Offset Offset
-	Value  []byte
+	Key      string
+	Offset   Offset
+	Revision Revision // of a deleted key: that of its last value, as far as known
+	Value    []byte
+}
+
+// A Revision orders the values of one key by what their writer says of them, whatever
+// their offsets: a log that came back from an older copy holds older values at new
+// offsets. The zero value is unknown.
+type Revision struct {
+	Number int64 // rises with each value that the writer writes
+	Start  int64 // start of the writer, in Unix milliseconds, 0 for writers that do not restart
+}
+
+// Compare returns a negative number if r is older than other, a positive one if it is newer,
+// and 0 if they are equal or one of them is unknown.
+func (r Revision) Compare(other Revision) int {
+	if r == (Revision{}) || other == (Revision{}) {
+		return 0
+	}
+	return cmp.Or(cmp.Compare(r.Start, other.Start), cmp.Compare(r.Number, other.Number))
 }
 
 // A KeyedBatch is the result of a read of a keyed topic. If Complete is set,
@@ -41,7 +60,8 @@
 	Put(ctx context.Context, topic Topic, key string, value []byte) error
 	// Tail returns records starting at offset from. If there are none, it waits
 	// for one up to wait. It returns a *TrimmedError if the record at from has
-	// been trimmed.
+	// been trimmed, and a *RestoredError if the log came back from an older copy
+	// after it gave out from.
 	Tail(ctx context.Context, topic Topic, from Offset, wait time.Duration) (KeyedBatch, error)
 }
 
