Take only events with an index into a resumed stream

What callers saw in the test: a stream that may be resumed had begun and broke off, and the next endpoint answered with status 200 and text that is no event of the stream, such as the head of an error or an event that says error. It became a part of the caller's stream, which ended as complete.

Cause: events without an index are forwarded as they come, as a stream may hold some. What goes on after an event with an index has one too, or nobody can tell whether it follows. An event without one, comments aside, now breaks off the resumed stream.

TestErrorOfTheNextEndpointIsNoPartOfAStream: 18 answers of the next endpoint (errors, refusals, unsigned, cut, without a body); two of them failed before. Errors under an error status were never passed on.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -18,6 +18,7 @@
 		reply.Header.Del("Content-Length") // the rest may come from another endpoint
 	}
 	events := newEventReader(reply.Body)
+	resumed := r.started
 	for {
 		event, err := r.nextEvent(events, reply)
 		if errors.Is(err, io.EOF) {
@@ -34,6 +35,9 @@
 		if r.delivered(event) {
 			continue
 		}
+		if resumed && event.id < 0 && !event.comment {
+			return r.streamFailure(ctx, errors.New("resumed stream has an event without an index"))
+		}
 		if failed := r.deliverEvent(ctx, reply, event); failed != nil {
 			return failed
 		}
