Send endpoints nothing more once an answer says that they leave

Cause: only the list told that an endpoint leaves. The news from answers is now kept with the start of the endpoint, told to the other entries, and holds until the endpoint starts anew: an older record in service does not bring it back, nor does a record that was dropped and is listed again. What others heard expires (advisory-life); a report of an earlier start does not count. Limits are forgotten at a new start as well.

--- a/balancer/advisory.go
+++ b/balancer/advisory.go
@@ -20,9 +20,10 @@
 
 // An AdvisoryReport is an advisory that an entry has heard, as it tells other entries.
 type AdvisoryReport struct {
-	Advisory gooseberrypass.Advisory
-	Age      time.Duration // time since it was heard
-	Endpoint gooseberrypass.ID
+	Advisory    gooseberrypass.Advisory
+	Age         time.Duration // time since it was heard
+	Endpoint    gooseberrypass.ID
+	StartMillis int64 // start of the endpoint, in Unix milliseconds, 0 if unknown
 }
 
 // AdvisoryReceived records what the endpoint says in an answer about the requests that
@@ -34,6 +35,9 @@
 	if a.Invalid != "" && a.Invalid != t.endpoint.advisory.Invalid {
 		b.logger.WithFields(logrus.Fields{fieldEndpoint: t.target.ID, "value": a.Invalid}).Warn("endpoint sent an advisory that cannot be read, ignoring it")
 	}
+	if a.Leaving {
+		b.recordDeparture(t.target.ID, departure{heardAt: b.clock.Now(), own: true, startMillis: t.target.StartMillis}, b.self.ID)
+	}
 	if !a.Limited && !t.endpoint.advisory.Limited {
 		t.endpoint.advisory.Invalid = a.Invalid
 		return
@@ -49,16 +53,17 @@
 	now := b.clock.Now()
 	var reports []AdvisoryReport
 	for id, e := range b.endpoints {
-		life := b.settings.LimitTTL
+		life := b.settings.AdvisoryTTL
 		if e.advisory.Limited {
 			life = b.settings.ReportTTL
 		}
 		age := now.Sub(e.advisory.heardAt)
 		if e.advisory.own && age < life {
-			reports = append(reports, AdvisoryReport{Advisory: e.advisory.Advisory, Age: age, Endpoint: id})
+			limit := gooseberrypass.Advisory{Limited: e.advisory.Limited, Rate: e.advisory.Rate}
+			reports = append(reports, AdvisoryReport{Advisory: limit, Age: age, Endpoint: id, StartMillis: e.listed.StartMillis})
 		}
 	}
-	return reports
+	return append(reports, b.ownDepartures(now)...)
 }
 
 // AddAdvisories records the advisories that another entry reports, unless newer ones are
@@ -67,8 +72,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, r := range reports {
+		if r.Advisory.Leaving {
+			b.recordDeparture(r.Endpoint, departure{heardAt: now.Add(-r.Age), startMillis: r.StartMillis}, from)
+			continue
+		}
 		heard := advisory{Advisory: r.Advisory, heardAt: now.Add(-r.Age)}
-		if e, ok := b.endpoints[r.Endpoint]; ok && heard.heardAt.After(e.advisory.heardAt) {
+		if e, ok := b.endpoints[r.Endpoint]; ok && r.StartMillis >= e.listed.StartMillis && heard.heardAt.After(e.advisory.heardAt) {
 			b.setAdvisory(e, heard, from)
 		}
 	}
@@ -104,10 +113,10 @@
 	}
 }
 
-// expireAdvisories forgets the limits that no entry has heard for LimitTTL.
+// expireAdvisories forgets the limits that no entry has heard for AdvisoryTTL.
 func (b *Balancer) expireAdvisories(now time.Time) {
 	for _, e := range b.endpoints {
-		if e.advisory.heardAt.IsZero() || now.Sub(e.advisory.heardAt) < b.settings.LimitTTL {
+		if e.advisory.heardAt.IsZero() || now.Sub(e.advisory.heardAt) < b.settings.AdvisoryTTL {
 			continue
 		}
 		if e.advisory.Limited {
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -30,11 +30,11 @@
 
 // Settings configure a Balancer.
 type Settings struct {
+	AdvisoryTTL     time.Duration // time for which a rate limit, or what other entries say of an endpoint, is remembered after an entry last heard it
 	Ejection        time.Duration // ejection after a timeout or two failures in a row; doubles with each ejection
 	EnginePenalty   float64       // cost of an engine in another region, in requests
 	Fill            float64       // most requests at an engine, as a multiple of its slots
 	FirstEventShare float64       // share of the objective within which the first event must be predicted
-	LimitTTL        time.Duration // time for which the rate limit of an endpoint is remembered after an entry last heard it
 	MaxEjection     time.Duration // longest ejection
 	PlainFill       float64       // most requests at a plain service's endpoint, as a multiple of its slots
 	PlainPenalty    float64       // cost of a plain endpoint in another region, in requests per slot
@@ -93,8 +93,9 @@
 	settings Settings
 
 	mu           sync.Mutex
-	demands      map[gooseberrypass.ID]*demand // of this entry, by service
-	drainsAt     map[string]time.Time          // announced start of the drain of endpoints, by address
+	demands      map[gooseberrypass.ID]*demand   // of this entry, by service
+	departures   map[gooseberrypass.ID]departure // endpoints that said that they leave
+	drainsAt     map[string]time.Time            // announced start of the drain of endpoints, by address
 	endpoints    map[gooseberrypass.ID]*endpoint
 	entriesEpoch int                                                 // rises when entries come or go
 	entryDemands map[gooseberrypass.ID]map[gooseberrypass.ID]float64 // last demand that each other entry reported, by service
@@ -114,6 +115,7 @@
 	return &Balancer{
 		clock:        clock,
 		demands:      map[gooseberrypass.ID]*demand{},
+		departures:   map[gooseberrypass.ID]departure{},
 		drainsAt:     map[string]time.Time{},
 		entryDemands: map[gooseberrypass.ID]map[gooseberrypass.ID]float64{},
 		endpoints:    map[gooseberrypass.ID]*endpoint{},
@@ -164,6 +166,9 @@
 			}
 			b.endpoints[listed.ID] = e
 		}
+		if ok && listed.StartMillis > e.listed.StartMillis && e.listed.StartMillis > 0 {
+			e.advisory, e.limit = advisory{heardAt: b.clock.Now()}, limit{} // it has not said anything since its start
+		}
 		e.listed, e.region = listed, b.regionOf(listed.FailureDomain)
 		e.remote = e.region != b.self.Region
 		if services[listed.Service] == nil {
@@ -196,6 +201,7 @@
 	}
 	b.countLocalEntries()
 	b.expireAdvisories(now)
+	b.expireDepartures(now)
 	b.shareLimits(now)
 	for address, at := range b.statusesSeen {
 		if now.Sub(at) >= b.settings.StatusTTL {
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -19,7 +19,7 @@
 func settings() balancer.Settings {
 	return balancer.Settings{
 		Ejection: time.Second, MaxEjection: 4 * time.Second, EnginePenalty: 1, Fill: 1.25, RefusalBackoff: 100 * time.Millisecond,
-		LimitTTL: 30 * time.Second, ReportTTL: 3 * time.Second, StatusTTL: 8 * time.Second, PlainFill: 2, PlainPenalty: 0.4, ResumeFill: 1.5, SlowTolerance: 1.5,
+		AdvisoryTTL: 30 * time.Second, ReportTTL: 3 * time.Second, StatusTTL: 8 * time.Second, PlainFill: 2, PlainPenalty: 0.4, ResumeFill: 1.5, SlowTolerance: 1.5,
 		VersionMargin: time.Second, VersionTimeout: 8 * time.Second,
 	}
 }
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -137,7 +137,7 @@
 	switch {
 	case !q.Regions.Contains(e.region):
 		return stateExcluded
-	case e.listed.Leaving:
+	case e.listed.Leaving || b.hasDeparted(e):
 		return stateLeaving
 	case now.Before(e.ejectedUntil) || e.probation && e.own.Requests > 0:
 		return stateEjected
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -17,7 +17,7 @@
 	stateEjected         // failed or timed out, or is on probation with a request in flight
 	stateExcluded        // in a region that may not serve the request
 	stateFull            // at its limit, or refused because of load
-	stateLeaving         // listed as leaving
+	stateLeaving         // listed as leaving, or said so itself
 	stateLimited         // has got what this entry may send under its rate limit
 	stateLoading         // loading a version, or about to
 	stateSilent          // has requests and has sent nothing for its stall timeout
--- a/deployment.go
+++ b/deployment.go
@@ -210,7 +210,8 @@
 	Leaving       bool
 	Models        map[string]int // loaded version of each model
 	Service       ID
-	Slots         int // requests that it runs at once
+	Slots         int   // requests that it runs at once
+	StartMillis   int64 // start of the endpoint, in Unix milliseconds, 0 if unknown
 }
 
 // A ModelTarget is the version of a model that the operator wants to be loaded.
--- a/forwarder/advisory_test.go
+++ b/forwarder/advisory_test.go
@@ -35,6 +35,36 @@
 	}
 }
 
+// An endpoint that says in any of its answers that it leaves was sent further requests, as the
+// list did not know yet.
+func TestEndpointThatSaysThatItLeavesGetsNothingMore(t *testing.T) {
+	a := gooseberrypass.Advisory{Leaving: true}
+	for name, test := range map[string]struct {
+		path     string
+		reaction reaction
+	}{
+		"answer":     {"/once/", reaction{advisory: a, body: "whole"}},
+		"stream":     {"/stream/", reaction{advisory: a, body: "id: 0\n\n"}},
+		"cut stream": {"/rigid/", reaction{advisory: a, body: "id: 0\n\nid: 1", cut: true}},
+		"error":      {"/once/", reaction{advisory: a, status: http.StatusInternalServerError}},
+		"refusal":    {"/once/", reaction{advisory: a, notRun: true, status: http.StatusServiceUnavailable}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, test.reaction, reaction{body: "whole"})
+			f.send(test.path, "key")
+			leaving := f.transport.sent[0].Endpoint.ID
+			for range 20 {
+				f.send("/once/", "key")
+			}
+			for _, d := range f.transport.sent[1:] {
+				if d.Endpoint.ID == leaving {
+					t.Fatalf("endpoint %s got a request after it had said that it leaves", leaving)
+				}
+			}
+		})
+	}
+}
+
 // A limitedChooser has endpoints that take the next request after wait.
 type limitedChooser struct {
 	polls int
--- a/gossiper/advisory.go
+++ b/gossiper/advisory.go
@@ -13,7 +13,8 @@
 	advisories := make([]*wire.EndpointAdvisory, 0, len(reports))
 	for _, r := range reports {
 		advisories = append(advisories, &wire.EndpointAdvisory{
-			AgeMillis: r.Age.Milliseconds(), Endpoint: string(r.Endpoint), Limited: r.Advisory.Limited, Rate: r.Advisory.Rate,
+			AgeMillis: r.Age.Milliseconds(), BornUnixMillis: r.StartMillis, Endpoint: string(r.Endpoint),
+			Leaving: r.Advisory.Leaving, Limited: r.Advisory.Limited, Rate: r.Advisory.Rate,
 		})
 	}
 	return advisories
@@ -28,8 +29,8 @@
 			continue
 		}
 		reports = append(reports, balancer.AdvisoryReport{
-			Advisory: gooseberrypass.Advisory{Limited: a.GetLimited(), Rate: a.GetRate()},
-			Age:      decodeAge(a.GetAgeMillis()), Endpoint: gooseberrypass.ID(a.GetEndpoint()),
+			Advisory: gooseberrypass.Advisory{Leaving: a.GetLeaving(), Limited: a.GetLimited(), Rate: a.GetRate()},
+			Age:      decodeAge(a.GetAgeMillis()), Endpoint: gooseberrypass.ID(a.GetEndpoint()), StartMillis: a.GetBornUnixMillis(),
 		})
 	}
 	return reports
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -31,7 +31,9 @@
 	tests := map[string]gossiper.Message{
 		"entry": {
 			Advisories: []balancer.AdvisoryReport{
-				{Advisory: gooseberrypass.Advisory{Limited: true, Rate: 3.7}, Age: 250 * time.Millisecond, Endpoint: "i-1"}, {Age: time.Second, Endpoint: "i-2"},
+				{Advisory: gooseberrypass.Advisory{Limited: true, Rate: 3.7}, Age: 250 * time.Millisecond, Endpoint: "i-1"},
+				{Age: time.Second, Endpoint: "i-2"},
+				{Advisory: gooseberrypass.Advisory{Leaving: true}, Age: time.Second, Endpoint: "i-3", StartMillis: 1764800000123},
 			},
 			Address: "10.0.0.1:7700", CrashCounts: map[uint64]int{1<<63 + 5: 2}, From: "e1", ListAge: 300 * time.Millisecond, Refused: []uint64{7, 1 << 63}, Region: "r", Role: gooseberrypass.RoleEntry,
 			Next: map[gooseberrypass.Topic]gooseberrypass.Offset{gooseberrypass.TopicOperator: 1 << 40, gooseberrypass.TopicEndpoints: 0},
--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -292,7 +292,7 @@
 // equalEndpoints reports whether two records describe an endpoint in the same
 // way.
 func equalEndpoints(a, b gooseberrypass.Endpoint) bool {
-	return a.Address == b.Address && a.Lapsed == b.Lapsed && a.Leaving == b.Leaving && a.Service == b.Service && a.Slots == b.Slots &&
+	return a.Address == b.Address && a.Lapsed == b.Lapsed && a.Leaving == b.Leaving && a.Service == b.Service && a.Slots == b.Slots && a.StartMillis == b.StartMillis &&
 		a.FailureDomain == b.FailureDomain && maps.Equal(a.Models, b.Models)
 }
 
