Send an endpoint nothing in the time for which it turned a request away

Cause: the value was read by nothing, and the pause after a refusal is 150 ms at first.

The longest pause that an endpoint asked this entry for counts, whatever its other answers and records say, until it starts anew. It is not told to other entries, as it is meant for one. After it the endpoint gets one request, and more once it answers that.

--- a/balancer/advisory.go
+++ b/balancer/advisory.go
@@ -38,6 +38,9 @@
 	if a.Leaving {
 		b.recordDeparture(t.target.ID, departure{heardAt: b.clock.Now(), own: true, startMillis: t.target.StartMillis}, b.self.ID)
 	}
+	if a.Pause > 0 {
+		b.recordPause(b.clock.Now(), t, a.Pause)
+	}
 	if !a.Limited && !t.endpoint.advisory.Limited {
 		t.endpoint.advisory.Invalid = a.Invalid
 		return
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -102,6 +102,7 @@
 	entriesSeen  map[gooseberrypass.ID]time.Time                     // last report of each other entry
 	headTimes    map[gooseberrypass.ID]time.Duration                 // moving average of the time to the head of an answer, by service
 	localEntries int                                                 // entries in this entry's region, including itself
+	pauses       map[gooseberrypass.ID]*pause                        // by endpoint
 	reports      map[gooseberrypass.ID]map[gooseberrypass.ID]Load    // last load that each other entry reported, by endpoint
 	services     map[gooseberrypass.ID]*pool
 	snapshot     *materializer.Snapshot
@@ -128,6 +129,7 @@
 		regionOf:     regionOf,
 		rng:          rand.New(rand.NewPCG(seed, seed)),
 		self:         self,
+		pauses:       map[gooseberrypass.ID]*pause{},
 		reports:      map[gooseberrypass.ID]map[gooseberrypass.ID]Load{},
 		services:     map[gooseberrypass.ID]*pool{},
 		settings:     settings,
@@ -202,6 +204,7 @@
 	b.countLocalEntries()
 	b.expireAdvisories(now)
 	b.expireDepartures(now)
+	b.expirePauses(now)
 	b.shareLimits(now)
 	for address, at := range b.statusesSeen {
 		if now.Sub(at) >= b.settings.StatusTTL {
@@ -322,6 +325,7 @@
 		t.expectedVersion = t.version
 	}
 	best.takeFromLimit(now)
+	b.startProbe(t)
 	if best.own.Requests == 0 {
 		best.busySince = now
 	}
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -45,8 +45,11 @@
 			state = stateSilent
 		}
 		c.counts.byState[state]++
-		if state == stateLimited {
-			c.counts.addLimitWait(e.limitWait(c.now))
+		switch state {
+		case stateLimited:
+			c.counts.addWait(e.limitWait(c.now))
+		case statePaused:
+			c.counts.addWait(b.pauseLeft(c.now, e))
 		}
 		if state != stateAvailable {
 			continue
@@ -98,9 +101,12 @@
 		return 0, state
 	}
 	cost, hasRoom := b.cost(e, q)
+	pause := b.pauseState(now, e)
 	switch {
 	case slices.Contains(q.Tried, e.listed.ID):
 		return 0, stateTried
+	case pause != stateAvailable:
+		return 0, pause
 	case !hasRoom || now.Before(e.fullUntil):
 		return 0, stateFull
 	case e.limitWait(now) > 0:
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -20,6 +20,7 @@
 	stateLeaving         // listed as leaving, or said so itself
 	stateLimited         // has got what this entry may send under its rate limit
 	stateLoading         // loading a version, or about to
+	statePaused          // wants no requests from this entry for a while
 	stateSilent          // has requests and has sent nothing for its stall timeout
 	stateTried           // an earlier attempt of the request was sent there
 	stateVersion         // has not loaded the required version
@@ -41,6 +42,8 @@
 		return "at its rate limit"
 	case stateLoading:
 		return "loading"
+	case statePaused:
+		return "pausing"
 	case stateSilent:
 		return "silent"
 	case stateTried:
@@ -54,29 +57,30 @@
 
 // A stateCounts holds the number of endpoints in each state.
 type stateCounts struct {
-	required  int // required version, 0 for any
-	byState   [numStates]int
-	limitWait time.Duration // shortest time until an endpoint may get a request under its rate limit
+	required int // required version, 0 for any
+	byState  [numStates]int
+	wait     time.Duration // shortest time until an endpoint takes a request that its rate limit or a pause keeps from it
 }
 
-// addLimitWait records the time until an endpoint may get a request under its rate limit.
-func (c *stateCounts) addLimitWait(wait time.Duration) {
-	if c.byState[stateLimited] == 1 || wait < c.limitWait {
-		c.limitWait = wait
+// addWait records the time until an endpoint takes a request that its rate limit or a pause
+// keeps from it.
+func (c *stateCounts) addWait(wait time.Duration) {
+	if c.byState[stateLimited]+c.byState[statePaused] == 1 || wait < c.wait {
+		c.wait = wait
 	}
 }
 
 // refusal returns the error for a request without an available endpoint. Its
 // detail has the number of endpoints in each state. RetryAfter is set if only rate limits
-// keep endpoints from taking the request.
+// and pauses keep endpoints from taking the request.
 func (c stateCounts) refusal() *gooseberrypass.RequestError {
 	err := &gooseberrypass.RequestError{Outcome: gooseberrypass.OutcomeNotRun, Reason: gooseberrypass.ReasonNoEndpoint}
 	text := "no endpoint takes work"
-	if c.byState[stateFull]+c.byState[stateLimited]+c.byState[stateSilent]+c.byState[stateTried] > 0 {
+	if c.byState[stateFull]+c.byState[stateLimited]+c.byState[statePaused]+c.byState[stateSilent]+c.byState[stateTried] > 0 {
 		err.Reason, text = gooseberrypass.ReasonOverloaded, "every endpoint is full"
 	}
 	if c.byState[stateFull]+c.byState[stateSilent] == 0 {
-		err.RetryAfter = c.limitWait
+		err.RetryAfter = c.wait
 	}
 	var parts []string
 	for s, n := range c.byState {
--- a/balancer/ticket.go
+++ b/balancer/ticket.go
@@ -68,8 +68,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t.promptRead()
-	t.endpoint.lastSign = b.clock.Now()
+	now := b.clock.Now()
+	t.endpoint.lastSign = now
 	t.endpoint.probation = false
+	b.endProbe(now, t, true)
 	smooth(&t.endpoint.headTime, took)
 	average := b.headTimes[t.endpoint.listed.Service]
 	smooth(&average, took)
@@ -146,5 +148,7 @@
 	t.done = true
 	t.promptRead()
 	t.endpoint.own.Requests--
-	t.endpoint.record(b.clock.Now(), result, b.settings)
+	now := b.clock.Now()
+	b.endProbe(now, t, false)
+	t.endpoint.record(now, result, b.settings)
 }
--- a/forwarder/advisory_test.go
+++ b/forwarder/advisory_test.go
@@ -65,6 +65,25 @@
 	}
 }
 
+// A request that one endpoint turns away with a pause goes elsewhere at once, and none goes
+// there until the pause ends.
+func TestRequestLeavesAnEndpointThatAsksForAPause(t *testing.T) {
+	f := newFixture(t, reaction{advisory: gooseberrypass.Advisory{Pause: 10 * time.Second}, notRun: true, status: http.StatusServiceUnavailable}, reaction{body: "whole"})
+	if got := f.send("/safe/", "key").status; got != http.StatusOK {
+		t.Fatalf("got status %d, want the answer of another endpoint", got)
+	}
+	pausing := f.transport.sent[0].Endpoint.ID
+	for range 99 {
+		f.clock.Advance(100 * time.Millisecond)
+		f.send("/safe/", "key")
+	}
+	for _, d := range f.transport.sent[1:] {
+		if d.Endpoint.ID == pausing {
+			t.Fatalf("endpoint %s got a request in its pause", pausing)
+		}
+	}
+}
+
 // A limitedChooser has endpoints that take the next request after wait.
 type limitedChooser struct {
 	polls int
