Remember the limit of an endpoint that drops out of the list for a while

An endpoint whose record expires while it cannot reach the store, and is listed again, was a new one for the balancer: each entry sent it as much as to the others until an answer named the limit again. Its limit and this entry's share are now kept for advisory-life, unless it starts anew.

TestLimitSurvivesAGapInTheList failed before.

--- a/balancer/advisory.go
+++ b/balancer/advisory.go
@@ -129,4 +129,9 @@
 		e.advisory = advisory{}
 		b.shareLimit(now, e)
 	}
+	for id, e := range b.unlisted {
+		if now.Sub(e.advisory.heardAt) >= b.settings.AdvisoryTTL {
+			delete(b.unlisted, id)
+		}
+	}
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -56,8 +56,8 @@
 type Query struct {
 	AnswerTokens  int           // tokens of the answer as the caller estimates them, 0 if unknown
 	Model         string        // "" for a plain service
-	Polled        bool          // the same request has been refused and waits for an endpoint
 	Objective     time.Duration // target time to the first event, 0 for none
+	Polled        bool          // the same request has been refused and waits for an endpoint
 	PromptTokens  int
 	Regions       gooseberrypass.RegionSet // regions whose endpoints may be chosen
 	RefusedBefore bool                     // refused because of load earlier, so that its answer is already late
@@ -105,6 +105,7 @@
 	pauses       map[gooseberrypass.ID]*pause                        // by endpoint
 	reports      map[gooseberrypass.ID]map[gooseberrypass.ID]Load    // last load that each other entry reported, by endpoint
 	services     map[gooseberrypass.ID]*pool
+	unlisted     map[gooseberrypass.ID]*endpoint // with a limit, that are no longer listed
 	snapshot     *materializer.Snapshot
 	statuses     map[string]EndpointStatus // last reported statuses, by address of the endpoint
 	statusesSeen map[string]time.Time      // last report of each status, by address
@@ -131,6 +132,7 @@
 		self:         self,
 		pauses:       map[gooseberrypass.ID]*pause{},
 		reports:      map[gooseberrypass.ID]map[gooseberrypass.ID]Load{},
+		unlisted:     map[gooseberrypass.ID]*endpoint{},
 		services:     map[gooseberrypass.ID]*pool{},
 		settings:     settings,
 		snapshot:     &materializer.Snapshot{},
@@ -167,6 +169,7 @@
 				e.others.add(loads[listed.ID])
 			}
 			b.endpoints[listed.ID] = e
+			b.restoreLimit(listed, e)
 		}
 		if ok && listed.StartMillis > e.listed.StartMillis && e.listed.StartMillis > 0 {
 			e.advisory, e.limit = advisory{heardAt: b.clock.Now()}, limit{} // it has not said anything since its start
@@ -178,8 +181,11 @@
 		}
 		services[listed.Service].add(e)
 	}
-	for id := range b.endpoints {
+	for id, e := range b.endpoints {
 		if _, ok := known[id]; !ok {
+			if e.advisory.Limited {
+				b.unlisted[id] = e
+			}
 			delete(b.endpoints, id)
 		}
 	}
--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -85,6 +85,19 @@
 	e.limit.bucket.SetBurstAt(now, burst)
 }
 
+// restoreLimit gives an endpoint that is listed again the limit that it named before, unless
+// it has started anew since.
+func (b *Balancer) restoreLimit(listed gooseberrypass.Endpoint, e *endpoint) {
+	former, ok := b.unlisted[listed.ID]
+	if !ok {
+		return
+	}
+	delete(b.unlisted, listed.ID)
+	if former.listed.StartMillis >= listed.StartMillis {
+		e.advisory, e.limit = former.advisory, former.limit
+	}
+}
+
 // limitShare returns the share of this entry in the limit of an endpoint, from 0 to 1: its
 // share of the demand for the service at the entries that hold the limit.
 func (b *Balancer) limitShare(now time.Time, e *endpoint, holders int) float64 {
--- a/balancer/limit_test.go
+++ b/balancer/limit_test.go
@@ -326,3 +326,30 @@
 	f.choose(t)
 	f.assertRefused(t, gooseberrypass.ReasonOverloaded)
 }
+
+// An endpoint dropped out of the list and came back, and got a full load again until it
+// answered.
+func TestLimitSurvivesAGapInTheList(t *testing.T) {
+	for _, gap := range []time.Duration{time.Second, time.Hour} {
+		m := newDepartureModel(t)
+		m.started.AdvisoryReceived(limited(0.5))
+		m.happen(recordDropped)
+		m.clock.Advance(gap)
+		m.balancer.Handle(m.clock.Now(), gooseberrypass.Tick{})
+		m.list(true)
+		want := 1 // remembered for AdvisoryTTL
+		if gap > settings().AdvisoryTTL {
+			want = 0
+		}
+		if got := m.balancer.LimitedEndpoints(); got != want {
+			t.Errorf("listed again after %s: got %d limited endpoints, want %d", gap, got, want)
+		}
+	}
+	m := newDepartureModel(t)
+	m.started.AdvisoryReceived(limited(0.5))
+	m.happen(recordDropped)
+	m.happen(endpointAnew)
+	if got := m.balancer.LimitedEndpoints(); got != 0 {
+		t.Errorf("started anew: got %d limited endpoints, want 0", got)
+	}
+}
