Bound the rate that an endpoint can name

An endpoint that named a rate beyond an int made the balancer panic at each of its answers, and at each tick once another entry had told of it: the number of entries that share a limit overflowed. The control loop and requests contain a panic, so the process went on, but answers were lost. Rates above a million a second now count as that.

TestHugeLimitIsNoLimit panicked before.

--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -19,6 +19,7 @@
 	minLimitRate   = 0.2             // requests per second that an endpoint gets whatever it names, to learn when that changes
 	minHolders     = 3               // entries that share any limit
 	holdersPerRate = 1               // further ones for each request per second
+	maxLimitRate   = 1e6             // requests per second; higher limits count as it
 	maxLimitWait   = 5 * time.Second // longest time until room is expected, as limits and shares change
 	idleWeight     = 0.05            // weight of an entry without requests, as a ratio to the mean of all
 )
@@ -70,7 +71,7 @@
 		e.limit = limit{}
 		return
 	}
-	total := max(e.advisory.Rate, minLimitRate)
+	total := min(max(e.advisory.Rate, minLimitRate), maxLimitRate)
 	share := total * b.limitShare(now, e, minHolders+int(holdersPerRate*total))
 	burst := 0
 	if share > 0 {
--- a/balancer/limit_test.go
+++ b/balancer/limit_test.go
@@ -353,3 +353,14 @@
 		t.Errorf("started anew: got %d limited endpoints, want 0", got)
 	}
 }
+
+// A limit beyond all sense is one that nothing reaches.
+func TestHugeLimitIsNoLimit(t *testing.T) {
+	f := newFixture(t, 1)
+	ticket := f.choose(t)
+	ticket.AdvisoryReceived(limited(1e300))
+	f.clock.Advance(time.Millisecond)
+	for range 4 {
+		f.choose(t)
+	}
+}
