Use endpoints that write a record again as it was before a restore

What callers saw in the soak: after a restore that lost the record of an endpoint, a gateway refused all requests to its service. The endpoint had written its record again, and the process took it for the copy's: the key that the copy lacked counted as deleted, with the revision of its last value, and nothing with that revision comes back for the time of a lease.

Cause: a key that a restored log lacks was lost, not deleted. It has no revision now, so that any record after the restore counts.

TestEndpointThatWritesItsLostRecordAgainIsUsed failed before.

--- a/materializer/records.go
+++ b/materializer/records.go
@@ -177,11 +177,12 @@
 			t.outranked[key] = outrankedRecord{since: now} // it is written again
 			continue
 		}
-		retention := m.retention(now, e, key)
+		retention, revision := m.retention(now, e, key), m.revision(e.Topic, held)
 		if restored {
 			retention = m.restoredRetention(now, e, t, key)
+			revision = gooseberrypass.Revision{} // it was lost, not deleted, and may be written again as it was
 		}
-		held.Revision, held.Value = m.revision(e.Topic, held), nil
+		held.Revision, held.Value = revision, nil
 		t.records[key] = held
 		changed = m.applyRecord(now, e.Topic, held, retention) || changed
 	}
--- a/materializer/restore_test.go
+++ b/materializer/restore_test.go
@@ -100,3 +100,13 @@
 		t.Errorf("next offset: got %s, want %s", got, want)
 	}
 }
+
+// An endpoint whose record the copy lacks writes it again as it was.
+func TestEndpointThatWritesItsLostRecordAgainIsUsed(t *testing.T) {
+	m := newRestoredMaterializer()
+	m.Handle(startTime, changed(gooseberrypass.TopicEndpoints, record("a", "up#1", 0)))
+	m.Handle(startTime, restored(gooseberrypass.TopicEndpoints, 0))
+	m.Handle(startTime.Add(time.Second), changed(gooseberrypass.TopicEndpoints, record("a", "up#1", gooseberrypass.NewOffset(1, 0))))
+	m.Handle(startTime.Add(2*retention), gooseberrypass.Tick{})
+	assertEndpoints(t, m, "a")
+}
--- a/replicator/restoreorders_test.go
+++ b/replicator/restoreorders_test.go
@@ -56,7 +56,9 @@
 	configAt  time.Time
 	copied    map[gooseberrypass.Topic]int // records in the copy, by topic
 	joined    bool
-	left      bool // the endpoint says or said that it leaves
+	joinedAs  string    // record of the endpoint that registered, which is written again as it was
+	lapsedAt  time.Time // a running endpoint's record expired
+	left      bool      // the endpoint says or said that it leaves
 	gone      bool
 	leftAt    time.Time
 	lost      bool // the operator's newest configuration is to be written again
@@ -72,6 +74,7 @@
 	s.decoder = revisionDecoder{}
 	s.putEndpoint("leaves", "up")
 	s.putEndpoint("lives", "up")
+	s.putEndpoint("renews", "up")
 	s.configure()
 	s.takeCopy() // of the start, unless there is a later one
 	for _, id := range []gooseberrypass.ID{"a", "b"} {
@@ -127,7 +130,10 @@
 		s.gone, s.leftAt = true, s.now
 	case endpointJoins:
 		s.putEndpoint("joins", "up")
-		s.joined = true
+		s.joined, s.joinedAs = true, fmt.Sprintf("up#%d", s.revision)
+	case recordLapses:
+		s.putEndpoint("renews", "")
+		s.lapsedAt = s.now
 	case storeRestored:
 		for name, topic := range s.topics {
 			topic.restore(s.copied[name])
@@ -148,10 +154,13 @@
 // renew lets the endpoints write again what the store has lost, and the store drop what is
 // not renewed.
 func (s *restoreSim) renew() {
+	if !s.lapsedAt.IsZero() && !s.now.Before(s.lapsedAt.Add(simHeartbeat)) && !s.listed("renews") {
+		s.putEndpoint("renews", "up") // otherwise it renews the record that there is
+	}
 	switch s.now.Sub(s.backAt) {
 	case simHeartbeat:
-		if s.joined {
-			s.putEndpoint("joins", "up")
+		if s.joined && !s.listed("joins") {
+			s.topics[gooseberrypass.TopicEndpoints].put("joins", s.joinedAs)
 		}
 		if s.left && !s.gone {
 			s.putEndpoint("leaves", "leaving")
@@ -218,6 +227,9 @@
 		if p := s.process(id); s.joined && !p.work("joins") {
 			return string(id) + " does not know the endpoint that registered"
 		}
+		if !s.process(id).work("renews") {
+			return string(id) + " does not use the endpoint that renews its record"
+		}
 	}
 	return ""
 }
