Pass on records of a restored store that are not used yet

What callers saw in the soak: one gateway refused all requests to a service although the other one used its endpoints. After a restore a process does not use a record that looks older than what it knows until it has outlived a lease. It did not pass such a record on, so that a process that takes the list from it went past the offset, and never learned of the record once it counted.

They are part of what is passed on now, and each process decides for itself.

TestEveryOrderOfEventsAroundARestore has an endpoint whose record expires before a restore and comes back with it: 37 of 420 orders broke, now none of 1,890 in all. TestRecordThatIsNotUsedIsPassedOn failed before.

--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -182,9 +182,9 @@
 	Since    []time.Time                  // when each record first became known to any process
 }
 
-// RecordsFrom returns the records of a topic from an offset on. If deletions after that
-// offset may be unknown here, it returns the records of all keys. It must be called on
-// the control goroutine.
+// RecordsFrom returns the records of a topic from an offset on, with those of a restored log
+// that this process does not use. If deletions after that offset may be unknown here, it
+// returns the records of all keys. It must be called on the control goroutine.
 func (m *Materializer) RecordsFrom(topic gooseberrypass.Topic, from gooseberrypass.Offset) Extract {
 	t := m.topic(topic)
 	extract := Extract{Complete: from < t.complete}
@@ -193,6 +193,11 @@
 			extract.Records = append(extract.Records, r)
 		}
 	}
+	for _, o := range t.outranked {
+		if o.record.Value != nil && (o.record.Offset >= from || extract.Complete) {
+			extract.Records = append(extract.Records, o.record)
+		}
+	}
 	slices.SortFunc(extract.Records, func(a, b gooseberrypass.KeyedRecord) int { return int(int64(a.Offset) - int64(b.Offset)) })
 	for _, r := range extract.Records {
 		extract.Since = append(extract.Since, t.knownSince[r.Key])
--- a/materializer/restore_test.go
+++ b/materializer/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -110,3 +111,16 @@
 	m.Handle(startTime.Add(2*retention), gooseberrypass.Tick{})
 	assertEndpoints(t, m, "a")
 }
+
+// A record that a process does not use yet is passed on, as the next one decides for itself
+// when it does.
+func TestRecordThatIsNotUsedIsPassedOn(t *testing.T) {
+	m := newRestoredMaterializer()
+	m.Handle(startTime, changed(gooseberrypass.TopicEndpoints, record("a", "up#1", 0), record("a", "", 1)))
+	m.Handle(startTime, restored(gooseberrypass.TopicEndpoints, 1, record("a", "up#1", 0)))
+	want := gooseberrypass.NewOffset(1, 0)
+	got := m.RecordsFrom(gooseberrypass.TopicEndpoints, want).Records
+	if !slices.ContainsFunc(got, func(r gooseberrypass.KeyedRecord) bool { return r.Offset == want && r.Value != nil }) {
+		t.Errorf("got %+v, want the record of the restored log among them", got)
+	}
+}
--- a/replicator/restoreorders_test.go
+++ b/replicator/restoreorders_test.go
@@ -260,6 +260,7 @@
 		"endpoint leaves":                          {leavingWritten, recordRemoved},
 		"endpoint leaves, an entry restarts":       {leavingWritten, entryRestarts},
 		"endpoint leaves silently, entry restarts": {recordRemoved, entryRestarts},
+		"endpoint's record lapses, entry restarts": {recordLapses, entryRestarts},
 		"endpoint registers, an entry restarts":    {endpointJoins, entryRestarts},
 	}
 	for name, others := range plays {
