--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -105,9 +105,10 @@
 		if failed.moved {
 			continue
 		}
-		again := r.mayRepeat(failed)
+		obstacle := r.repeatObstacle(failed)
+		again := obstacle == ""
 		f.logger.WithFields(logrus.Fields{
-			fieldRequest: r.proxyRequest.ID, fieldEndpoint: r.lastEndpoint, "try": r.attempts, "at_endpoint": r.inFlight, "again": again,
+			fieldRequest: r.proxyRequest.ID, fieldEndpoint: r.lastEndpoint, "try": r.attempts, "at_endpoint": r.inFlight, "again": again, "obstacle": obstacle, "begun": r.started, "entries": f.chooser.Entries(),
 			"may_have_run": r.mayRun, "progress": r.progress, "expect": ticket.ExpectedVersion(), "ms": f.clock.Since(r.arrivedAt).Milliseconds(),
 		}).WithError(failed.err).Info("attempt failed")
 		if !again {
@@ -171,7 +172,7 @@
 // noEndpoint returns the error of a request for which no endpoint was chosen.
 func (r *request) noEndpoint(err error) error {
 	if r.started {
-		return errInterrupted
+		return errors.WithMessage(errInterrupted, err.Error())
 	}
 	var refusal *gooseberrypass.RequestError
 	if !errors.As(err, &refusal) {
@@ -209,25 +210,35 @@
 	return last.err
 }
 
-// mayRepeat reports whether another attempt may be made after a failure, and if
-// so takes it from the retry budget.
-func (r *request) mayRepeat(last *failure) bool {
+// Obstacles to another attempt, as they appear in log lines.
+const (
+	obstacleBudget     = "the retry budget is used up"
+	obstacleDeadline   = "no time is left"
+	obstacleMayHaveRun = "it may have run and must not be repeated"
+	obstacleQuarantine = "it probably crashes endpoints"
+	obstacleTries      = "all tries are used up"
+)
+
+// repeatObstacle returns what prevents another attempt after a failure. If nothing does, it
+// returns "" and takes the attempt from the retry budget.
+func (r *request) repeatObstacle(last *failure) string {
 	f := r.forwarder
 	now := f.clock.Now()
-	if r.mayRun && !r.route.Repeatable() || r.attempts >= r.route.MaxAttempts && last.err.Outcome != gooseberrypass.OutcomeNotRun {
-		return false
-	}
-	if r.attempts > r.route.MaxAttempts || !r.deadline.IsZero() && !now.Before(r.deadline) {
-		return false
-	}
-	if f.tracker.isQuarantined(r.digest) || r.crashesEndpoints() {
-		return false
-	}
-	if !r.repeatPaid.Swap(false) && !f.budget.allowRepeat(now, r.service, f.chooser.Entries()) {
+	switch {
+	case r.mayRun && !r.route.Repeatable():
+		return obstacleMayHaveRun
+	case r.attempts >= r.route.MaxAttempts && last.err.Outcome != gooseberrypass.OutcomeNotRun, r.attempts > r.route.MaxAttempts:
+		return obstacleTries
+	case !r.deadline.IsZero() && !now.Before(r.deadline):
+		return obstacleDeadline
+	case f.tracker.isQuarantined(r.digest) || r.crashesEndpoints():
+		return obstacleQuarantine
+	case !r.repeatPaid.Swap(false) && !f.budget.allowRepeat(now, r.service, f.chooser.Entries()):
 		f.metrics.denied.Inc()
-		return false
+		return obstacleBudget
+	default:
+		return ""
 	}
-	return true
 }
 
 // attemptAt makes an attempt, and gives back its place also if the attempt panics.
