Show that a stream is cut when the endpoint that it moves to refuses it

The test moves a stream from an endpoint that is about to load a version; the next one refuses it as not run. The caller gets event 0 and a cut connection, with several endpoints and with one other.

--- a/forwarder/move_test.go
+++ b/forwarder/move_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/gooseberrypass/gooseberrypass"
@@ -13,9 +14,11 @@
 // start to load a version while it answers.
 func (f *fixture) loadDuringFirstAttempt() {
 	f.transport.onSend = func(d gooseberrypass.Dispatch) {
-		for _, id := range []string{"a", "b", "c"} {
-			loading := d.LastEvent < 0 && id == d.Endpoint.Address
-			f.balancer.SetEndpointStatus(f.clock.Now(), balancer.EndpointStatus{Address: id, Loading: loading})
+		if d.LastEvent >= 0 {
+			return
+		}
+		for _, id := range []string{"a", "b", "c", "engine-1", "engine-2"} {
+			f.balancer.SetEndpointStatus(f.clock.Now(), balancer.EndpointStatus{Address: id, Loading: id == d.Endpoint.Address, Models: map[string]int{"m": 1}})
 		}
 	}
 }
@@ -40,6 +43,24 @@
 	}
 }
 
+// A stream was ended at a sound endpoint to move to one that then refused it, and its caller
+// was cut off.
+func TestStreamIsNotCutWhenTheEndpointItMovesToRefuses(t *testing.T) {
+	for name, path := range map[string]string{"every other endpoint refuses": "/stream/x", "and it is the only one": "/model/x"} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, reaction{body: threeEvents, version: 1}, reaction{notRun: true, status: http.StatusServiceUnavailable})
+			f.loadDuringFirstAttempt()
+			c := f.send(path, "key")
+			if got := c.body.String(); got != threeEvents || c.aborted {
+				t.Errorf("body: got %q (aborted %t), want %q", got, c.aborted, threeEvents)
+			}
+			if got := len(f.transport.sent); got < 2 {
+				t.Errorf("dispatches: got %d, want a try to move", got)
+			}
+		})
+	}
+}
+
 func TestStreamThatMustNotBeResumedStays(t *testing.T) {
 	f := newFixture(t, reaction{body: threeEvents, version: 1})
 	f.checkStreamStays(t, "/rigid/x")
