End an attempt only once another endpoint has begun the answer

Cause: a stream that moved from an engine about to load a version was ended there first. The place reserved at the next engine is a count of this entry, no promise of the engine: engines that begin to load a moment later shed what waits there, some 270 ms after it was sent. The stream had nowhere to go back to. A silent endpoint had the same fault: its attempt was withdrawn at the timeout of the head or of the next event, or when no entry heard from it, before there was another one. It is of the class of hand-overs that give up the old before the new has taken over.

Change: an attempt is a type of its own that changes nothing of its request, so two may go on side by side. A handover begins the next attempt and ends the current one only once the other has sent its first event (or its whole answer). While a stream moves, the events of its engine are held back for at most move-wait of the longest pause, then it stays; so what the next engine sends always goes on after the last event delivered. While an endpoint is silent, whoever sends first goes on: an event without an index does not count. Timeouts of the head and of events and the check for lost endpoints look for another endpoint now, again every resume-poll, and withdraw nothing; only the deadline and the bound of a version do.

Ruled out: delivering the events of the old engine while the next one reads the prompt; they would be followed by events of a run that was asked to go on before them. Reserving better: an entry cannot know when an engine will begin to load.

--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -125,6 +125,7 @@
 	forwarder *forwarder.Forwarder
 	build     func(forwarder.Chooser) (*forwarder.Forwarder, error)
 	log       bytes.Buffer
+	sender    gooseberrypass.Transport // used instead of transport, if not nil
 	settings  forwarder.Settings
 	snapshot  *materializer.Snapshot
 	tracker   forwarder.RequestTracker
@@ -175,7 +176,7 @@
 	f.balancer, f.snapshot = b, snapshot
 	b.Handle(f.clock.Now(), materializer.Changed{Snapshot: snapshot})
 	f.settings = forwarder.Settings{
-		DeadlineGrace: 100 * time.Millisecond, HeadTimeoutFactor: 3, EventTimeoutFactor: 4, MaxBufferedAnswer: 1 << 16, MoveShare: 0.5, QuarantineCrashes: 3, QuarantineTime: time.Minute,
+		DeadlineGrace: 100 * time.Millisecond, HeadTimeoutFactor: 3, EventTimeoutFactor: 4, MaxBufferedAnswer: 1 << 16, MoveShare: 0.5, MoveWaitShare: 0.8, ResumePoll: 50 * time.Millisecond, QuarantineCrashes: 3, QuarantineTime: time.Minute,
 		RetryAfter: time.Second, RetryRatio: 0.2, RetryEntryFactor: 1, RetrySlack: 20, RetryWindow: 10 * time.Second,
 	}
 	attributions, err := attributor.New(f.clock, attributor.Settings{QuarantineTime: f.settings.QuarantineTime}, 1, prometheus.NewRegistry(), log)
@@ -184,7 +185,11 @@
 	}
 	f.tracker = forwarder.RequestTracker{Attributor: attributions, RefusalTracker: forwarder.NewRefusalTracker(f.clock, 5*time.Second), CrashTracker: forwarder.NewCrashTracker(f.clock, f.settings)}
 	f.build = func(chooser forwarder.Chooser) (*forwarder.Forwarder, error) {
-		return forwarder.New(f.clock, deployments{d}, chooser, f.transport, f.tracker, f.settings, prometheus.NewRegistry(), log)
+		var sender gooseberrypass.Transport = f.transport
+		if f.sender != nil {
+			sender = f.sender
+		}
+		return forwarder.New(f.clock, deployments{d}, chooser, sender, f.tracker, f.settings, prometheus.NewRegistry(), log)
 	}
 	f.forwarder, err = f.build(b)
 	if err != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -23,11 +23,13 @@
 	HeadTimeoutFactor  float64       // timeout of a repeatable attempt's head, as a multiple of the objective
 	LossPoll           time.Duration // interval of checks whether the endpoint of an attempt is lost; 0 for none
 	MaxBufferedAnswer  int64         // bytes of an answer that are buffered before delivery
+	MoveWaitShare      float64       // longest pause of a stream that moves, as a share of the route's EventGap
 	MoveShare          float64       // share of the retry budget that moves of streams may use
 	QuarantineCrashes  int           // connections broken by a request after which it is quarantined
 	QuarantineTime     time.Duration // duration of the quarantine
 	QueuePoll          time.Duration // interval between attempts to find an endpoint with capacity
 	QueueWaitShare     float64       // share of the objective for which a request waits for an endpoint with capacity
+	ResumePoll         time.Duration // interval between attempts to find another endpoint for a request whose endpoint gives no sign
 	RetryAfter         time.Duration // Retry-After of requests refused because of load
 	RetryEntryFactor   float64       // entries that share RetrySlack, as a multiple of the known ones
 	RetryRatio         float64       // repeats per request that a service may have in the window
@@ -90,10 +92,10 @@
 
 // HandleProxyRequest implements gooseberrypass.ProxyHandler.
 func (f *Forwarder) HandleProxyRequest(ctx context.Context, p *gooseberrypass.ProxyRequest, w gooseberrypass.Responder) {
-	r := &request{arrivedAt: f.clock.Now(), forwarder: f, proxyRequest: p, lastEvent: p.LastEvent, w: w}
+	r := &request{arrivedAt: f.clock.Now(), ctx: ctx, forwarder: f, proxyRequest: p, lastEvent: p.LastEvent, w: w}
 	err := r.prepare()
 	if err == nil {
-		err = r.serve(ctx)
+		err = r.serve()
 	}
 	r.finish(ctx, err)
 }
--- /dev/null
+++ b/forwarder/handover_test.go
@@ -0,0 +1,293 @@
+package forwarder_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/balancer"
+	"github.com/gooseberrypass/gooseberrypass/forwarder"
+)
+
+// A puppetTransport lets a test play the endpoints: each dispatch waits for what the test
+// makes of it.
+type puppetTransport struct {
+	dispatches chan *puppet
+}
+
+// A puppet is the endpoint of one dispatch.
+type puppet struct {
+	ctx      context.Context
+	dispatch gooseberrypass.Dispatch
+	reply    chan *gooseberrypass.Reply // nil breaks the connection
+	body     *io.PipeWriter
+}
+
+func (t *puppetTransport) Send(ctx context.Context, d gooseberrypass.Dispatch) (*gooseberrypass.Reply, error) {
+	p := &puppet{ctx: ctx, dispatch: d, reply: make(chan *gooseberrypass.Reply, 1)}
+	t.dispatches <- p
+	select {
+	case reply := <-p.reply:
+		if reply == nil {
+			return nil, &gooseberrypass.DispatchError{Err: errReset, Sent: true}
+		}
+		return reply, nil
+	case <-ctx.Done():
+		return nil, &gooseberrypass.DispatchError{Err: ctx.Err(), Sent: true}
+	}
+}
+
+// begin answers with the head of a stream.
+func (p *puppet) begin(version int) {
+	r, w := io.Pipe()
+	p.body = w
+	context.AfterFunc(p.ctx, func() { _ = w.CloseWithError(p.ctx.Err()) })
+	p.reply <- &gooseberrypass.Reply{Body: r, Header: http.Header{}, ModelVersion: version, Signed: true, Status: http.StatusOK}
+}
+
+// refuse answers that the request did not run.
+func (p *puppet) refuse() {
+	p.reply <- &gooseberrypass.Reply{Body: http.NoBody, Header: http.Header{}, NotRun: true, Status: http.StatusServiceUnavailable}
+}
+
+// send sends one event. It returns once the event was read or the attempt was withdrawn.
+func (p *puppet) send(id int) { _, _ = io.WriteString(p.body, eventText(id)) }
+
+// finish sends the events from id on and ends the answer.
+func (p *puppet) finish(id int) {
+	for ; id < puppetEvents; id++ {
+		p.send(id)
+	}
+	_ = p.body.Close()
+}
+
+// breakOff breaks the connection, before or after the head of the answer.
+func (p *puppet) breakOff() {
+	if p.body == nil {
+		p.reply <- nil
+		return
+	}
+	_ = p.body.CloseWithError(errReset)
+}
+
+// puppetEvents is the number of events of a whole answer.
+const puppetEvents = 4
+
+func eventText(id int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", id) }
+
+func wholeStream() string {
+	var b strings.Builder
+	for id := range puppetEvents {
+		b.WriteString(eventText(id))
+	}
+	return b.String()
+}
+
+// A stage is one request at endpoints that the test plays.
+type stage struct {
+	*fixture
+	dispatches chan *puppet
+	done       chan *caller
+	t          *testing.T
+}
+
+// newStage sends a request for a stream.
+func newStage(t *testing.T, chooser func(forwarder.Chooser) forwarder.Chooser) *stage {
+	t.Helper()
+	f := newFixture(t)
+	s := &stage{fixture: f, dispatches: make(chan *puppet, 16), done: make(chan *caller, 1), t: t}
+	f.sender = &puppetTransport{dispatches: s.dispatches}
+	var c forwarder.Chooser = f.balancer
+	if chooser != nil {
+		c = chooser(c)
+	}
+	var err error
+	if f.forwarder, err = f.build(c); err != nil {
+		t.Fatal(err)
+	}
+	go func() { s.done <- f.send("/stream/x", "key") }()
+	return s
+}
+
+// next returns the next dispatch, for which it advances the clock if need be.
+func (s *stage) next() *puppet {
+	s.t.Helper()
+	for range 400 {
+		select {
+		case p := <-s.dispatches:
+			return p
+		case c := <-s.done:
+			s.t.Fatalf("the request ended with %q (aborted %t, %v), want another dispatch", c.body.String(), c.aborted, c.failure)
+		case <-time.After(time.Millisecond):
+			s.clock.Advance(20 * time.Millisecond)
+		}
+	}
+	s.t.Fatal("no dispatch")
+	return nil
+}
+
+// end returns the caller after the end of the request, for which it advances the clock.
+func (s *stage) end() *caller {
+	s.t.Helper()
+	for range 4000 {
+		select {
+		case c := <-s.done:
+			s.checkPlaces()
+			return c
+		case p := <-s.dispatches:
+			p.refuse()
+		case <-time.After(time.Millisecond):
+			s.clock.Advance(20 * time.Millisecond)
+		}
+	}
+	s.t.Fatal("the request did not end")
+	return nil
+}
+
+// checkPlaces checks that all places are given back; an attempt that was withdrawn takes a
+// moment to end.
+func (s *stage) checkPlaces() {
+	s.t.Helper()
+	for range 5000 {
+		if len(s.balancer.OwnLoads()) == 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	s.t.Errorf("endpoints with places reserved after the end: got %d, want 0", len(s.balancer.OwnLoads()))
+}
+
+// waitWithdrawn waits until an attempt has been withdrawn.
+func (s *stage) waitWithdrawn(p *puppet) {
+	s.t.Helper()
+	select {
+	case <-p.ctx.Done():
+	case <-time.After(5 * time.Second):
+		s.t.Error("the attempt was not withdrawn")
+	}
+}
+
+// checkWhole checks that the caller got the whole stream.
+func checkWhole(t *testing.T, c *caller) {
+	t.Helper()
+	if got, want := c.body.String(), wholeStream(); got != want || c.aborted {
+		t.Errorf("got %q (aborted %t, %v), want %q", got, c.aborted, c.failure, want)
+	}
+}
+
+// A sound endpoint fell silent for a second and its stream was withdrawn, although no other
+// endpoint had room or would run it: the caller was cut off.
+func TestSilentEndpointKeepsItsStreamUntilAnotherHasBegun(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		for name, play := range map[string]func(*stage, *puppet){
+			"no other has room": func(s *stage, _ *puppet) { s.clock.Advance(1500 * time.Millisecond) },
+			"another refuses":   func(s *stage, _ *puppet) { s.next().refuse() },
+			"another breaks":    func(s *stage, _ *puppet) { s.next().breakOff() },
+			"another is silent": func(s *stage, _ *puppet) { s.next() },
+			"another has other weights": func(s *stage, _ *puppet) {
+				p := s.next()
+				p.begin(2)
+				if !begun {
+					p.breakOff()
+				}
+			},
+		} {
+			t.Run(fmt.Sprint(name, ", begun ", begun), func(t *testing.T) {
+				var once func(forwarder.Chooser) forwarder.Chooser
+				if name == "no other has room" {
+					once = func(c forwarder.Chooser) forwarder.Chooser { return &onceChooser{Chooser: c} }
+				}
+				s := newStage(t, once)
+				first := s.next()
+				from := 0
+				if begun {
+					first.begin(1)
+					first.send(0)
+					from = 1
+				}
+				play(s, first)
+				select {
+				case <-first.ctx.Done():
+					t.Fatal("the stream was withdrawn from an endpoint that is only silent")
+				case <-time.After(20 * time.Millisecond):
+				}
+				if !begun {
+					first.begin(1)
+				}
+				go first.finish(from)
+				checkWhole(t, s.end())
+			})
+		}
+	}
+}
+
+// A stream at an endpoint that gives no sign goes on at another one, from the event after the
+// last one delivered.
+func TestStreamLeavesASilentEndpoint(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		t.Run(fmt.Sprint("begun ", begun), func(t *testing.T) {
+			s := newStage(t, nil)
+			first := s.next()
+			from := 0
+			if begun {
+				first.begin(1)
+				first.send(0)
+				from = 1
+			}
+			second := s.next()
+			if got, want := second.dispatch.LastEvent, from-1; got != want {
+				t.Errorf("goes on after event %d, want %d", got, want)
+			}
+			second.begin(1)
+			go second.finish(from)
+			s.waitWithdrawn(first)
+			checkWhole(t, s.end())
+		})
+	}
+}
+
+// A stream stays where it is if the endpoint that it moves to does not begin in time, and no
+// event is lost or comes late by more than the pause that its route allows.
+func TestStreamStaysWhereTheNextEndpointIsSlow(t *testing.T) {
+	s := newStage(t, nil)
+	first := s.next()
+	s.balancer.SetEndpointStatus(s.clock.Now(), balancer.EndpointStatus{Address: first.dispatch.Endpoint.Address, Loading: true})
+	first.begin(1)
+	first.send(0)
+	second := s.next()
+	begin := s.clock.Now()
+	for second.ctx.Err() == nil && s.clock.Since(begin) < time.Second {
+		time.Sleep(time.Millisecond)
+		s.clock.Advance(20 * time.Millisecond)
+	}
+	if got, most := s.clock.Since(begin), 300*time.Millisecond; got > most {
+		t.Errorf("the stream was held back for %v, want at most %v", got, most)
+	}
+	go first.finish(1)
+	checkWhole(t, s.end())
+}
+
+// A panic in an attempt beside another one would end the process.
+func TestPanicInAHandoverIsContained(t *testing.T) {
+	f := newFixture(t, reaction{body: threeEvents, version: 1})
+	f.loadDuringFirstAttempt()
+	inner := f.transport.onSend
+	f.transport.onSend = func(d gooseberrypass.Dispatch) {
+		if d.LastEvent >= 0 {
+			panic("beside")
+		}
+		inner(d)
+	}
+	c := f.send("/stream/x", "key")
+	if got := c.body.String(); got != threeEvents || c.aborted {
+		t.Errorf("got %q (aborted %t), want %q", got, c.aborted, threeEvents)
+	}
+	if !strings.Contains(f.log.String(), "panicked") {
+		t.Error("the panic was not logged")
+	}
+}
--- a/forwarder/loss_test.go
+++ b/forwarder/loss_test.go
@@ -22,8 +22,8 @@
 	for f.clock.Now().Sub(begin) < 10*time.Second {
 		load := balancer.Load{Requests: 1, Stalled: !heardByOther}
 		f.balancer.SetEntryLoads(f.clock.Now(), "other", map[gooseberrypass.ID]balancer.Load{first.Endpoint.ID: load})
-		armed := make(chan error, 1) // the timeout and the next check
-		go func() { armed <- f.clock.BlockUntilContext(t.Context(), 2) }()
+		armed := make(chan error, 1) // the limit, the timeout and the next check
+		go func() { armed <- f.clock.BlockUntilContext(t.Context(), 3) }()
 		select {
 		case c := <-done:
 			return c, f.clock.Now().Sub(begin)
--- a/forwarder/move.go
+++ b/forwarder/move.go
@@ -2,45 +2,73 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 )
 
-// reserveMove reserves a place for a stream whose endpoint is about to load a version
-// and waits for its streams to end, and reports whether it did. The stream goes on
-// after the last event delivered, on the same version, so the place is reserved
-// before the stream is cut; where none is free, it stays and the endpoint waits.
-func (r *request) reserveMove(from *balancer.Ticket) bool {
-	f := r.forwarder
-	if !r.route.Resumable || r.version == 0 || r.lastEvent < 0 || r.attempts >= r.route.MaxAttempts || f.tracker.isQuarantined(r.digest) {
+// defaultMoveWait is how long a stream may pause while it moves if its route does not limit
+// the pauses between events.
+const defaultMoveWait = 300 * time.Millisecond
+
+// move lets a stream whose endpoint is about to load a version, and waits for its streams to
+// end, go on at another one, and reports whether it does. It goes on after the last event
+// delivered, on the same version. The endpoint's further events are held back until the other
+// one has begun, and delivered if it has not in time.
+func (r *request) move(a *attempt) bool {
+	now := r.forwarder.clock.Now()
+	if now.Before(r.nextMove) {
 		return false
 	}
+	ticket := r.reserveMove(a)
+	if ticket == nil {
+		return false
+	}
+	wait := r.moveWait()
+	r.nextMove = now.Add(2 * wait)
+	r.mu.Lock()
+	h := r.startHandover(a, ticket)
+	r.mu.Unlock()
+	timer := r.forwarder.clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-h.begun:
+	case <-timer.Chan():
+	case <-r.ctx.Done():
+	}
+	return r.arrived(true)
+}
+
+// moveWait returns how long a stream may pause while it moves.
+func (r *request) moveWait() time.Duration {
+	if r.route.EventGap == 0 {
+		return defaultMoveWait
+	}
+	return time.Duration(r.forwarder.settings.MoveWaitShare * float64(r.route.EventGap))
+}
+
+// reserveMove reserves a place for a stream that is to move, nil if none is free.
+func (r *request) reserveMove(from *attempt) *balancer.Ticket {
+	f := r.forwarder
+	if !r.route.Resumable || r.version == 0 || r.lastEvent < 0 || !r.mayHandOver() {
+		return nil
+	}
 	query := r.endpointQuery()
 	query.Objective, query.Resumed, query.Staying = r.route.EventGap, false, true // a stream must neither wait for a slot nor have to move again
-	query.Tried = append(slices.Clone(r.tried), from.Endpoint().ID)
+	query.Tried = append(slices.Clone(query.Tried), from.ticket.Endpoint().ID)
 	ticket, err := f.chooser.Choose(query)
 	if err != nil {
-		return false
+		return nil
 	}
 	if !f.budget.allowMove(f.clock.Now(), r.service, f.chooser.Entries()) {
 		ticket.Done(balancer.ResultInconclusive)
-		return false
+		return nil
 	}
 	f.metrics.moves.Inc()
 	f.logger.WithFields(logrus.Fields{
-		fieldRequest: r.proxyRequest.ID, fieldEndpoint: from.Endpoint().ID, "to": ticket.Endpoint().ID, "event": r.lastEvent, "version": r.version,
+		fieldRequest: r.proxyRequest.ID, fieldEndpoint: from.ticket.Endpoint().ID, "to": ticket.Endpoint().ID, "event": r.lastEvent, "version": r.version,
 	}).Info("stream moves to another endpoint")
-	r.moveTo = ticket
-	return true
-}
-
-// releaseMove gives back a reserved place that will not be used.
-func (r *request) releaseMove() {
-	if r.moveTo == nil {
-		return
-	}
-	r.moveTo.Done(balancer.ResultInconclusive)
-	r.moveTo = nil
+	return ticket
 }
--- a/forwarder/progress.go
+++ b/forwarder/progress.go
@@ -26,36 +26,15 @@
 // off at its begin. The request probably crashes each endpoint that begins the answer.
 const maxBeginCrashes = 2
 
-// recordProgress records that content of the answer was received.
-func (r *request) recordProgress() {
-	if r.progress == progressContent {
-		return
-	}
-	r.progress = progressContent
-	r.forwarder.tracker.RecordAnswer(r.prompt)
-}
-
-// recordCrash records that the connection to the endpoint broke during an attempt.
-func (r *request) recordCrash() {
-	tracker := r.forwarder.tracker
-	tracker.recordCrash(r.digest)
-	if r.progress == progressContent {
-		return
-	}
-	if r.progress == progressHead {
-		r.beginCrashes++
-	}
-	tracker.RecordInterruption(r.prompt, r.lastEndpoint, r.progress == progressHead)
-}
-
-// crashesEndpoints reports whether the request probably crashed the last endpoint. The
-// begin of an answer takes little time, so that other causes rarely break it off there.
-func (r *request) crashesEndpoints() bool {
+// crashesEndpoints reports whether the request probably crashed the endpoint of its last
+// attempt. The begin of an answer takes little time, so that other causes rarely break it
+// off there.
+func (r *request) crashesEndpoints(last *attempt) bool {
 	tracker := r.forwarder.tracker
 	if _, left := tracker.Quarantine(r.prompt); left > 0 && !r.started {
 		return true
 	}
-	if r.model == "" || r.progress != progressHead {
+	if r.model == "" || last == nil || last.progress != progressHead {
 		return false
 	}
 	return r.beginCrashes >= maxBeginCrashes || tracker.Suspected(r.prompt)
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -1,10 +1,9 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
-	"io"
-	"sync/atomic"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,13 +23,15 @@
 	defaultTimeLeft = time.Hour // time left if neither the caller nor the route sets a limit
 )
 
-// A request is the state of one proxy request while it is handled.
+// A request is the state of one proxy request while it is handled. The goroutine that handles
+// it holds mu while it changes what a handover reads, or waits in await.
 type request struct {
 	account       gooseberrypass.ID
 	arrivedAt     time.Time
 	attempts      int   // attempts made
 	beginCrashes  int   // attempts whose answer broke off at its begin
 	configVersion int64 // version of the deployment
+	ctx           context.Context
 	deadline      time.Time
 	digest        gooseberrypass.Digest
 	fallback      *heldResponse
@@ -42,9 +43,8 @@
 	maxConns      int               // connections that an endpoint of the service accepts, 0 for any number
 	mayRun        bool              // an attempt may have run
 	model         string            // "" for a plain service
-	moveTo        *balancer.Ticket  // place reserved for a stream that is being moved
+	nextMove      time.Time         // the stream is not moved before
 	priority      int
-	progress      progress // of the last attempt
 	prompt        attributor.Prompt
 	proxyRequest  *gooseberrypass.ProxyRequest
 	regions       gooseberrypass.RegionSet // regions that may serve the request
@@ -52,12 +52,15 @@
 	repeatDigest  gooseberrypass.Digest    // digest that includes the prompt
 	route         *gooseberrypass.Route
 	service       gooseberrypass.ID
-	repeatPaid    atomic.Bool // the next repeat is taken from the retry budget already
-	started       bool        // part of the answer was delivered
+	started       bool // part of the answer was delivered
 	status        int
-	tried         []gooseberrypass.ID // endpoints of earlier attempts
+	tried         []gooseberrypass.ID // endpoints that may have run it
 	version       int                 // version of the weights that began the answer
 	w             gooseberrypass.Responder
+
+	mu       sync.Mutex
+	awaited  *attempt  // attempt whose data the request waits for
+	handover *handover // nil if there is none
 }
 
 // A heldResponse is an endpoint's error that is delivered if no other endpoint
@@ -69,17 +72,18 @@
 
 // A failure says how one attempt failed.
 type failure struct {
-	err    *gooseberrypass.RequestError
-	moved  bool // the stream goes on at the endpoint of moveTo
-	result balancer.Result
+	crashed   bool // the connection to the endpoint broke
+	err       *gooseberrypass.RequestError
+	result    balancer.Result
+	takenOver bool // another attempt has begun in its place
 }
 
 // serve makes attempts until the request is answered or has failed.
-func (r *request) serve(ctx context.Context) error {
+func (r *request) serve() error {
 	f := r.forwarder
 	f.budget.recordRequest(r.arrivedAt, r.service)
 	for {
-		ticket, err := r.choose(ctx)
+		ticket, err := r.choose()
 		if err != nil {
 			return r.settleFailure(r.noEndpoint(err))
 		}
@@ -90,33 +94,103 @@
 			}
 		}
 		r.attempts++
-		failed := r.attemptAt(ctx, ticket)
+		last, failed := r.deliver(r.newAttempt(r.ctx, ticket))
 		if failed == nil {
-			ticket.Done(balancer.ResultAnswered)
 			return nil
 		}
-		if ctx.Err() != nil {
-			ticket.Done(balancer.ResultInconclusive)
-			r.releaseMove()
-			return errors.Wrap(ctx.Err(), "caller disconnected")
-		}
-		ticket.Done(failed.result)
-		r.tried = append(r.tried, ticket.Endpoint().ID)
-		if failed.moved {
-			continue
+		if r.ctx.Err() != nil {
+			return errors.Wrap(r.ctx.Err(), "caller disconnected")
 		}
-		obstacle := r.repeatObstacle(failed)
-		again := obstacle == ""
-		f.logger.WithFields(logrus.Fields{
-			fieldRequest: r.proxyRequest.ID, fieldEndpoint: r.lastEndpoint, "try": r.attempts, "at_endpoint": r.inFlight, "again": again, "obstacle": obstacle, "begun": r.started, "entries": f.chooser.Entries(),
-			"may_have_run": r.mayRun, "progress": r.progress, "expect": ticket.ExpectedVersion(), "ms": f.clock.Since(r.arrivedAt).Milliseconds(),
-		}).WithError(failed.err).Info("attempt failed")
-		if !again {
+		obstacle := r.repeatObstacle(last, failed)
+		r.logFailure(last, failed, obstacle)
+		if obstacle != "" {
 			return r.settleFailure(r.lastFailure(failed))
 		}
 	}
 }
 
+// deliver delivers the answer of an attempt, or of those that take over from it. It returns
+// the last one and its failure, nil after the whole answer.
+func (r *request) deliver(a *attempt) (*attempt, *failure) {
+	var h *handover // to a, nil if a is the first attempt
+	defer func() {
+		r.arrived(true)
+		if next := r.takeOver(); next != nil {
+			next.next.end(balancer.ResultInconclusive)
+		}
+		a.end(balancer.ResultInconclusive) // after a panic
+	}()
+	for {
+		r.lastEndpoint, r.inFlight = a.ticket.Endpoint().ID, a.ticket.InFlight()
+		failed := r.deliverFrom(a, h)
+		if failed == nil {
+			a.end(balancer.ResultAnswered)
+			return a, nil
+		}
+		if r.ctx.Err() != nil {
+			a.end(balancer.ResultInconclusive)
+			return a, failed
+		}
+		r.mu.Lock()
+		r.absorb(a, failed)
+		r.mu.Unlock()
+		h = r.takeOver()
+		if h == nil {
+			a.end(failed.result)
+			return a, failed
+		}
+		if !failed.takenOver {
+			r.logFailure(a, failed, "")
+		}
+		a.end(failed.result)
+		a = h.next
+	}
+}
+
+// deliverFrom delivers the answer of one attempt. With a handover, that has begun it.
+func (r *request) deliverFrom(a *attempt, h *handover) *failure {
+	r.await(a)
+	var failed *failure
+	if h == nil {
+		failed = a.begin()
+	} else {
+		<-h.begun
+		failed = h.failed
+	}
+	if r.arrived(failed == nil) {
+		return takenOver(balancer.ResultTimedOut)
+	}
+	if failed != nil {
+		return failed
+	}
+	if a.streams() {
+		return r.deliverStream(a)
+	}
+	return r.deliverWhole(a)
+}
+
+// absorb takes what a failed attempt has revealed into the request. The caller holds r.mu.
+func (r *request) absorb(a *attempt, failed *failure) {
+	r.mayRun = r.mayRun || a.mayHaveRun
+	r.tried = append(r.tried, a.ticket.Endpoint().ID)
+	if failed.crashed && a.progress == progressHead {
+		r.beginCrashes++
+	}
+	if a.fallback != nil {
+		r.fallback = a.fallback
+	}
+}
+
+// logFailure logs a failed attempt and what prevents another one, "" for nothing.
+func (r *request) logFailure(a *attempt, failed *failure, obstacle string) {
+	f := r.forwarder
+	f.logger.WithFields(logrus.Fields{
+		fieldRequest: r.proxyRequest.ID, fieldEndpoint: a.ticket.Endpoint().ID, "try": r.attempts, "at_endpoint": a.ticket.InFlight(),
+		"again": obstacle == "", "obstacle": obstacle, "begun": r.started, "entries": f.chooser.Entries(),
+		"may_have_run": r.mayRun, "progress": a.progress, "expect": a.ticket.ExpectedVersion(), "ms": f.clock.Since(r.arrivedAt).Milliseconds(),
+	}).WithError(failed.err).Info("attempt failed")
+}
+
 // settleFailure delivers the held error of an endpoint, if there is one, instead
 // of err.
 func (r *request) settleFailure(err error) error {
@@ -129,12 +203,8 @@
 
 // choose reserves a place at an endpoint. If all endpoints are full, it retries
 // until a share of the objective has passed.
-func (r *request) choose(ctx context.Context) (*balancer.Ticket, error) {
+func (r *request) choose() (*balancer.Ticket, error) {
 	f := r.forwarder
-	if reserved := r.moveTo; reserved != nil {
-		r.moveTo = nil
-		return reserved, nil
-	}
 	until := r.arrivedAt.Add(time.Duration(f.settings.QueueWaitShare * float64(r.route.Objective)))
 	for polled := false; ; polled = true {
 		query := r.endpointQuery()
@@ -149,7 +219,7 @@
 		}
 		timer := f.clock.NewTimer(f.settings.QueuePoll)
 		select {
-		case <-ctx.Done():
+		case <-r.ctx.Done():
 			timer.Stop()
 			return nil, err
 		case <-timer.Chan():
@@ -164,7 +234,7 @@
 		answer = min(answer, r.proxyRequest.MaxTokens)
 	}
 	return balancer.Query{
-		AnswerTokens: answer, Tried: r.tried, Model: r.model, Objective: r.route.Objective, PromptTokens: r.proxyRequest.PromptTokens,
+		AnswerTokens: answer, Tried: slices.Clone(r.tried), Model: r.model, Objective: r.route.Objective, PromptTokens: r.proxyRequest.PromptTokens,
 		Regions: r.regions, Resumed: r.started, RefusedBefore: r.refusedBefore, Service: r.service, Version: r.version,
 	}
 }
@@ -221,19 +291,19 @@
 
 // repeatObstacle returns what prevents another attempt after a failure. If nothing does, it
 // returns "" and takes the attempt from the retry budget.
-func (r *request) repeatObstacle(last *failure) string {
+func (r *request) repeatObstacle(last *attempt, failed *failure) string {
 	f := r.forwarder
 	now := f.clock.Now()
 	switch {
 	case r.mayRun && !r.route.Repeatable():
 		return obstacleMayHaveRun
-	case r.attempts >= r.route.MaxAttempts && last.err.Outcome != gooseberrypass.OutcomeNotRun, r.attempts > r.route.MaxAttempts:
+	case r.attempts >= r.route.MaxAttempts && failed.err.Outcome != gooseberrypass.OutcomeNotRun, r.attempts > r.route.MaxAttempts:
 		return obstacleTries
 	case !r.deadline.IsZero() && !now.Before(r.deadline):
 		return obstacleDeadline
-	case f.tracker.isQuarantined(r.digest) || r.crashesEndpoints():
+	case f.tracker.isQuarantined(r.digest) || r.crashesEndpoints(last):
 		return obstacleQuarantine
-	case !r.repeatPaid.Swap(false) && !f.budget.allowRepeat(now, r.service, f.chooser.Entries()):
+	case !f.budget.allowRepeat(now, r.service, f.chooser.Entries()):
 		f.metrics.denied.Inc()
 		return obstacleBudget
 	default:
@@ -241,63 +311,9 @@
 	}
 }
 
-// attemptAt makes an attempt, and gives back its place also if the attempt panics.
-func (r *request) attemptAt(ctx context.Context, ticket *balancer.Ticket) *failure {
-	returned := false
-	defer func() {
-		if !returned {
-			ticket.Done(balancer.ResultInconclusive)
-			r.releaseMove()
-		}
-	}()
-	failed := r.attempt(ctx, ticket)
-	returned = true
-	return failed
-}
-
-// attempt sends the request to one endpoint. It returns nil after the whole
-// answer was delivered.
-func (r *request) attempt(ctx context.Context, ticket *balancer.Ticket) *failure {
-	f := r.forwarder
-	r.lastEndpoint, r.inFlight, r.progress = ticket.Endpoint().ID, ticket.InFlight(), progressNone
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	left := r.deadline.Sub(f.clock.Now())
-	if r.deadline.IsZero() {
-		left = defaultTimeLeft
-	}
-	watch := newWatchdog(f.clock, func(cause error) { cancel(cause) })
-	defer watch.stop()
-	watch.reset(r.headTimeout(left), context.DeadlineExceeded)
-	begun := r.watchVersion(ticket, func() { cancel(errVersionExpired) })
-	defer begun()
-	defer r.watchEndpoint(ticket, func() { cancel(errEndpointLost) })()
-	sent := f.clock.Now()
-	reply, err := f.transport.Send(ctx, gooseberrypass.Dispatch{
-		Account: r.account, Endpoint: ticket.Endpoint(), ExpectedVersion: ticket.ExpectedVersion(), MaxIdleConns: r.maxIdleConns(), Request: r.proxyRequest,
-		Priority: r.priority, LastEvent: r.lastEvent, TimeLeft: left,
-	})
-	if err != nil {
-		return r.connectionFailure(ctx, err)
-	}
-	defer func() { _ = reply.Body.Close() }()
-	ticket.AdvisoryReceived(reply.Advisory)
-	if reply.NotRun {
-		return r.rejection(reply)
-	}
-	ticket.HeadReceived(f.clock.Since(sent))
-	r.mayRun, r.progress = true, progressHead
-	if !reply.Signed && reply.Status < 300 {
-		return &failure{err: unknown(gooseberrypass.ReasonUpstream, "answer without a signature"), result: balancer.ResultFailed}
-	}
-	// An endpoint with nothing left to send names no version.
-	if r.started && (reply.Status >= 300 || reply.ModelVersion != r.version && reply.ModelVersion != 0) {
-		return otherVersion()
-	}
-	if r.route.Mode == gooseberrypass.RouteStream && reply.Status < 300 {
-		return r.deliverStream(ctx, reply, ticket, watch, begun)
-	}
-	return r.deliverWhole(ctx, reply, watch, begun)
+// takenOver returns the failure of an attempt in whose place another one has begun.
+func takenOver(result balancer.Result) *failure {
+	return &failure{err: unknown(gooseberrypass.ReasonCut, errTakenOver.Error()), result: result, takenOver: true}
 }
 
 // idleConnShare is the share of an endpoint's connections that all entries
@@ -313,102 +329,13 @@
 	return max(int(idleConnShare*float64(r.maxConns)/float64(r.forwarder.chooser.Entries())), 1)
 }
 
-// headTimeout returns how long an attempt may take to the head of its answer. An
-// attempt that may be repeated gets less time, so that another endpoint can be
-// tried.
-func (r *request) headTimeout(left time.Duration) time.Duration {
-	left += r.forwarder.settings.DeadlineGrace
+// headTimeout returns how long the head of an answer may take until another endpoint is
+// tried, 0 if none may be.
+func (r *request) headTimeout() time.Duration {
 	if !r.route.Repeatable() || r.attempts >= r.route.MaxAttempts || r.route.Objective == 0 {
-		return left
-	}
-	return min(left, time.Duration(r.forwarder.settings.HeadTimeoutFactor*float64(r.route.Objective)))
-}
-
-// connectionFailure returns the failure of an attempt whose answer is missing or
-// incomplete.
-func (r *request) connectionFailure(ctx context.Context, err error) *failure {
-	var dispatch *gooseberrypass.DispatchError
-	sent := !errors.As(err, &dispatch) || dispatch.Sent
-	f := &failure{err: notRun(gooseberrypass.ReasonUpstream, err.Error(), 0), result: balancer.ResultFailed}
-	if sent {
-		r.mayRun = true
-		f.err.Outcome = gooseberrypass.OutcomeUnknown
-	}
-	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errVersionExpired):
-		f.err.Reason = gooseberrypass.ReasonNotLoaded
-		f.err.Detail = cause.Error()
-		f.result = balancer.ResultInconclusive
-	case errors.Is(cause, context.DeadlineExceeded), errors.Is(cause, errEndpointLost):
-		f.err.Reason = gooseberrypass.ReasonDeadline
-		f.err.Detail = "no answer in time (" + cause.Error() + "): " + err.Error()
-		f.result = balancer.ResultTimedOut
-	case errors.Is(cause, context.Canceled): // the caller left
-	case sent:
-		r.recordCrash()
-	}
-	return f
-}
-
-// rejection returns the failure of an attempt that the endpoint refused to run.
-func (r *request) rejection(reply *gooseberrypass.Reply) *failure {
-	f := &failure{err: notRun(gooseberrypass.ReasonOverloaded, "the endpoint is full", 0), result: balancer.ResultFull}
-	if reply.Misdirected {
-		f.err = notRun(gooseberrypass.ReasonNotLoaded, "the endpoint or its version changed", 0)
-		f.result = balancer.ResultMisdirected
-	}
-	if reply.Replaced {
-		f.result = balancer.ResultReplaced
-	}
-	if !reply.Unframed {
-		_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, r.forwarder.settings.MaxBufferedAnswer)) // an unread body would prevent reuse of the connection
-	}
-	return f
-}
-
-// deliverWhole delivers an answer once it is complete. A longer answer than
-// MaxBufferedAnswer is delivered as it arrives after that many bytes.
-func (r *request) deliverWhole(ctx context.Context, reply *gooseberrypass.Reply, watch *watchdog, begun func()) *failure {
-	s := r.forwarder.settings
-	var body bytes.Buffer
-	_, err := io.Copy(&body, io.LimitReader(reply.Body, s.MaxBufferedAnswer))
-	if err != nil {
-		return r.connectionFailure(ctx, &gooseberrypass.DispatchError{Err: errors.Wrap(err, "read body"), Sent: true})
-	}
-	if r.route.Mode == gooseberrypass.RouteIdempotent && reply.Status >= 500 && r.attempts < r.route.MaxAttempts {
-		r.fallback = &heldResponse{body: body.Bytes(), reply: reply}
-		return &failure{err: unknown(gooseberrypass.ReasonUpstream, "the endpoint answered with an error"), result: balancer.ResultAnswered}
-	}
-	begun()
-	watch.stop()
-	if reply.Status < 300 {
-		r.recordProgress()
-	}
-	if int64(body.Len()) >= s.MaxBufferedAnswer && reply.Header.Get("Content-Length") == "" {
-		watch.reset(r.timeLeft(), context.DeadlineExceeded) // the rest may have no end
-	}
-	r.start(reply)
-	if err := r.w.Write(body.Bytes()); err != nil {
-		return &failure{err: unknown(gooseberrypass.ReasonCut, err.Error()), result: balancer.ResultAnswered}
-	}
-	if int64(body.Len()) < s.MaxBufferedAnswer {
-		return nil
-	}
-	buf := make([]byte, copyBufferBytes)
-	for {
-		n, err := reply.Body.Read(buf)
-		if n > 0 {
-			if err := r.w.Write(buf[:n]); err != nil {
-				return &failure{err: unknown(gooseberrypass.ReasonCut, err.Error()), result: balancer.ResultAnswered}
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return &failure{err: unknown(gooseberrypass.ReasonCut, err.Error()), result: balancer.ResultFailed}
-		}
+		return 0
 	}
+	return time.Duration(r.forwarder.settings.HeadTimeoutFactor * float64(r.route.Objective))
 }
 
 // start delivers the head of an answer, once.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"context"
 	"io"
 	"time"
 
@@ -11,71 +10,57 @@
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 )
 
-// deliverStream delivers each event of a stream as it arrives, and calls begun after the
-// first one.
-func (r *request) deliverStream(ctx context.Context, reply *gooseberrypass.Reply, ticket *balancer.Ticket, watch *watchdog, begun func()) *failure {
+// deliverStream delivers each event of a stream as it arrives.
+func (r *request) deliverStream(a *attempt) *failure {
 	if r.route.Resumable {
-		reply.Header.Del("Content-Length") // the rest may come from another endpoint
+		a.reply.Header.Del("Content-Length") // the rest may come from another endpoint
 	}
-	events := newEventReader(reply.Body)
-	resumed := r.started
 	for {
-		event, err := r.nextEvent(events, reply)
-		if errors.Is(err, io.EOF) {
-			r.start(reply)
+		r.await(a)
+		ev, err := a.readEvent()
+		content := err == nil && r.isContent(ev)
+		switch ended := errors.Is(err, io.EOF); {
+		case r.arrived(content || ended):
+			return takenOver(balancer.ResultTimedOut)
+		case ended:
+			r.start(a.reply)
 			return nil
+		case err != nil:
+			return a.streamFailure(err)
 		}
-		if err != nil {
-			return r.streamFailure(ctx, err)
-		}
-		loading := ticket.EventReceived()
-		if !event.comment {
-			r.recordProgress()
-		}
-		if r.delivered(event) {
+		loading := a.ticket.EventReceived()
+		if a.repeats(ev) {
 			continue
 		}
-		if resumed && event.id < 0 && !event.comment {
-			return r.streamFailure(ctx, errors.New("resumed stream has an event without an index"))
-		}
-		if failed := r.deliverEvent(ctx, reply, event); failed != nil {
+		if failed := r.deliverEvent(a, ev); failed != nil {
 			return failed
 		}
-		if loading && r.reserveMove(ticket) {
-			return &failure{err: unknown(gooseberrypass.ReasonCut, "the stream moves to another endpoint"), moved: true, result: balancer.ResultInconclusive}
+		if loading && r.move(a) {
+			return takenOver(balancer.ResultInconclusive)
 		}
-		if event.id >= 0 || !r.route.Resumable {
-			begun()
-			watch.reset(r.eventTimeout(), context.DeadlineExceeded) // an event without an index may be all that a stalled endpoint sends
+		if content {
+			a.begun()
+			a.silentAt = r.nextSilence()
 		}
 	}
 }
 
-// nextEvent returns the next event of a stream. A stream that has no events and ends with
-// its connection has broken off: a crash after the head looks the same. Only an endpoint
-// that names no version may have nothing left of a stream that is resumed.
-func (r *request) nextEvent(events *eventReader, reply *gooseberrypass.Reply) (event, error) {
-	ev, err := events.next()
-	if errors.Is(err, io.EOF) && reply.Unframed && r.progress != progressContent && (r.lastEvent < 0 || reply.ModelVersion != 0) {
-		return ev, io.ErrUnexpectedEOF
-	}
-	return ev, err
-}
-
-// delivered reports whether an event was delivered before the stream was resumed.
-func (r *request) delivered(e event) bool {
-	return e.id >= 0 && r.lastEvent >= 0 && e.id <= r.lastEvent
-}
+// isContent reports whether an event shows that its endpoint is at work. One without an index
+// may be all that a stalled endpoint sends.
+func (r *request) isContent(e event) bool { return e.id >= 0 || !r.route.Resumable }
 
 // deliverEvent delivers one event, which must follow the last one.
-func (r *request) deliverEvent(ctx context.Context, reply *gooseberrypass.Reply, e event) *failure {
+func (r *request) deliverEvent(a *attempt, e event) *failure {
+	if a.version != 0 && e.id < 0 && !e.comment {
+		return a.streamFailure(errors.New("resumed stream has an event without an index"))
+	}
 	if e.id >= 0 && r.lastEvent >= 0 && e.id != r.lastEvent+1 {
-		return r.streamFailure(ctx, errors.Errorf("event %d after %d", e.id, r.lastEvent))
+		return a.streamFailure(errors.Errorf("event %d after %d", e.id, r.lastEvent))
 	}
-	if r.started && reply.ModelVersion != r.version {
+	if r.started && a.reply.ModelVersion != r.version {
 		return otherVersion()
 	}
-	r.start(reply)
+	r.start(a.reply)
 	if err := r.w.Write(e.raw); err != nil {
 		return &failure{err: unknown(gooseberrypass.ReasonCut, err.Error()), result: balancer.ResultInconclusive}
 	}
@@ -90,20 +75,12 @@
 	return &failure{err: unknown(gooseberrypass.ReasonCut, "another version goes on"), result: balancer.ResultInconclusive}
 }
 
-// eventTimeout returns how long the next event of a stream may take. A stream
-// that may be resumed gets less time, so that another endpoint can continue it.
-func (r *request) eventTimeout() time.Duration {
-	f := r.forwarder
-	left := r.timeLeft()
+// nextSilence returns when the next event of a stream is overdue, zero if another endpoint
+// cannot continue it.
+func (r *request) nextSilence() time.Time {
 	if !r.route.Resumable || r.attempts >= r.route.MaxAttempts || r.route.EventGap == 0 {
-		return left
+		return time.Time{}
 	}
-	return min(left, time.Duration(f.settings.EventTimeoutFactor*float64(r.route.EventGap)))
-}
-
-// streamFailure returns the failure of a stream that broke off.
-func (r *request) streamFailure(ctx context.Context, err error) *failure {
-	f := r.connectionFailure(ctx, &gooseberrypass.DispatchError{Err: errors.Wrap(err, "stream"), Sent: true})
-	f.err.Reason = gooseberrypass.ReasonCut
-	return f
+	f := r.forwarder
+	return f.clock.Now().Add(time.Duration(f.settings.EventTimeoutFactor * float64(r.route.EventGap)))
 }
