Let requests that may have run wait for an endpoint that goes on with them

Callers whose stream had begun and broke off were cut in the same millisecond while every endpoint was full, although the log said "again" and they had seconds left and would have waited; others got 502 at once.

Cause: a request waits for a place only until a share of its objective after its arrival, which one whose first endpoint failed has always passed; and a refusal by an endpoint that did not run it used up a try and kept that endpoint out for good, so two refusals ended a stream. Both rules are meant for requests that can still be refused with a promise.

Change: a request that may have run waits for resume-wait after its arrival or its last event, or until its deadline, and checks every resume-poll. Only attempts that may have run count against the route's limit for it, each refusal is still paid from the retry budget, and while it waits it may go to an endpoint that refused it. One that has not begun keeps a time of its objective for the answer. Nothing changes for requests that certainly did not run; if no endpoint is merely full, the answer is still given at once.

TestBegunStreamWaitsForRoom and TestRefusalsDoNotUseUpTheTriesOfABegunStream failed before ("the request ended with "id: 0 ..." (aborted true), want another dispatch").

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -49,7 +49,7 @@
 // newAttempt returns an attempt that is not sent yet. It must be ended.
 func (r *request) newAttempt(ctx context.Context, ticket *balancer.Ticket) *attempt {
 	clock := r.forwarder.clock
-	a := &attempt{last: r.attempts >= r.route.MaxAttempts, lastEvent: r.lastEvent, request: r, sentAt: clock.Now(), ticket: ticket, timeLeft: defaultTimeLeft}
+	a := &attempt{last: r.runs() >= r.route.MaxAttempts, lastEvent: r.lastEvent, request: r, sentAt: clock.Now(), ticket: ticket, timeLeft: defaultTimeLeft}
 	if r.started {
 		a.version = r.version
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -29,7 +29,8 @@
 	QuarantineTime     time.Duration // duration of the quarantine
 	QueuePoll          time.Duration // interval between attempts to find an endpoint with capacity
 	QueueWaitShare     float64       // share of the objective for which a request waits for an endpoint with capacity
-	ResumePoll         time.Duration // interval between attempts to find another endpoint for a request whose endpoint gives no sign
+	ResumePoll         time.Duration // interval between attempts to find an endpoint for a request that may have run
+	ResumeWait         time.Duration // time after arrival, or after the last event delivered, for which such a request waits for an endpoint with capacity
 	RetryAfter         time.Duration // Retry-After of requests refused because of load
 	RetryEntryFactor   float64       // entries that share RetrySlack, as a multiple of the known ones
 	RetryRatio         float64       // repeats per request that a service may have in the window
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -172,7 +172,7 @@
 // mayHandOver reports whether the request may be sent to another endpoint beside its current attempt.
 func (r *request) mayHandOver() bool {
 	f := r.forwarder
-	if !r.route.Repeatable() || r.attempts >= r.route.MaxAttempts || f.tracker.isQuarantined(r.digest) || r.crashesEndpoints(nil) {
+	if !r.route.Repeatable() || r.runs() >= r.route.MaxAttempts || f.tracker.isQuarantined(r.digest) || r.crashesEndpoints(nil) {
 		return false
 	}
 	return r.deadline.IsZero() || f.clock.Now().Before(r.deadline)
--- a/forwarder/handover_test.go
+++ b/forwarder/handover_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -100,6 +101,7 @@
 func newStage(t *testing.T, chooser func(forwarder.Chooser) forwarder.Chooser) *stage {
 	t.Helper()
 	f := newFixture(t)
+	f.settings.ResumeWait = 1800 * time.Millisecond
 	s := &stage{fixture: f, dispatches: make(chan *puppet, 16), done: make(chan *caller, 1), t: t}
 	f.sender = &puppetTransport{dispatches: s.dispatches}
 	var c forwarder.Chooser = f.balancer
@@ -251,6 +253,68 @@
 	}
 }
 
+// A stream that had begun broke off while every endpoint was full, and was closed at once
+// although its caller would have waited.
+func TestBegunStreamWaitsForRoom(t *testing.T) {
+	full := &fullForAWhile{}
+	s := newStage(t, func(c forwarder.Chooser) forwarder.Chooser {
+		full.Chooser = c
+		return full
+	})
+	first := s.next()
+	first.begin(1)
+	first.send(0)
+	full.set(true)
+	first.breakOff()
+	for range 50 { // a second
+		time.Sleep(time.Millisecond)
+		s.clock.Advance(20 * time.Millisecond)
+	}
+	full.set(false)
+	second := s.next()
+	second.begin(1)
+	go second.finish(1)
+	checkWhole(t, s.end())
+}
+
+// A fullForAWhile is a chooser without room while it is full.
+type fullForAWhile struct {
+	forwarder.Chooser
+	mu   sync.Mutex
+	full bool
+}
+
+func (c *fullForAWhile) set(full bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.full = full
+}
+
+func (c *fullForAWhile) Choose(q balancer.Query) (*balancer.Ticket, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.full {
+		return nil, &gooseberrypass.RequestError{Outcome: gooseberrypass.OutcomeNotRun, Reason: gooseberrypass.ReasonOverloaded}
+	}
+	return c.Chooser.Choose(q)
+}
+
+// Refusals of requests that did not run used up the tries of a stream that had begun.
+func TestRefusalsDoNotUseUpTheTriesOfABegunStream(t *testing.T) {
+	s := newStage(t, nil)
+	first := s.next()
+	first.begin(1)
+	first.send(0)
+	first.breakOff()
+	for range 5 {
+		s.next().refuse()
+	}
+	last := s.next()
+	last.begin(1)
+	go last.finish(1)
+	checkWhole(t, s.end())
+}
+
 // A stream stays where it is if the endpoint that it moves to does not begin in time, and no
 // event is lost or comes late by more than the pause that its route allows.
 func TestStreamStaysWhereTheNextEndpointIsSlow(t *testing.T) {
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -33,6 +33,7 @@
 	configVersion int64 // version of the deployment
 	ctx           context.Context
 	deadline      time.Time
+	deliveredAt   time.Time // last event delivered, zero for none
 	digest        gooseberrypass.Digest
 	fallback      *heldResponse
 	forwarder     *Forwarder
@@ -47,6 +48,7 @@
 	priority      int
 	prompt        attributor.Prompt
 	proxyRequest  *gooseberrypass.ProxyRequest
+	refusedBy     []gooseberrypass.ID      // endpoints that refused to run it
 	regions       gooseberrypass.RegionSet // regions that may serve the request
 	refusedBefore bool                     // retry of a request that was refused because of load
 	repeatDigest  gooseberrypass.Digest    // digest that includes the prompt
@@ -171,8 +173,13 @@
 
 // absorb takes what a failed attempt has revealed into the request. The caller holds r.mu.
 func (r *request) absorb(a *attempt, failed *failure) {
+	id := a.ticket.Endpoint().ID
 	r.mayRun = r.mayRun || a.mayHaveRun
-	r.tried = append(r.tried, a.ticket.Endpoint().ID)
+	if failed.err.Outcome == gooseberrypass.OutcomeNotRun {
+		r.refusedBy = append(r.refusedBy, id)
+	} else {
+		r.tried = append(r.tried, id)
+	}
 	if failed.crashed && a.progress == progressHead {
 		r.beginCrashes++
 	}
@@ -181,6 +188,9 @@
 	}
 }
 
+// runs returns the number of attempts that may have run.
+func (r *request) runs() int { return r.attempts - len(r.refusedBy) }
+
 // logFailure logs a failed attempt and what prevents another one, "" for nothing.
 func (r *request) logFailure(a *attempt, failed *failure, obstacle string) {
 	f := r.forwarder
@@ -201,23 +211,26 @@
 	return errors.Wrap(r.w.Write(r.fallback.body), "deliver the held error of an endpoint")
 }
 
-// choose reserves a place at an endpoint. If all endpoints are full, it retries
-// until a share of the objective has passed.
+// choose reserves a place at an endpoint. If all endpoints are full, it retries until
+// waitUntil.
 func (r *request) choose() (*balancer.Ticket, error) {
 	f := r.forwarder
-	until := r.arrivedAt.Add(time.Duration(f.settings.QueueWaitShare * float64(r.route.Objective)))
+	until, poll := r.waitUntil()
 	for polled := false; ; polled = true {
 		query := r.endpointQuery()
 		query.Polled = polled
+		if !polled {
+			query.Tried = slices.Concat(r.tried, r.refusedBy)
+		}
 		ticket, err := f.chooser.Choose(query)
 		var refusal *gooseberrypass.RequestError
 		if err == nil || !errors.As(err, &refusal) || refusal.Reason != gooseberrypass.ReasonOverloaded {
 			return ticket, err
 		}
-		if f.clock.Until(until) <= max(f.settings.QueuePoll, refusal.RetryAfter) {
+		if f.clock.Until(until) <= max(poll, refusal.RetryAfter) {
 			return nil, err
 		}
-		timer := f.clock.NewTimer(f.settings.QueuePoll)
+		timer := f.clock.NewTimer(poll)
 		select {
 		case <-r.ctx.Done():
 			timer.Stop()
@@ -227,6 +240,32 @@
 	}
 }
 
+// waitUntil returns until when the request waits for an endpoint with room, and how often it
+// checks for one. A request that may have run can no longer be refused with a promise, so it
+// waits for as long as its caller does.
+func (r *request) waitUntil() (time.Time, time.Duration) {
+	s := r.forwarder.settings
+	if !r.mayRun {
+		return r.arrivedAt.Add(time.Duration(s.QueueWaitShare * float64(r.route.Objective))), s.QueuePoll
+	}
+	since := r.arrivedAt
+	if r.deliveredAt.After(since) {
+		since = r.deliveredAt
+	}
+	until := since.Add(s.ResumeWait)
+	if r.deadline.IsZero() {
+		return until, s.ResumePoll
+	}
+	latest := r.deadline
+	if !r.started {
+		latest = latest.Add(-r.route.Objective)
+	}
+	if latest.Before(until) {
+		until = latest
+	}
+	return until, s.ResumePoll
+}
+
 // endpointQuery returns the query for the endpoint of the next attempt.
 func (r *request) endpointQuery() balancer.Query {
 	answer := r.proxyRequest.EstimatedTokens
@@ -290,14 +329,15 @@
 )
 
 // repeatObstacle returns what prevents another attempt after a failure. If nothing does, it
-// returns "" and takes the attempt from the retry budget.
+// returns "" and takes the attempt from the retry budget. A request that may have run can
+// only go on or fail, so refusals do not use up its tries.
 func (r *request) repeatObstacle(last *attempt, failed *failure) string {
 	f := r.forwarder
 	now := f.clock.Now()
 	switch {
 	case r.mayRun && !r.route.Repeatable():
 		return obstacleMayHaveRun
-	case r.attempts >= r.route.MaxAttempts && failed.err.Outcome != gooseberrypass.OutcomeNotRun, r.attempts > r.route.MaxAttempts:
+	case r.runs() >= r.route.MaxAttempts && failed.err.Outcome != gooseberrypass.OutcomeNotRun, !r.mayRun && r.attempts > r.route.MaxAttempts:
 		return obstacleTries
 	case !r.deadline.IsZero() && !now.Before(r.deadline):
 		return obstacleDeadline
@@ -332,7 +372,7 @@
 // headTimeout returns how long the head of an answer may take until another endpoint is
 // tried, 0 if none may be.
 func (r *request) headTimeout() time.Duration {
-	if !r.route.Repeatable() || r.attempts >= r.route.MaxAttempts || r.route.Objective == 0 {
+	if !r.route.Repeatable() || r.runs() >= r.route.MaxAttempts || r.route.Objective == 0 {
 		return 0
 	}
 	return time.Duration(r.forwarder.settings.HeadTimeoutFactor * float64(r.route.Objective))
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -67,6 +67,7 @@
 	if e.id >= 0 {
 		r.lastEvent = e.id
 	}
+	r.deliveredAt = r.forwarder.clock.Now()
 	return nil
 }
 
@@ -78,7 +79,7 @@
 // nextSilence returns when the next event of a stream is overdue, zero if another endpoint
 // cannot continue it.
 func (r *request) nextSilence() time.Time {
-	if !r.route.Resumable || r.attempts >= r.route.MaxAttempts || r.route.EventGap == 0 {
+	if !r.route.Resumable || r.runs() >= r.route.MaxAttempts || r.route.EventGap == 0 {
 		return time.Time{}
 	}
 	f := r.forwarder
