Ask for the state of others when an entry starts

Callers of an entry that had just started were refused by engines that it took for empty; a stream that moved lost its place in the same way.

Cause: an entry that starts knows the list at once, but the load of other entries and the state of engines (loading, about to load, version) only from the next regular message of each process. Other entries send to it only once they have read that it is registered again, agents of other regions every three seconds.

Change: for a second after its first read of the list of processes, the messages of an entry say that it is starting, it greets agents of all regions (256 of other regions at the most), and whoever gets such a message replies at once, 20 times a second at most.

Ruled out: to report not ready until it is told. The platform asks once a second and sends callers anyway where fewer than half of a zone are ready, and the replies come a round trip after the list.

--- a/gossiper/encoding.go
+++ b/gossiper/encoding.go
@@ -17,6 +17,7 @@
 	g := &wire.Gossip{
 		Address: m.Address, Breaks: make(map[uint64]uint32, len(m.CrashCounts)), From: string(m.From), Next: make(map[string]uint64, len(m.Next)),
 		ListAgeMillis: m.ListAge.Milliseconds(), Refused: m.Refused, Region: string(m.Region), Role: string(m.Role), Shares: make([]*wire.LoadShare, 0, len(m.Loads)),
+		Starting: m.Starting,
 	}
 	for key, n := range m.CrashCounts {
 		g.Breaks[key] = uint32(max(n, 0))
@@ -58,7 +59,7 @@
 	m := Message{
 		Address: g.GetAddress(), CrashCounts: make(map[uint64]int, len(g.GetBreaks())), From: gooseberrypass.ID(g.GetFrom()), Next: make(map[gooseberrypass.Topic]gooseberrypass.Offset, len(g.GetNext())),
 		ListAge: time.Duration(g.GetListAgeMillis()) * time.Millisecond, Refused: g.GetRefused(), Region: gooseberrypass.Region(g.GetRegion()),
-		Role: gooseberrypass.Role(g.GetRole()), Loads: make(map[gooseberrypass.ID]balancer.Load, len(g.GetShares())),
+		Role: gooseberrypass.Role(g.GetRole()), Loads: make(map[gooseberrypass.ID]balancer.Load, len(g.GetShares())), Starting: g.GetStarting(),
 	}
 	m.CrashEvidence = decodeEvidence(g.GetCrashEvidence())
 	for key, n := range g.GetBreaks() {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -37,6 +37,7 @@
 	Refused        []uint64                                       // requests that an entry has just refused for load
 	Region         gooseberrypass.Region
 	Role           gooseberrypass.Role
+	Starting       bool                        // the sender, an entry, has just started and asks for the receiver's state
 	Targets        []gooseberrypass.AgedTarget // versions named of late, as this entry saw it or was told
 }
 
--- a/replicator/greeting.go
+++ b/replicator/greeting.go
@@ -30,19 +30,23 @@
 // agent reports only to the entries that it has read of in the list of processes,
 // and reads that list only until it has some answer. It may have done so before any
 // entry had registered, and would learn of nothing until the operator's next change.
-// An entry greets the agents of its own region, and those of a region without entries.
+// An entry greets the agents of its own region, and those of a region without entries. One
+// that has just started greets some of all regions, as it knows the state of no endpoint.
 func (r *Replicator) greetAgents(now time.Time) {
 	processes := r.materializer.Snapshot().Processes
 	served := regionsWithEntries(processes)
 	var addresses []string
 	for _, p := range processes {
-		if p.Role != gooseberrypass.RoleAgent || p.Region != r.self.Region && served[p.Region] {
-			continue
-		}
 		c := r.contacts[p.ID]
-		if !c.due(now) {
+		if p.Role != gooseberrypass.RoleAgent || !c.due(now) {
 			continue
 		}
+		if p.Region != r.self.Region && served[p.Region] {
+			if !r.isStarting(now) || r.askedFar >= maxAskedFar {
+				continue
+			}
+			r.askedFar++
+		}
 		c.greetedAt, c.greetings = now, c.greetings+1
 		r.contacts[p.ID] = c
 		addresses = append(addresses, p.Address)
@@ -70,5 +74,6 @@
 	}
 	for _, record := range e.Batch.Records {
 		delete(r.contacts, gooseberrypass.ID(record.Key))
+		delete(r.repliedAt, gooseberrypass.ID(record.Key))
 	}
 }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -85,6 +85,7 @@
 type Replicator struct {
 	announced         gooseberrypass.Offset              // next offset of the operator's topic last announced to entries
 	announcedToAgents gooseberrypass.Offset              // next offset of the operator's topic last announced to agents
+	askedFar          int                                // messages to agents that other entries serve, by an entry that has just started
 	behindSince       map[gooseberrypass.Topic]time.Time // when this process fell behind another
 	client            *http.Client
 	farEntries        int                           // entries of other regions at the last message to all
@@ -98,12 +99,14 @@
 	pulling           map[gooseberrypass.Topic]bool
 	readers           map[gooseberrypass.ID]reader                   // entries of the own region with a lower id
 	remoteNext        map[gooseberrypass.Topic]gooseberrypass.Offset // highest next offset announced by another process
+	repliedAt         map[gooseberrypass.ID]time.Time                // last reply to each entry that had just started
 	rng               *rand.Rand
 	self              Self
 	sender            Sender
 	sentAllAt         time.Time // last message to all entries
 	sentAt            time.Time // last message to entries of the own region
 	settings          Settings
+	startedAt         time.Time                          // first read of the list of processes by an entry
 	standby           atomic.Bool                        // another process reads the log
 	status            *balancer.EndpointStatus           // status of the own endpoint, nil in entries
 	statuses          map[string]balancer.EndpointStatus // last status of each endpoint, by address
@@ -114,7 +117,7 @@
 	return &Replicator{
 		behindSince: map[gooseberrypass.Topic]time.Time{}, client: client, contacts: map[gooseberrypass.ID]contact{}, remoteNext: map[gooseberrypass.Topic]gooseberrypass.Offset{}, loads: loads, logger: logger,
 		statuses: map[string]balancer.EndpointStatus{}, pulling: map[gooseberrypass.Topic]bool{}, history: history, readers: map[gooseberrypass.ID]reader{}, rng: rand.New(rand.NewPCG(seed, seed)), self: self, sender: sender,
-		materializer: m, settings: settings,
+		materializer: m, repliedAt: map[gooseberrypass.ID]time.Time{}, settings: settings,
 	}
 }
 
@@ -148,6 +151,7 @@
 		}
 	case gooseberrypass.TopicChanged:
 		r.resetContacts(e)
+		r.recordStart(now, e)
 		r.announce(now, e)
 	case gooseberrypass.TopicRead:
 		r.recordRead(now, e)
@@ -166,7 +170,7 @@
 		next = r.materializer.NextAgentOffset
 	}
 	m := gossiper.Message{
-		Address: r.self.Address, From: r.self.ID, EndpointStatus: r.status, Region: r.self.Region, Role: r.self.Role,
+		Address: r.self.Address, From: r.self.ID, EndpointStatus: r.status, Region: r.self.Region, Role: r.self.Role, Starting: r.isStarting(now),
 		Next: map[gooseberrypass.Topic]gooseberrypass.Offset{
 			gooseberrypass.TopicOperator:  next(gooseberrypass.TopicOperator),
 			gooseberrypass.TopicProcesses: next(gooseberrypass.TopicProcesses),
@@ -283,6 +287,7 @@
 	if m.From == r.self.ID {
 		return nil
 	}
+	r.replyToStart(now, m)
 	if r.loads != nil {
 		r.receiveAtEntry(now, m)
 	}
