Go on watching a lost endpoint after another one refused

A review of the handovers: a request that was to leave an endpoint that no entry hears from was refused by the other one, and then looked for none any more until the next timeout, or its deadline.

Cause: a handover ends the check for lost endpoints of the current attempt and only its timeout was armed again. Both are now.

TestRefusalDoesNotEndTheWatchOfALostEndpoint failed before ("the request ended with "id: 0 ..." (aborted true), want another dispatch"). The fixture's balancer has room for resumed streams now, as the sites have.

--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -161,7 +161,7 @@
 	log := logrus.New()
 	log.SetOutput(&f.log)
 	b := balancer.New(f.clock, balancer.Self{ID: "self", Region: "r"}, func(gooseberrypass.FailureDomain) gooseberrypass.Region { return "r" }, balancer.Settings{
-		Ejection: time.Second, Fill: 1, MaxEjection: time.Second, PlainFill: 4, ReportTTL: 3 * time.Second, SlowTolerance: 2, StallFactor: 3, StallTimeout: 400 * time.Millisecond, VersionCutoff: 300 * time.Millisecond,
+		Ejection: time.Second, Fill: 1, MaxEjection: time.Second, PlainFill: 4, ReportTTL: 3 * time.Second, ResumeFill: 1.5, SlowTolerance: 2, StallFactor: 3, StallTimeout: 400 * time.Millisecond, VersionCutoff: 300 * time.Millisecond,
 		VersionMargin: 800 * time.Millisecond, VersionTimeout: 8 * time.Second,
 	}, 1, log)
 	snapshot := &materializer.Snapshot{}
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -73,6 +73,7 @@
 		if r.awaited == h.current {
 			r.settleHandover()
 			h.current.silence.reset(r.forwarder.settings.ResumePoll, nil)
+			h.current.watchLoss()
 		}
 	}
 }
--- a/forwarder/handover_test.go
+++ b/forwarder/handover_test.go
@@ -56,8 +56,16 @@
 	p.reply <- &gooseberrypass.Reply{Body: http.NoBody, Header: http.Header{}, NotRun: true, Status: http.StatusServiceUnavailable}
 }
 
+// answer answers with a whole body.
+func (p *puppet) answer(status int, body string) {
+	p.reply <- &gooseberrypass.Reply{Body: io.NopCloser(strings.NewReader(body)), Header: http.Header{}, Signed: true, Status: status}
+}
+
+// write sends a part of a stream. It returns once that was read or the attempt was withdrawn.
+func (p *puppet) write(text string) { _, _ = io.WriteString(p.body, text) }
+
 // send sends one event. It returns once the event was read or the attempt was withdrawn.
-func (p *puppet) send(id int) { _, _ = io.WriteString(p.body, eventText(id)) }
+func (p *puppet) send(id int) { p.write(eventText(id)) }
 
 // finish sends the events from id on and ends the answer.
 func (p *puppet) finish(id int) {
@@ -97,11 +105,17 @@
 	t          *testing.T
 }
 
-// newStage sends a request for a stream.
+// newStage sends a request for a stream. chooser may be nil.
 func newStage(t *testing.T, chooser func(forwarder.Chooser) forwarder.Chooser) *stage {
+	t.Helper()
+	return newStageAt(t, "/stream/x", chooser)
+}
+
+// newStageAt sends a request to a path. chooser may be nil.
+func newStageAt(t *testing.T, path string, chooser func(forwarder.Chooser) forwarder.Chooser) *stage {
 	t.Helper()
 	f := newFixture(t)
-	f.settings.ResumeWait = 1800 * time.Millisecond
+	f.settings.LossPoll, f.settings.ResumeWait = 100*time.Millisecond, 1800*time.Millisecond
 	s := &stage{fixture: f, dispatches: make(chan *puppet, 16), done: make(chan *caller, 1), t: t}
 	f.sender = &puppetTransport{dispatches: s.dispatches}
 	var c forwarder.Chooser = f.balancer
@@ -112,7 +126,7 @@
 	if f.forwarder, err = f.build(c); err != nil {
 		t.Fatal(err)
 	}
-	go func() { s.done <- f.send("/stream/x", "key") }()
+	go func() { s.done <- f.send(path, "key") }()
 	return s
 }
 
@@ -355,3 +369,25 @@
 		t.Error("the panic was not logged")
 	}
 }
+
+// The endpoint that a request was to leave, as no entry heard from its own, refused; the
+// request then never looked again and was held at the dead endpoint until its deadline.
+func TestRefusalDoesNotEndTheWatchOfALostEndpoint(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		t.Run(fmt.Sprint("begun ", begun), func(t *testing.T) {
+			s := newStageAt(t, "/model/x", nil)
+			first := s.next()
+			from := 0
+			if begun {
+				first.begin(1)
+				first.send(0)
+				from = 1
+			}
+			s.next().refuse()
+			last := s.next()
+			last.begin(1)
+			go last.finish(from)
+			checkWhole(t, s.end())
+		})
+	}
+}
