Contain a panic while a timer looks for another endpoint

A review of the handovers: the choice of an endpoint for a silent one is made in a timer, where a panic ends the process; in the goroutine of a request it ends that request.

TestPanicWhileLookingForAnotherEndpointDoesNotEndTheProcess runs it in a process of its own, which ended before.

--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -94,17 +94,24 @@
 // begin begins the new attempt. A panic is its failure: it must not end the process, and the
 // current attempt goes on.
 func (h *handover) begin() (failed *failure) { //nolint:nonamedreturns // set by the deferred function
-	defer func() {
-		if p := recover(); p != nil {
-			r := h.next.request
-			h.next.mayHaveRun = true
-			r.forwarder.logger.WithFields(logrus.Fields{fieldRequest: r.proxyRequest.ID, "panic": p, "stack": string(debug.Stack())}).Error("attempt beside another one panicked")
-			failed = &failure{err: unknown(gooseberrypass.ReasonUpstream, "internal error"), result: balancer.ResultInconclusive}
-		}
-	}()
+	defer h.next.request.containPanic(func() {
+		h.next.mayHaveRun = true
+		failed = &failure{err: unknown(gooseberrypass.ReasonUpstream, "internal error"), result: balancer.ResultInconclusive}
+	})
 	return h.next.beginBeside()
 }
 
+// containPanic recovers from a panic beside the goroutine of the request, which would end the
+// process. It must be deferred. then is called after a panic.
+func (r *request) containPanic(then func()) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	r.forwarder.logger.WithFields(logrus.Fields{fieldRequest: r.proxyRequest.ID, "panic": p, "stack": string(debug.Stack())}).Error("panic beside a request contained")
+	then()
+}
+
 // await marks that the request goroutine waits for data of an attempt. Until arrived, silence
 // of the endpoint may begin a handover.
 func (r *request) await(a *attempt) {
@@ -159,6 +166,7 @@
 // endpointSilent looks for another endpoint for an attempt whose own gives no sign. Until
 // there is one, or data arrives, it looks again.
 func (r *request) endpointSilent(a *attempt) {
+	defer r.containPanic(func() {})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.forwarder.clock.Now()
--- a/forwarder/handover_test.go
+++ b/forwarder/handover_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"os/exec"
 	"strings"
 	"sync"
 	"testing"
@@ -365,7 +367,7 @@
 	if got := c.body.String(); got != threeEvents || c.aborted {
 		t.Errorf("got %q (aborted %t), want %q", got, c.aborted, threeEvents)
 	}
-	if !strings.Contains(f.log.String(), "panicked") {
+	if !strings.Contains(f.log.String(), "panic beside a request contained") {
 		t.Error("the panic was not logged")
 	}
 }
@@ -391,3 +393,36 @@
 		})
 	}
 }
+
+// A chooser that panics at its second query.
+type panickyChooser struct {
+	forwarder.Chooser
+	n int
+}
+
+func (c *panickyChooser) Choose(q balancer.Query) (*balancer.Ticket, error) {
+	if c.n++; c.n == 2 {
+		panic("choose")
+	}
+	return c.Chooser.Choose(q)
+}
+
+// A panic while the timer looked for another endpoint ended the process; a panic in the
+// goroutine of the request ends that request only.
+func TestPanicWhileLookingForAnotherEndpointDoesNotEndTheProcess(t *testing.T) {
+	if os.Getenv("PANIC_CHILD") == "" {
+		cmd := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$")
+		cmd.Env = append(os.Environ(), "PANIC_CHILD=1")
+		if out, err := cmd.CombinedOutput(); err != nil {
+			t.Errorf("the process ended: %v\n%.600s", err, out)
+		}
+		return
+	}
+	s := newStage(t, func(c forwarder.Chooser) forwarder.Chooser { return &panickyChooser{Chooser: c} })
+	first := s.next()
+	s.clock.Advance(400 * time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	first.begin(1)
+	go first.finish(0)
+	checkWhole(t, s.end())
+}
--- a/forwarder/loss.go
+++ b/forwarder/loss.go
@@ -11,6 +11,7 @@
 // it the attempt would wait for the timeout of the head or of the next event, which allows
 // for endpoints that are only slow.
 func (r *request) checkLoss(a *attempt) {
+	defer r.containPanic(func() {})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.awaited != a || r.handover != nil || !r.mayHandOver() {
