Do not give up a silent endpoint for the error of another one

A review of the handovers: a sound endpoint was silent for a moment, the one tried beside it answered 500, and the caller got that error in place of the answer that was on its way.

Cause: any whole answer counted as a begin. An error of the other endpoint is kept now and delivered only if nothing better comes.

TestErrorOfAnotherEndpointDoesNotReplaceASilentOne failed before on both routes ("the attempt was withdrawn for an error").

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -16,6 +16,7 @@
 // never changes its request, so that two attempts may go on side by side.
 type attempt struct {
 	begun      func() // ends the watch of the endpoint's version
+	beside     bool   // begins beside another attempt
 	body       []byte // begin of a whole answer
 	bodyEnded  bool   // body is all of it
 	cancel     context.CancelCauseFunc
@@ -118,8 +119,9 @@
 }
 
 // beginBeside begins an attempt beside another one: it has begun only when its first event
-// has arrived too.
+// has arrived too. An error is no reason to give up an endpoint that may still answer.
 func (a *attempt) beginBeside() *failure {
+	a.beside = true
 	if failed := a.begin(); failed != nil || !a.streams() {
 		return failed
 	}
@@ -177,7 +179,7 @@
 		return a.connectionFailure(&gooseberrypass.DispatchError{Err: errors.Wrap(err, "read body"), Sent: true})
 	}
 	a.body, a.bodyEnded = body.Bytes(), n < limit
-	if r.route.Mode == gooseberrypass.RouteIdempotent && a.reply.Status >= 500 && a.bodyEnded && !a.last {
+	if a.reply.Status >= 500 && a.bodyEnded && (a.beside || r.route.Mode == gooseberrypass.RouteIdempotent && !a.last) {
 		a.fallback = &heldResponse{body: a.body, reply: a.reply}
 		return &failure{err: unknown(gooseberrypass.ReasonUpstream, "the endpoint answered with an error"), result: balancer.ResultAnswered}
 	}
--- a/forwarder/handover_test.go
+++ b/forwarder/handover_test.go
@@ -394,6 +394,32 @@
 	}
 }
 
+// A sound endpoint was silent for a moment, the one tried beside it answered 500, and that
+// error replaced the answer that was on its way.
+func TestErrorOfAnotherEndpointDoesNotReplaceASilentOne(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			s := newStageAt(t, path, nil)
+			first := s.next()
+			s.next().answer(http.StatusInternalServerError, "broken")
+			select {
+			case <-first.ctx.Done():
+				t.Error("the attempt was withdrawn for an error")
+			case <-time.After(50 * time.Millisecond):
+			}
+			if path == "/safe/x" {
+				first.answer(http.StatusOK, "fine")
+			} else {
+				first.begin(1)
+				go first.finish(0)
+			}
+			if c := s.end(); c.status != http.StatusOK {
+				t.Errorf("got status %d %q (%v), want 200", c.status, c.body.String(), c.failure)
+			}
+		})
+	}
+}
+
 // A chooser that panics at its second query.
 type panickyChooser struct {
 	forwarder.Chooser
