Let only events with an index decide a handover

A review of the handovers: events without an index, which a stalled endpoint may send, counted as the begin of the other attempt, and the sound one was given up. One that came from the current endpoint while a handover was pending began the answer, with its version, although the other one had been asked for the whole of it: the caller got the event twice, or the other one was cut for its version.

Cause: an attempt notes what was delivered when it begins, and such an event changed that afterwards. It is held back while a handover is pending and nothing is delivered, at most 64 of them, and only an event with an index, or the end, is a begin.

TestHandoverDoesNotJoinEventsWithoutIndex, TestEventWithoutIndexIsNoBeginOfAHandover and TestCommentDuringAHandoverDoesNotFixTheVersion failed before.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -16,7 +16,6 @@
 // never changes its request, so that two attempts may go on side by side.
 type attempt struct {
 	begun      func() // ends the watch of the endpoint's version
-	beside     bool   // begins beside another attempt
 	body       []byte // begin of a whole answer
 	bodyEnded  bool   // body is all of it
 	cancel     context.CancelCauseFunc
@@ -24,25 +23,27 @@
 	ended      bool
 	events     *eventReader
 	fallback   *heldResponse // error of an endpoint, if that is all it answered
-	first      *firstEvent   // read before the attempt took over, nil for none
+	beside     bool          // begins beside another attempt
 	last       bool          // the route allows no further one
 	lastEvent  int           // index of the event after which it goes on, -1 for the begin
 	limit      *watchdog     // withdraws the attempt when no time is left
 	loss       *watchdog     // checks whether the endpoint is lost
 	mayHaveRun bool
 	progress   progress
+	readAhead  []readResult // read before the attempt took over
 	reply      *gooseberrypass.Reply
 	request    *request
+	resumes    bool // part of the answer was delivered
 	sentAt     time.Time
 	silence    *watchdog // looks for another endpoint when this one gives no sign
 	silentAt   time.Time // end of the time within which the endpoint should send something
 	ticket     *balancer.Ticket
 	timeLeft   time.Duration
-	version    int // version that the answer must have, 0 for any
+	version    int // version of that part
 }
 
-// A firstEvent is the event, or the end, with which an attempt begins.
-type firstEvent struct {
+// A readResult is an event of a stream, or its end.
+type readResult struct {
 	err   error
 	event event
 }
@@ -50,10 +51,7 @@
 // newAttempt returns an attempt that is not sent yet. It must be ended.
 func (r *request) newAttempt(ctx context.Context, ticket *balancer.Ticket) *attempt {
 	clock := r.forwarder.clock
-	a := &attempt{last: r.runs() >= r.route.MaxAttempts, lastEvent: r.lastEvent, request: r, sentAt: clock.Now(), ticket: ticket, timeLeft: defaultTimeLeft}
-	if r.started {
-		a.version = r.version
-	}
+	a := &attempt{last: r.runs() >= r.route.MaxAttempts, lastEvent: r.lastEvent, request: r, resumes: r.started, sentAt: clock.Now(), ticket: ticket, timeLeft: defaultTimeLeft, version: r.version}
 	if !r.deadline.IsZero() {
 		a.timeLeft = r.deadline.Sub(a.sentAt)
 	}
@@ -108,7 +106,7 @@
 		return &failure{err: unknown(gooseberrypass.ReasonUpstream, "answer without a signature"), result: balancer.ResultFailed}
 	}
 	// An endpoint with nothing left to send names no version.
-	if a.version != 0 && (reply.Status >= 300 || reply.ModelVersion != a.version && reply.ModelVersion != 0) {
+	if a.resumes && (reply.Status >= 300 || reply.ModelVersion != a.version && reply.ModelVersion != 0) {
 		return otherVersion()
 	}
 	if a.streams() {
@@ -118,27 +116,39 @@
 	return a.readBody()
 }
 
-// beginBeside begins an attempt beside another one: it has begun only when its first event
-// has arrived too. An error is no reason to give up an endpoint that may still answer.
+// maxEventsAhead bounds the events without an index before the first one with an index, as long
+// as they are held back.
+const maxEventsAhead = 64
+
+// errTooManyEvents is the error of a stream whose events have no index.
+var errTooManyEvents = errors.New("too many events without an index")
+
+// beginBeside begins an attempt beside another one. It has begun only when an event with an
+// index has arrived, or the end: a stalled endpoint may send others, and an error is no reason
+// to give up an endpoint that may still answer.
 func (a *attempt) beginBeside() *failure {
 	a.beside = true
 	if failed := a.begin(); failed != nil || !a.streams() {
 		return failed
 	}
-	for {
+	var ahead []readResult
+	for len(ahead) < maxEventsAhead {
 		ev, err := a.readEvent()
-		if err == nil && (ev.comment || a.repeats(ev)) {
-			continue
-		}
-		if err != nil && !errors.Is(err, io.EOF) {
+		switch {
+		case err != nil && !errors.Is(err, io.EOF):
 			return a.streamFailure(err)
-		}
-		if err == nil && a.lastEvent >= 0 && ev.id != a.lastEvent+1 {
+		case err == nil && (ev.comment || a.repeats(ev)):
+			continue
+		case err == nil && (a.resumes || ev.id >= 0) && a.lastEvent >= 0 && ev.id != a.lastEvent+1, err == nil && a.resumes && ev.id < 0:
 			return a.streamFailure(errors.Errorf("event %d after %d", ev.id, a.lastEvent))
 		}
-		a.first = &firstEvent{err: err, event: ev}
-		return nil
+		ahead = append(ahead, readResult{err: err, event: ev})
+		if err != nil || ev.id >= 0 {
+			a.readAhead = ahead
+			return nil
+		}
 	}
+	return a.streamFailure(errTooManyEvents)
 }
 
 // streams reports whether the answer is a stream of events.
@@ -155,9 +165,10 @@
 // its connection has broken off: a crash after the head looks the same. Only an endpoint
 // that names no version may have nothing left of a stream that is resumed.
 func (a *attempt) readEvent() (event, error) {
-	if f := a.first; f != nil {
-		a.first = nil
-		return f.event, f.err
+	if len(a.readAhead) > 0 {
+		next := a.readAhead[0]
+		a.readAhead = a.readAhead[1:]
+		return next.event, next.err
 	}
 	ev, err := a.events.next()
 	if errors.Is(err, io.EOF) && a.reply.Unframed && a.progress != progressContent && (a.lastEvent < 0 || a.reply.ModelVersion != 0) {
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -149,6 +149,13 @@
 	return false
 }
 
+// handoverPending reports whether another attempt may take over.
+func (r *request) handoverPending() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.handover != nil
+}
+
 // takeOver returns the handover to the attempt that replaces a failed one, nil if there is
 // none. That attempt may not have begun yet.
 func (r *request) takeOver() *handover {
--- a/forwarder/handover_test.go
+++ b/forwarder/handover_test.go
@@ -420,6 +420,61 @@
 	}
 }
 
+// An event without an index was delivered while a handover was pending; the other run, that
+// was asked for the whole stream, sent it again: events of two runs were joined.
+func TestHandoverDoesNotJoinEventsWithoutIndex(t *testing.T) {
+	const preamble = "data: begin\n\n"
+	s := newStageAt(t, "/stream/x", nil)
+	first := s.next()
+	first.begin(1)
+	second := s.next()
+	first.write(preamble)
+	time.Sleep(20 * time.Millisecond) // delivered
+	second.begin(1)
+	go func() {
+		second.write(preamble)
+		second.finish(0)
+	}()
+	time.Sleep(20 * time.Millisecond)
+	go first.finish(0)
+	c := s.end()
+	if got, want := c.body.String(), preamble+wholeStream(); got != want || c.aborted {
+		t.Errorf("got %q (aborted %t, %v), want %q", got, c.aborted, c.failure, want)
+	}
+}
+
+// A stalled endpoint sent an event without an index, which counted as a begin: the first
+// endpoint, which was only silent, was given up for it.
+func TestEventWithoutIndexIsNoBeginOfAHandover(t *testing.T) {
+	s := newStageAt(t, "/stream/x", nil)
+	first := s.next()
+	second := s.next()
+	second.begin(1)
+	second.write("data: begin\n\n")
+	select {
+	case <-first.ctx.Done():
+		t.Error("the first attempt was withdrawn for an event without an index")
+	case <-time.After(50 * time.Millisecond):
+	}
+	first.begin(1)
+	go first.finish(0)
+	checkWhole(t, s.end())
+}
+
+// While a handover from a silent endpoint was pending, a comment of that endpoint began the
+// answer with its version; the other endpoint took over with another version and was cut.
+func TestCommentDuringAHandoverDoesNotFixTheVersion(t *testing.T) {
+	s := newStage(t, nil)
+	first := s.next()
+	first.begin(1)
+	second := s.next()
+	first.write(": queued\n\n")
+	second.begin(2)
+	go second.finish(0)
+	s.waitWithdrawn(first)
+	checkWhole(t, s.end())
+}
+
 // A chooser that panics at its second query.
 type panickyChooser struct {
 	forwarder.Chooser
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -15,27 +15,37 @@
 	if r.route.Resumable {
 		a.reply.Header.Del("Content-Length") // the rest may come from another endpoint
 	}
+	var held []event // without an index, that would begin the answer during a handover
 	for {
 		r.await(a)
 		ev, err := a.readEvent()
 		content := err == nil && r.isContent(ev)
-		switch ended := errors.Is(err, io.EOF); {
-		case r.arrived(content || ended):
+		ended := errors.Is(err, io.EOF)
+		if r.arrived(content || ended) {
 			return takenOver(balancer.ResultTimedOut)
-		case ended:
-			r.start(a.reply)
-			return nil
-		case err != nil:
+		}
+		if err != nil && !ended {
 			return a.streamFailure(err)
 		}
-		loading := a.ticket.EventReceived()
-		if a.repeats(ev) {
+		if !ended {
+			held = append(held, ev)
+		}
+		if !content && !ended && !r.started && r.handoverPending() {
+			if len(held) > maxEventsAhead {
+				return a.streamFailure(errTooManyEvents)
+			}
 			continue
 		}
-		if failed := r.deliverEvent(a, ev); failed != nil {
+		loading := a.ticket.EventReceived()
+		if failed := r.deliverEvents(a, held); failed != nil {
 			return failed
 		}
-		if loading && r.move(a) {
+		held = held[:0]
+		if ended {
+			r.start(a.reply)
+			return nil
+		}
+		if content && loading && r.move(a) {
 			return takenOver(balancer.ResultInconclusive)
 		}
 		if content {
@@ -45,13 +55,26 @@
 	}
 }
 
+// deliverEvents delivers the events that the caller does not have yet.
+func (r *request) deliverEvents(a *attempt, events []event) *failure {
+	for _, ev := range events {
+		if a.repeats(ev) {
+			continue
+		}
+		if failed := r.deliverEvent(a, ev); failed != nil {
+			return failed
+		}
+	}
+	return nil
+}
+
 // isContent reports whether an event shows that its endpoint is at work. One without an index
 // may be all that a stalled endpoint sends.
 func (r *request) isContent(e event) bool { return e.id >= 0 || !r.route.Resumable }
 
 // deliverEvent delivers one event, which must follow the last one.
 func (r *request) deliverEvent(a *attempt, e event) *failure {
-	if a.version != 0 && e.id < 0 && !e.comment {
+	if a.resumes && e.id < 0 && !e.comment {
 		return a.streamFailure(errors.New("resumed stream has an event without an index"))
 	}
 	if e.id >= 0 && r.lastEvent >= 0 && e.id != r.lastEvent+1 {
