--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -134,16 +134,18 @@
 	var ahead []readResult
 	for len(ahead) < maxEventsAhead {
 		ev, err := a.readEvent()
-		switch {
-		case err != nil && !errors.Is(err, io.EOF):
-			return a.streamFailure(err)
-		case err == nil && (ev.comment || a.repeats(ev)):
+		if err == nil && (ev.comment || a.repeats(ev)) {
 			continue
-		case err == nil && (a.resumes || ev.id >= 0) && a.lastEvent >= 0 && ev.id != a.lastEvent+1, err == nil && a.resumes && ev.id < 0:
-			return a.streamFailure(errors.Errorf("event %d after %d", ev.id, a.lastEvent))
+		}
+		if err == nil {
+			err = a.checkFollows(ev, a.lastEvent)
+		}
+		ended := errors.Is(err, io.EOF)
+		if err != nil && !ended {
+			return a.streamFailure(err)
 		}
 		ahead = append(ahead, readResult{err: err, event: ev})
-		if err != nil || ev.id >= 0 {
+		if ended || ev.id >= 0 {
 			a.readAhead = ahead
 			return nil
 		}
@@ -151,6 +153,19 @@
 	return a.streamFailure(errTooManyEvents)
 }
 
+// checkFollows returns an error if an event cannot be the next one after that with the index
+// last, -1 for none.
+func (a *attempt) checkFollows(e event, last int) error {
+	switch {
+	case a.resumes && e.id < 0 && !e.comment:
+		return errors.New("resumed stream has an event without an index")
+	case last >= 0 && e.id >= 0 && e.id != last+1:
+		return errors.Errorf("event %d after %d", e.id, last)
+	default:
+		return nil
+	}
+}
+
 // streams reports whether the answer is a stream of events.
 func (a *attempt) streams() bool {
 	return a.request.route.Mode == gooseberrypass.RouteStream && a.reply.Status < 300
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -17,20 +17,20 @@
 	}
 	var held []event // without an index, that would begin the answer during a handover
 	for {
-		r.await(a)
-		ev, err := a.readEvent()
-		content := err == nil && r.isContent(ev)
-		ended := errors.Is(err, io.EOF)
-		if r.arrived(content || ended) {
-			return takenOver(balancer.ResultTimedOut)
-		}
-		if err != nil && !ended {
-			return a.streamFailure(err)
+		ev, ended, failed := r.receiveEvent(a)
+		if failed != nil {
+			return failed
 		}
-		if !ended {
-			held = append(held, ev)
+		if ended {
+			if failed := r.deliverEvents(a, held); failed != nil {
+				return failed
+			}
+			r.start(a.reply)
+			return nil
 		}
-		if !content && !ended && !r.started && r.handoverPending() {
+		held = append(held, ev)
+		content := r.isContent(ev)
+		if !content && !r.started && r.handoverPending() {
 			if len(held) > maxEventsAhead {
 				return a.streamFailure(errTooManyEvents)
 			}
@@ -41,18 +41,29 @@
 			return failed
 		}
 		held = held[:0]
-		if ended {
-			r.start(a.reply)
-			return nil
+		if !content {
+			continue
 		}
-		if content && loading && r.move(a) {
+		if loading && r.move(a) {
 			return takenOver(balancer.ResultInconclusive)
 		}
-		if content {
-			a.begun()
-			a.silentAt = r.nextSilence()
-		}
+		a.begun()
+		a.silentAt = r.nextSilence()
+	}
+}
+
+// receiveEvent waits for the next event of a stream, or its end.
+func (r *request) receiveEvent(a *attempt) (event, bool, *failure) {
+	r.await(a)
+	ev, err := a.readEvent()
+	ended := errors.Is(err, io.EOF)
+	if r.arrived(ended || err == nil && r.isContent(ev)) {
+		return ev, false, takenOver(balancer.ResultTimedOut)
 	}
+	if err != nil && !ended {
+		return ev, false, a.streamFailure(err)
+	}
+	return ev, ended, nil
 }
 
 // deliverEvents delivers the events that the caller does not have yet.
@@ -74,11 +85,8 @@
 
 // deliverEvent delivers one event, which must follow the last one.
 func (r *request) deliverEvent(a *attempt, e event) *failure {
-	if a.resumes && e.id < 0 && !e.comment {
-		return a.streamFailure(errors.New("resumed stream has an event without an index"))
-	}
-	if e.id >= 0 && r.lastEvent >= 0 && e.id != r.lastEvent+1 {
-		return a.streamFailure(errors.Errorf("event %d after %d", e.id, r.lastEvent))
+	if err := a.checkFollows(e, r.lastEvent); err != nil {
+		return a.streamFailure(err)
 	}
 	if r.started && a.reply.ModelVersion != r.version {
 		return otherVersion()
@@ -88,9 +96,8 @@
 		return &failure{err: unknown(gooseberrypass.ReasonCut, err.Error()), result: balancer.ResultInconclusive}
 	}
 	if e.id >= 0 {
-		r.lastEvent = e.id
+		r.lastEvent, r.deliveredAt = e.id, r.forwarder.clock.Now()
 	}
-	r.deliveredAt = r.forwarder.clock.Now()
 	return nil
 }
 
