Look for another endpoint only while the retry budget has room

Each such place counts against the rate limit that the other endpoint has named. Moves had the same order of steps.

The budget is asked first now; it is still taken only with the place.

TestSilentEndpointTakesNoPlacesWithoutABudget failed before ("places reserved: got 30, want 1").

--- a/forwarder/budget.go
+++ b/forwarder/budget.go
@@ -76,11 +76,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, service)
-	sharers := max(float64(entries)*b.settings.RetryEntryFactor, 1)
-	allowed := b.settings.RetryRatio*float64(len(w.requests)) + b.settings.RetrySlack/sharers
-	if float64(len(w.repeats)+1) > allowed*share {
+	if !b.fits(w, entries, share) {
 		return false
 	}
 	w.repeats = append(w.repeats, now)
 	return true
 }
+
+// hasRoom reports whether a repeat would fit into a share of the budget.
+func (b *budget) hasRoom(now time.Time, service gooseberrypass.ID, entries int, share float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fits(b.window(now, service), entries, share)
+}
+
+// fits reports whether one more repeat fits into a share of the budget of a service.
+func (b *budget) fits(w *window, entries int, share float64) bool {
+	sharers := max(float64(entries)*b.settings.RetryEntryFactor, 1)
+	allowed := b.settings.RetryRatio*float64(len(w.requests)) + b.settings.RetrySlack/sharers
+	return float64(len(w.repeats)+1) <= allowed*share
+}
--- a/forwarder/handover.go
+++ b/forwarder/handover.go
@@ -198,6 +198,9 @@
 // retry budget allows it. The caller holds r.mu.
 func (r *request) handOverSilent(a *attempt, now time.Time) bool {
 	f := r.forwarder
+	if !f.budget.hasRoom(now, r.service, f.chooser.Entries(), 1) { // a place that is not used counts against the limit of its endpoint
+		return false
+	}
 	query := r.endpointQuery()
 	query.Tried, query.Polled = append(query.Tried, a.ticket.Endpoint().ID), true
 	ticket, err := f.chooser.Choose(query)
--- a/forwarder/handover_test.go
+++ b/forwarder/handover_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -507,3 +508,44 @@
 	go first.finish(0)
 	checkWhole(t, s.end())
 }
+
+// A countingChooser counts the places that it reserved.
+type countingChooser struct {
+	forwarder.Chooser
+	n atomic.Int64
+}
+
+func (c *countingChooser) Choose(q balancer.Query) (*balancer.Ticket, error) {
+	t, err := c.Chooser.Choose(q)
+	if err == nil {
+		c.n.Add(1)
+	}
+	return t, err
+}
+
+// A request at a silent endpoint reserved a place at another one every 50 ms although the retry
+// budget was used up; each counts against the limit that the other endpoint has named.
+func TestSilentEndpointTakesNoPlacesWithoutABudget(t *testing.T) {
+	counting := &countingChooser{}
+	f := newFixture(t)
+	f.settings.RetryRatio, f.settings.RetrySlack = 0, 0
+	s := &stage{fixture: f, dispatches: make(chan *puppet, 16), done: make(chan *caller, 1), t: t}
+	f.sender = &puppetTransport{dispatches: s.dispatches}
+	counting.Chooser = f.balancer
+	var err error
+	if f.forwarder, err = f.build(counting); err != nil {
+		t.Fatal(err)
+	}
+	go func() { s.done <- f.send("/stream/x", "key") }()
+	first := s.next()
+	for range 100 { // two seconds
+		time.Sleep(time.Millisecond)
+		s.clock.Advance(20 * time.Millisecond)
+	}
+	if got, want := counting.n.Load(), int64(1); got != want {
+		t.Errorf("places reserved: got %d, want %d", got, want)
+	}
+	first.begin(1)
+	go first.finish(0)
+	checkWhole(t, s.end())
+}
--- a/forwarder/move.go
+++ b/forwarder/move.go
@@ -52,7 +52,7 @@
 // reserveMove reserves a place for a stream that is to move, nil if none is free.
 func (r *request) reserveMove(from *attempt) *balancer.Ticket {
 	f := r.forwarder
-	if !r.route.Resumable || r.version == 0 || r.lastEvent < 0 || !r.mayHandOver() {
+	if !r.route.Resumable || r.version == 0 || r.lastEvent < 0 || !r.mayHandOver() || !f.budget.hasRoom(f.clock.Now(), r.service, f.chooser.Entries(), f.settings.MoveShare) {
 		return nil
 	}
 	query := r.endpointQuery()
