Let a stream that has begun wait for endpoints that are skipped for a while

A review: a stream that had begun broke off at an endpoint that leaves while the other one was ejected for half a second after a timeout. It was closed at once, although its caller would have waited.

Cause: a refusal because every endpoint is ejected counts as "no endpoint takes work", for which nobody waits, and did not say that the time is known. Such a refusal has a Retry-After now, as one because of rate limits and pauses has, and a request that may have run waits for it if that is within its time. Callers who are refused are told that time too if it is longer than the usual one.

TestBegunStreamWaitsForAnEjectedEndpoint failed before ("the request ended with "id: 0 ..." (aborted true), want another dispatch"). Tried first: to count ejected endpoints as full; three tests of the balancer, which say what each state is called, rightly failed.

--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -46,6 +46,8 @@
 		}
 		c.counts.byState[state]++
 		switch state {
+		case stateEjected:
+			c.counts.addWait(e.ejectedUntil.Sub(c.now))
 		case stateLimited:
 			c.counts.addWait(e.limitWait(c.now))
 		case statePaused:
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -59,20 +59,20 @@
 type stateCounts struct {
 	required int // required version, 0 for any
 	byState  [numStates]int
-	wait     time.Duration // shortest time until an endpoint takes a request that its rate limit or a pause keeps from it
+	wait     time.Duration // shortest time until an endpoint takes a request that its rate limit, a pause or its ejection keeps from it, 0 for none
 }
 
-// addWait records the time until an endpoint takes a request that its rate limit or a pause
-// keeps from it.
+// addWait records the time until an endpoint takes a request that its rate limit, a pause or
+// its ejection keeps from it.
 func (c *stateCounts) addWait(wait time.Duration) {
-	if c.byState[stateLimited]+c.byState[statePaused] == 1 || wait < c.wait {
+	if wait > 0 && (c.wait == 0 || wait < c.wait) {
 		c.wait = wait
 	}
 }
 
 // refusal returns the error for a request without an available endpoint. Its
-// detail has the number of endpoints in each state. RetryAfter is set if only rate limits
-// and pauses keep endpoints from taking the request.
+// detail has the number of endpoints in each state. RetryAfter is set if only rate limits,
+// pauses and ejections keep endpoints from taking the request.
 func (c stateCounts) refusal() *gooseberrypass.RequestError {
 	err := &gooseberrypass.RequestError{Outcome: gooseberrypass.OutcomeNotRun, Reason: gooseberrypass.ReasonNoEndpoint}
 	text := "no endpoint takes work"
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -224,7 +224,7 @@
 		}
 		ticket, err := f.chooser.Choose(query)
 		var refusal *gooseberrypass.RequestError
-		if err == nil || !errors.As(err, &refusal) || refusal.Reason != gooseberrypass.ReasonOverloaded {
+		if err == nil || !errors.As(err, &refusal) || !r.waitsAfter(refusal) {
 			return ticket, err
 		}
 		if f.clock.Until(until) <= max(poll, refusal.RetryAfter) {
@@ -240,6 +240,12 @@
 	}
 }
 
+// waitsAfter reports whether the request waits for an endpoint after a refusal. One that may
+// have run waits also for endpoints that are skipped for a known time.
+func (r *request) waitsAfter(refusal *gooseberrypass.RequestError) bool {
+	return refusal.Reason == gooseberrypass.ReasonOverloaded || r.mayRun && refusal.RetryAfter > 0
+}
+
 // waitUntil returns until when the request waits for an endpoint with room, and how often it
 // checks for one. A request that may have run can no longer be refused with a promise, so it
 // waits for as long as its caller does.
