Let the stalled stream of a test tell by its reader that it was forgotten

Traced: the fake notes its withdrawal only in a blocked read; when the other endpoint takes over while the last piece is on its way there is no further read. The test fails now if the reader runs into its own limit, that is if it is read on and nobody withdraws it, and as before if the stream does not go on.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -317,7 +317,7 @@
 			if !strings.HasSuffix(c.body.String(), "id: 1\ndata: b\n\n") || c.aborted {
 				t.Errorf("got %q (aborted %t), want the stream to go on elsewhere", c.body.String(), c.aborted)
 			}
-			if !stalled.withdrawn {
+			if stalled.forgotten {
 				t.Error("the attempt was not withdrawn after 1.4 s, want 1.2 s")
 			}
 		})
@@ -329,6 +329,7 @@
 type stalledReader struct {
 	clock     *clockwork.FakeClock
 	ctx       context.Context
+	forgotten bool // it was read further and never withdrawn
 	piece     string
 	pieces    int
 	start     string
@@ -351,6 +352,7 @@
 		r.withdrawn = true
 		return 0, r.ctx.Err()
 	case <-time.After(5 * time.Second): // only in a run that fails
+		r.forgotten = true
 		return 0, errReset
 	}
 }
--- a/forwarder/randomhandover_test.go
+++ b/forwarder/randomhandover_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -28,11 +29,12 @@
 // it is whole; all places are given back and all attempts end.
 func TestRandomHandovers(t *testing.T) {
 	for seed := range uint64(randomHandovers) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandom(t, seed) })
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playRandom(t, seed) })
 	}
 }
 
 func playRandom(t *testing.T, seed uint64) {
+	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 1))
 	f := newFixture(t)
 	f.settings.ResumeWait = 1800 * time.Millisecond
