Take the head of an answer for a sign of its endpoint

A review: an endpoint sent the head of a stream after the timeout of the head, another one had refused the request meanwhile, and a further attempt was sent in the moment of the head.

Cause: the time by which the endpoint should send something was set anew by events alone. The head sets it now, to the longest wait for an event.

TestLateHeadIsASign failed before ("another attempt was sent in the moment of the head").

--- a/forwarder/handover_test.go
+++ b/forwarder/handover_test.go
@@ -408,3 +408,20 @@
 	go third.finish(2)
 	checkWhole(t, s.end())
 }
+
+// An endpoint sent the head of its answer after the timeout of the head. Another attempt was
+// sent at once, as if the endpoint had given no sign.
+func TestLateHeadIsASign(t *testing.T) {
+	s := newStage(t, nil)
+	first := s.next()
+	s.next().refuse()
+	time.Sleep(20 * time.Millisecond)
+	first.begin(1)
+	select {
+	case <-s.dispatches:
+		t.Error("another attempt was sent in the moment of the head")
+	case <-time.After(100 * time.Millisecond): // the clock stands still
+	}
+	go first.finish(0)
+	checkWhole(t, s.end())
+}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -171,6 +171,9 @@
 	if !a.streams() {
 		return r.deliverWhole(a)
 	}
+	if next := r.nextSilence(); next.After(a.silentAt) { // the head is a sign
+		a.silentAt = next
+	}
 	return r.deliverStream(a)
 }
 
