Use no endpoint whose record another writer has overwritten

What callers would see: requests go on to an endpoint that may be gone, for as long as a record that cannot be decoded stands under its key; likewise to one that is retained after an outage.

Cause: the materializer left the older record of the key in force when it could not decode the newest one. The store keeps only the newest, so that a process which starts anew did not list the endpoint, while the others did.

Change: a record that cannot be decoded removes the endpoint of its key, and ends its retention. A later sound record lists it again.

TestUnreadableRecordNamesAndRemovesNothing asserted the opposite: that the endpoint of an overwritten record stays listed. The protocol says that such an entry names no worker to use. TestUnreadableRecordNamesNoEndpoint takes its place, with the same records and two more steps. On the old code it fails: 'endpoints after offset 5: got "a b", want "b"', and TestUnreadableRecordEndsARetention: 'endpoints: got "a b", want "b"'.

Tests of materializer and replicator passed.

--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -239,7 +239,8 @@
 	endpoint, err := m.decoder.Endpoint(r)
 	if err != nil {
 		m.logger.WithError(err).WithField(fieldOffset, r.Offset.Index()).Warn("ignoring endpoint record that cannot be decoded")
-		return false
+		delete(m.retained, r.Key)
+		return known && m.removeEndpoint(now, r.Key, held, 0)
 	}
 	delete(m.retained, r.Key)
 	m.endpoints[r.Key] = endpoint
--- a/materializer/materializer_test.go
+++ b/materializer/materializer_test.go
@@ -179,12 +179,42 @@
 	}
 }
 
-func TestUnreadableRecordNamesAndRemovesNothing(t *testing.T) {
+// The newest record of an endpoint must decide, also if it names none: the endpoint that an
+// older one named may be gone.
+func TestUnreadableRecordNamesNoEndpoint(t *testing.T) {
 	topic := gooseberrypass.TopicEndpoints
 	m := newMaterializer()
-	m.Handle(startTime, changed(topic, record("a", "up", 1)))
-	m.Handle(startTime, changed(topic, record("a", "?", 2), record("x", "?", 3)))
-	if got, want := endpointIDs(m), "a"; got != want {
+	m.Handle(startTime, changed(topic, record("a", "up", 1), record("b", "up", 2)))
+	for _, step := range []struct {
+		batch gooseberrypass.TopicChanged
+		want  string
+	}{
+		{changed(topic, record("x", "?", 3)), "a b"},
+		{changed(topic, record("a", "?", 4)), "b"},
+		{changed(topic, record("a", "?", 5), record("x", "up", 6)), "b x"},
+		{changed(topic, record("a", "up", 7), record("x", "", 8)), "a b"},
+	} {
+		m.Handle(startTime, step.batch)
+		if got := endpointIDs(m); got != step.want {
+			t.Errorf("endpoints after offset %s: got %q, want %q", step.batch.Batch.Next, got, step.want)
+		}
+	}
+}
+
+// An endpoint that is retained after an outage must not stay for longer than until its
+// record is overwritten.
+func TestUnreadableRecordEndsARetention(t *testing.T) {
+	topic := gooseberrypass.TopicEndpoints
+	m := newMaterializer()
+	m.Handle(startTime, changed(topic, record("a", "up", 1), record("b", "up", 2)))
+	down := errors.New("down")
+	m.Handle(startTime, gooseberrypass.TopicRead{Err: down, Topic: topic})
+	m.Handle(startTime, changed(topic, record("a", "", 3), record("b", "", 4)))
+	if got, want := endpointIDs(m), "a b"; got != want {
+		t.Fatalf("retained: got %q, want %q", got, want)
+	}
+	m.Handle(startTime, changed(topic, record("a", "?", 5)))
+	if got, want := endpointIDs(m), "b"; got != want {
 		t.Errorf("endpoints: got %q, want %q", got, want)
 	}
 }
