Log a record that cannot be used once, and quote a part of it

What operators would see: a line for each time that another writer writes an odd entry of the list, with all of a value that is out of range: at 15 writes a second of a 256 KiB number, 4 MB of log a second. An odd record of the operator's topic or of a process was decoded and logged again with each change of anything.

Cause: each record that could not be decoded was logged, with the error as it was, and encoding/json quotes the whole literal in the error about a number out of range.

Change: the first record of a key is logged, and the next one only after a usable one or a removal and 10 s; at most 512 bytes of the error. The line is the same for all topics. A record that is known to be of no use is not decoded again.

--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -4,7 +4,6 @@
 package materializer
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"sync/atomic"
@@ -30,17 +29,6 @@
 	Target(r gooseberrypass.KeyedRecord) (gooseberrypass.ModelTarget, bool, error)
 }
 
-// A Process is a process of the system, as it registered itself.
-type Process struct {
-	Address       string                       `json:"address"`  // address for other processes
-	Endpoint      string                       `json:"endpoint"` // address of the endpoint beside an agent, "" for entries
-	FailureDomain gooseberrypass.FailureDomain `json:"failure_domain"`
-	ID            gooseberrypass.ID            `json:"id"`
-	Region        gooseberrypass.Region        `json:"region"`
-	Role          gooseberrypass.Role          `json:"role"`
-	Service       gooseberrypass.ID            `json:"service"`
-}
-
 // A Snapshot is the state at one moment. It is immutable.
 type Snapshot struct {
 	Deployment *gooseberrypass.Deployment // nil before the first one
@@ -80,6 +68,7 @@
 	cached      cachedDeployment
 	decoder     Decoder
 	endpoints   map[string]gooseberrypass.Endpoint // by key
+	ignored     *ignoredRecords
 	listeners   []gooseberrypass.Controller
 	logger      logrus.FieldLogger
 	offsets     atomic.Pointer[map[gooseberrypass.Topic]gooseberrypass.Offset] // next offset of each topic
@@ -96,6 +85,7 @@
 	m := &Materializer{
 		decoder:   decoder,
 		endpoints: map[string]gooseberrypass.Endpoint{},
+		ignored:   newIgnoredRecords(logger),
 		retained:  map[string]time.Time{},
 		logger:    logger,
 		listeners: listeners,
@@ -214,6 +204,7 @@
 	case gooseberrypass.TopicRead:
 		m.recordOutage(now, e)
 	case gooseberrypass.Tick:
+		m.ignored.prune(now)
 		changed = m.expire(now)
 		changed = m.releaseRestored(now) || changed
 	}
@@ -234,14 +225,16 @@
 	}
 	held, known := m.endpoints[r.Key]
 	if r.Value == nil {
+		m.ignored.end(topic, r.Key)
 		return known && m.removeEndpoint(now, r.Key, held, retention)
 	}
 	endpoint, err := m.decoder.Endpoint(r)
 	if err != nil {
-		m.logger.WithError(err).WithField(fieldOffset, r.Offset.Index()).Warn("ignoring endpoint record that cannot be decoded")
+		m.ignored.add(now, topic, r, err)
 		delete(m.retained, r.Key)
 		return known && m.removeEndpoint(now, r.Key, held, 0)
 	}
+	m.ignored.end(topic, r.Key)
 	delete(m.retained, r.Key)
 	m.endpoints[r.Key] = endpoint
 	if known && equalEndpoints(held, endpoint) {
@@ -335,12 +328,12 @@
 	m.reported = nil
 	t := m.topic(gooseberrypass.TopicOperator)
 	for _, key := range slices.Sorted(maps.Keys(t.records)) {
-		m.decodeOperatorRecord(snapshot, t, t.records[key])
+		m.decodeOperatorRecord(now, snapshot, t, t.records[key])
 	}
 	for _, key := range slices.Sorted(maps.Keys(m.endpoints)) {
 		snapshot.Endpoints = append(snapshot.Endpoints, m.endpoints[key])
 	}
-	snapshot.Processes = m.processes()
+	snapshot.Processes = m.processes(now)
 	m.snapshot.Store(snapshot)
 	effects := make([]gooseberrypass.Effect, 0, len(m.listeners))
 	for _, c := range m.listeners {
@@ -351,13 +344,18 @@
 
 // decodeOperatorRecord adds the deployment or target of an operator record to a
 // snapshot.
-func (m *Materializer) decodeOperatorRecord(snapshot *Snapshot, t *topicRecords, r gooseberrypass.KeyedRecord) {
+func (m *Materializer) decodeOperatorRecord(now time.Time, snapshot *Snapshot, t *topicRecords, r gooseberrypass.KeyedRecord) {
+	const topic = gooseberrypass.TopicOperator
+	if m.ignored.has(topic, r) {
+		return
+	}
 	target, ok, err := m.decoder.Target(r)
 	if err != nil {
-		m.logger.WithError(err).Warn("ignoring operator record that cannot be decoded")
+		m.ignored.add(now, topic, r, err)
 		return
 	}
 	if ok {
+		m.ignored.end(topic, r.Key)
 		m.agentOffset = max(m.agentOffset, r.Offset+1)
 		snapshot.Targets[target.Model] = snapshot.Targets[target.Model].withNewer(t.target(r.Key, target.Version))
 		return
@@ -368,9 +366,10 @@
 	}
 	d, err := m.decoder.Deployment(r)
 	if err != nil {
-		m.logger.WithError(err).Warn("ignoring operator record that cannot be decoded")
+		m.ignored.add(now, topic, r, err)
 		return
 	}
+	m.ignored.end(topic, r.Key)
 	if d != nil {
 		if !d.SameEngines(m.cached.deployment) {
 			m.agentOffset = max(m.agentOffset, r.Offset+1)
@@ -380,23 +379,4 @@
 	}
 }
 
-// processes returns the registered processes, sorted by key.
-func (m *Materializer) processes() []Process {
-	t := m.topic(gooseberrypass.TopicProcesses)
-	var processes []Process
-	for _, key := range slices.Sorted(maps.Keys(t.records)) {
-		r := t.records[key]
-		if r.Value == nil {
-			continue
-		}
-		var p Process
-		if err := json.Unmarshal(r.Value, &p); err != nil || p.Address == "" {
-			m.logger.WithError(err).WithField(fieldKey, key).Warn("ignoring process record that cannot be decoded or has no address")
-			continue
-		}
-		processes = append(processes, p)
-	}
-	return processes
-}
-
 var _ gooseberrypass.Controller = (*Materializer)(nil)
