Keep records of the list that cannot be used without their values

What callers would see: requests to endpoints that have left, or none to new ones, in processes that learn the list from another one, for as long as many large odd entries are in it.

Cause: a pull has a limit of 16 MiB, and a process passes on what it read as it is. With 64 odd entries of the largest size the pull fails, each time: the process learns nothing of the list from others.

Change: of a record that names no endpoint only the key and offset are kept. That also bounds the memory.

TestLargeOddEntriesArePassedOnWithoutTheirValues, 100 entries of 250,000 bytes, failed before: 'process that pulls: got "", want "a b z"'. Two tests show all kinds of odd entries, from a stand-in store on, in the process that reads and in one that pulls: TestOddEntryCostsOnlyItself and TestOddKeysCostOnlyThemselves hold on this code. On the code before these changes the odd entry itself was listed in 57 of 121 kinds, and an overwritten endpoint in all; the other endpoints stayed listed and the reader went on in all of them, so that no process ended.

--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -231,6 +231,8 @@
 	endpoint, err := m.decoder.Endpoint(r)
 	if err != nil {
 		m.ignored.add(now, topic, r, err)
+		r.Value = []byte{} // of no use to any process, and too large for a pull if there are many
+		m.topic(topic).records[r.Key] = r
 		delete(m.retained, r.Key)
 		return known && m.removeEndpoint(now, r.Key, held, 0)
 	}
