Send messages to IP addresses only

What callers would see: an entry that decides nothing for seconds, again and again.

Cause: processes register under their address, and messages to them are sent by the control loop. A record of another writer in that topic with a host name made it look up the name for each message, which waits for the name server.

Change: an address that is not an IP address and port is counted as a message that cannot be sent, without a look-up.

The test failed before: 'look-ups of host names: got 2, want none'. Found by reading. Tests of gossiper and the linter passed.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -115,9 +116,9 @@
 		return
 	}
 	for _, address := range addresses {
-		udp, err := net.ResolveUDPAddr("udp4", address)
+		to, err := netip.ParseAddrPort(address) // looking up a host name would block the caller
 		if err == nil {
-			_, err = g.conn.WriteToUDP(body, udp)
+			_, err = g.conn.WriteToUDPAddrPort(body, to)
 		}
 		if err != nil {
 			g.counts.WithLabelValues("send-failed").Inc()
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net"
 	"reflect"
 	"testing"
 	"time"
@@ -81,3 +83,37 @@
 		})
 	}
 }
+
+// A process may be registered with any text as its address. A host name must not be looked up:
+// messages are sent by the control loop, which would wait for the answer.
+func TestHostNamesAreNotLookedUp(t *testing.T) {
+	lookUps := 0
+	resolver := net.DefaultResolver
+	t.Cleanup(func() { net.DefaultResolver = resolver })
+	net.DefaultResolver = &net.Resolver{PreferGo: true, Dial: func(context.Context, string, string) (net.Conn, error) {
+		lookUps++
+		return nil, errors.New("no name server")
+	}}
+	received := make(chan gossiper.Message, 1)
+	to := newGossiper(t, func(e gooseberrypass.Event) {
+		if r, ok := e.(gossiper.Received); ok {
+			received <- r.Message
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- to.Run(ctx) }()
+	newGossiper(t, nil).Send(gossiper.Message{From: "a"}, []string{
+		"host.example:7700", "", ":", "10.0.0.1", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:99999999999999999999", "10.0.0.1:http", "[::1]:7700", "10.0.0.1:0", "a\r\nb:1", to.Address(),
+	})
+	if got := <-received; got.From != "a" {
+		t.Errorf("got a message from %q, want one from %q", got.From, "a")
+	}
+	if lookUps != 0 {
+		t.Errorf("look-ups of host names: got %d, want none", lookUps)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
