Take no negative times from messages

What callers would see: nothing yet. A message with an age over 2^63 ns made the entry that sent it look as one that has just read the list, so that the others leave the reads to it.

Cause: the age of the list and the time until an endpoint drains were multiplied without a bound, unlike the other times of a message.

Change: they are bounded as the others are, from 0 to 24 h.

FuzzDecode with new seeds failed before: 'got list age -1ms and endpoint status &{DrainsIn:-1ms ...}, want no negative times' on 3 of 4. 30 s of it on this code found nothing. Tests of gossiper and the linter passed.

--- a/gossiper/encoding.go
+++ b/gossiper/encoding.go
@@ -1,8 +1,6 @@
 package gossiper
 
 import (
-	"time"
-
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -58,7 +56,7 @@
 	}
 	m := Message{
 		Address: g.GetAddress(), CrashCounts: make(map[uint64]int, len(g.GetBreaks())), From: gooseberrypass.ID(g.GetFrom()), Next: make(map[gooseberrypass.Topic]gooseberrypass.Offset, len(g.GetNext())),
-		ListAge: time.Duration(g.GetListAgeMillis()) * time.Millisecond, Refused: g.GetRefused(), Region: gooseberrypass.Region(g.GetRegion()),
+		ListAge: decodeAge(g.GetListAgeMillis()), Refused: g.GetRefused(), Region: gooseberrypass.Region(g.GetRegion()),
 		Role: gooseberrypass.Role(g.GetRole()), Loads: make(map[gooseberrypass.ID]balancer.Load, len(g.GetShares())), Starting: g.GetStarting(),
 	}
 	m.CrashEvidence = decodeEvidence(g.GetCrashEvidence())
@@ -82,7 +80,7 @@
 		m.Targets = append(m.Targets, gooseberrypass.AgedTarget{Age: decodeAge(v.GetAgeMillis()), Model: v.GetModel(), Observed: true, Version: int(v.GetVersion())})
 	}
 	if n := g.GetNotice(); n != nil {
-		m.EndpointStatus = &balancer.EndpointStatus{Address: n.GetAddress(), EngineStartMillis: n.GetBornUnixMillis(), DrainsIn: time.Duration(n.GetClosesInMillis()) * time.Millisecond, Loading: n.GetLoading(), Models: make(map[string]int, len(n.GetModels()))}
+		m.EndpointStatus = &balancer.EndpointStatus{Address: n.GetAddress(), EngineStartMillis: n.GetBornUnixMillis(), DrainsIn: decodeAge(n.GetClosesInMillis()), Loading: n.GetLoading(), Models: make(map[string]int, len(n.GetModels()))}
 		for model, version := range n.GetModels() {
 			m.EndpointStatus.Models[model] = int(version)
 		}
--- a/gossiper/fuzz_test.go
+++ b/gossiper/fuzz_test.go
@@ -5,10 +5,13 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/attributor"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 	"github.com/gooseberrypass/gooseberrypass/gossiper"
+	"github.com/gooseberrypass/gooseberrypass/wire"
 )
 
 // A datagram may hold anything. What is decoded can be encoded again.
@@ -30,11 +33,24 @@
 	f.Add(body)
 	f.Add(body[:len(body)/2])
 	f.Add([]byte{})
+	for _, millis := range []int64{math.MaxInt64, math.MaxInt64/1_000_000 + 1, math.MinInt64, -1} {
+		body, err := proto.Marshal(&wire.Gossip{
+			ListAgeMillis: millis, Named: []*wire.NamedVersion{{AgeMillis: millis, Model: "m", Version: math.MinInt32}}, Next: map[string]uint64{"t": math.MaxUint64},
+			Notice: &wire.EndpointNotice{BornUnixMillis: millis, ClosesInMillis: millis, Models: map[string]int32{"": math.MinInt32}},
+		})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
 	f.Fuzz(func(t *testing.T, body []byte) {
 		m, err := gossiper.Decode(body)
 		if err != nil {
 			return
 		}
+		if m.ListAge < 0 || m.EndpointStatus != nil && m.EndpointStatus.DrainsIn < 0 {
+			t.Errorf("got list age %s and endpoint status %+v, want no negative times", m.ListAge, m.EndpointStatus)
+		}
 		for _, i := range m.CrashEvidence.Interruptions {
 			if i.Age < 0 {
 				t.Errorf("interruption at %q: got a negative age %s", i.Endpoint, i.Age)
