Drop a record that is held back once a read of every key lacks it

If the log was trimmed past the process's offset meanwhile, no read returned the deletion, only every key that still existed; removeMissing looked at the known records alone, so the record that was held back counted after the time of a lease, as one that is renewed.

A read of every key now drops such a record too, unless it is newer than the read.

TestRecordThatIsNotUsedOutlivesAnOlderRead fails without the comparison of offsets.

--- a/materializer/records.go
+++ b/materializer/records.go
@@ -167,6 +167,11 @@
 	for _, r := range e.Batch.Records {
 		exists[r.Key] = r.Value != nil
 	}
+	for key, o := range t.outranked {
+		if !exists[key] && o.record.Value != nil && o.record.Offset < e.Batch.Next {
+			delete(t.outranked, key)
+		}
+	}
 	changed := false
 	for key, held := range t.records {
 		if exists[key] || held.Value == nil || held.Offset >= e.Batch.Next {
--- a/materializer/restore_test.go
+++ b/materializer/restore_test.go
@@ -124,3 +124,34 @@
 		t.Errorf("got %+v, want the record of the restored log among them", got)
 	}
 }
+
+// The read of every key kept a record that is not used yet although it had expired, so that
+// the endpoint was in use again after the time of a lease.
+func TestRecordThatIsNotUsedAndExpiresStaysAway(t *testing.T) {
+	for name, known := range map[string]gooseberrypass.KeyedRecord{
+		"endpoint had left":          record("a", "", 1),
+		"endpoint had started again": record("a", "up#2", 1),
+	} {
+		m := newRestoredMaterializer()
+		m.Handle(startTime, changed(gooseberrypass.TopicEndpoints, record("a", "up#1", 0), known))
+		m.Handle(startTime, restored(gooseberrypass.TopicEndpoints, 1, record("a", "up#1", 0)))
+		m.Handle(startTime.Add(lease/2), restored(gooseberrypass.TopicEndpoints, 2))
+		m.Handle(startTime.Add(2*lease), gooseberrypass.Tick{})
+		if got := endpointIDs(m); got != "" {
+			t.Errorf("%s: endpoints: got %q, want none", name, got)
+		}
+		if m.Outranks(gooseberrypass.TopicEndpoints) {
+			t.Errorf("%s: outranks the log, want nothing held back", name)
+		}
+	}
+}
+
+// A read of every key from before a record was written says nothing about it.
+func TestRecordThatIsNotUsedOutlivesAnOlderRead(t *testing.T) {
+	m := newRestoredMaterializer()
+	m.Handle(startTime, changed(gooseberrypass.TopicEndpoints, record("b", "up#1", 0), record("a", "", 1)))
+	m.Handle(startTime, restored(gooseberrypass.TopicEndpoints, 2, record("b", "up#1", 0), record("a", "up#1", 1)))
+	m.Handle(startTime.Add(lease/2), restored(gooseberrypass.TopicEndpoints, 1, record("b", "up#1", 0)))
+	m.Handle(startTime.Add(2*lease), gooseberrypass.Tick{})
+	assertEndpoints(t, m, "a b")
+}
--- a/replicator/restoreorders_test.go
+++ b/replicator/restoreorders_test.go
@@ -20,7 +20,8 @@
 	entryRestarts  = "entry restarts"
 	writtenAgain   = "operator writes again"
 	endpointJoins  = "endpoint registers"
-	simConfigBound = 2 * time.Second // a configuration is in force everywhere
+	logTrimmed     = "store trims its log" // from then on after each write
+	simConfigBound = 2 * time.Second       // a configuration is in force everywhere
 )
 
 // A revisionDecoder decodes records of the form VALUE#REVISION: the value of a
@@ -66,6 +67,7 @@
 	seen      map[gooseberrypass.ID]int64
 	seenLeave map[gooseberrypass.ID]bool
 	startedAt map[gooseberrypass.ID]time.Time
+	trims     bool // the store keeps only the newest records
 }
 
 func newRestoreSim(t *testing.T) *restoreSim {
@@ -148,6 +150,19 @@
 		}
 	case entryRestarts:
 		s.begin("b")
+	case logTrimmed:
+		s.trims = true
+	}
+}
+
+// trim drops the records that are not the newest of their keys, if the store does so. Reads
+// from before its end then return every key.
+func (s *restoreSim) trim() {
+	if !s.trims {
+		return
+	}
+	for _, topic := range s.topics {
+		topic.first = topic.end()
 	}
 }
 
@@ -216,6 +231,7 @@
 			break
 		}
 		s.renew()
+		s.trim()
 		s.tick()
 		for _, id := range []gooseberrypass.ID{"a", "b"} {
 			if wrong := s.check(id); wrong != "" {
@@ -262,6 +278,8 @@
 		"endpoint leaves silently, entry restarts": {recordRemoved, entryRestarts},
 		"endpoint's record lapses, entry restarts": {recordLapses, entryRestarts},
 		"endpoint registers, an entry restarts":    {endpointJoins, entryRestarts},
+		"endpoint leaves silently, log is trimmed": {recordRemoved, logTrimmed},
+		"endpoint's record lapses, log is trimmed": {recordLapses, logTrimmed},
 	}
 	for name, others := range plays {
 		t.Run(name, func(t *testing.T) {
