Store reported demand and loads by one function

Both replaced what an entry had reported, and dropped it if it was empty, in their own copy of the same lines. No behaviour changes; the tests of ./balancer pass unchanged.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -256,11 +256,16 @@
 			e.others.add(load)
 		}
 	}
-	if len(loads) == 0 {
-		delete(b.reports, from)
+	replaceReported(b.reports, from, loads)
+}
+
+// replaceReported replaces what another entry reported. An empty report is not kept.
+func replaceReported[T any](reports map[gooseberrypass.ID]map[gooseberrypass.ID]T, from gooseberrypass.ID, report map[gooseberrypass.ID]T) {
+	if len(report) == 0 {
+		delete(reports, from)
 		return
 	}
-	b.reports[from] = loads
+	reports[from] = report
 }
 
 // SetEndpointStatus stores the status of an endpoint. Reports about an earlier
--- a/balancer/demand.go
+++ b/balancer/demand.go
@@ -58,11 +58,7 @@
 func (b *Balancer) SetEntryDemand(from gooseberrypass.ID, demands map[gooseberrypass.ID]float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(demands) == 0 {
-		delete(b.entryDemands, from)
-		return
-	}
-	b.entryDemands[from] = demands
+	replaceReported(b.entryDemands, from, demands)
 }
 
 // ownDemand returns the requests per second for a service that come to this entry.
