--- a/stagedengine.go
+++ b/stagedengine.go
@@ -31,6 +31,12 @@
 	StartRefused              // the order does not match the engine's state
 )
 
+// An AdvisedEngine is a StagedEngine whose answers say which requests it wants.
+type AdvisedEngine interface {
+	// Hearing returns the engine for calls of which heard gets what each answer says.
+	Hearing(heard func(Advisory)) StagedEngine
+}
+
 // A StagedEngine is a model engine that loads a version from a staging area on its
 // instance. Only the agent on that instance may stage the chunks of a
 // version.
