Tell entries that an agent's endpoint leaves

An agent now tells entries by the message for departures, at once and with each regular message, for the start of the endpoint that its status names. It does not know the endpoint's ID, so the entry takes that from the list by the address in the status; an agent can speak of its own endpoint only, and of departures only. Entries ignore what is older than AdvisoryTTL, as an agent repeats what it heard last.

--- a/balancer/advisory.go
+++ b/balancer/advisory.go
@@ -75,6 +75,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, r := range reports {
+		if r.Advisory.Leaving && r.Age >= b.settings.AdvisoryTTL {
+			continue // an agent repeats what an endpoint said that no longer answers
+		}
 		if r.Advisory.Leaving {
 			b.recordDeparture(r.Endpoint, departure{heardAt: now.Add(-r.Age), startMillis: r.StartMillis}, from)
 			continue
--- a/balancer/departure_test.go
+++ b/balancer/departure_test.go
@@ -192,3 +192,21 @@
 		t.Errorf("limited endpoints after a report of this start: got %d, want 1", got)
 	}
 }
+
+// An agent repeats what its endpoint last said; once that is old it counted as new each time.
+func TestOldDepartureIsNotRecordedAnew(t *testing.T) {
+	m := newDepartureModel(t)
+	report := func(age time.Duration) {
+		m.balancer.AddAdvisories(m.clock.Now(), "agent", []balancer.AdvisoryReport{{Advisory: gooseberrypass.Advisory{Leaving: true}, Age: age, Endpoint: "e0", StartMillis: 1000}})
+	}
+	report(29 * time.Second)
+	if m.works(t) {
+		t.Error("heard 29 s ago: the endpoint gets requests")
+	}
+	m.clock.Advance(time.Second)
+	m.balancer.Handle(m.clock.Now(), gooseberrypass.Tick{})
+	report(30 * time.Second)
+	if !m.works(t) {
+		t.Error("heard 30 s ago: the endpoint gets nothing")
+	}
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -90,6 +90,7 @@
 	client            *http.Client
 	farEntries        int                           // entries of other regions at the last message to all
 	contacts          map[gooseberrypass.ID]contact // with agents; entries only
+	departure         departure                     // of the own endpoint
 	history           RequestHistory
 	listReadAt        time.Time // last successful own read of the endpoint list
 	loads             LoadExchange
@@ -179,6 +180,9 @@
 	if to == gooseberrypass.RoleAgent {
 		m.Manifests = r.manifests
 	}
+	if r.loads == nil && to == gooseberrypass.RoleEntry {
+		m.Advisories = r.ownDeparture(now)
+	}
 	if r.loads != nil && to == gooseberrypass.RoleEntry {
 		m.CrashCounts, m.CrashEvidence, m.Refused = r.history.CrashCounts(), r.history.CrashEvidence(), r.history.Refused()
 		m.Advisories, m.Demand, m.Loads = r.loads.OwnAdvisories(), r.loads.OwnDemand(), r.loads.OwnLoads()
@@ -326,6 +330,7 @@
 	}
 	if m.Role == gooseberrypass.RoleAgent {
 		r.contacts[m.From] = contact{heardAt: now}
+		r.loads.AddAdvisories(now, m.From, r.departuresOf(m))
 	}
 	if m.Role == gooseberrypass.RoleAgent && r.isAheadOf(m) {
 		r.sender.Send(r.message(now, gooseberrypass.RoleAgent), []string{m.Address})
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -26,7 +26,7 @@
 }
 
 func (decoder) Endpoint(r gooseberrypass.KeyedRecord) (gooseberrypass.Endpoint, error) {
-	return gooseberrypass.Endpoint{ID: gooseberrypass.ID(r.Key), Leaving: string(r.Value) == "leaving"}, nil
+	return gooseberrypass.Endpoint{Address: r.Key + ":1", ID: gooseberrypass.ID(r.Key), Leaving: string(r.Value) == "leaving"}, nil
 }
 
 func (decoder) Revision(gooseberrypass.Topic, gooseberrypass.KeyedRecord) gooseberrypass.Revision {
