Let the agent obey what its engine says

All calls of an agent go through a gate now, which keeps what the answers say. During a pause no call is sent, also not by a step that was in progress; the pause is the agent's alone and no failure, so that what is known and staged holds. A departure counts for the start of the engine that the call was for, and a late answer of an earlier start says nothing about the next one.

TestEveryOrderOfEventsAroundWhatAnEngineSays plays 720 orders of an engine that says that it leaves, asks for a pause, says nothing, starts anew, a version that is named and the end of the pause.

Not covered: an engine that starts anew during its pause is found once the pause is over, at most an hour later, as the agent asks nothing until then.

--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -77,7 +77,7 @@
 	}
 	notifier := &deferredNotifier{}
 	stg := stager.New(stager.Dependencies{
-		Chunks: c, Engine: platform.NewEngine(m.client, m.self.Endpoint), Fetcher: f, Log: m.logger,
+		Chunks: c, Clock: m.clock, Engine: platform.NewEngine(m.client, m.self.Endpoint), Fetcher: f, Log: m.logger,
 		Manifests: manifests, Origin: origin, Self: m.self, Notifier: notifier,
 	}, settings.stagerSettings())
 	adapter := &fetcherAdapter{fetcher: f, sidecar: s}
@@ -178,6 +178,11 @@
 	d.replicator.SetEndpointStatus(now, status)
 }
 
+// SetDeparture implements stager.Notifier.
+func (d *deferredNotifier) SetDeparture(now, heardAt time.Time, startMillis int64) {
+	d.replicator.SetDeparture(now, heardAt, startMillis)
+}
+
 // OfferManifest implements stager.Notifier.
 func (d *deferredNotifier) OfferManifest(now time.Time, target gooseberrypass.ModelTarget) {
 	d.replicator.OfferManifest(now, target)
--- a/stager/job.go
+++ b/stager/job.go
@@ -129,6 +129,8 @@
 		}
 	case !j.restored:
 		return s.nextRestore(now, j)
+	case s.engine.paused():
+		return nil
 	case !s.reported || !first || s.loaded(j) || !s.fetched(j):
 		return nil // the chunks of a loaded version are kept for agents that still fetch them
 	case !j.staged:
@@ -147,11 +149,11 @@
 	if !s.reported && now.Sub(s.firstEvent(now)) < s.settings.ReportTimeout {
 		return nil
 	}
-	return restoreEffect{chunks: s.deps.Chunks, engine: s.deps.Engine, manifest: j.manifest, model: s.model.Model, version: j.version}
+	return restoreEffect{chunks: s.deps.Chunks, engine: s.engine, manifest: j.manifest, model: s.model.Model, version: j.version}
 }
 
 func (s *Stager) stageEffect(j *job) stageEffect {
-	return stageEffect{chunks: s.deps.Chunks, engine: s.deps.Engine, manifest: j.manifest, model: s.model.Model, version: j.version}
+	return stageEffect{chunks: s.deps.Chunks, engine: s.engine, manifest: j.manifest, model: s.model.Model, version: j.version}
 }
 
 // drained reports whether entries have stopped sending requests to an engine in
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass"
@@ -55,17 +56,19 @@
 	SetWants(now time.Time, wants []fetcher.Want) []gooseberrypass.Effect
 }
 
-// A Notifier sends the status of the endpoint to entries and offers manifests to other
-// agents.
+// A Notifier sends the status of the endpoint to entries, also that it leaves, and offers
+// manifests to other agents.
 type Notifier interface {
 	OfferManifest(now time.Time, t gooseberrypass.ModelTarget)
+	SetDeparture(now, heardAt time.Time, startMillis int64)
 	SetEndpointStatus(now time.Time, status balancer.EndpointStatus)
 }
 
 // Dependencies are the parts that a Stager needs.
 type Dependencies struct {
 	Chunks    Chunks
-	Engine    gooseberrypass.StagedEngine
+	Clock     gooseberrypass.Clock
+	Engine    gooseberrypass.AdvisedEngine
 	Fetcher   Fetcher
 	Log       logrus.FieldLogger
 	Manifests *Manifests
@@ -77,6 +80,7 @@
 // A Stager is the controller that deploys named versions to the engine.
 type Stager struct {
 	deps         Dependencies
+	engine       *gate
 	firstEventAt time.Time // time of the first event
 	jobs         []*job    // versions to be loaded or offered, the oldest first
 	model        gooseberrypass.EngineSpec
@@ -91,11 +95,19 @@
 
 // New returns a stager.
 func New(d Dependencies, settings Settings) *Stager {
-	return &Stager{deps: d, status: balancer.EndpointStatus{Address: d.Self.Endpoint}, settings: settings}
+	return &Stager{deps: d, engine: newGate(d.Clock, d.Engine, d.Log), status: balancer.EndpointStatus{Address: d.Self.Endpoint}, settings: settings}
 }
 
 // Handle implements gooseberrypass.Controller.
 func (s *Stager) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
+	effects := s.handle(now, event)
+	if d, ok := s.engine.departed(); ok {
+		s.deps.Notifier.SetDeparture(now, d.heardAt, d.start.millis)
+	}
+	return effects
+}
+
+func (s *Stager) handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
 	switch e := event.(type) {
 	case materializer.Changed:
 		return s.applySnapshot(now, e.Snapshot)
@@ -166,9 +178,9 @@
 // step returns the effects that are due now.
 func (s *Stager) step(now time.Time) []gooseberrypass.Effect {
 	var effects []gooseberrypass.Effect
-	if !s.polling && now.Sub(s.polledAt) >= s.settings.PollInterval {
+	if !s.polling && !s.engine.paused() && now.Sub(s.polledAt) >= s.settings.PollInterval {
 		s.polling, s.polledAt = true, now
-		effects = append(effects, reportEffect{engine: s.deps.Engine})
+		effects = append(effects, reportEffect{engine: s.engine})
 	}
 	if s.dropObsolete(now) {
 		effects = append(effects, s.updateWants(now)...)
@@ -220,6 +232,9 @@
 
 func (s *Stager) handleReport(now time.Time, e reportRead) []gooseberrypass.Effect {
 	s.polling = false
+	if errors.Is(e.err, errPaused) {
+		return nil // it answers, so that what is known of it holds
+	}
 	if e.err != nil {
 		if s.reported {
 			s.deps.Log.WithError(e.err).Warn("reading engine report failed")
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass"
@@ -67,11 +69,16 @@
 
 // An engine stores staged chunks and loads them when ordered.
 type engine struct {
-	loaded []byte // bytes that the last order loaded
-	orders []gooseberrypass.StartOrder
-	refuse bool
-	report gooseberrypass.EngineReport
-	stage  map[int][]byte
+	calls    int
+	loaded   []byte // bytes that the last order loaded
+	onCall   func() // called by each call, may be nil
+	orders   []gooseberrypass.StartOrder
+	refuse   bool
+	report   gooseberrypass.EngineReport
+	says     gooseberrypass.Advisory // in each answer
+	saysOnce gooseberrypass.Advisory // in the next answer, in place of says, unless it is zero
+	stage    map[int][]byte
+	stages   int // calls of Stage
 }
 
 func (e *engine) ListStaged(context.Context, string) ([]int, error) {
@@ -150,8 +157,15 @@
 
 // A recorder records statuses and offered manifests instead of sending them.
 type recorder struct {
-	manifests []gooseberrypass.ModelTarget
-	statuses  []balancer.EndpointStatus
+	departures []int64 // starts of the engine
+	manifests  []gooseberrypass.ModelTarget
+	statuses   []balancer.EndpointStatus
+}
+
+func (r *recorder) SetDeparture(_, _ time.Time, startMillis int64) {
+	if !slices.Contains(r.departures, startMillis) {
+		r.departures = append(r.departures, startMillis)
+	}
 }
 
 func (r *recorder) OfferManifest(_ time.Time, target gooseberrypass.ModelTarget) {
@@ -163,6 +177,7 @@
 }
 
 type fixture struct {
+	clock     *clockwork.FakeClock
 	engine    *engine
 	manifests *stager.Manifests
 	now       time.Time
@@ -178,6 +193,7 @@
 	log.SetOutput(io.Discard)
 	c := cacher.New(1 << 20)
 	f := &fixture{
+		clock:     clockwork.NewFakeClockAt(time.Unix(1000, 0)),
 		engine:    &engine{report: gooseberrypass.EngineReport{StartMillis: 1, Models: map[string]int{"m": 1}}, stage: map[int][]byte{}},
 		manifests: stager.NewManifests(http.DefaultClient), now: time.Unix(1000, 0), origin: &origin{}, pool: &pool{chunks: c, holds: map[int]bool{}}, recorder: &recorder{},
 	}
@@ -185,7 +201,7 @@
 		f.engine.stage[i] = chunkBody(1, i)
 	}
 	f.stager = stager.New(stager.Dependencies{
-		Chunks: c, Engine: f.engine, Fetcher: f.pool, Log: log, Manifests: f.manifests, Origin: f.origin,
+		Chunks: c, Clock: f.clock, Engine: f.engine, Fetcher: f.pool, Log: log, Manifests: f.manifests, Origin: f.origin,
 		Self: materializer.Process{Endpoint: "a", ID: "self", Role: gooseberrypass.RoleAgent, Service: "s"}, Notifier: f.recorder,
 	}, stager.Settings{
 		StopLead: 200 * time.Millisecond, LoadDelay: 3 * time.Second, PollInterval: 100 * time.Millisecond, RetryDelay: 100 * time.Millisecond,
@@ -218,6 +234,7 @@
 	const tick = 100 * time.Millisecond
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.now = f.now.Add(tick)
+		f.clock.Advance(tick)
 		f.handle(gooseberrypass.Tick{})
 	}
 }
