--- a/commander/burncmd.go
+++ b/commander/burncmd.go
@@ -73,7 +73,7 @@
 }
 
 func (c *burnCmd) print(report *burnmeter.Report, std streams) error {
-	if c.Output == "json" {
+	if c.Output == outputJSON {
 		return report.WriteJSON(std.stdout)
 	}
 	return report.WriteTable(std.stdout)
--- a/commander/entriesflag.go
+++ b/commander/entriesflag.go
@@ -23,6 +23,8 @@
 	maxConcurrentQueries = 16
 )
 
+const outputJSON = "json" // value of --output
+
 var errNoEntries = errors.New("no entries: name them with --entry, or the platform's list with --list")
 
 // entriesFlags are the entries to query and the format of the output.
--- a/commander/statuscmd.go
+++ b/commander/statuscmd.go
@@ -18,9 +18,13 @@
 // shortDigestLen is the number of hexadecimal digits of a shortened digest.
 const shortDigestLen = 12
 
+var errMixedEntries = errors.New("--machine asks entries on prepared machines, --entry and --list ask the others; use one of them")
+
 // statusCmd shows the status of the whole system as the entries know it.
 type statusCmd struct {
 	entriesFlags
+
+	Machine []string `help:"IP number and port of the metrics address of an entry on a prepared machine; may be repeated." placeholder:"ADDRESS"`
 }
 
 // Help returns the text that --help adds to the flags.
@@ -29,11 +33,22 @@
 and its load. Entries that do not answer are named, and make the exit status 1.
 
   gooseberrypass status --list http://10.0.0.1:7002
-  gooseberrypass status --entry 10.0.1.1:7101 --output json`
+  gooseberrypass status --entry 10.0.1.1:7101 --output json
+
+With --machine it asks entries on prepared machines instead, and shows each endpoint as
+the entry knows it: its state, load and versions, and what it says in its answers.
+
+  gooseberrypass status --machine 10.0.2.1:9464`
 }
 
 // Run queries the entries and prints the result.
 func (c *statusCmd) Run(ctx context.Context, std streams) error {
+	if len(c.Machine) > 0 && len(c.Entry)+len(c.List) > 0 {
+		return &ExitError{Err: errMixedEntries, Status: ExitBadUsage}
+	}
+	if len(c.Machine) > 0 {
+		return c.runMachines(ctx, std)
+	}
 	answers, err := queryEntries(ctx, c.entriesFlags, func(ctx context.Context, entry wire.Entry) (*wire.OverviewResponse, error) {
 		return entry.Overview(ctx, &wire.OverviewRequest{})
 	})
@@ -41,18 +56,24 @@
 		return err
 	}
 	s := newSystemStatus(answers)
-	if c.Output == "json" {
-		err = s.writeJSON(std.stdout)
+	if c.Output == outputJSON {
+		err = writeJSON(std.stdout, s)
 	} else {
 		err = s.writeTable(std.stdout)
 	}
 	if err != nil {
 		return err
 	}
-	if len(s.Unreachable) > 0 {
-		return &ExitError{Err: errors.Errorf("%d of %d entries did not answer", len(s.Unreachable), len(answers)), Status: ExitFailed}
+	return unreachableError(len(s.Unreachable), len(answers))
+}
+
+// unreachableError returns the error of a query to which some entries did not answer, nil if
+// all did.
+func unreachableError(unreachable, asked int) error {
+	if unreachable == 0 {
+		return nil
 	}
-	return nil
+	return &ExitError{Err: errors.Errorf("%d of %d entries did not answer", unreachable, asked), Status: ExitFailed}
 }
 
 // A systemStatus is the status of the system, combined from all entries that
@@ -162,10 +183,10 @@
 	return text[:min(len(text), shortDigestLen)]
 }
 
-func (s systemStatus) writeJSON(w io.Writer) error {
+func writeJSON(w io.Writer, status any) error {
 	e := json.NewEncoder(w)
 	e.SetIndent("", "  ")
-	return errors.Wrap(e.Encode(s), "print the status")
+	return errors.Wrap(e.Encode(status), "print the status")
 }
 
 func (s systemStatus) writeTable(w io.Writer) error {
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -52,11 +52,13 @@
 	if g.history.Attributor, err = attributor.New(m.clock, settings.attributorSettings(), m.seed, m.registry, m.logger); err != nil {
 		return nil, err
 	}
-	g.balancer = balancer.New(m.clock, balancer.Self{ID: m.self.ID, Region: m.self.Region}, settings.regionOf, settings.balancerSettings(), m.seed, m.logger)
+	self := balancer.Self{ID: m.self.ID, Region: m.self.Region}
+	g.balancer = balancer.New(m.clock, self, settings.regionOf, settings.balancerSettings(), m.seed, m.logger)
 	if err := m.registry.Register(g.limitGauge()); err != nil {
 		return nil, errors.Wrap(err, "register balancer metrics")
 	}
 	m.materializer = materializer.New(platform.Decoder{}, settings.materializerSettings(), m.logger, g.balancer)
+	m.metricsMux.Handle("GET "+StatusPath, NewStatusHandler(self, m.materializer, g.balancer, m.logger))
 	repl := m.newReplicator(g.balancer, g.history)
 	if m.registrar, err = m.newRegistrar(); err != nil {
 		return nil, err
--- a/runner/machine.go
+++ b/runner/machine.go
@@ -47,6 +47,7 @@
 	loop         *looper.Loop
 	materializer *materializer.Materializer
 	metrics      *listener.Server // serves the metrics
+	metricsMux   *http.ServeMux
 	registrar    *registrar.Registrar
 	registry     *prometheus.Registry
 	restores     *follower.Restores // of the store
@@ -77,9 +78,9 @@
 	if m.gossiper, err = gossiper.New(self.Address, m.loop.Post, m.registry, m.logger); err != nil {
 		return nil, err
 	}
-	metrics := http.NewServeMux()
-	metrics.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
-	m.metrics, err = listener.Listen(ctx, settings.address("metrics-listen"), metrics)
+	m.metricsMux = http.NewServeMux()
+	m.metricsMux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	m.metrics, err = listener.Listen(ctx, settings.address("metrics-listen"), m.metricsMux)
 	return m, err
 }
 
