Close the body of an answer before the context of its attempt ends

The end of an attempt cancelled its context first, and a connection whose context has ended is closed.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -77,10 +77,10 @@
 		w.stop()
 	}
 	a.begun()
-	a.cancel(nil)
 	if a.reply != nil {
-		_ = a.reply.Body.Close()
+		_ = a.reply.Body.Close() // before the context ends, which closes the connection
 	}
+	a.cancel(nil)
 	a.ticket.Done(result)
 }
 
--- a/forwarder/handover_test.go
+++ b/forwarder/handover_test.go
@@ -1,7 +1,9 @@
 package forwarder_test
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -425,3 +427,30 @@
 	go first.finish(0)
 	checkWhole(t, s.end())
 }
+
+// A closeOrder is a body that notes whether it was closed before its attempt's context ended.
+type closeOrder struct {
+	io.Reader
+	ctx  context.Context
+	kept bool
+}
+
+func (b *closeOrder) Close() error {
+	b.kept = b.ctx.Err() == nil
+	return nil
+}
+
+// The context of an attempt ended before the body of its answer was closed, and the connection
+// was closed with it, so each request opened a new one.
+func TestConnectionIsKeptAfterAnAnswer(t *testing.T) {
+	for _, path := range []string{"/once/x", "/safe/x", "/stream/x"} {
+		s := newStageAt(t, path, nil)
+		p := s.next()
+		body := &closeOrder{ctx: p.ctx, Reader: strings.NewReader(wholeStream())}
+		p.reply <- &gooseberrypass.Reply{Body: body, Header: http.Header{}, ModelVersion: 1, Signed: true, Status: http.StatusOK}
+		checkWhole(t, s.end())
+		if !body.kept {
+			t.Errorf("%s: the body was closed after the context had ended", path)
+		}
+	}
+}
