Answer requests that reach a server while it stops

Callers saw kept connections closed without an answer around the SIGTERM of an entry: net/http's Shutdown drops a request whose head it has just read, and those on connections that were accepted shortly before; connections that waited in the accept queue were reset; and a close with a pipelined request unread reset the connection while the answer before it was still on its way.

A server now keeps its own record of connections. A stop closes those that are idle, and a request whose connection was closed so is never handled: both take the same lock. Connections in the accept queue are accepted before the address is closed, a request on any other connection is handled, and a connection that closes after its answer discards what it has not read.

Ruled out: SetKeepAlivesEnabled alone, which closes a connection whose request was read at that moment while its handler runs. Left as it is: a request that crosses the close of an idle connection, which is not read; to keep idle connections open would have their next requests refused here instead of sent elsewhere.

Failed before, with the code of the parent commit: TestRequestThatArrivesInAStopIsAnswered, on a new connection and with half of its head read: got answer "unexpected EOF" (closes true), want "got " and Connection: close. TestConnectionInTheAcceptQueueIsServed: got "connection reset by peer". TestUnreadRequestDoesNotCutTheAnswerBeforeIt: got an answer of 73 bytes (connection reset by peer), want 8388608. The tests of half a body and of chunks passed before.

--- /dev/null
+++ b/listener/conn.go
@@ -0,0 +1,46 @@
+package listener
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// The limits of the input that is discarded before a connection closes.
+const (
+	discardBytes   = 64 << 10
+	discardTimeout = 500 * time.Millisecond
+)
+
+// A conn is a connection that may discard unread input before it closes. A close with
+// unread input resets the connection, and the peer may lose the last answer.
+type conn struct {
+	net.Conn
+	discard atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if c.discard.Swap(false) && c.CloseWrite() == nil && c.SetReadDeadline(time.Now().Add(discardTimeout)) == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, discardBytes) // the peer may send anything or break off
+	}
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the output. It is used by net/http.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// SetLinger sets the behavior of Close, as for a net.TCPConn.
+func (c *conn) SetLinger(sec int) error {
+	c.discard.Store(false)
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return l.SetLinger(sec)
+	}
+	return nil
+}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -18,10 +18,14 @@
 	readHeaderTimeout = 10 * time.Second
 )
 
+// unusedTimeout is how long a shutdown waits for the first request on a connection.
+const unusedTimeout = time.Second
+
 // A Server serves one handler on one address.
 type Server struct {
-	http *http.Server
-	lis  net.Listener
+	conns *connections
+	http  *http.Server
+	lis   *acceptor
 }
 
 // Bind listens on a TCP address.
@@ -42,12 +46,31 @@
 
 // New returns a server for handler on lis. It takes ownership of lis.
 func New(lis net.Listener, handler http.Handler) *Server {
-	return &Server{lis: lis, http: &http.Server{
-		Handler:           limitBodyTime(handler),
+	s := &Server{conns: newConnections(), lis: &acceptor{Listener: lis}}
+	s.http = &http.Server{
+		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ConnState:         s.conns.observe,
+		Handler:           s.claimConns(limitBodyTime(handler)),
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
-	}}
+	}
+	return s
+}
+
+// claimConns wraps next so that a request is handled only if its connection will not be
+// closed as idle.
+func (s *Server) claimConns(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _ := r.Context().Value(connKey{}).(*conn)
+		if !s.conns.claim(c) {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+		if s.conns.isClosing() || w.Header().Get("Connection") == "close" {
+			c.discard.Store(true)
+		}
+	})
 }
 
 // Address returns the bound address.
@@ -59,8 +82,9 @@
 // Kill releases the address and closes all connections immediately.
 func (s *Server) Kill() { _ = s.http.Close() }
 
-// Run serves until ctx is done. It then stops accepting connections and waits up
-// to grace for the requests in progress before it closes their connections.
+// Run serves until ctx is done. It then stops accepting connections, closes those that
+// are idle and waits up to grace for the requests in progress and those that arrive on
+// other connections, before it closes their connections.
 func (s *Server) Run(ctx context.Context, grace time.Duration) error {
 	served := make(chan error, 1)
 	go func() { served <- s.http.Serve(s.lis) }()
@@ -69,19 +93,28 @@
 		return errors.Wrapf(err, "serve %s", s.Address())
 	case <-ctx.Done():
 	}
-	return shutdown(context.WithoutCancel(ctx), s.http, grace, served)
+	return s.shutdown(context.WithoutCancel(ctx), grace, served)
 }
 
-// shutdown stops server and waits for the result of Serve on served.
-func shutdown(ctx context.Context, server *http.Server, grace time.Duration, served <-chan error) error {
+// shutdown stops the server. served receives the result of Serve.
+//
+// Shutdown of net/http is not used: it drops requests that were read while it begins, and
+// those on connections that were accepted shortly before.
+func (s *Server) shutdown(ctx context.Context, grace time.Duration, served <-chan error) error {
 	ctx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
-	err := server.Shutdown(ctx)
-	if err != nil {
-		err = errors.Wrap(server.Close(), "close connections of requests in progress")
+	s.conns.close()
+	s.http.SetKeepAlivesEnabled(false) // it would close a connection whose request was just read, if close did not run before
+	if err := s.lis.stop(); err != nil {
+		return err
+	}
+	serveErr := <-served
+	s.conns.wait(ctx, unusedTimeout)
+	if err := s.http.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return errors.Wrap(err, "close connections of requests in progress")
 	}
-	if serveErr := <-served; !errors.Is(serveErr, http.ErrServerClosed) {
+	if !errors.Is(serveErr, net.ErrClosed) && !errors.Is(serveErr, http.ErrServerClosed) {
 		return errors.Wrap(serveErr, "serve")
 	}
-	return err
+	return nil
 }
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -20,6 +20,13 @@
 // start serves handler until the returned function is called, which returns the
 // result of Run.
 func start(t *testing.T, handler http.Handler) (string, func() error) {
+	t.Helper()
+	l, stop := startServer(t, handler)
+	return "http://" + l.Address(), stop
+}
+
+// startServer is start for tests that need the server.
+func startServer(t *testing.T, handler http.Handler) (*listener.Server, func() error) {
 	t.Helper()
 	l, err := listener.Listen(t.Context(), "127.0.0.1:0", handler)
 	if err != nil {
@@ -28,7 +35,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- l.Run(ctx, testGrace) }()
-	return "http://" + l.Address(), func() error {
+	return l, func() error {
 		cancel()
 		return <-done
 	}
