Close the connection of a caller whose body is late

A caller that stopped in the middle of a body kept its connection: the read deadline was removed after any error of the body, the deadline's own included, and net/http then waited for the rest of the body without a limit. It is removed at the end of the body alone.

Found while a planned stop was made to end reads of half a body. Failed before: TestConnectionClosesAfterABodyThatIsLate: got "" and i/o timeout, want the end of the connection (run with a limit of 5 s in place of 30 s).

--- a/listener/bodydeadline.go
+++ b/listener/bodydeadline.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // bodyTimeout bounds the time to receive a request body.
@@ -32,7 +34,7 @@
 // Read implements io.Reader.
 func (b *deadlineBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil {
+	if errors.Is(err, io.EOF) {
 		_ = b.control.SetReadDeadline(time.Time{})
 	}
 	return n, err
