End the requests of a planned stop before the process ends

Callers saw requests that came late in the grace period of an entry cut without an answer, among them some that may not be repeated. Until stop-delay the entry took every request, however long it could run, and at the end of the grace period it closed the connections of those that had not ended. With a grace period below stop-delay (2.5 s) and a second, SIGKILL came first. On deployments with 8 s of grace and time limits of 6 s, requests taken between 1.6 s and 2.5 s could be cut.

A drainer now stands in front of the forwarder. In a stop it takes a request only if it can be expected to end in time: by its time limit, or as usual requests of its route do (moving mean and four mean deviations). Others are refused as not run before they are handed on, with Retry-After 10 ms, as other entries are in rotation. Those that are taken have the end of the stop as their time limit. Shortly before connections are closed, requests in progress are canceled, and those whose answer has not begun get a 502; a request whose body is half read gets a 503. Answers that begin in the stop carry Connection: close, also those of requests that came before. The steps fit into a grace period of any length. A repeated SIGTERM changes nothing.

Weighed: refusing all from the begin (the platform needs two seconds to take the entry out of rotation, and most requests would have ended); counting time limits alone (everything after 1.3 s would be refused on these deployments); a final 503 where the request waits for an endpoint: the drainer does not know whether it was sent, so it promises nothing. A stream that has begun and outlasts the grace period is still cut.

--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,6 +10,7 @@
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/attributor"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
+	"github.com/gooseberrypass/gooseberrypass/drainer"
 	"github.com/gooseberrypass/gooseberrypass/follower"
 	"github.com/gooseberrypass/gooseberrypass/forwarder"
 	"github.com/gooseberrypass/gooseberrypass/listener"
@@ -23,18 +23,14 @@
 // configuration sets one.
 const defaultMaxBody = 1 << 20
 
-// stopReserve is the part of the grace period that a shutdown leaves unused, so
-// that the process exits before the platform sends SIGKILL.
-const stopReserve = 400 * time.Millisecond
-
 // A Gateway is an entry on a machine that the platform prepares.
 type Gateway struct {
 	*machineProcess
 	balancer  *balancer.Balancer
-	callers   *listener.Server         // serves callers
+	callers   *listener.Server // serves callers
+	drainer   *drainer.Drainer
 	history   forwarder.RequestTracker // history of requests, exchanged with other entries
 	ready     *listener.Server         // serves the platform's readiness checks
-	stopping  atomic.Bool              // a shutdown has begun
 	transport *platform.Transport
 }
 
@@ -86,6 +82,10 @@
 	if err != nil {
 		return errors.Wrap(err, "create request path")
 	}
+	schedule := drainer.NewSchedule(g.settings.duration(sectionBounds, "grace"), g.settings.forwardDuration("stop-delay"))
+	if g.drainer, err = drainer.New(g.clock, g.materializer, f, schedule, g.registry, g.logger); err != nil {
+		return errors.Wrap(err, "create request path")
+	}
 	if err := g.listen(ctx); err != nil {
 		return err
 	}
@@ -93,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	callers := platform.NewCallerHandler(f, g.clock, g.stopping.Load, g.maxBody)
+	callers := platform.NewCallerHandler(g.drainer, g.clock, g.drainer, g.maxBody)
 	g.callers, err = listener.Listen(ctx, g.settings.address("callers-listen"), callers)
 	return err
 }
@@ -108,26 +108,26 @@
 // isReady reports whether the process can serve callers.
 func (g *Gateway) isReady() bool {
 	snapshot := g.materializer.Snapshot()
-	return !g.stopping.Load() && snapshot.Deployment != nil && len(snapshot.Endpoints) > 0
+	return !g.drainer.Draining() && snapshot.Deployment != nil && len(snapshot.Endpoints) > 0
 }
 
 // Run serves until ctx is done. It then reports to the platform that it is not
-// ready, waits for the stop delay, accepts no new requests and returns when those
-// in progress have ended or the grace period is over.
+// ready, waits for the stop delay, accepts no new connections and returns when the
+// requests in progress have ended or the grace period is over.
 func (g *Gateway) Run(ctx context.Context) error {
 	serve := func(l *listener.Server) runFunc {
 		return func(ctx context.Context) error { return l.Run(ctx, closeTimeout) }
 	}
 	failed, stopParts := start(ctx, append(g.runFuncs(), serve(g.ready))...)
-	grace := g.settings.duration(sectionBounds, "grace") - g.settings.forwardDuration("stop-delay") - stopReserve
+	schedule := g.drainer.Schedule()
 	callersFailed, stopCallers := start(ctx, func(ctx context.Context) error {
-		return g.callers.Run(ctx, max(grace, time.Second))
+		return g.callers.Run(ctx, schedule.Close-schedule.Listen)
 	})
 	g.logger.WithField("callers", g.callers.Address()).WithField("system", g.internal.Address()).Info("gateway started")
 	var cause error
 	select {
 	case <-ctx.Done():
-		g.drain()
+		g.drain(schedule.Listen)
 	case cause = <-failed:
 	case cause = <-callersFailed:
 	}
@@ -141,12 +141,12 @@
 	return cause
 }
 
-// drain gives the platform time to notice that the process is not ready before
-// the address for callers closes.
-func (g *Gateway) drain() {
-	g.stopping.Store(true)
+// drain begins a planned stop and gives the platform time to notice that the process is
+// not ready before the address for callers closes.
+func (g *Gateway) drain(listen time.Duration) {
+	g.drainer.Begin()
 	g.logger.Info("gateway stopping")
-	timer := g.clock.NewTimer(g.settings.forwardDuration("stop-delay"))
+	timer := g.clock.NewTimer(listen)
 	defer timer.Stop()
 	<-timer.Chan()
 }
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -159,6 +159,10 @@
 	return cause
 }
 
+// stopReserve is the part of the grace period that an agent leaves unused, so that it
+// exits before the platform sends SIGKILL.
+const stopReserve = 400 * time.Millisecond
+
 func (s *Sidecar) drain(ctx context.Context) {
 	grace := max(s.settings.duration(sectionBounds, "grace")-closeTimeout-stopReserve, time.Second)
 	ctx, cancel := context.WithTimeout(ctx, grace)
