Answer the requests that an entry ends at the end of its grace period

Callers of an entry saw requests that outlasted the grace period of a stop cut without an answer. Shortly before the end of the grace period the entry now cancels the requests in progress; the request path ends, tells agents to refuse attempts in doubt, and the caller gets a whole answer or the failure event of its stream.

Weighed: refusing requests as in the gateway. This entry closes its address and idle connections at SIGTERM, so that only requests which had reached it arrive later.

Open: a call with an idempotency key is detached from its request on purpose and runs to its deadline, 30 s by default; with a shorter grace period it is still cut. A test with such a call took 20 s to its answer and was left out.

--- a/answerer/fakes_test.go
+++ b/answerer/fakes_test.go
@@ -21,6 +21,7 @@
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/answerer"
 	"github.com/gooseberrypass/gooseberrypass/api"
+	"github.com/gooseberrypass/gooseberrypass/listener"
 	"github.com/gooseberrypass/gooseberrypass/looper"
 	"github.com/gooseberrypass/gooseberrypass/wire"
 )
@@ -193,6 +194,13 @@
 // startEntry serves an entry on a loopback address and returns a client and the
 // entry's URL. The entry routes to the members m.
 func startEntry(t *testing.T, log gooseberrypass.Log, m members) (*api.Client, string) {
+	t.Helper()
+	return startStoppingEntry(t, context.Background(), log, m)
+}
+
+// startStoppingEntry is startEntry for an entry that cancels its requests once stop is
+// done.
+func startStoppingEntry(t *testing.T, stop context.Context, log gooseberrypass.Log, m members) (*api.Client, string) { //nolint:contextcheck,revive // not the context of this call
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -213,7 +221,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = loop.Run(ctx) })
-	server := httptest.NewServer(entry.Handler())
+	server := httptest.NewServer(listener.CancelRequests(stop, entry.Handler()))
 	t.Cleanup(func() {
 		server.Close()
 		cancel()
--- a/listener/shutdown_test.go
+++ b/listener/shutdown_test.go
@@ -172,3 +172,27 @@
 		_ = conn.Close()
 	}
 }
+
+// Requests in progress at the end of a grace period were cut without an answer.
+func TestCanceledRequestIsAnswered(t *testing.T) {
+	expired, expire := context.WithCancel(t.Context())
+	entered := make(chan struct{})
+	l, stop := startServer(t, listener.CancelRequests(expired, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-r.Context().Done()
+		_, _ = io.WriteString(w, "unknown")
+	})))
+	conn := dial(t, l.Address())
+	send(t, conn, plainRequest)
+	<-entered
+	stopped := make(chan error, 1)
+	go func() { stopped <- stop() }()
+	expire()
+	if body, _ := readAnswer(bufio.NewReader(conn)); body != "unknown" {
+		t.Errorf("got answer %q, want %q", body, "unknown")
+	}
+	_ = conn.Close()
+	if err := <-stopped; err != nil {
+		t.Errorf("Run: got error %v, want none", err)
+	}
+}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -12,12 +13,21 @@
 	"github.com/gooseberrypass/gooseberrypass/wire"
 )
 
+// The part of the grace period that is left for final answers to requests that have not
+// ended: the longest one, and the share of a short grace period. It includes the time in
+// which agents are told to refuse attempts that may not have begun.
+const (
+	finalAnswerTime  = 3 * time.Second
+	finalAnswerShare = 4 // one part of so many
+)
+
 // An Entry is the process that callers send their requests to.
 type Entry struct {
 	*process
 	callers  *listener.Server // serves callers
 	entry    *answerer.Entry
-	internal *listener.Server // serves other processes
+	expire   context.CancelFunc // cancels the requests in progress
+	internal *listener.Server   // serves other processes
 }
 
 // NewEntry binds the addresses of an entry and creates its parts.
@@ -53,7 +63,8 @@
 func (e *Entry) InternalAddress() string { return e.internal.Address() }
 
 // Run serves until ctx is done. It then accepts no new requests and returns when
-// those in progress have ended or the grace period is over.
+// those in progress have ended or the grace period is over. Shortly before, it cancels
+// those that have not ended, so that their callers get an answer.
 func (e *Entry) Run(ctx context.Context) error {
 	failed, stopParts := start(ctx, e.loop.Run, func(ctx context.Context) error {
 		return e.internal.Run(ctx, closeTimeout)
@@ -66,6 +77,8 @@
 	select {
 	case <-ctx.Done():
 		e.logger.Info("entry stopping")
+		grace := e.settings.grace
+		defer e.clock.AfterFunc(grace-min(finalAnswerTime, grace/finalAnswerShare), e.expire).Stop()
 	case cause = <-failed:
 	case cause = <-callersFailed:
 	}
@@ -85,7 +98,9 @@
 		return err
 	}
 	e.internal = listener.New(e.dialer.WrapListener(lis), handler)
-	e.callers, err = listener.Listen(ctx, e.settings.callers.String(), e.entry.Handler())
+	expired, expire := context.WithCancel(context.WithoutCancel(ctx))
+	e.expire = expire
+	e.callers, err = listener.Listen(ctx, e.settings.callers.String(), listener.CancelRequests(expired, e.entry.Handler()))
 	if err != nil {
 		_ = e.internal.Close()
 	}
