--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -237,7 +237,7 @@
 	case err == nil:
 		entry.Debug("request answered")
 		return
-	case ctx.Err() != nil:
+	case errors.Is(context.Cause(ctx), context.Canceled):
 		entry.WithError(err).Info("caller disconnected")
 	default:
 		entry.WithError(err).Info("request failed")
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -104,7 +104,7 @@
 			return nil
 		}
 		if r.ctx.Err() != nil {
-			return errors.Wrap(r.ctx.Err(), "caller disconnected")
+			return errors.Wrap(context.Cause(r.ctx), "no longer wanted")
 		}
 		obstacle := r.repeatObstacle(last, failed)
 		r.logFailure(last, failed, obstacle)
