--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -182,7 +182,7 @@
 	f.balancer, f.snapshot = b, snapshot
 	b.Handle(f.clock.Now(), materializer.Changed{Snapshot: snapshot})
 	f.settings = forwarder.Settings{
-		DeadlineGrace: 100 * time.Millisecond, HeadTimeoutFactor: 3, EventTimeoutFactor: 4, MaxBufferedAnswer: 1 << 16, MoveShare: 0.5, MoveWaitShare: 0.8, ResumePoll: 50 * time.Millisecond, QuarantineCrashes: 3, QuarantineTime: time.Minute,
+		DeadlineGrace: 100 * time.Millisecond, HeadTimeoutFactor: 3, EventTimeoutFactor: 4, MaxBufferedAnswer: 1 << 16, MoveShare: 0.5, MoveWaitFactor: 0.8, ResumePoll: 50 * time.Millisecond, QuarantineCrashes: 3, QuarantineTime: time.Minute,
 		RetryAfter: time.Second, RetryRatio: 0.2, RetryEntryFactor: 1, RetrySlack: 20, RetryWindow: 10 * time.Second,
 	}
 	attributions, err := attributor.New(f.clock, attributor.Settings{QuarantineTime: f.settings.QuarantineTime}, 1, prometheus.NewRegistry(), log)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -23,7 +23,7 @@
 	HeadTimeoutFactor  float64       // timeout of a repeatable attempt's head, as a multiple of the objective
 	LossPoll           time.Duration // interval of checks whether the endpoint of an attempt is lost; 0 for none
 	MaxBufferedAnswer  int64         // bytes of an answer that are buffered before delivery
-	MoveWaitShare      float64       // longest pause of a stream that moves, as a share of the route's EventGap
+	MoveWaitFactor     float64       // longest pause of a stream that moves, as a multiple of the route's EventGap
 	MoveShare          float64       // share of the retry budget that moves of streams may use
 	QuarantineCrashes  int           // connections broken by a request after which it is quarantined
 	QuarantineTime     time.Duration // duration of the quarantine
--- a/forwarder/move.go
+++ b/forwarder/move.go
@@ -51,7 +51,7 @@
 	if r.route.EventGap == 0 {
 		return defaultMoveWait
 	}
-	return time.Duration(r.forwarder.settings.MoveWaitShare * float64(r.route.EventGap))
+	return time.Duration(r.forwarder.settings.MoveWaitFactor * float64(r.route.EventGap))
 }
 
 // reserveMove reserves a place for a stream that is to move, nil if none is free.
