Find a part of prompts that crashes few engines after fewer crashes

The share is now that at the crash. A part on which no answer is known is a cause after four crashes if the hits and the answers to other requests since are a coincidence with less than 1e-2, and no other part is as likely.

TestLoadSharedPartIsNotBlamedAtEntriesThatStart fails without the rule on parts that are as likely.

--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -139,11 +139,12 @@
 // RecordAnswer records that an endpoint sent content of an answer, which clears the
 // parts of the prompt.
 func (a *Attributor) RecordAnswer(p Prompt) {
-	if len(p.parts) == 0 {
+	if p.service == "" {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.parts.countAnswer(p.service)
 	now := a.clock.Now()
 	for _, key := range p.parts {
 		a.recordAnswer(key, now)
@@ -205,6 +206,7 @@
 		a.quarantine(now, found)
 		a.logger.WithFields(logrus.Fields{
 			"part": a.parts.name(found.part), "crashes": found.hits, "of": found.trials, "chance": fmt.Sprintf("%.1e", found.chance),
+			"unanswered": fmt.Sprintf("%.1e", found.unanswered),
 			"quarantine": a.quarantines[found.part].until.Sub(now).String(),
 		}).Warn("endpoints crashed under a part of prompts, refusing requests that have it")
 	}
--- a/attributor/crash.go
+++ b/attributor/crash.go
@@ -35,10 +35,19 @@
 	begun         []interruption // those at the begin of their answer
 	changed       bool           // since the last judgement
 	endpoint      gooseberrypass.ID
+	hits          map[part]hit // by part of the suspects
 	interruptions []interruption
 	service       gooseberrypass.ID
 }
 
+// A hit is what was known when a crash was judged under a part of one of its suspects.
+// Requests that come later say nothing about those in flight at the crash.
+type hit struct {
+	chance        float64 // probability that a suspect has the part by coincidence
+	interruptions int     // those that chance takes into account
+	totals        totals  // when the crash was first judged under the part
+}
+
 // suspects returns the interruptions that may be the cause: those at the begin of
 // their answer, or all if there is none. An endpoint that crashes over a request does
 // so when it begins the answer, and the requests in its queue break off with it.
@@ -49,6 +58,34 @@
 	return c.interruptions
 }
 
+// coincidence returns the probability that a suspect has a part by coincidence. share
+// returns the share of an entry's requests that have it.
+func (c *crash) coincidence(share func(entry gooseberrypass.ID) float64) float64 {
+	spared := 1.0
+	for _, s := range c.suspects() {
+		spared *= 1 - share(s.entry)
+	}
+	return 1 - spared
+}
+
+// addHit returns the hit of a part that one of the suspects has. chance is its coincidence
+// now.
+func (c *crash) addHit(key part, chance func() float64, now totals) hit {
+	h, known := c.hits[key]
+	if known && h.interruptions == len(c.interruptions) {
+		return h
+	}
+	if !known {
+		h.totals = now
+	}
+	h.chance, h.interruptions = chance(), len(c.interruptions)
+	if c.hits == nil {
+		c.hits = map[part]hit{}
+	}
+	c.hits[key] = h
+	return h
+}
+
 // add adds an interruption and reports whether it is new.
 func (c *crash) add(i interruption) bool {
 	if i.begun && len(c.begun) >= maxSuspects || !i.begun && len(c.interruptions) >= maxSuspects {
--- a/attributor/fleet_test.go
+++ b/attributor/fleet_test.go
@@ -28,6 +28,7 @@
 	queueTimeMax    = 400 * time.Millisecond // longest time until an engine begins an answer
 	queueTimeMin    = 50 * time.Millisecond
 	quarantineTime  = time.Minute
+	quickBeginTime  = 10 * time.Millisecond
 	requestsASecond = 220
 	restartTime     = 3 * time.Second
 	service         = gooseberrypass.ID("engines")
@@ -54,31 +55,37 @@
 
 // A scenario is what happens to a simulated fleet.
 type scenario struct {
-	deadly        []string      // parts that crash engines
-	deadlyFrom    time.Duration // when callers begin to send the parts
-	deadlyShare   float64       // of the requests, for each part
-	earlyHeads    bool          // engines send the head of an answer when they begin it
-	engines       int
-	entries       int
-	herdKill      bool          // all engines crash at once, after half of the time
-	naive         bool          // nothing is refused
-	poison        bool          // one request that crashes engines is sent again and again
-	resetShare    float64       // of the attempts whose connection breaks at an engine that goes on
-	restartEvery  time.Duration // an entry starts anew after each of these times, 0 for never
-	rollingCrash  time.Duration // an engine crashes after each of these times, 0 for never
-	seed          uint64
-	simulatedTime time.Duration
+	deadly         []string      // parts that crash engines
+	deadlyEvery    time.Duration // time from the first request with a part to that with the next
+	deadlyFrom     time.Duration // when callers begin to send the parts
+	deadlyShare    float64       // of the requests, for each part
+	earlyHeads     bool          // engines send the head of an answer when they begin it
+	earlyHeadShare float64       // like earlyHeads, for a share of the answers
+	engines        int
+	entries        int
+	herdKill       bool          // all engines crash at once, after half of the time
+	naive          bool          // nothing is refused
+	newLife        time.Duration // after which another part takes its place, 0 for never
+	newShare       float64       // of the requests, for a sound part that comes at deadlyFrom
+	quickBegin     bool          // engines begin answers within quickBeginTime
+	poison         bool          // one request that crashes engines is sent again and again
+	resetShare     float64       // of the attempts whose connection breaks at an engine that goes on
+	restartEvery   time.Duration // an entry starts anew after each of these times, 0 for never
+	rollingCrash   time.Duration // an engine crashes after each of these times, 0 for never
+	seed           uint64
+	simulatedTime  time.Duration
 }
 
 // An attempt is a request at an engine.
 type attempt struct {
-	begins time.Time
-	begun  bool
-	deadly bool
-	ends   time.Time
-	entry  int
-	prompt attributor.Prompt
-	tried  int
+	begins     time.Time
+	begun      bool
+	deadly     bool
+	deadlyPart string // that crashes engines, if it is one
+	ends       time.Time
+	entry      int
+	prompt     attributor.Prompt
+	tried      int
 }
 
 // An engine answers attempts. It is down until upAt after a crash.
@@ -90,23 +97,25 @@
 
 // A fleet is a set of entries before engines.
 type fleet struct {
-	clock   *clockwork.FakeClock
-	crashes []time.Time // of engines under a deadly request
-	engines []*engine
-	entries []*attributor.Attributor
-	late    int // deadly attempts later than outcomeBound after the crash of outcomeCrash, of entries that run for as long
-	nextID  int
-	refused int // sound requests
-	rng     *rand.Rand
-	s       scenario
-	sound   int         // sound requests
-	started []time.Time // when the entries started
-	t       *testing.T
+	clock     *clockwork.FakeClock
+	crashes   []time.Time            // of engines under a deadly request
+	crashesOf map[string][]time.Time // crashes by part
+	engines   []*engine
+	entries   []*attributor.Attributor
+	late      int            // deadly attempts later than outcomeBound after the crash of outcomeCrash, of entries that run for as long
+	lateOf    map[string]int // late attempts by part, counted from its own crash outcomeCrash
+	nextID    int
+	refused   int // sound requests
+	rng       *rand.Rand
+	s         scenario
+	sound     int         // sound requests
+	started   []time.Time // when the entries started
+	t         *testing.T
 }
 
 func newFleet(t *testing.T, s scenario) *fleet {
 	t.Helper()
-	f := &fleet{clock: clockwork.NewFakeClock(), rng: rand.New(rand.NewPCG(s.seed, 1)), s: s, t: t}
+	f := &fleet{clock: clockwork.NewFakeClock(), crashesOf: map[string][]time.Time{}, lateOf: map[string]int{}, rng: rand.New(rand.NewPCG(s.seed, 1)), s: s, t: t}
 	for i := range s.entries {
 		f.entries = append(f.entries, newAttributor(t, f.clock, uint64(i)))
 		f.started = append(f.started, time.Time{})
@@ -160,11 +169,14 @@
 // arrive sends a new request through a random entry.
 func (f *fleet) arrive(at time.Duration) {
 	f.nextID++
-	number, parts, deadly := f.nextID, []string{f.firstPart()}, false
+	number, parts, deadly, deadlyPart := f.nextID, []string{f.firstPart()}, false, ""
 	if at >= f.s.deadlyFrom {
-		for _, name := range f.s.deadly {
-			if f.rng.Float64() < f.s.deadlyShare {
-				parts, deadly = []string{"first-0", name}, true
+		if f.s.newShare > 0 && f.rng.Float64() < f.s.newShare {
+			parts = append(parts, f.newPart(at))
+		}
+		for i, name := range f.s.deadly {
+			if at >= f.s.deadlyFrom+time.Duration(i)*f.s.deadlyEvery && f.rng.Float64() < f.s.deadlyShare {
+				parts, deadly, deadlyPart = []string{"first-0", name}, true, name
 			}
 		}
 		if f.s.poison && f.rng.Float64() < 0.02 {
@@ -172,13 +184,21 @@
 		}
 	}
 	entry := f.rng.IntN(len(f.entries))
-	a := &attempt{deadly: deadly, entry: entry, prompt: f.entries[entry].Register(service, digestOf(number), parts)}
+	a := &attempt{deadly: deadly, deadlyPart: deadlyPart, entry: entry, prompt: f.entries[entry].Register(service, digestOf(number), parts)}
 	if !deadly {
 		f.sound++
 	}
 	f.send(a)
 }
 
+// newPart returns the sound part that is new at a time.
+func (f *fleet) newPart(at time.Duration) string {
+	if f.s.newLife == 0 {
+		return "new"
+	}
+	return fmt.Sprint("new-", int(at/f.s.newLife))
+}
+
 // send sends an attempt to a random engine, unless the entry refuses it.
 func (f *fleet) send(a *attempt) {
 	if _, left := f.entries[a.entry].Quarantine(a.prompt); left > 0 && !f.s.naive {
@@ -195,12 +215,28 @@
 	if a.deadly && len(f.crashes) >= outcomeCrash && now.Sub(f.crashes[outcomeCrash-1]) > outcomeBound && now.Sub(f.started[a.entry]) > outcomeBound {
 		f.late++
 	}
+	if own := f.crashesOf[a.deadlyPart]; a.deadly && len(own) >= outcomeCrash && now.Sub(own[outcomeCrash-1]) > outcomeBound && now.Sub(f.started[a.entry]) > outcomeBound {
+		f.lateOf[a.deadlyPart]++
+	}
 	e := up[f.rng.IntN(len(up))]
 	a.tried++
-	a.begins = now.Add(queueTimeMin + time.Duration(f.rng.Int64N(int64(queueTimeMax-queueTimeMin))))
+	a.begins = now.Add(f.queueTime())
 	e.attempts = append(e.attempts, a)
 }
 
+// earlyHead reports whether an engine has sent the head of an answer that it began.
+func (f *fleet) earlyHead() bool {
+	return f.s.earlyHeads || f.s.earlyHeadShare > 0 && f.rng.Float64() < f.s.earlyHeadShare
+}
+
+// queueTime returns the time until an engine begins an answer.
+func (f *fleet) queueTime() time.Duration {
+	if f.s.quickBegin {
+		return quickBeginTime
+	}
+	return queueTimeMin + time.Duration(f.rng.Int64N(int64(queueTimeMax-queueTimeMin)))
+}
+
 // work begins and ends the answers of an engine that are due.
 func (f *fleet) work(e *engine) {
 	now := f.clock.Now()
@@ -209,6 +245,7 @@
 		case !a.begun && !now.Before(a.begins):
 			if a.deadly {
 				f.crashes = append(f.crashes, now)
+				f.crashesOf[a.deadlyPart] = append(f.crashesOf[a.deadlyPart], now)
 				a.begun = true
 				f.crash(e)
 				return
@@ -241,7 +278,7 @@
 			continue
 		}
 		entry := f.entries[a.entry]
-		atBegin := a.begun && f.s.earlyHeads
+		atBegin := a.begun && f.earlyHead()
 		a.begun = false
 		entry.RecordInterruption(a.prompt, e.id, atBegin)
 		if a.tried < 2 && (f.s.naive || !atBegin || !entry.Suspected(a.prompt)) {
--- a/attributor/part.go
+++ b/attributor/part.go
@@ -36,18 +36,33 @@
 	lastAnswer time.Time // last content of an answer to a prompt with the part, at any entry
 	name       string    // as callers send it, "" if this entry received none
 	requests   windowedCount
+	total      int // requests since the record was made
+}
+
+// A serviceRecord is what is known of the requests to one service.
+type serviceRecord struct {
+	answers  int // begun since the start
+	requests windowedCount
+	total    int // requests since the start
+}
+
+// totals are counts of this entry that only grow.
+type totals struct {
+	answers  int // begun by the service
+	requests int // to the service
+	with     int // requests with a part
 }
 
 // A partTable has how often parts were requested of late, and when endpoints last
 // began an answer on them.
 type partTable struct {
 	records     map[part]*partRecord
-	services    map[gooseberrypass.ID]windowedCount // requests
+	services    map[gooseberrypass.ID]*serviceRecord
 	windowStart time.Time
 }
 
 func newPartTable() *partTable {
-	return &partTable{records: map[part]*partRecord{}, services: map[gooseberrypass.ID]windowedCount{}}
+	return &partTable{records: map[part]*partRecord{}, services: map[gooseberrypass.ID]*serviceRecord{}}
 }
 
 // record returns the record of a part, and creates it if there is room. It returns nil
@@ -65,13 +80,39 @@
 	if r := t.record(key); r != nil {
 		r.name = name
 		r.requests.current++
+		r.total++
 	}
 }
 
 func (t *partTable) countRequest(service gooseberrypass.ID) {
-	c := t.services[service]
-	c.current++
-	t.services[service] = c
+	r := t.service(service)
+	r.requests.current++
+	r.total++
+}
+
+// countAnswer counts an answer that an endpoint of a service began.
+func (t *partTable) countAnswer(service gooseberrypass.ID) { t.service(service).answers++ }
+
+// service returns the record of a service, and creates it if there is none.
+func (t *partTable) service(id gooseberrypass.ID) *serviceRecord {
+	r, ok := t.services[id]
+	if !ok {
+		r = &serviceRecord{}
+		t.services[id] = r
+	}
+	return r
+}
+
+// totals returns the counts of a part at a service.
+func (t *partTable) totals(service gooseberrypass.ID, key part) totals {
+	var n totals
+	if r, ok := t.services[service]; ok {
+		n.answers, n.requests = r.answers, r.total
+	}
+	if r, ok := t.records[key]; ok {
+		n.with = r.total
+	}
+	return n
 }
 
 func (t *partTable) answered(key part, at time.Time) {
@@ -97,7 +138,12 @@
 }
 
 // requests returns the number of recent requests to a service.
-func (t *partTable) requests(service gooseberrypass.ID) int { return t.services[service].sum() }
+func (t *partTable) requests(service gooseberrypass.ID) int {
+	if r, ok := t.services[service]; ok {
+		return r.requests.sum()
+	}
+	return 0
+}
 
 // requestsWith returns the number of recent requests with a part.
 func (t *partTable) requestsWith(key part) int {
@@ -129,8 +175,8 @@
 			}
 		}
 	}
-	for service, c := range t.services {
-		t.services[service] = c.next(stale)
+	for _, r := range t.services {
+		r.requests = r.requests.next(stale)
 	}
 	for key, r := range t.records {
 		r.requests = r.requests.next(stale)
