Do not repeat a request without a sign of an answer once its part is suspected

Such a repeat is refused now once two crashes, each under another request with a part of its prompt, are known and no answer on that part since. At the begin of an answer one is enough, as before.

Suspected became Suspicions, which counts; the tests of it ask for more than none.

TestRequestThatBreaksOffWithoutASignIsNotRepeatedOnceItsPartIsSuspected failed before ("got 2 dispatches, want 1").

--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -103,37 +103,27 @@
 // CountRefusal counts a request that was refused for a quarantined part.
 func (a *Attributor) CountRefusal() { a.metrics.refused.Inc() }
 
-// Suspected reports whether an endpoint crashed under another request with a part of
-// the prompt and none has begun an answer on that part since.
-func (a *Attributor) Suspected(p Prompt) bool {
-	if len(p.parts) == 0 {
-		return false
-	}
+// Suspicions returns the number of crashes, each under another request that shares a part with
+// the prompt, while no endpoint has begun an answer on that part since: the most of any part.
+func (a *Attributor) Suspicions(p Prompt) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
-	for _, c := range a.crashes {
-		if now.Sub(c.at) > evidenceTTL || a.explained(c) {
-			continue
-		}
-		for _, s := range c.suspects() {
-			if s.request != p.request && a.sharesSuspectedPart(c, s, p) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// sharesSuspectedPart reports whether a suspect of a crash shares a part with a prompt
-// on which no endpoint has begun an answer since the crash.
-func (a *Attributor) sharesSuspectedPart(c *crash, s interruption, p Prompt) bool {
+	most := 0
 	for _, key := range p.parts {
-		if s.has(key) && c.at.After(a.parts.lastAnswer(key)) {
-			return true
+		known := map[uint64]bool{p.request: true}
+		n := 0
+		for _, c := range a.crashes {
+			if now.Sub(c.at) > evidenceTTL || !c.at.After(a.parts.lastAnswer(key)) || a.explained(c) {
+				continue
+			}
+			if hit, _ := hitBy(key, c.suspects(), known); hit {
+				n++
+			}
 		}
+		most = max(most, n)
 	}
-	return false
+	return most
 }
 
 // RecordAnswer records that an endpoint sent content of an answer, which clears the
--- a/attributor/attributor_test.go
+++ b/attributor/attributor_test.go
@@ -85,7 +85,7 @@
 			} else {
 				a.RecordAnswer(a.Register(service, digestOf(9), []string{"rare"}))
 			}
-			if a.Suspected(a.Register(service, digestOf(10), []string{"rare"})) {
+			if a.Suspicions(a.Register(service, digestOf(10), []string{"rare"})) > 0 {
 				t.Error("the part is still under suspicion")
 			}
 			crashUnder(a, clock, 2, 3, "rare")
--- a/attributor/fleet_test.go
+++ b/attributor/fleet_test.go
@@ -281,7 +281,7 @@
 		atBegin := a.begun && f.earlyHead()
 		a.begun = false
 		entry.RecordInterruption(a.prompt, e.id, atBegin)
-		if a.tried < 2 && (f.s.naive || !atBegin || !entry.Suspected(a.prompt)) {
+		if a.tried < 2 && (f.s.naive || !atBegin || entry.Suspicions(a.prompt) == 0) {
 			f.send(a)
 		}
 	}
--- a/attributor/forgotten_test.go
+++ b/attributor/forgotten_test.go
@@ -12,7 +12,7 @@
 	crashUnder(a, clock, 1, 1, "rare")
 	clock.Advance(time.Hour)
 	p := a.Register(service, digestOf(50), []string{"rare"})
-	if a.Suspected(p) {
+	if a.Suspicions(p) > 0 {
 		t.Error("an hour after a crash: got a suspicion, want none")
 	}
 	a.RecordAnswer(a.Register(service, digestOf(51), []string{"rare"}))
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -19,6 +19,7 @@
 	body       []byte // begin of a whole answer
 	bodyEnded  bool   // body is all of it
 	cancel     context.CancelCauseFunc
+	crashed    bool // the connection to the endpoint broke
 	ctx        context.Context
 	ended      bool
 	events     *eventReader
@@ -237,7 +238,7 @@
 	case errors.Is(cause, errTakenOver), errors.Is(cause, errNotNeeded), errors.Is(cause, context.Canceled): // withdrawn, or the caller left
 		f.result = balancer.ResultInconclusive
 	case sent:
-		f.crashed = true
+		a.crashed = true
 		a.recordCrash()
 	}
 	return f
--- a/forwarder/crashpart_test.go
+++ b/forwarder/crashpart_test.go
@@ -105,3 +105,29 @@
 		f.clock.Advance(5 * time.Second)
 	}
 }
+
+// A request with a part that crashes engines broke off before the head of an answer and was
+// repeated, and crashed one more engine each time, although others had shown the part.
+func TestRequestThatBreaksOffWithoutASignIsNotRepeatedOnceItsPartIsSuspected(t *testing.T) {
+	f := newFixture(t)
+	f.transport.onSend = func(d gooseberrypass.Dispatch) {
+		f.transport.reactions = []reaction{{body: "id: 0\n\n", version: 1}}
+		if slices.Contains(d.Request.SharedParts, "deadly") {
+			f.transport.reactions = []reaction{{reset: true}}
+		}
+	}
+	dispatches := func(n int, parts ...string) int {
+		before := len(f.transport.sent)
+		f.sendPrompt("/model/", n, parts...)
+		f.clock.Advance(3 * time.Second)
+		return len(f.transport.sent) - before
+	}
+	for n, want := range []int{2, 2, 1} {
+		if got := dispatches(n, "first", "deadly"); got != want {
+			t.Errorf("request %d with the part: got %d dispatches, want %d", n+1, got, want)
+		}
+		if got, want := dispatches(10+n, "first", "sound"), 1; got != want {
+			t.Errorf("a sound request after %d others: got %d dispatches, want %d", n+1, got, want)
+		}
+	}
+}
--- a/forwarder/progress.go
+++ b/forwarder/progress.go
@@ -26,6 +26,11 @@
 // off at its begin. The request probably crashes each endpoint that begins the answer.
 const maxBeginCrashes = 2
 
+// maxSilentSuspicions is the number of crashes under other requests with a part of the prompt
+// from which a request whose connection broke without a sign of an answer is not repeated. A
+// connection that breaks in that moment has many causes, so that one is not enough.
+const maxSilentSuspicions = 2
+
 // crashesEndpoints reports whether the request probably crashed the endpoint of its last
 // attempt. The begin of an answer takes little time, so that other causes rarely break it
 // off there.
@@ -34,8 +39,15 @@
 	if _, left := tracker.Quarantine(r.prompt); left > 0 && !r.started {
 		return true
 	}
-	if r.model == "" || last == nil || last.progress != progressHead {
+	if r.model == "" || last == nil {
+		return false
+	}
+	switch last.progress {
+	case progressNone:
+		return last.crashed && tracker.Suspicions(r.prompt) >= maxSilentSuspicions
+	case progressHead:
+		return r.beginCrashes >= maxBeginCrashes || tracker.Suspicions(r.prompt) > 0
+	default:
 		return false
 	}
-	return r.beginCrashes >= maxBeginCrashes || tracker.Suspected(r.prompt)
 }
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -77,7 +77,6 @@
 
 // A failure says how one attempt failed.
 type failure struct {
-	crashed   bool // the connection to the endpoint broke
 	err       *gooseberrypass.RequestError
 	result    balancer.Result
 	takenOver bool // another attempt has begun in its place
@@ -186,7 +185,7 @@
 	} else {
 		r.tried = append(r.tried, id)
 	}
-	if failed.crashed && a.progress == progressHead {
+	if a.crashed && a.progress == progressHead {
 		r.beginCrashes++
 	}
 	if a.fallback != nil {
