--- a/forwarder/handover_test.go
+++ b/forwarder/handover_test.go
@@ -156,11 +156,7 @@
 // A stream stays where it is if the endpoint that it moves to does not begin in time, and no
 // event is lost or comes late by more than the pause that its route allows.
 func TestStreamStaysWhereTheNextEndpointIsSlow(t *testing.T) {
-	s := newStage(t, nil)
-	first := s.next()
-	s.balancer.SetEndpointStatus(s.clock.Now(), balancer.EndpointStatus{Address: first.dispatch.Endpoint.Address, Loading: true})
-	first.begin(1)
-	first.send(0)
+	s, first := newMovingStage(t)
 	second := s.next()
 	begin := s.clock.Now()
 	s.advanceUntilWithdrawn(second)
@@ -397,11 +393,7 @@
 // A stream that could not move in time had used up its tries with that, and was cut when its
 // endpoint broke off later.
 func TestStreamThatStayedMayStillBeResumed(t *testing.T) {
-	s := newStage(t, nil)
-	first := s.next()
-	s.balancer.SetEndpointStatus(s.clock.Now(), balancer.EndpointStatus{Address: first.dispatch.Endpoint.Address, Loading: true})
-	first.begin(1)
-	first.send(0)
+	s, first := newMovingStage(t)
 	s.advanceUntilWithdrawn(s.next())
 	first.send(1)
 	first.breakOff()
--- a/forwarder/stage_test.go
+++ b/forwarder/stage_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/balancer"
 	"github.com/gooseberrypass/gooseberrypass/forwarder"
 )
 
@@ -128,6 +129,18 @@
 	return s
 }
 
+// newMovingStage sends a request for a stream whose endpoint is about to load a version after
+// its first event. It returns that endpoint too.
+func newMovingStage(t *testing.T) (*stage, *puppet) {
+	t.Helper()
+	s := newStage(t, nil)
+	first := s.next()
+	s.balancer.SetEndpointStatus(s.clock.Now(), balancer.EndpointStatus{Address: first.dispatch.Endpoint.Address, Loading: true})
+	first.begin(1)
+	first.send(0)
+	return s, first
+}
+
 // next returns the next dispatch, for which it advances the clock if need be.
 func (s *stage) next() *puppet {
 	s.t.Helper()
