Bound the number of items in a pull, not only its bytes

A pull was limited to 16 MiB after decompression, but gob sends an empty record as one byte that takes over a hundred in memory: a response of 4 KiB made the process that pulls allocate 2.3 GB, and one of empty versions 0.9 GB, which it also took over. Decoding went on after the pull's timeout.

Now the whole response is read within the timeout and the limit, the items are counted with one byte each, and more than 131,072 are refused. The encoding stays the same, so releases can be mixed.

--- a/replicator/pull.go
+++ b/replicator/pull.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"bytes"
 	"compress/gzip"
 	"context"
 	"encoding/gob"
@@ -64,14 +65,36 @@
 	return errors.Wrap(z.Close(), "compress records")
 }
 
-// readDocument decodes a document of at most maxPullSize decompressed bytes.
+// readDocument decodes a document of at most maxPullSize decompressed bytes and
+// maxPullItems records and versions.
 func readDocument(r io.Reader) (document, error) {
-	var d document
 	z, err := gzip.NewReader(r)
 	if err != nil {
-		return d, errors.Wrap(err, "decompress records")
+		return document{}, errors.Wrap(err, "decompress records")
+	}
+	encoded, err := io.ReadAll(io.LimitReader(z, maxPullSize+1))
+	if err != nil {
+		return document{}, errors.Wrap(err, "decompress records")
+	}
+	if len(encoded) > maxPullSize {
+		return document{}, errors.Errorf("records have more than %d bytes", maxPullSize)
+	}
+	// An item of one byte takes more than a hundred once it is decoded.
+	var counts struct {
+		Records []struct{ Dropped bool }
+		Targets []struct{ Observed bool }
+	}
+	if err := gob.NewDecoder(bytes.NewReader(encoded)).Decode(&counts); err != nil {
+		return document{}, errors.Wrap(err, "count records")
+	}
+	if n := len(counts.Records) + len(counts.Targets); n > maxPullItems {
+		return document{}, errors.Errorf("got %d records and versions, want at most %d", n, maxPullItems)
+	}
+	var d document
+	if err := gob.NewDecoder(bytes.NewReader(encoded)).Decode(&d); err != nil {
+		return document{}, errors.Wrap(err, "decode records")
 	}
-	return d, errors.Wrap(gob.NewDecoder(io.LimitReader(z, maxPullSize)).Decode(&d), "decode records")
+	return d, nil
 }
 
 // A handler serves pulls. It reads topics through query because only the control
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -27,6 +27,10 @@
 // maxPullSize bounds the decompressed response to one pull, in bytes.
 const maxPullSize = 16 << 20
 
+// maxPullItems bounds the records and versions in the response to one pull. Decoded, so
+// many take about as much memory as maxPullSize.
+const maxPullItems = 1 << 17
+
 // Settings tune a Replicator.
 type Settings struct {
 	Fanout        int           // number of agents to which an agent announces a change
