Leave out numbers of a pull that no process can know

A record with an offset at or after the end of its topic was taken over from another process; nothing newer would ever have replaced it here. A negative age of a version or record dated it into the future and so extended the time for which older versions may be used. A version beyond 32 bits was a target for good, although the record that names it is refused when it is read from the store.

A response with such an offset is refused as a whole: leaving the record out would look like its deletion. Negative ages count as 0, as in messages, and versions out of range are left out with a warning.

Refusing documents for their versions was tried first and dropped: one odd message would have stopped every pull from its receiver.

Not covered: an end of the topic that is itself too far; nothing tells it from a log that grew.

--- a/replicator/endless_test.go
+++ b/replicator/endless_test.go
@@ -39,15 +39,15 @@
 }
 
 // encode returns a value as the response to a pull.
-func encode(t testing.TB, v any) []byte {
-	t.Helper()
+func encode(tb testing.TB, v any) []byte {
+	tb.Helper()
 	var b bytes.Buffer
 	z := gzip.NewWriter(&b)
 	if err := gob.NewEncoder(z).Encode(v); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	if err := z.Close(); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return b.Bytes()
 }
@@ -86,7 +86,7 @@
 		defer func() { _ = conn.Close() }()
 		_, err = io.WriteString(conn, start)
 		for err == nil && piece != "" && taken.Load() < sentAtMost {
-			n := 0
+			var n int
 			n, err = io.WriteString(conn, piece)
 			taken.Add(int64(n))
 			time.Sleep(pause)
--- a/replicator/pull.go
+++ b/replicator/pull.go
@@ -6,8 +6,10 @@
 	"context"
 	"encoding/gob"
 	"io"
+	"math"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -39,7 +41,11 @@
 // event returns the event that a local read of the same records would cause, with
 // the ages of the records.
 func (d document) event(topic gooseberrypass.Topic) gooseberrypass.TopicChanged {
-	e := gooseberrypass.TopicChanged{Targets: d.Targets, Ages: []time.Duration{}, Batch: gooseberrypass.KeyedBatch{Complete: d.Complete, Next: d.Next}, Retained: map[string]time.Duration{}, Topic: topic}
+	e := gooseberrypass.TopicChanged{Ages: []time.Duration{}, Batch: gooseberrypass.KeyedBatch{Complete: d.Complete, Next: d.Next}, Retained: map[string]time.Duration{}, Topic: topic}
+	for _, a := range d.Targets {
+		a.Age = max(a.Age, 0)
+		e.Targets = append(e.Targets, a)
+	}
 	for _, a := range d.Records {
 		if !a.Dropped && a.Record.Value == nil {
 			a.Record.Value = []byte{}
@@ -47,12 +53,36 @@
 		if a.Lapsed {
 			e.Retained[a.Record.Key] = a.KeptFor
 		}
-		e.Ages = append(e.Ages, a.Age)
+		e.Ages = append(e.Ages, max(a.Age, 0))
 		e.Batch.Records = append(e.Batch.Records, a.Record)
 	}
 	return e
 }
 
+// check returns an error for a document that no process of the system sends. Records with
+// such offsets would never be replaced.
+func (d document) check() error {
+	for _, a := range d.Records {
+		if a.Record.Offset >= d.Next {
+			return errors.Errorf("record %q has offset %s, want one before %s", a.Record.Key, a.Record.Offset, d.Next)
+		}
+	}
+	return nil
+}
+
+// oddTargets removes and returns the versions that are out of range.
+func (d *document) oddTargets() []gooseberrypass.AgedTarget {
+	var odd []gooseberrypass.AgedTarget
+	d.Targets = slices.DeleteFunc(d.Targets, func(a gooseberrypass.AgedTarget) bool {
+		out := a.Version <= 0 || a.Version > math.MaxInt32
+		if out {
+			odd = append(odd, a)
+		}
+		return out
+	})
+	return odd
+}
+
 // write writes the document to w as gzip-compressed gob.
 func (d document) write(w io.Writer) error {
 	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
@@ -94,7 +124,7 @@
 	if err := gob.NewDecoder(bytes.NewReader(encoded)).Decode(&d); err != nil {
 		return document{}, errors.Wrap(err, "decode records")
 	}
-	return d, nil
+	return d, d.check()
 }
 
 // A handler serves pulls. It reads topics through query because only the control
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -425,6 +425,9 @@
 		r.logger.WithError(e.err).WithField("peer", e.peer).WithField("topic", e.topic).Info("pulling records from another process failed")
 		return nil
 	}
+	if odd := e.document.oddTargets(); len(odd) > 0 {
+		r.logger.WithFields(logrus.Fields{"first": odd[0], "number": len(odd), "peer": e.peer}).Warn("leaving out pulled versions that are out of range")
+	}
 	r.logger.WithFields(logrus.Fields{"peer": e.peer, "topic": e.topic, "next": e.document.Next.Index(), "complete": e.document.Complete, "records": len(e.document.Records)}).Info("pulled records from another process")
 	return []gooseberrypass.Effect{redispatch{event: e.document.event(e.topic)}}
 }
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -90,11 +90,16 @@
 }
 
 func newProcessIn(region gooseberrypass.Region, id gooseberrypass.ID, role gooseberrypass.Role, l replicator.LoadExchange, settings replicator.Settings) *process {
+	return newProcessVia(http.DefaultClient, region, id, role, l, settings)
+}
+
+// newProcessVia returns a process that pulls through client.
+func newProcessVia(client *http.Client, region gooseberrypass.Region, id gooseberrypass.ID, role gooseberrypass.Role, l replicator.LoadExchange, settings replicator.Settings) *process {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	p := &process{materializer: materializer.New(decoder{}, materializer.Settings{}, log), sender: &recordingSender{}}
 	p.answerer = replicator.NewResponder(p.materializer)
-	p.replicator = replicator.New(replicator.Self{Address: string(id), ID: id, Region: region, Role: role}, p.materializer, p.sender, http.DefaultClient, l, noHistory{},
+	p.replicator = replicator.New(replicator.Self{Address: string(id), ID: id, Region: region, Role: role}, p.materializer, p.sender, client, l, noHistory{},
 		settings, 1, log)
 	return p
 }
