Refuse pulls of topics that do not exist

Each name in a pull's path became a topic of the materializer, with five maps, for as long as the process ran. Names other than the three topics are answered with 404 now, before the control loop hears of them.

TestPullOfAnUnknownTopicIsRefused failed before: topic "other": got status 200, want 404.

--- a/replicator/pull.go
+++ b/replicator/pull.go
@@ -150,12 +150,17 @@
 
 // ServeHTTP implements http.Handler.
 func (h handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	topic := gooseberrypass.Topic(r.PathValue("topic"))
+	if !slices.Contains(topics(), topic) {
+		http.Error(w, "no such topic", http.StatusNotFound)
+		return
+	}
 	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
 	if err != nil {
 		http.Error(w, "from is no offset", http.StatusBadRequest)
 		return
 	}
-	d, err := h.query(r.Context(), gooseberrypass.Topic(r.PathValue("topic")), gooseberrypass.Offset(from))
+	d, err := h.query(r.Context(), topic, gooseberrypass.Offset(from))
 	if err != nil {
 		return // the client disconnected
 	}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -31,6 +31,14 @@
 // many take about as much memory as maxPullSize.
 const maxPullItems = 1 << 17
 
+// fieldPeer is the log field of the process that records came from.
+const fieldPeer = "peer"
+
+// topics returns the topics that processes pull from each other.
+func topics() []gooseberrypass.Topic {
+	return []gooseberrypass.Topic{gooseberrypass.TopicEndpoints, gooseberrypass.TopicOperator, gooseberrypass.TopicProcesses}
+}
+
 // Settings tune a Replicator.
 type Settings struct {
 	Fanout        int           // number of agents to which an agent announces a change
@@ -301,7 +309,7 @@
 	}
 	var effects []gooseberrypass.Effect
 	if news := r.materializer.NewTargets(now, m.Targets); len(news) > 0 {
-		r.logger.WithFields(logrus.Fields{"peer": m.From, "versions": news}).Info("another process saw versions being named earlier")
+		r.logger.WithFields(logrus.Fields{fieldPeer: m.From, "versions": news}).Info("another process saw versions being named earlier")
 		effects = append(effects, redispatch{event: gooseberrypass.TopicChanged{Ages: []time.Duration{}, Targets: news, Topic: gooseberrypass.TopicOperator}})
 	}
 	for topic, next := range m.Next {
@@ -349,13 +357,13 @@
 
 // outranked returns the topics of which this process knows newer records than the log.
 func (r *Replicator) outranked() []gooseberrypass.Topic {
-	var topics []gooseberrypass.Topic
-	for _, topic := range []gooseberrypass.Topic{gooseberrypass.TopicEndpoints, gooseberrypass.TopicOperator, gooseberrypass.TopicProcesses} {
+	var outranked []gooseberrypass.Topic
+	for _, topic := range topics() {
 		if r.materializer.Outranks(topic) {
-			topics = append(topics, topic)
+			outranked = append(outranked, topic)
 		}
 	}
-	return topics
+	return outranked
 }
 
 // shouldPull reports whether to pull records of a topic from a process that has
@@ -422,13 +430,13 @@
 	r.pulling[e.topic] = false
 	delete(r.behindSince, e.topic)
 	if e.err != nil {
-		r.logger.WithError(e.err).WithField("peer", e.peer).WithField("topic", e.topic).Info("pulling records from another process failed")
+		r.logger.WithError(e.err).WithField(fieldPeer, e.peer).WithField("topic", e.topic).Info("pulling records from another process failed")
 		return nil
 	}
 	if odd := e.document.oddTargets(); len(odd) > 0 {
-		r.logger.WithFields(logrus.Fields{"first": odd[0], "number": len(odd), "peer": e.peer}).Warn("leaving out pulled versions that are out of range")
+		r.logger.WithFields(logrus.Fields{"first": odd[0], "number": len(odd), fieldPeer: e.peer}).Warn("leaving out pulled versions that are out of range")
 	}
-	r.logger.WithFields(logrus.Fields{"peer": e.peer, "topic": e.topic, "next": e.document.Next.Index(), "complete": e.document.Complete, "records": len(e.document.Records)}).Info("pulled records from another process")
+	r.logger.WithFields(logrus.Fields{fieldPeer: e.peer, "topic": e.topic, "next": e.document.Next.Index(), "complete": e.document.Complete, "records": len(e.document.Records)}).Info("pulled records from another process")
 	return []gooseberrypass.Effect{redispatch{event: e.document.event(e.topic)}}
 }
 
