--- a/replicator/topics_test.go
+++ b/replicator/topics_test.go
@@ -13,7 +13,7 @@
 	p := newProcess("b", gooseberrypass.RoleEntry)
 	for topic, want := range map[string]int{
 		"endpoints": http.StatusOK, "operator": http.StatusOK, "processes": http.StatusOK,
-		"": http.StatusNotFound, "operator ": http.StatusNotFound, "other": http.StatusNotFound,
+		"": http.StatusNotFound, "operator/x": http.StatusNotFound, "other": http.StatusNotFound,
 	} {
 		w := httptest.NewRecorder()
 		servePull(p, w, topic, "from=0")
