Limit the responses of other processes to Twirp calls

The generated clients read a whole response whatever its length. A peer that answered an exchange of the configuration, a status or a call of a plain service without end filled the memory until the call's timeout, at the speed of the link; the body of a refusal did the same.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -35,6 +35,7 @@
 	maxIdlePerHost     = 16
 	maxResponseHeaders = 64 << 10 // bytes
 	bufferSize         = 32 << 10 // bytes
+	maxControlResponse = 16 << 20 // bytes; the largest response has a copy of the configuration
 )
 
 // A Dialer creates HTTP clients and counts the bytes on their connections.
@@ -82,7 +83,11 @@
 	if class == ClassEndpoint || class == ClassPlatform {
 		return &http.Client{Transport: transport}
 	}
-	return &http.Client{Transport: d.key.Transport(transport)}
+	client := &http.Client{Transport: d.key.Transport(transport)}
+	if class == ClassControl {
+		return LimitResponses(client, maxControlResponse)
+	}
+	return client
 }
 
 // WrapListener wraps lis to count the bytes on its connections as ClassInbound.
--- a/retrier/httpdispatcher.go
+++ b/retrier/httpdispatcher.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/dialer"
 	"github.com/gooseberrypass/gooseberrypass/wire"
 )
 
@@ -26,18 +27,22 @@
 	frameBufferBytes = 16 << 10
 )
 
+// maxCallResponse bounds the response of an agent to a call of a plain service, in bytes.
+const maxCallResponse = MaxFrameBytes
+
 const attemptContentType = "application/x-protobuf"
 
 // A HTTPDispatcher sends attempts to agents over HTTP: generation as POST
 // /attempts, everything else as Twirp calls.
 type HTTPDispatcher struct {
+	calls  *http.Client // for Twirp calls
 	client *http.Client
 }
 
 // NewHTTPDispatcher returns a dispatcher that uses client. The client must send the
 // system's shared key and have no timeout, as each attempt has its own.
 func NewHTTPDispatcher(client *http.Client) *HTTPDispatcher {
-	return &HTTPDispatcher{client: client}
+	return &HTTPDispatcher{calls: dialer.LimitResponses(client, maxCallResponse), client: client}
 }
 
 // Call implements Dispatcher.
@@ -117,7 +122,7 @@
 }
 
 func (d *HTTPDispatcher) agent(to gooseberrypass.ListedInstance) wire.Agent {
-	return wire.NewAgentProtobufClient(baseURL(to), d.client)
+	return wire.NewAgentProtobufClient(baseURL(to), d.calls)
 }
 
 func baseURL(to gooseberrypass.ListedInstance) string { return "http://" + to.Address }
