Show that the control loop goes on during a pull without end

TestLoopGoesOnDuringAnEndlessPull posts an event to a real control loop while a pull waits for a peer that never ends its response.

--- a/replicator/endless_test.go
+++ b/replicator/endless_test.go
@@ -14,7 +14,12 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/looper"
+	"github.com/gooseberrypass/gooseberrypass/replicator"
 )
 
 // The limits of what a process takes from a peer that sends without end: a pull, what the
@@ -158,3 +163,44 @@
 		})
 	}
 }
+
+// A probe is an event that the controller of the same type passes on to a channel.
+type probe struct{}
+
+func (probe) EventName() string { return "probe" }
+
+type probes chan struct{}
+
+func (c probes) Handle(_ time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
+	if _, ok := event.(probe); ok {
+		c <- struct{}{}
+	}
+	return nil
+}
+
+// The control loop goes on while a pull waits for a peer that does not end its response.
+func TestLoopGoesOnDuringAnEndlessPull(t *testing.T) {
+	loop, err := looper.New(clockwork.NewRealClock(), prometheus.NewRegistry(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, handled := newProcessWith("a", gooseberrypass.RoleAgent, nil, replicator.Settings{PullTimeout: time.Hour}), make(probes, 1)
+	loop.Add(p.materializer, p.answerer, p.replicator, handled)
+	asked := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(asked)
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- loop.Run(ctx) }()
+	loop.Post(messageFromAhead(strings.TrimPrefix(server.URL, "http://")))
+	<-asked
+	loop.Post(probe{})
+	<-handled
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
