Show that a frame of a great length is cut

TestEndlessAnswersOfPeersAreCut has the length of a frame of 4 GiB followed by zeros as a further kind; it holds.

--- a/dialer/endless_test.go
+++ b/dialer/endless_test.go
@@ -142,6 +142,7 @@
 		{name: "body", start: ok + "Connection: close\r\n\r\n", piece: junk},
 		{name: "body of a refusal", start: "HTTP/1.1 503 Service Unavailable\r\n\r\n", piece: junk},
 		{name: "body that trickles", start: ok + "\r\n", piece: "\xff", pause: pause},
+		{name: "frame of 4 GiB", start: ok + "Connection: close\r\n\r\n\x80\x80\x80\x80\x10", piece: strings.Repeat("\x00", 64<<10)},
 		{name: "length that is wrong", start: ok + "Content-Length: 9223372036854775807\r\n\r\n", piece: junk},
 		{name: "chunk extension", start: chunked + "4;", piece: junk},
 		{name: "one-byte chunks with extensions", start: chunked, piece: strings.Repeat("1;"+strings.Repeat("x", 1000)+"\r\nb\r\n", 4)},
