Keep receive buffers small where tests count what a server could send

Traced: the test counts what the server could write, and the kernel here lets a receive buffer grow to 32 MiB, as much as the bound, beside the 16 MiB that are read. The clients of the fixtures limit their receive buffers to 64 KiB, so the count is that of the reads and at most 4 MiB of a send buffer; the bound stays.

--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -90,7 +90,7 @@
 }
 
 func newProcessIn(region gooseberrypass.Region, id gooseberrypass.ID, role gooseberrypass.Role, l replicator.LoadExchange, settings replicator.Settings) *process {
-	return newProcessVia(http.DefaultClient, region, id, role, l, settings)
+	return newProcessVia(newClient(), region, id, role, l, settings)
 }
 
 // newProcessVia returns a process that pulls through client.
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -195,7 +195,7 @@
 	f := &fixture{
 		clock:     clockwork.NewFakeClockAt(time.Unix(1000, 0)),
 		engine:    &engine{report: gooseberrypass.EngineReport{StartMillis: 1, Models: map[string]int{"m": 1}}, stage: map[int][]byte{}},
-		manifests: stager.NewManifests(http.DefaultClient), now: time.Unix(1000, 0), origin: &origin{}, pool: &pool{chunks: c, holds: map[int]bool{}}, recorder: &recorder{},
+		manifests: stager.NewManifests(newClient()), now: time.Unix(1000, 0), origin: &origin{}, pool: &pool{chunks: c, holds: map[int]bool{}}, recorder: &recorder{},
 	}
 	for i := range chunkCount {
 		f.engine.stage[i] = chunkBody(1, i)
