Show that a long answer that breaks off is joined with another worker's

One of three workers crashes while it sends answers of 3 MiB in chunks to safe requests. An entry has passed on the first MiB and more (forwarder deliverWhole beyond max-answer); when the answer breaks off, serve and repeatObstacle allow another attempt although part of the answer was delivered, and the whole answer of another worker is written behind it. The client gets a complete 200 with the first worker's seal and a body that no worker sent.

Nothing is fixed.

--- a/review/platform/standin/main.go
+++ b/review/platform/standin/main.go
@@ -36,6 +36,7 @@
 // cases returns the cases by name.
 func cases() map[string]func(*stage) (verdict, error) {
 	return map[string]func(*stage) (verdict, error){
+		"joined":  playJoined,
 		"refused": playRefused,
 	}
 }
