Show that requests without a valid key run once the last key is taken away

The operator takes the keys of all three tenants away, 0.1 s apart; the configuration still names the tenants. HasAccounts asks whether there is any key, and prepare asks a request for one only if it says so: from then on everybody is served, with the keys taken away, with a key that no configuration ever held and without one.

Nothing is fixed.

--- a/review/platform/standin/main.go
+++ b/review/platform/standin/main.go
@@ -37,6 +37,7 @@
 func cases() map[string]func(*stage) (verdict, error) {
 	return map[string]func(*stage) (verdict, error){
 		"joined":  playJoined,
+		"keys":    playKeys,
 		"refused": playRefused,
 	}
 }
