Show that an answer without end and with a length outlasts its route's timeout

One of three workers answers some requests with a declared length of 1 GiB and bytes until the caller closes. forwarder deliverWhole stops the time limit of the attempt once 1 MiB has come and starts it again only for answers without a Content-Length, so that nothing ends these answers but the client.

Nothing is fixed.

--- a/review/platform/standin/main.go
+++ b/review/platform/standin/main.go
@@ -38,6 +38,7 @@
 	return map[string]func(*stage) (verdict, error){
 		"joined":  playJoined,
 		"keys":    playKeys,
+		"endless": playEndless,
 		"refused": playRefused,
 	}
 }
