Show that a request that crashes workers comes back when entries are restarted

Five entries refuse a request after it has crashed three workers. Then each is stopped by SIGTERM and started again in turn, twice, while the request keeps coming. CrashTracker keeps the crashes that an entry saw in its memory only, CrashCounts tells no others, and SetCrashCounts replaces what an entry told before its restart by nothing: the request is let through again by all.

Nothing is fixed.

--- a/review/platform/standin/main.go
+++ b/review/platform/standin/main.go
@@ -39,6 +39,7 @@
 		"joined":  playJoined,
 		"keys":    playKeys,
 		"endless": playEndless,
+		"poison":  playPoison,
 		"refused": playRefused,
 	}
 }
