Keep the doses of cases 1, 2 and 4 inside the quoted shares

Two and one of three workers were taken for shares of 0.6 and 0.17. Now three of five workers write copies (case 1), one of six crashes at a time (case 2), and one of six answers without end (case 4).

--- a/review/platform/standin/endless.go
+++ b/review/platform/standin/endless.go
@@ -19,13 +19,14 @@
 	answerSlack     = 500 * time.Millisecond // after the timeout of the route
 	declaredLength  = 1 << 30                // of an answer without end
 	endlessAt       = 4 * time.Second
-	endlessClients  = 40
+	endlessClients  = 80
 	endlessEnd      = endlessAt + 3*endlessPeriod + 4*time.Second
-	endlessFor      = 6500 * time.Millisecond
+	endlessFor      = 6200 * time.Millisecond
 	endlessPeriod   = 8500 * time.Millisecond // between the begins of two troubles
 	endlessPatience = 4 * time.Second
-	endlessShare    = 0.4 // of the requests of one worker of three
+	endlessShare    = 0.37 // of the requests of one worker
 	endlessTimeout  = 2500 * time.Millisecond
+	endlessWorkers  = 6
 	endlessPart     = 32 << 10
 	endlessPause    = 20 * time.Millisecond
 )
@@ -69,7 +70,7 @@
 		}
 		return answerShort(w, c, r, body)
 	}
-	for i := range 3 {
+	for i := range endlessWorkers {
 		if _, err := s.newWorker(i, log, &worker{answer: answer, queue: 32, slots: 16, work: func() time.Duration { return time.Duration(15+rand.IntN(30)) * time.Millisecond }}); err != nil {
 			return verdict{}, err
 		}
--- a/review/platform/standin/joined.go
+++ b/review/platform/standin/joined.go
@@ -12,10 +12,13 @@
 
 // The load of the case of joined answers.
 const (
-	joinedClients = 18
-	joinedCrashAt = 5 * time.Second
+	joinedClients = 30
+	joinedCrashAt = 4 * time.Second
+	joinedCrashes = 3 // of different workers
 	joinedAway    = 4500 * time.Millisecond
-	joinedEnd     = 12 * time.Second
+	joinedEnd     = 19 * time.Second
+	joinedGap     = 5500 * time.Millisecond // between the begins of two crashes
+	joinedWorkers = 6
 	lineLength    = 64
 	longLines     = 3 << 20 / lineLength // of an answer of 3 MiB
 	partLines     = 512                  // written at once
@@ -59,7 +62,7 @@
 	routes := map[string]route{"catalogue": {attempts: 2, kind: "safe", objectMs: 1000, timeout: 10 * time.Second}}
 	s.publish(configuration(1, routes, map[string][]string{"tenant-a": {"key-a"}}))
 	var workers []*worker
-	for i := range 3 {
+	for i := range joinedWorkers {
 		w, err := s.newWorker(i, log, &worker{answer: answerLong})
 		if err != nil {
 			return verdict{}, err
@@ -74,7 +77,9 @@
 	}
 	begin := time.Now()
 	if s.trouble {
-		time.AfterFunc(joinedCrashAt, func() { workers[0].crash(joinedAway) })
+		for n := range joinedCrashes {
+			time.AfterFunc(joinedCrashAt+time.Duration(n)*joinedGap, func() { workers[n].crash(joinedAway) })
+		}
 	}
 	var mu sync.Mutex
 	var outcomes []outcome
--- a/review/platform/standin/refused.go
+++ b/review/platform/standin/refused.go
@@ -16,12 +16,12 @@
 	garbleFor       = 5 * time.Second
 	garblePause     = 2 * time.Second
 	garbleShare     = 0.03 // of the answers
-	garbleSpared    = 1    // of the workers: two of three garble at once, a share of 0.6 rounded up
+	garbleSpared    = 2    // of the workers: three of five garble at once, a share of 0.6
 	refusedClients  = 3    // at each gateway, for each service
 	refusedEnd      = 90 * time.Second
 	refusedGateways = 5
 	refusedLimit    = 8 * time.Second
-	refusedServices = 3 // of one worker each
+	refusedServices = 5 // of one worker each
 )
 
 // playRefused sends orders to workers that are often full and at times write a second copy
