Require a key for as long as the configuration has client accounts

Cause: whether a request needs a client account followed from the number of known keys, and the decoder kept keys only. Accounts that had lost theirs left no trace.

Ruled out: entries that are late with the configuration, since a key that never existed ran too, and from the moment the last key went. The product's own entry has no such count: a request needs a configured account.

--- a/deployment.go
+++ b/deployment.go
@@ -115,14 +115,15 @@
 // A Deployment is one version of the configuration that the platform's operator
 // writes. It is immutable.
 type Deployment struct {
-	accounts map[string]AccountSpec
+	accounts map[string]AccountSpec // nil if no request needs a client account
 	limits   CallerLimits
 	routes   map[string][]Route
 	services map[ID]ServiceSpec
 	version  int64
 }
 
-// NewDeployment returns a deployment. accounts maps keys to client accounts.
+// NewDeployment returns a deployment. accounts maps keys to client accounts. If it is nil,
+// requests need no client account; if it is empty, no key is valid.
 func NewDeployment(version int64, routes []Route, services []ServiceSpec, accounts map[string]AccountSpec, limits CallerLimits) *Deployment {
 	d := &Deployment{
 		accounts: accounts,
@@ -146,9 +147,9 @@
 	return a, ok && key != ""
 }
 
-// HasAccounts reports whether requests on routes that are not public need a client
-// account.
-func (d *Deployment) HasAccounts() bool { return len(d.accounts) > 0 }
+// RequiresAccount reports whether requests on routes that are not public need the key of a
+// client account, also if no client account has one.
+func (d *Deployment) RequiresAccount() bool { return d.accounts != nil }
 
 // Limits returns the size limits of requests.
 func (d *Deployment) Limits() CallerLimits { return d.limits }
--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -130,6 +130,7 @@
 	clock     *clockwork.FakeClock
 	forwarder *forwarder.Forwarder
 	build     func(forwarder.Chooser) (*forwarder.Forwarder, error)
+	deployed  *gooseberrypass.Deployment // when build is called
 	log       bytes.Buffer
 	sender    gooseberrypass.Transport // used instead of transport, if not nil
 	settings  forwarder.Settings
@@ -179,7 +180,7 @@
 			Address: string(id), ID: id, Models: map[string]int{"m": 1}, Service: "engines", Slots: 4,
 		})
 	}
-	f.balancer, f.snapshot = b, snapshot
+	f.balancer, f.deployed, f.snapshot = b, d, snapshot
 	b.Handle(f.clock.Now(), materializer.Changed{Snapshot: snapshot})
 	f.settings = forwarder.Settings{
 		DeadlineGrace: 100 * time.Millisecond, HeadTimeoutFactor: 3, EventTimeoutFactor: 4, MaxBufferedAnswer: 1 << 16, MoveShare: 0.5, MoveWaitFactor: 0.8, ResumePoll: 50 * time.Millisecond, QuarantineCrashes: 3, QuarantineTime: time.Minute,
@@ -195,7 +196,7 @@
 		if f.sender != nil {
 			sender = f.sender
 		}
-		return forwarder.New(f.clock, deployments{d}, chooser, sender, f.tracker, f.settings, prometheus.NewRegistry(), log)
+		return forwarder.New(f.clock, deployments{f.deployed}, chooser, sender, f.tracker, f.settings, prometheus.NewRegistry(), log)
 	}
 	f.forwarder, err = f.build(b)
 	if err != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -116,7 +116,7 @@
 	r.route, r.configVersion = route, d.Version()
 	r.priority = route.Priority
 	r.regions = r.regions.Intersect(route.Regions)
-	if !route.Public && d.HasAccounts() {
+	if !route.Public && d.RequiresAccount() {
 		account, ok := d.Account(r.proxyRequest.AccountKey)
 		if !ok {
 			return notRun(gooseberrypass.ReasonUnknownClient, "unknown key", 0)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -410,3 +410,32 @@
 		}
 	}
 }
+
+// Once the last key is taken away, no request on a route that is not public may run,
+// whatever its key is.
+func TestNoRequestRunsOnceTheLastKeyIsTakenAway(t *testing.T) {
+	for name, accounts := range map[string]map[string]gooseberrypass.AccountSpec{
+		"no key left": {}, "key of another caller left": {"other": {ID: "account"}}, "empty key": {"": {ID: "account"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, reaction{body: "answer"}, reaction{body: "answer"}, reaction{body: "answer"})
+			targets := []gooseberrypass.RouteTarget{{Service: "s", Weight: 1}}
+			f.deployed = gooseberrypass.NewDeployment(2, []gooseberrypass.Route{
+				{Host: "h", MaxAttempts: 1, Prefix: "/once/", Targets: targets}, {Host: "h", MaxAttempts: 1, Prefix: "/public/", Public: true, Targets: targets},
+			}, []gooseberrypass.ServiceSpec{{ID: "s"}}, accounts, gooseberrypass.CallerLimits{})
+			var err error
+			if f.forwarder, err = f.build(f.balancer); err != nil {
+				t.Fatal(err)
+			}
+			for _, key := range []string{"key", "", "never held"} {
+				c := f.send("/once/x", key)
+				if c.failure == nil || c.failure.Reason != gooseberrypass.ReasonUnknownClient || len(f.transport.sent) > 0 {
+					t.Errorf("key %q: got %v and %d runs, want a refusal for an unknown client account", key, c.failure, len(f.transport.sent))
+				}
+			}
+			if c := f.send("/public/x", ""); c.failure != nil {
+				t.Errorf("public route: got %v, want an answer", c.failure)
+			}
+		})
+	}
+}
