Limit the time of a whole answer until all of it has arrived

Cause: the time limit of an attempt was stopped once the first max-answer bytes had arrived, unless the answer had no length. A declared length was taken for an answer that is ready. The limit goes on now until the whole answer is there. What breaks off after the first part is judged as what breaks off in it: a timeout if the time ran out, else a broken connection.

Ruled out: a timer that is late or not set; the same answer without a length ended 0.1 s after the timeout before, too.

Related paths: streams and unframed answers held; calls of the product's own entry are read whole within their deadline.

--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -135,3 +136,41 @@
 		})
 	}
 }
+
+// An answer with a length may have no end either. Once its route's timeout has passed, its
+// caller must have a final answer, whatever the endpoint goes on to send.
+func TestAnswerWithLengthAndWithoutEndIsCut(t *testing.T) {
+	const (
+		interval = 100 * time.Millisecond
+		pieces   = 52 // the last one comes 0.2 s after the caller's deadline
+	)
+	for name, tt := range map[string]struct {
+		path   string
+		pieces int // then the endpoint falls silent
+		status int
+	}{
+		"goes on, once":         {path: "/once/x", pieces: pieces},
+		"goes on, idempotent":   {path: "/safe/x", pieces: pieces},
+		"goes on, error":        {path: "/once/x", pieces: pieces, status: http.StatusInternalServerError},
+		"goes on, not a stream": {path: "/rigid/x", pieces: pieces, status: http.StatusNotFound},
+		"falls silent, once":    {path: "/once/x", pieces: 20},
+		"falls silent, stream":  {path: "/stream/x", pieces: 20, status: http.StatusNotFound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, reaction{header: http.Header{"Content-Length": {strconv.Itoa(1 << 30)}}, status: tt.status})
+			endless := &stalledReader{
+				clock: f.clock, piece: strings.Repeat("x", 8<<10), pieces: tt.pieces, takes: interval,
+				silence: time.Duration(pieces-tt.pieces) * interval,
+				start:   strings.Repeat("x", int(f.settings.MaxBufferedAnswer)),
+			}
+			f.transport.reactions[0].reader = endless
+			c := f.send(tt.path, "key")
+			if !c.aborted || !endless.withdrawn {
+				t.Errorf("got aborted %t, withdrawn %t, want a cut connection", c.aborted, endless.withdrawn)
+			}
+			if got, want := len(f.transport.sent), 1; got != want {
+				t.Errorf("dispatches: got %d, want %d", got, want)
+			}
+		})
+	}
+}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -332,6 +332,7 @@
 	forgotten bool // it was read further and never withdrawn
 	piece     string
 	pieces    int
+	silence   time.Duration // passes once all pieces were read
 	start     string
 	takes     time.Duration
 	withdrawn bool
@@ -347,6 +348,9 @@
 		r.clock.Advance(r.takes)
 		return copy(p, r.piece), nil
 	}
+	if r.silence > 0 {
+		r.clock.Advance(r.silence)
+	}
 	select {
 	case <-r.ctx.Done():
 		r.withdrawn = true
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -406,11 +406,3 @@
 	r.version = reply.ModelVersion
 	r.w.Start(reply.Status, reply.Header)
 }
-
-// timeLeft returns how long an answer may still take.
-func (r *request) timeLeft() time.Duration {
-	if r.deadline.IsZero() {
-		return defaultTimeLeft
-	}
-	return r.deadline.Sub(r.forwarder.clock.Now()) + r.forwarder.settings.DeadlineGrace
-}
--- a/forwarder/whole.go
+++ b/forwarder/whole.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"context"
 	"io"
 
 	"github.com/pkg/errors"
@@ -10,13 +9,13 @@
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 )
 
-// deliverWhole delivers an answer once it is complete. A longer answer than
-// MaxBufferedAnswer is delivered as it arrives after that many bytes.
+// deliverWhole delivers an answer once it is complete, also when it is late. A longer answer
+// than MaxBufferedAnswer is delivered as it arrives after that many bytes, within the time
+// limit: the endpoint may never send the rest, whatever length it has declared.
 func (r *request) deliverWhole(a *attempt) *failure {
 	a.begun()
-	a.limit.stop()
-	if !a.bodyEnded && a.reply.Header.Get("Content-Length") == "" {
-		a.limit.reset(r.timeLeft(), context.DeadlineExceeded) // the rest may have no end
+	if a.bodyEnded {
+		a.limit.stop()
 	}
 	r.start(a.reply)
 	if err := r.w.Write(a.body); err != nil {
@@ -37,7 +36,7 @@
 			return nil
 		}
 		if err != nil {
-			return &failure{err: unknown(gooseberrypass.ReasonCut, err.Error()), result: balancer.ResultFailed}
+			return a.connectionFailure(&gooseberrypass.DispatchError{Err: errors.Wrap(err, "read body"), Sent: true})
 		}
 	}
 }
