Limit writes to a caller by the time limit of its route

A caller that does not read held its connection, its goroutine and, until the time limit of the attempt, its place at an endpoint. Writes were limited by the deadline that the caller had named; a caller without one, or with one far beyond the timeout of its route, was never cut.

Failed before: TestCallerThatDoesNotReadIsCutAtTheTimeoutOfItsRoute ("got writes limited to 0s, want 6s").

--- a/drainer/drainer_test.go
+++ b/drainer/drainer_test.go
@@ -50,6 +50,8 @@
 	panic(aborted{})
 }
 
+func (*caller) LimitWrites(time.Duration) {}
+
 func (c *caller) Refuse(err *gooseberrypass.RequestError) {
 	c.outcome = err.Outcome.String()
 	if err.RetryAfter > 0 {
--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -174,3 +174,26 @@
 		})
 	}
 }
+
+// A caller that does not read must not hold its place at an endpoint longer than its route
+// allows, also if it names no deadline.
+func TestCallerThatDoesNotReadIsCutAtTheTimeoutOfItsRoute(t *testing.T) {
+	for name, tt := range map[string]struct{ left, want time.Duration }{
+		"no deadline":       {want: 6 * time.Second},
+		"later than route":  {left: time.Minute, want: 6 * time.Second},
+		"sooner than route": {left: time.Second, want: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, reaction{body: "answer"})
+			c := &caller{}
+			p := &gooseberrypass.ProxyRequest{AccountKey: "key", Host: "h", ID: "id", LastEvent: -1, Method: "GET", Path: "/safe/x", URI: "/safe/x"}
+			if tt.left > 0 {
+				p.Deadline = f.clock.Now().Add(tt.left)
+			}
+			f.handle(p, c)
+			if got := c.limit; got != tt.want {
+				t.Errorf("got writes limited to %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -104,6 +104,7 @@
 	body    bytes.Buffer
 	failure *gooseberrypass.RequestError
 	header  http.Header
+	limit   time.Duration // of writes
 	status  int
 }
 
@@ -115,6 +116,8 @@
 	panic(aborted{})
 }
 
+func (c *caller) LimitWrites(d time.Duration) { c.limit = d }
+
 func (c *caller) Refuse(err *gooseberrypass.RequestError) { c.failure = err }
 
 func (c *caller) Start(status int, header http.Header) { c.header, c.status = header, status }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -133,6 +133,9 @@
 	if !r.setDeadline() {
 		return notRun(gooseberrypass.ReasonDeadline, "no time left", 0)
 	}
+	if !r.deadline.IsZero() {
+		r.w.LimitWrites(r.deadline.Sub(r.arrivedAt))
+	}
 	r.service = pickTarget(route.Targets, r.proxyRequest.ID)
 	spec, _ := d.Service(r.service)
 	r.maxConns = spec.MaxConns
--- a/proxy.go
+++ b/proxy.go
@@ -97,6 +97,9 @@
 	// Abort closes the caller's connection, so that the caller does not take a
 	// partial response for a complete one. It does not return.
 	Abort()
+	// LimitWrites makes writes fail that end much later than d from now. A caller that
+	// does not read would hold its place at an endpoint.
+	LimitWrites(d time.Duration)
 	// Refuse delivers an error of this system instead of an endpoint's response.
 	Refuse(err *RequestError)
 	// Start delivers the status and headers of an endpoint's response.
