--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -32,6 +32,7 @@
 	mayHaveRun bool
 	progress   progress
 	readAhead  []readResult // read before the attempt took over
+	firstSent  time.Time    // when an attempt was first sent to the endpoint, zero for never
 	reply      *gooseberrypass.Reply
 	request    *request
 	resumes    bool // part of the answer was delivered
@@ -53,6 +54,11 @@
 func (r *request) newAttempt(ctx context.Context, ticket *balancer.Ticket) *attempt {
 	clock := r.forwarder.clock
 	a := &attempt{last: r.runs() >= r.route.MaxAttempts, lastEvent: r.lastEvent, request: r, resumes: r.started, sentAt: clock.Now(), ticket: ticket, timeLeft: defaultTimeLeft, version: r.version}
+	if id := ticket.Endpoint().ID; r.firstSent[id].IsZero() {
+		r.firstSent[id] = a.sentAt
+	} else {
+		a.firstSent = r.firstSent[id]
+	}
 	if !r.deadline.IsZero() {
 		a.timeLeft = r.deadline.Sub(a.sentAt)
 	}
@@ -90,7 +96,7 @@
 	r := a.request
 	f := r.forwarder
 	reply, err := f.transport.Send(a.ctx, gooseberrypass.Dispatch{
-		Account: r.account, Endpoint: a.ticket.Endpoint(), ExpectedVersion: a.ticket.ExpectedVersion(), LastEvent: a.lastEvent, MaxIdleConns: r.maxIdleConns(),
+		Account: r.account, Endpoint: a.ticket.Endpoint(), ExpectedVersion: a.ticket.ExpectedVersion(), FirstSent: a.firstSent, LastEvent: a.lastEvent, MaxIdleConns: r.maxIdleConns(),
 		Priority: r.priority, Request: r.proxyRequest, TimeLeft: a.timeLeft,
 	})
 	if err != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -93,7 +93,7 @@
 
 // HandleProxyRequest implements gooseberrypass.ProxyHandler.
 func (f *Forwarder) HandleProxyRequest(ctx context.Context, p *gooseberrypass.ProxyRequest, w gooseberrypass.Responder) {
-	r := &request{arrivedAt: f.clock.Now(), ctx: ctx, forwarder: f, proxyRequest: p, lastEvent: p.LastEvent, w: w}
+	r := &request{arrivedAt: f.clock.Now(), ctx: ctx, firstSent: map[gooseberrypass.ID]time.Time{}, forwarder: f, proxyRequest: p, lastEvent: p.LastEvent, w: w}
 	err := r.prepare()
 	if err == nil {
 		err = r.serve()
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -37,6 +37,7 @@
 	deliveredAt   time.Time // last event delivered, zero for none
 	digest        gooseberrypass.Digest
 	fallback      *heldResponse
+	firstSent     map[gooseberrypass.ID]time.Time // first attempt at each endpoint
 	forwarder     *Forwarder
 	headTime      time.Duration     // time from arrival to the head of the answer
 	inFlight      int               // requests at the last endpoint when it was chosen
--- a/forwarder/waiting_test.go
+++ b/forwarder/waiting_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 	"github.com/gooseberrypass/gooseberrypass/forwarder"
+	"github.com/gooseberrypass/gooseberrypass/materializer"
 )
 
 // A busyChooser lets one request wait and calls meanwhile.
@@ -52,3 +54,57 @@
 		t.Errorf("got %+v, want a refusal that has not run", failure)
 	}
 }
+
+// A patientChooser lets the clock run until an endpoint takes the request, also one that has
+// refused it.
+type patientChooser struct {
+	forwarder.Chooser
+	wait func()
+}
+
+func (c *patientChooser) Choose(q balancer.Query) (*balancer.Ticket, error) {
+	q.Tried = nil
+	ticket, err := c.Chooser.Choose(q)
+	for err != nil {
+		c.wait()
+		ticket, err = c.Chooser.Choose(q)
+	}
+	return ticket, err
+}
+
+// An order was told that it had not run, and ran: a copy of the first refusal came where the
+// answer to its second dispatch was due. The second one must be marked, so that it takes no
+// connection of the first.
+func TestRepeatAtTheSameEndpointIsMarked(t *testing.T) {
+	for name, tt := range map[string]struct {
+		first     reaction
+		path      string
+		endpoints int
+		want      []bool
+	}{
+		"refusal, once":        {path: "/once/", first: reaction{notRun: true, status: 503}, endpoints: 1, want: []bool{false, true}},
+		"refusal, idempotent":  {path: "/safe/", first: reaction{notRun: true, status: 503}, endpoints: 1, want: []bool{false, true}},
+		"error, idempotent":    {path: "/safe/", first: reaction{status: 500}, endpoints: 1, want: []bool{false, true}},
+		"cut stream":           {path: "/stream/", first: reaction{body: "id: 0\n\n", cut: true, version: 1}, endpoints: 1, want: []bool{false, true}},
+		"refusal, two to take": {path: "/once/", first: reaction{notRun: true, status: 503}, endpoints: 2, want: []bool{false, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, tt.first, reaction{body: "id: 1\n\n", version: 1})
+			f.balancer.Handle(f.clock.Now(), materializer.Changed{Snapshot: &materializer.Snapshot{Endpoints: f.snapshot.Endpoints[:tt.endpoints]}})
+			var err error
+			if f.forwarder, err = f.build(&patientChooser{Chooser: f.balancer, wait: func() { f.clock.Advance(50 * time.Millisecond) }}); err != nil {
+				t.Fatal(err)
+			}
+			if c := f.send(tt.path, "key"); c.status != 200 || c.aborted {
+				t.Errorf("got status %d (aborted %t), want an answer", c.status, c.aborted)
+			}
+			var got []bool
+			for _, d := range f.transport.sent {
+				got = append(got, !d.FirstSent.IsZero())
+			}
+			if !slices.Equal(got, tt.want) {
+				t.Errorf("got repeats %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/proxy.go
+++ b/proxy.go
@@ -49,10 +49,11 @@
 type Dispatch struct {
 	Account         ID // client account, "" for a public route
 	Endpoint        Endpoint
-	ExpectedVersion int // version that the endpoint must have loaded, 0 for any
-	LastEvent       int // index of the last event delivered to the caller, -1 for none
-	MaxIdleConns    int // largest number of idle connections to the endpoint, 0 for the default
-	Priority        int // 0 is the highest
+	ExpectedVersion int       // version that the endpoint must have loaded, 0 for any
+	FirstSent       time.Time // when the request was first sent to the endpoint, zero for never
+	LastEvent       int       // index of the last event delivered to the caller, -1 for none
+	MaxIdleConns    int       // largest number of idle connections to the endpoint, 0 for the default
+	Priority        int       // 0 is the highest
 	Request         *ProxyRequest
 	TimeLeft        time.Duration // time limit of the endpoint
 }
