Send a refused request elsewhere before the rest of its refusal has arrived

A refusal whose body has a length or chunks was read to its end before the request went on, so that its connection could be used again. An endpoint whose refusal never ends held the request until the time limit, although its head had said that it does not run.

Failed before: TestRefusalIsNotReadToItsEnd/with_length_or_chunks; it replaces TestRejectionWithoutLengthIsNotReadToItsEnd, which is its other case.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -260,9 +260,6 @@
 	if a.reply.Replaced {
 		f.result = balancer.ResultReplaced
 	}
-	if !a.reply.Unframed {
-		_, _ = io.Copy(io.Discard, io.LimitReader(a.reply.Body, a.request.forwarder.settings.MaxBufferedAnswer)) // an unread body would prevent reuse of the connection
-	}
 	return f
 }
 
--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -84,18 +84,23 @@
 	}
 }
 
-// A rejection without a length ends with its connection, which an endpoint may keep open.
-// The request must not wait for that before it is sent elsewhere.
-func TestRejectionWithoutLengthIsNotReadToItsEnd(t *testing.T) {
-	f := newFixture(t, reaction{notRun: true, status: 503, unframed: true}, reaction{body: "ok"})
-	open := &stalledReader{clock: f.clock, start: "full"}
-	f.transport.reactions[0].reader = open
-	c := f.send("/once/x", "key")
-	if got := c.body.String(); got != "ok" {
-		t.Errorf("got %q (%v), want ok", got, c.failure)
-	}
-	if open.start == "" {
-		t.Error("the body of the rejection was read, want the request sent elsewhere at once")
+// A rejection without a length ends with its connection, which an endpoint may keep open, and
+// one with a length or chunks may never end. The request must not wait for that before it is
+// sent elsewhere.
+func TestRefusalIsNotReadToItsEnd(t *testing.T) {
+	for name, unframed := range map[string]bool{"without length": true, "with length or chunks": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, reaction{notRun: true, status: 503, unframed: unframed}, reaction{body: "ok"})
+			open := &stalledReader{clock: f.clock, start: "full"}
+			f.transport.reactions[0].reader = open
+			c := f.send("/once/x", "key")
+			if got := c.body.String(); got != "ok" {
+				t.Errorf("got %q (%v), want ok", got, c.failure)
+			}
+			if open.start == "" {
+				t.Error("the body of the rejection was read, want the request sent elsewhere at once")
+			}
+		})
 	}
 }
 
--- a/proxy.go
+++ b/proxy.go
@@ -59,7 +59,8 @@
 }
 
 // A Reply is the response of an endpoint. Body returns io.EOF only after the complete
-// response, and another error if the response was interrupted.
+// response, and another error if the response was interrupted. That of a refusal need not
+// be read.
 type Reply struct {
 	Advisory     Advisory
 	Body         io.ReadCloser
