Take one step at the engine at a time, whatever version it is for

Cause: each version has its own steps, and a version that is replaced before its step has ended left that step running. The stage holds one copy of a model, so that chunks of the older version came between the verification of the newer one and its load: from the staging itself, or from the repair before an order, which takes the newer chunks for corrupt ones. An order in progress was forgotten together with its version.

Change: a step that stages or orders waits for the one before it, and a version whose order is in progress is kept until the order has been answered. While it is, entries are told that the engine is loading.

--- a/stager/advisory_test.go
+++ b/stager/advisory_test.go
@@ -25,7 +25,9 @@
 }
 
 func (a *advisedEngine) answer() error {
+	a.mu.Lock()
 	a.calls++
+	a.mu.Unlock()
 	if a.onCall != nil {
 		a.onCall()
 	}
--- a/stager/job.go
+++ b/stager/job.go
@@ -26,6 +26,7 @@
 	manifestPeer     string    // address of an agent that offers the manifest, "" if none is known
 	namedAt          time.Time // when the operator named the version
 	ordered          bool      // the engine accepted the order to load it
+	ordering         bool      // the order is verified or given
 	restored         bool      // chunks staged before the job began were read back
 	staged           bool      // all chunks are staged
 	stopSentAt       time.Time // when entries were told to send no requests, zero before
@@ -40,7 +41,7 @@
 		if s.loaded(j) {
 			return true
 		}
-		if j.ordered || !j.stopSentAt.IsZero() {
+		if j.ordered || j.ordering || !j.stopSentAt.IsZero() {
 			return false
 		}
 		dropped := newest.version-j.version >= originVersions && !s.fetched(j)
@@ -64,7 +65,7 @@
 // dropObsolete drops an older version that would be out of use again as soon as it
 // was loaded, and reports whether it did.
 func (s *Stager) dropObsolete(now time.Time) bool {
-	if len(s.jobs) < 2 || s.jobs[0].ordered || !s.jobs[0].stopSentAt.IsZero() {
+	if first := s.jobs; len(first) < 2 || first[0].ordered || first[0].ordering || !first[0].stopSentAt.IsZero() {
 		return false
 	}
 	if s.jobs[1].namedAt.Add(s.settings.PreviousUsable).Sub(now) >= s.settings.MinUse {
@@ -131,13 +132,26 @@
 		return s.nextRestore(now, j)
 	case s.engine.paused():
 		return nil
-	case !s.reported || !first || s.loaded(j) || !s.fetched(j):
+	case !s.reported || !first || s.writing:
+		return nil
+	default:
+		return s.nextWrite(now, j)
+	}
+}
+
+// nextWrite returns the effect that stages or loads the first version, nil if none is due.
+// The stage holds one copy of a model, so one such step is in progress at a time.
+func (s *Stager) nextWrite(now time.Time, j *job) gooseberrypass.Effect {
+	switch {
+	case s.loaded(j) || !s.fetched(j):
 		return nil // the chunks of a loaded version are kept for agents that still fetch them
 	case !j.staged:
+		s.writing = true
 		return s.stageEffect(j)
 	case s.report.Busy || s.inService() && !s.drained(now, j):
 		return nil
 	default:
+		s.writing, j.ordering = true, true
 		return startEffect{stageEffect: s.stageEffect(j), orders: s.report.Orders}
 	}
 }
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -91,6 +91,7 @@
 	reported     bool                        // the last read of the report succeeded
 	settings     Settings
 	status       balancer.EndpointStatus // last one sent to entries
+	writing      bool                    // a step that stages or orders is in progress
 }
 
 // New returns a stager.
@@ -217,7 +218,7 @@
 // moment.
 func (s *Stager) loading() bool {
 	return slices.ContainsFunc(s.jobs, func(j *job) bool {
-		return (j.ordered || !j.stopSentAt.IsZero()) && !s.loaded(j)
+		return j.ordering || (j.ordered || !j.stopSentAt.IsZero()) && !s.loaded(j)
 	})
 }
 
@@ -311,6 +312,7 @@
 }
 
 func (s *Stager) handleStaged(now time.Time, e stageDone) {
+	s.writing = false
 	j := s.jobOf(e.version)
 	if j == nil {
 		return
@@ -326,11 +328,12 @@
 }
 
 func (s *Stager) handleStarted(now time.Time, e startDone) {
+	s.writing = false
 	j := s.jobOf(e.version)
 	if j == nil {
 		return
 	}
-	j.inFlight = false
+	j.inFlight, j.ordering = false, false
 	s.polledAt = time.Time{}
 	s.deps.Log.WithError(e.err).WithFields(logrus.Fields{
 		fieldVersion: j.version, "result": e.result, "repaired": e.repaired, "orders": e.orders, fieldSince: now.Sub(j.namedAt).Milliseconds(),
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -70,7 +71,11 @@
 // An engine stores staged chunks and loads them when ordered.
 type engine struct {
 	calls    int
+	hold     func() // called by the next order before it is accepted, may be nil
+	lost     bool   // the answer to the next order is lost
 	loaded   []byte // bytes that the last order loaded
+	mu       sync.Mutex
+	onAccept func() // called when an order is accepted, may be nil
 	onCall   func() // called by each call, may be nil
 	orders   []gooseberrypass.StartOrder
 	refuse   bool
@@ -79,6 +84,9 @@
 	saysOnce gooseberrypass.Advisory // in the next answer, in place of says, unless it is zero
 	stage    map[int][]byte
 	stages   int // calls of Stage
+
+	before     func(context.Context) // called by calls that stage, read back or order, may be nil
+	unreadable func() error          // called by reads of staged chunks, may be nil
 }
 
 func (e *engine) ListStaged(context.Context, string) ([]int, error) {
@@ -93,12 +101,21 @@
 
 func (e *engine) Report(context.Context) (gooseberrypass.EngineReport, error) { return e.report, nil }
 
-func (e *engine) Stage(_ context.Context, _ string, index int, body []byte) error {
+func (e *engine) Stage(ctx context.Context, _ string, index int, body []byte) error {
+	e.await(ctx)
 	e.stage[index] = bytes.Clone(body)
 	return nil
 }
 
-func (e *engine) ReadStaged(_ context.Context, _ string, index int) ([]byte, error) {
+func (e *engine) ReadStaged(ctx context.Context, _ string, index int) ([]byte, error) {
+	e.await(ctx)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.unreadable != nil {
+		if err := e.unreadable(); err != nil {
+			return nil, err
+		}
+	}
 	body, ok := e.stage[index]
 	if !ok {
 		return nil, gooseberrypass.ErrChunkNotHeld
@@ -106,7 +123,20 @@
 	return body, nil
 }
 
-func (e *engine) StartLoad(_ context.Context, order gooseberrypass.StartOrder) (gooseberrypass.StartResult, error) {
+func (e *engine) await(ctx context.Context) {
+	if e.before != nil {
+		e.before(ctx)
+	}
+}
+
+func (e *engine) StartLoad(ctx context.Context, order gooseberrypass.StartOrder) (gooseberrypass.StartResult, error) {
+	e.await(ctx)
+	if e.hold != nil {
+		e.hold()
+	}
+	if e.report.Models["m"] == order.Version {
+		return gooseberrypass.StartDone, nil
+	}
 	if e.refuse || order.Orders != e.report.Orders {
 		return gooseberrypass.StartRefused, io.ErrUnexpectedEOF
 	}
@@ -117,6 +147,13 @@
 		e.loaded = append(e.loaded, e.stage[i]...)
 	}
 	e.report.Models = map[string]int{"m": order.Version}
+	if e.onAccept != nil {
+		e.onAccept()
+	}
+	if e.lost {
+		e.lost = false
+		return gooseberrypass.StartUnknown, io.ErrUnexpectedEOF
+	}
 	return gooseberrypass.StartAccepted, nil
 }
 
@@ -179,6 +216,7 @@
 type fixture struct {
 	clock     *clockwork.FakeClock
 	engine    *engine
+	intercept func(gooseberrypass.Effect) bool // takes over an effect, may be nil
 	manifests *stager.Manifests
 	now       time.Time
 	origin    *origin
@@ -223,6 +261,9 @@
 // handle passes an event to the stager and runs the resulting effects.
 func (f *fixture) handle(event gooseberrypass.Event) {
 	for _, effect := range f.stager.Handle(f.now, event) {
+		if f.intercept != nil && f.intercept(effect) {
+			continue
+		}
 		if next := effect.Run(context.Background()); next != nil {
 			f.handle(next)
 		}
