Serve a load only if its chunks were verified shortly before it or after it

- The agent had verified the staged pieces, stood still or read slowly, and then ordered the load of pieces that had turned bad since.
- The engine accepted an order long after it was sent, or its answer was lost.
The agent saw the version in the report and put the engine into service.

Cause: nothing bounded the time between the verification and the acceptance, or looked at what the load had taken.

Change: a verification older than verify-age is repeated once, with several reads at a time. A load that was not accepted within verify-age of it is suspect, and its engine is told to entries as loading until every piece was read again. As pieces do not turn good again, this shows that the engine took good ones. If not, the engine stays out of service until it starts anew or loads another version. The log line of an order has the age of the verification.

Ruled out: loading the same version again; the engine answers 200 and reads nothing. Reading pieces in parallel always: the usual verification takes 0.1 s.

--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -184,6 +184,7 @@
 			{Name: "skip-share", Type: checker.Float(0, 1), Default: "0.31", Doc: "Longest time between the naming of two versions at which the older one is skipped, as a share of the version bound; the rest is for the fetch of the newer one."},
 			{Name: "spread-share", Type: checker.Float(0, 1), Default: "0.41", Doc: "Share of the version bound over which the engines in service load a version, one after another."},
 			{Name: "uploads", Type: checker.Int(1, 100), Default: "2", Doc: "Pieces sent at once; more would wait longer in the link's queue, and answers behind them."},
+			{Name: "verify-age", Type: checker.Duration(time.Millisecond, longest), Default: "2s", Doc: "Longest time from the verification of the staged pieces until the engine accepts the order to load them. A load that took longer is verified again before the engine serves it."},
 			{Name: "wait", Type: checker.Duration(time.Millisecond, longest), Default: "1s", Doc: "Longest time for which another agent may hold a request for a piece that it does not have yet."},
 			{Name: "window", Type: checker.Int(1, 10000), Default: "16", Doc: "Missing pieces requested at once. The origin serves requests in parallel: with more, each piece takes longer than other agents wait for it."},
 		},
@@ -404,6 +405,7 @@
 		SkipGap:        share("skip-share"),
 		LoadSpread:     share("spread-share"),
 		PreviousUsable: bound - share("margin-share"),
+		VerifyAge:      weights("verify-age"),
 	}
 }
 
--- a/stager/effects.go
+++ b/stager/effects.go
@@ -177,56 +177,17 @@
 	return errors.Wrapf(e.engine.Stage(ctx, e.model, index, body), "stage chunk %d", index)
 }
 
-// repair reads back every staged chunk and stages those again that are corrupt or
-// missing. It returns the number of such chunks.
-func (e stageEffect) repair(ctx context.Context) (int, error) {
-	repaired := 0
-	for i := range e.manifest.Len() {
-		body, err := e.engine.ReadStaged(ctx, e.model, i)
-		if err == nil && gooseberrypass.DigestOf(body) == e.manifest.Chunk(i).Digest {
-			continue
-		}
-		if err != nil && !errors.Is(err, gooseberrypass.ErrChunkNotHeld) {
-			return repaired, errors.Wrapf(err, "read back chunk %d", i)
-		}
-		repaired++
+// repair reads back every staged chunk, some at a time, and stages those again that are
+// corrupt or missing. It returns the number of such chunks.
+func (e stageEffect) repair(ctx context.Context, readers int) (int, error) {
+	wrong, err := e.wrongChunks(ctx, readers)
+	if err != nil {
+		return 0, err
+	}
+	for _, i := range wrong {
 		if err := e.stage(ctx, i); err != nil {
-			return repaired, err
+			return len(wrong), err
 		}
 	}
-	return repaired, nil
-}
-
-// startDone is the event that the engine responded to a load order or that the order
-// failed.
-type startDone struct {
-	err      error
-	orders   int // expected count of accepted orders
-	repaired int // chunks staged again before the order
-	result   gooseberrypass.StartResult
-	version  int
-}
-
-// EventName implements gooseberrypass.Event.
-func (startDone) EventName() string { return "load-ordered" }
-
-type startEffect struct {
-	stageEffect
-	orders int
-}
-
-// EffectName implements gooseberrypass.Effect.
-func (startEffect) EffectName() string { return "order-load" }
-
-// Run implements gooseberrypass.Effect.
-func (e startEffect) Run(ctx context.Context) gooseberrypass.Event {
-	done := startDone{orders: e.orders, version: e.version}
-	if done.repaired, done.err = e.repair(ctx); done.err != nil {
-		done.result = gooseberrypass.StartRefused
-		return done
-	}
-	done.result, done.err = e.engine.StartLoad(ctx, gooseberrypass.StartOrder{
-		Model: e.model, Orders: e.orders, Version: e.version,
-	})
-	return done
+	return len(wrong), nil
 }
--- a/stager/job.go
+++ b/stager/job.go
@@ -39,7 +39,7 @@
 func (s *Stager) addJob(newest *job) {
 	s.jobs = slices.DeleteFunc(s.jobs, func(j *job) bool {
 		if s.loaded(j) {
-			return true
+			return s.settled(j)
 		}
 		if j.ordered || j.ordering || !j.stopSentAt.IsZero() {
 			return false
@@ -57,7 +57,7 @@
 // dropLoaded drops the jobs of loaded versions except the newest, whose chunks are
 // offered to other agents.
 func (s *Stager) dropLoaded() {
-	for len(s.jobs) > 1 && s.loaded(s.jobs[0]) {
+	for len(s.jobs) > 1 && s.loaded(s.jobs[0]) && s.settled(s.jobs[0]) {
 		s.jobs = s.jobs[1:]
 	}
 }
@@ -139,12 +139,14 @@
 	}
 }
 
-// nextWrite returns the effect that stages or loads the first version, nil if none is due.
-// The stage holds one copy of a model, so one such step is in progress at a time.
+// nextWrite returns the effect that stages, verifies or loads the first version, nil if none
+// is due. The stage holds one copy of a model, so one such step is in progress at a time.
 func (s *Stager) nextWrite(now time.Time, j *job) gooseberrypass.Effect {
 	switch {
-	case s.loaded(j) || !s.fetched(j):
-		return nil // the chunks of a loaded version are kept for agents that still fetch them
+	case s.loaded(j):
+		return s.nextVerification(j) // the chunks are kept for agents that still fetch them
+	case !s.fetched(j):
+		return nil
 	case !j.staged:
 		s.writing = true
 		return s.stageEffect(j)
@@ -152,7 +154,7 @@
 		return nil
 	default:
 		s.writing, j.ordering = true, true
-		return startEffect{stageEffect: s.stageEffect(j), orders: s.report.Orders}
+		return s.startEffect(j)
 	}
 }
 
--- a/stager/loadmodel_test.go
+++ b/stager/loadmodel_test.go
@@ -39,6 +39,8 @@
 }
 
 func (m *loadModel) rot(index int) {
+	m.engine.mu.Lock()
+	defer m.engine.mu.Unlock()
 	m.engine.stage[index] = []byte("rotten..")
 	m.rottenAt[index] = m.now
 }
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -21,8 +21,9 @@
 
 // Fields of log lines.
 const (
-	fieldSince   = "since_named_ms"
-	fieldVersion = "version"
+	fieldSince    = "since_named_ms"
+	fieldVerified = "verified_ms" // time since the begin of the last verification of the staged chunks
+	fieldVersion  = "version"
 )
 
 // firstVersion is the version of a model for which the operator has named none.
@@ -40,6 +41,7 @@
 	RetryDelay     time.Duration // delay after a failed step
 	SkipGap        time.Duration // longest time between the naming of two versions at which the older one is skipped
 	StopLead       time.Duration // time from telling entries to send no requests to the load order
+	VerifyAge      time.Duration // longest time from the begin of the verification of staged chunks until an order to load them is accepted
 }
 
 // Chunks holds the verified chunks.
@@ -91,7 +93,8 @@
 	reported     bool                        // the last read of the report succeeded
 	settings     Settings
 	status       balancer.EndpointStatus // last one sent to entries
-	writing      bool                    // a step that stages or orders is in progress
+	suspicion    suspicion               // of a load that is not known to be sound
+	writing      bool                    // a step that stages, orders or verifies is in progress
 }
 
 // New returns a stager.
@@ -122,6 +125,8 @@
 		s.handleStaged(now, e)
 	case startDone:
 		s.handleStarted(now, e)
+	case verified:
+		s.handleVerified(now, e)
 	case gossiper.Received:
 		s.handleOffers(e.Message)
 	case gooseberrypass.Tick:
@@ -214,10 +219,10 @@
 // inService reports whether the engine serves a version of the model.
 func (s *Stager) inService() bool { return s.report.Models[s.model.Model] > 0 }
 
-// loading reports whether the engine accepts no requests, or will accept none in a
-// moment.
+// loading reports whether the engine accepts no requests, will accept none in a moment, or
+// must get none as its load is not known to be sound.
 func (s *Stager) loading() bool {
-	return slices.ContainsFunc(s.jobs, func(j *job) bool {
+	return s.suspected() || slices.ContainsFunc(s.jobs, func(j *job) bool {
 		return j.ordering || (j.ordered || !j.stopSentAt.IsZero()) && !s.loaded(j)
 	})
 }
@@ -245,6 +250,7 @@
 	}
 	old, known := s.report, s.reported
 	s.report, s.reported = e.report, true
+	s.settleSuspicion(now)
 	if known && old.StartMillis != e.report.StartMillis || !known {
 		s.resetJobs()
 	}
@@ -269,6 +275,7 @@
 // invalidates.
 func (s *Stager) resetJobs() {
 	s.deps.Log.WithField("born", s.report.StartMillis).Info("engine started or reachable again")
+	s.suspicion.confirmed = false // but an order to the earlier start may still be accepted
 	for _, j := range s.jobs {
 		j.ordered, j.drainSentAt, j.staged, j.stopSentAt = false, time.Time{}, false, time.Time{}
 	}
@@ -327,24 +334,4 @@
 	s.deps.Log.WithFields(logrus.Fields{fieldVersion: j.version, fieldSince: now.Sub(j.namedAt).Milliseconds()}).Info("version staged")
 }
 
-func (s *Stager) handleStarted(now time.Time, e startDone) {
-	s.writing = false
-	j := s.jobOf(e.version)
-	if j == nil {
-		return
-	}
-	j.inFlight, j.ordering = false, false
-	s.polledAt = time.Time{}
-	s.deps.Log.WithError(e.err).WithFields(logrus.Fields{
-		fieldVersion: j.version, "result": e.result, "repaired": e.repaired, "orders": e.orders, fieldSince: now.Sub(j.namedAt).Milliseconds(),
-	}).Info("load ordered")
-	if e.err != nil {
-		j.failedAt = now
-	}
-	if e.result == gooseberrypass.StartAccepted || e.result == gooseberrypass.StartDone {
-		j.ordered = true
-		j.failedAt = now // gives the engine time to report the order
-	}
-}
-
 var _ gooseberrypass.Controller = (*Stager)(nil)
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -243,7 +243,7 @@
 		Self: materializer.Process{Endpoint: "a", ID: "self", Role: gooseberrypass.RoleAgent, Service: "s"}, Notifier: f.recorder,
 	}, stager.Settings{
 		StopLead: 200 * time.Millisecond, LoadDelay: 3 * time.Second, PollInterval: 100 * time.Millisecond, RetryDelay: 100 * time.Millisecond,
-		MinUse: 1500 * time.Millisecond, SkipGap: 2 * time.Second, LoadSpread: time.Second, PreviousUsable: bound - time.Second,
+		VerifyAge: 2 * time.Second, MinUse: 1500 * time.Millisecond, SkipGap: 2 * time.Second, LoadSpread: time.Second, PreviousUsable: bound - time.Second,
 	})
 	return f
 }
--- /dev/null
+++ b/stager/verify.go
@@ -0,0 +1,150 @@
+package stager
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gooseberrypass/gooseberrypass"
+)
+
+// maxReaders is the number of staged chunks that are read at once when it must go fast.
+const maxReaders = 8
+
+// A suspicion is the state of a load whose chunks may have been corrupt when the engine took
+// them, as the order was accepted long after they were verified.
+type suspicion struct {
+	confirmed  bool      // a chunk is corrupt: it may have been so before
+	verifiedAt time.Time // begin of the verification before the order
+	version    int       // 0 for no suspicion
+}
+
+// verified is the event that the chunks of a load were read back after the order.
+type verified struct {
+	err     error
+	version int
+	wrong   int // corrupt or missing chunks
+}
+
+// EventName implements gooseberrypass.Event.
+func (verified) EventName() string { return "load-verified" }
+
+// A verifyEffect reads back the chunks that a load has taken. Chunks do not turn good again,
+// so those that are good now were good when the engine took them.
+type verifyEffect struct {
+	stageEffect
+}
+
+// EffectName implements gooseberrypass.Effect.
+func (verifyEffect) EffectName() string { return "verify-load" }
+
+// Run implements gooseberrypass.Effect.
+func (e verifyEffect) Run(ctx context.Context) gooseberrypass.Event {
+	wrong, err := e.wrongChunks(ctx, maxReaders)
+	return verified{err: err, version: e.version, wrong: len(wrong)}
+}
+
+// wrongChunks reads back every staged chunk, some at a time, and returns the indexes of those
+// that are corrupt or missing.
+func (e stageEffect) wrongChunks(ctx context.Context, readers int) ([]int, error) {
+	var mu sync.Mutex
+	var wrong []int
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(readers)
+	for i := range e.manifest.Len() {
+		group.Go(func() error {
+			if ctx.Err() != nil {
+				return nil // another read has failed
+			}
+			body, err := e.engine.ReadStaged(ctx, e.model, i)
+			switch {
+			case err != nil && !errors.Is(err, gooseberrypass.ErrChunkNotHeld):
+				return errors.Wrapf(err, "read back chunk %d", i)
+			case err == nil && gooseberrypass.DigestOf(body) == e.manifest.Chunk(i).Digest:
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			wrong = append(wrong, i)
+			return nil
+		})
+	}
+	return wrong, group.Wait()
+}
+
+// judgeOrder suspects the load of an order unless the engine has accepted it shortly after its
+// chunks were verified. An order without a response may still be accepted.
+func (s *Stager) judgeOrder(j *job, e startDone) {
+	age := elapsed(e.verifiedAt, s.deps.Clock.Now())
+	if e.result == gooseberrypass.StartAccepted && age <= s.settings.VerifyAge {
+		s.suspicion = suspicion{}
+		return
+	}
+	if s.suspicion.version == j.version {
+		return // the earlier order may be the one that was accepted
+	}
+	s.suspicion = suspicion{verifiedAt: e.verifiedAt, version: j.version}
+	s.deps.Log.WithFields(logrus.Fields{fieldVersion: j.version, fieldVerified: age.Milliseconds()}).Info("load must be verified")
+}
+
+// settleSuspicion drops a suspicion that the report shows to be groundless: the engine loads
+// something else, or had accepted the order in time.
+func (s *Stager) settleSuspicion(now time.Time) {
+	sus := s.suspicion
+	if sus.version == 0 || sus.confirmed {
+		return
+	}
+	if loaded := s.report.Models[s.model.Model]; loaded > sus.version {
+		s.suspicion = suspicion{}
+	} else if (loaded == sus.version || s.report.Busy) && elapsed(sus.verifiedAt, now) <= s.settings.VerifyAge {
+		s.suspicion = suspicion{}
+	}
+}
+
+// suspected reports whether the engine has loaded a version that must not be served.
+func (s *Stager) suspected() bool {
+	return s.suspicion.version > 0 && s.report.Models[s.model.Model] == s.suspicion.version
+}
+
+// settled reports whether nothing is left to be done for a loaded version.
+func (s *Stager) settled(j *job) bool {
+	return !j.ordering && (s.suspicion.version != j.version || s.suspicion.confirmed)
+}
+
+// nextVerification returns the effect that verifies a suspected load, nil if none is due.
+func (s *Stager) nextVerification(j *job) gooseberrypass.Effect {
+	if s.settled(j) || j.ordering || !s.suspected() {
+		return nil
+	}
+	s.writing = true
+	return verifyEffect{stageEffect: s.stageEffect(j)}
+}
+
+func (s *Stager) handleVerified(now time.Time, e verified) {
+	s.writing = false
+	if j := s.jobOf(e.version); j != nil {
+		j.inFlight = false
+		if e.err != nil {
+			j.failedAt = now
+		}
+	}
+	log := s.deps.Log.WithFields(logrus.Fields{fieldVersion: e.version, "wrong": e.wrong})
+	if s.suspicion.version != e.version {
+		return // the engine has started anew
+	}
+	switch {
+	case e.err != nil:
+		log.WithError(e.err).Warn("verifying the load failed")
+	case e.wrong > 0:
+		s.suspicion.confirmed = true
+		log.Error("chunks of the load are corrupt, engine is kept out of service until it starts anew or loads another version")
+	default:
+		s.suspicion = suspicion{}
+		log.Info("load verified")
+	}
+	s.notify(now, s.loading())
+}
