Send no other attempt once a part of a whole answer was delivered

Cause: an answer longer than max-answer is delivered as it arrives. If it breaks off then, a route whose requests may be repeated allowed another attempt, whose body was written behind what the caller had. Only a resumed stream can go on.

Change: once a part of an answer that is no stream was delivered, that is an obstacle to any further attempt; the caller's connection is cut.

--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -202,3 +202,31 @@
 		})
 	}
 }
+
+// An answer that is longer than what is buffered broke off, and the whole answer of another
+// endpoint was delivered behind its begin.
+func TestWholeAnswerThatBreaksOffIsNotJoinedWithAnother(t *testing.T) {
+	for name, tt := range map[string]struct {
+		path   string
+		status int
+		next   reaction
+	}{
+		"idempotent":              {path: "/safe/x", next: reaction{body: "other"}},
+		"idempotent, same length": {path: "/safe/x", next: reaction{body: strings.Repeat("y", 1<<17)}},
+		"idempotent, error":       {path: "/safe/x", status: http.StatusNotFound, next: reaction{body: "other"}},
+		"error of a stream route": {path: "/stream/x", status: http.StatusNotFound, next: reaction{body: "id: 0\ndata: a\n\n"}},
+		"once":                    {path: "/once/x", next: reaction{body: "other"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			begin := strings.Repeat("x", 1<<17)
+			f := newFixture(t, reaction{body: begin, cut: true, status: tt.status}, tt.next)
+			c := f.send(tt.path, "key")
+			if got := c.body.String(); got != begin || !c.aborted {
+				t.Errorf("got %d bytes (aborted %t), want the %d of the first endpoint and a cut connection", len(got), c.aborted, len(begin))
+			}
+			if got, want := len(f.transport.sent), 1; got != want {
+				t.Errorf("dispatches: got %d, want %d", got, want)
+			}
+		})
+	}
+}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -63,6 +63,7 @@
 	unbegun       atomic.Int32        // attempts that were withdrawn without a sign of an answer
 	version       int                 // version of the weights that began the answer
 	w             gooseberrypass.Responder
+	wholeBegun    bool // part of an answer that is no stream was delivered, which nothing can go on
 
 	mu       sync.Mutex
 	awaited  *attempt  // attempt whose data the request waits for
@@ -339,6 +340,7 @@
 
 // Obstacles to another attempt, as they appear in log lines.
 const (
+	obstacleBegun      = "part of its answer was delivered and cannot go on"
 	obstacleBudget     = "the retry budget is used up"
 	obstacleDeadline   = "no time is left"
 	obstacleMayHaveRun = "it may have run and must not be repeated"
@@ -355,6 +357,8 @@
 	switch {
 	case r.mayRun && !r.route.Repeatable():
 		return obstacleMayHaveRun
+	case r.wholeBegun:
+		return obstacleBegun
 	case r.runs() >= r.route.MaxAttempts && failed.err.Outcome != gooseberrypass.OutcomeNotRun, !r.mayRun && r.attempts > r.route.MaxAttempts:
 		return obstacleTries
 	case !r.deadline.IsZero() && !now.Before(r.deadline):
--- a/forwarder/whole.go
+++ b/forwarder/whole.go
@@ -17,6 +17,7 @@
 	if a.bodyEnded {
 		a.limit.stop()
 	}
+	r.wholeBegun = !a.bodyEnded
 	r.start(a.reply)
 	if err := r.w.Write(a.body); err != nil {
 		return &failure{err: unknown(gooseberrypass.ReasonCut, err.Error()), result: balancer.ResultAnswered}
