Tell on how often a request crashed endpoints, whoever saw it

Cause: entries told only what they had seen themselves, and each message replaced the one before, so that an entry that started anew and told of no crash erased its earlier counts everywhere.

Change: a count belongs to one start of an entry and has the age of its last crash. Entries tell on what they were told of requests with more than one crash, and keep the largest count of each start. So counts outlast the entries that saw the crashes, nothing counts twice, and no quarantine is prolonged by being told again. The field of the old counts is gone from the message: builds of both kinds do not hear each other's counts.

--- /dev/null
+++ b/crash.go
@@ -0,0 +1,12 @@
+package gooseberrypass
+
+import "time"
+
+// RequestCrashes are the connections to endpoints that broke during one request, as one start
+// of an entry saw them.
+type RequestCrashes struct {
+	Age      time.Duration // time since the last one
+	Count    int
+	Observer uint64 // identifies the start of the entry
+	Request  uint64 // first eight bytes of the request's digest
+}
--- a/forwarder/crashes.go
+++ b/forwarder/crashes.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,100 +11,120 @@
 
 // The limits of what is remembered.
 const (
-	maxTracked = 4096 // requests
-	maxShared  = 64   // requests whose counts are sent to other entries
+	maxObservers = 64   // starts of entries for each request
+	maxShared    = 64   // counts that are sent to other entries
+	maxTracked   = 4096 // requests
 )
 
-// A crashRecord counts the connections to endpoints that broke during a request.
+// A crashRecord counts the connections to endpoints that one start of an entry saw break
+// during a request.
 type crashRecord struct {
-	count int       // broken connections
+	count int
 	last  time.Time // time of the last one
 }
 
-// A peerCounts has the counts that another entry reported.
-type peerCounts struct {
-	at     time.Time
-	counts map[uint64]int // broken connections, by the first eight bytes of the digest
-}
-
-// A CrashTracker counts the connections to endpoints that broke during each
-// request, to quarantine requests that crash endpoints. Callers repeat such a
-// request, possibly through another entry, and the connection breaks each time.
+// A CrashTracker counts the connections to endpoints that broke during each request, to
+// quarantine requests that crash endpoints. Callers repeat such a request, possibly through
+// another entry, and the connection breaks each time. Entries tell one another what they have
+// seen and what they were told, so that the counts outlast the entries that saw the crashes.
 // It is safe for concurrent use.
 type CrashTracker struct {
 	clock    gooseberrypass.Clock
+	observer uint64 // this start of this entry
 	settings Settings
 
 	mu      sync.Mutex
-	peers   map[gooseberrypass.ID]peerCounts // counts of other entries
-	recent  []uint64                         // the newest last
-	records map[uint64]crashRecord           // counts of this entry
+	records map[uint64]map[uint64]crashRecord // by request and observer
 }
 
-// NewCrashTracker returns an empty CrashTracker.
-func NewCrashTracker(clock gooseberrypass.Clock, settings Settings) *CrashTracker {
-	return &CrashTracker{clock: clock, peers: map[gooseberrypass.ID]peerCounts{}, records: map[uint64]crashRecord{}, settings: settings}
+// NewCrashTracker returns an empty CrashTracker. observer must differ from that of any other
+// start of an entry.
+func NewCrashTracker(clock gooseberrypass.Clock, settings Settings, observer uint64) *CrashTracker {
+	return &CrashTracker{clock: clock, observer: observer, records: map[uint64]map[uint64]crashRecord{}, settings: settings}
 }
 
 // recordCrash counts a connection that broke during a request.
 func (t *CrashTracker) recordCrash(digest gooseberrypass.Digest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.clock.Now()
-	if len(t.records) >= maxTracked {
-		t.evict(now)
+	now, key := t.clock.Now(), digest.Prefix()
+	t.put(now, key, t.observer, crashRecord{count: t.records[key][t.observer].count + 1, last: now})
+}
+
+// put stores a record.
+func (t *CrashTracker) put(now time.Time, request, observer uint64, r crashRecord) {
+	if t.records[request] == nil {
+		if len(t.records) >= maxTracked {
+			t.evict(now)
+		}
+		t.records[request] = map[uint64]crashRecord{}
+	}
+	if _, known := t.records[request][observer]; known || len(t.records[request]) < maxObservers {
+		t.records[request][observer] = r
 	}
-	key := digest.Prefix()
-	t.records[key] = crashRecord{count: t.records[key].count + 1, last: now}
-	t.recent = append(t.recent, key)
-	t.recent = t.recent[max(0, len(t.recent)-maxShared):]
 }
 
 // evict drops the records that are too old or too few to quarantine a request.
 func (t *CrashTracker) evict(now time.Time) {
-	for key, held := range t.records {
-		if now.Sub(held.last) > t.settings.QuarantineTime || held.count < t.settings.QuarantineCrashes {
-			delete(t.records, key)
+	for request := range t.records {
+		if t.count(now, request) < t.settings.QuarantineCrashes {
+			delete(t.records, request)
 		}
 	}
 }
 
-// isQuarantined reports whether a request is refused because connections broke
-// during it, here or at other entries.
-func (t *CrashTracker) isQuarantined(digest gooseberrypass.Digest) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now, key := t.clock.Now(), digest.Prefix()
+// count returns how often connections broke of late during a request.
+func (t *CrashTracker) count(now time.Time, request uint64) int {
 	count := 0
-	if held := t.records[key]; now.Sub(held.last) <= t.settings.QuarantineTime {
-		count = held.count
-	}
-	for _, other := range t.peers {
-		if now.Sub(other.at) <= t.settings.QuarantineTime {
-			count += other.counts[key]
+	for _, r := range t.records[request] {
+		if now.Sub(r.last) <= t.settings.QuarantineTime {
+			count += r.count
 		}
 	}
-	return count >= t.settings.QuarantineCrashes
+	return count
 }
 
-// CrashCounts returns the recent counts of this entry, by the first eight bytes
-// of the request digests.
-func (t *CrashTracker) CrashCounts() map[uint64]int {
+// isQuarantined reports whether a request is refused because connections broke during it,
+// here or at other entries.
+func (t *CrashTracker) isQuarantined(digest gooseberrypass.Digest) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.count(t.clock.Now(), digest.Prefix()) >= t.settings.QuarantineCrashes
+}
+
+// RequestCrashes returns what this entry tells others: what it has seen, and what it was told
+// of requests during which more than one connection broke. The newest crashes come first.
+func (t *CrashTracker) RequestCrashes() []gooseberrypass.RequestCrashes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	counts := make(map[uint64]int, len(t.recent))
-	for _, key := range t.recent {
-		if held := t.records[key]; held.count > 0 && now.Sub(held.last) <= t.settings.QuarantineTime {
-			counts[key] = held.count
+	var all []gooseberrypass.RequestCrashes
+	for request, records := range t.records {
+		relayed := t.count(now, request) > 1
+		for observer, r := range records {
+			if age := now.Sub(r.last); age <= t.settings.QuarantineTime && (relayed || observer == t.observer) {
+				all = append(all, gooseberrypass.RequestCrashes{Age: age, Count: r.count, Observer: observer, Request: request})
+			}
 		}
 	}
-	return counts
+	slices.SortFunc(all, func(a, b gooseberrypass.RequestCrashes) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Observer, b.Observer))
+	})
+	return all[:min(len(all), maxShared)]
 }
 
-// SetCrashCounts replaces the counts that another entry reported.
-func (t *CrashTracker) SetCrashCounts(from gooseberrypass.ID, counts map[uint64]int) {
+// AddRequestCrashes adds what another entry told. Nothing that it was told itself counts twice,
+// and no record becomes younger on its way.
+func (t *CrashTracker) AddRequestCrashes(told []gooseberrypass.RequestCrashes) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[from] = peerCounts{at: t.clock.Now(), counts: counts}
+	now := t.clock.Now()
+	for _, c := range told {
+		if c.Count <= 0 || c.Age < 0 || c.Age > t.settings.QuarantineTime || c.Observer == t.observer {
+			continue
+		}
+		if known, ok := t.records[c.Request][c.Observer]; !ok || c.Count > known.count {
+			t.put(now, c.Request, c.Observer, crashRecord{count: c.Count, last: now.Add(-c.Age)})
+		}
+	}
 }
--- /dev/null
+++ b/forwarder/crashes_test.go
@@ -0,0 +1,83 @@
+package forwarder_test
+
+import (
+	"testing"
+	"time"
+)
+
+// exchange makes every entry tell every other one, some times over.
+func exchange(entries []*fixture) {
+	for range 3 {
+		for _, from := range entries {
+			for _, to := range entries {
+				to.tracker.AddRequestCrashes(from.tracker.RequestCrashes())
+			}
+		}
+	}
+}
+
+func newEntries(t *testing.T, n int) []*fixture {
+	t.Helper()
+	entries := make([]*fixture, 0, n)
+	for range n {
+		entries = append(entries, newFixture(t, reaction{reset: true}))
+	}
+	return entries
+}
+
+// Entries forgot a request that crashes endpoints once those that had seen the crashes were
+// restarted, and it crashed as many more.
+func TestCrashesOutlastTheEntriesThatSawThem(t *testing.T) {
+	for name, crashes := range map[string][]int{"seen by one": {3, 0, 0, 0}, "seen by three": {1, 1, 0, 1}, "seen by two": {0, 2, 1, 0}} {
+		t.Run(name, func(t *testing.T) {
+			entries := newEntries(t, len(crashes))
+			for i, n := range crashes {
+				for range n {
+					entries[i].send("/once/poison", "key")
+				}
+			}
+			exchange(entries)
+			for restart := range 2 * len(entries) {
+				i := restart % len(entries)
+				age := entries[i].clock.Now().Sub(newFixture(t).clock.Now())
+				entries[i] = newFixture(t, reaction{reset: true})
+				entries[i].clock.Advance(age)
+				exchange(entries)
+				for _, f := range entries {
+					before := len(f.transport.sent)
+					f.send("/once/poison", "key")
+					if got := len(f.transport.sent) - before; got > 0 {
+						t.Fatalf("after %d restarts: got %d dispatches of the request, want 0", restart+1, got)
+					}
+					f.clock.Advance(5 * time.Second)
+				}
+			}
+		})
+	}
+}
+
+// What entries tell one another again and again is no further crash, and ends the quarantine
+// no later.
+func TestCrashesThatAreToldAgainDoNotCountAgain(t *testing.T) {
+	entries := newEntries(t, 4)
+	entries[0].send("/once/x", "key")
+	entries[1].send("/once/x", "key")
+	exchange(entries)
+	entries[2].send("/once/x", "key")
+	if got, want := len(entries[2].transport.sent), 1; got != want {
+		t.Fatalf("after two crashes: got %d dispatches, want %d", got, want)
+	}
+	for range 13 { // 65 s, the quarantine takes 60
+		exchange(entries)
+		for _, f := range entries {
+			f.clock.Advance(5 * time.Second)
+		}
+	}
+	for i, f := range entries {
+		before := len(f.transport.sent)
+		f.send("/once/x", "key")
+		if got, want := len(f.transport.sent)-before, 1; got != want {
+			t.Errorf("entry %d after the quarantine: got %d dispatches, want %d", i, got, want)
+		}
+	}
+}
--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -193,7 +194,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.tracker = forwarder.RequestTracker{Attributor: attributions, RefusalTracker: forwarder.NewRefusalTracker(f.clock, 5*time.Second), CrashTracker: forwarder.NewCrashTracker(f.clock, f.settings)}
+	f.tracker = forwarder.RequestTracker{Attributor: attributions, RefusalTracker: forwarder.NewRefusalTracker(f.clock, 5*time.Second), CrashTracker: forwarder.NewCrashTracker(f.clock, f.settings, rand.Uint64())}
 	f.build = func(chooser forwarder.Chooser) (*forwarder.Forwarder, error) {
 		var sender gooseberrypass.Transport = f.transport
 		if f.sender != nil {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -185,7 +185,7 @@
 	one, other := newFixture(t, reaction{reset: true}), newFixture(t, reaction{reset: true})
 	one.send("/once/poison", "key")
 	one.send("/once/poison", "key")
-	other.tracker.SetCrashCounts("one", one.tracker.CrashCounts())
+	other.tracker.AddRequestCrashes(one.tracker.RequestCrashes())
 	other.send("/once/poison", "key")
 	other.send("/once/poison", "key")
 	if got, want := len(other.transport.sent), 1; got != want {
--- a/gossiper/encoding.go
+++ b/gossiper/encoding.go
@@ -1,6 +1,8 @@
 package gossiper
 
 import (
+	"math"
+
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -13,12 +15,14 @@
 // receives the load on every endpoint several times a second.
 func encode(m Message) ([]byte, error) {
 	g := &wire.Gossip{
-		Address: m.Address, Breaks: make(map[uint64]uint32, len(m.CrashCounts)), From: string(m.From), Next: make(map[string]uint64, len(m.Next)),
+		Address: m.Address, From: string(m.From), Next: make(map[string]uint64, len(m.Next)),
 		ListAgeMillis: m.ListAge.Milliseconds(), Refused: m.Refused, Region: string(m.Region), Role: string(m.Role), Shares: make([]*wire.LoadShare, 0, len(m.Loads)),
 		Starting: m.Starting,
 	}
-	for key, n := range m.CrashCounts {
-		g.Breaks[key] = uint32(max(n, 0))
+	for _, c := range m.RequestCrashes {
+		g.RequestCrashes = append(g.RequestCrashes, &wire.RequestCrashes{
+			AgeMillis: c.Age.Milliseconds(), Count: uint32(min(max(c.Count, 0), math.MaxInt32)), Observer: c.Observer, Request: c.Request,
+		})
 	}
 	for topic, next := range m.Next {
 		g.Next[string(topic)] = uint64(next)
@@ -55,13 +59,15 @@
 		return Message{}, errors.Wrap(err, "decode message")
 	}
 	m := Message{
-		Address: g.GetAddress(), CrashCounts: make(map[uint64]int, len(g.GetBreaks())), From: gooseberrypass.ID(g.GetFrom()), Next: make(map[gooseberrypass.Topic]gooseberrypass.Offset, len(g.GetNext())),
+		Address: g.GetAddress(), From: gooseberrypass.ID(g.GetFrom()), Next: make(map[gooseberrypass.Topic]gooseberrypass.Offset, len(g.GetNext())),
 		ListAge: decodeAge(g.GetListAgeMillis()), Refused: g.GetRefused(), Region: gooseberrypass.Region(g.GetRegion()),
 		Role: gooseberrypass.Role(g.GetRole()), Loads: make(map[gooseberrypass.ID]balancer.Load, len(g.GetShares())), Starting: g.GetStarting(),
 	}
 	m.CrashEvidence = decodeEvidence(g.GetCrashEvidence())
-	for key, n := range g.GetBreaks() {
-		m.CrashCounts[key] = int(n)
+	for _, c := range g.GetRequestCrashes() {
+		m.RequestCrashes = append(m.RequestCrashes, gooseberrypass.RequestCrashes{
+			Age: decodeAge(c.GetAgeMillis()), Count: int(min(c.GetCount(), math.MaxInt32)), Observer: c.GetObserver(), Request: c.GetRequest(),
+		})
 	}
 	for topic, next := range g.GetNext() {
 		m.Next[gooseberrypass.Topic(topic)] = gooseberrypass.Offset(next)
--- a/gossiper/fuzz_test.go
+++ b/gossiper/fuzz_test.go
@@ -18,7 +18,7 @@
 func FuzzDecode(f *testing.F) {
 	body, err := gossiper.Encode(gossiper.Message{
 		Advisories: []balancer.AdvisoryReport{{Advisory: gooseberrypass.Advisory{Limited: true, Rate: 3.7}, Age: time.Second, Endpoint: "e"}},
-		Address:    "10.0.0.1:7700", CrashCounts: map[uint64]int{1: 2}, From: "a", ListAge: time.Second,
+		Address:    "10.0.0.1:7700", RequestCrashes: []gooseberrypass.RequestCrashes{{Age: time.Second, Count: 2, Observer: 3, Request: 1}}, From: "a", ListAge: time.Second,
 		CrashEvidence:  attributor.Evidence{Interruptions: []attributor.Interruption{{Age: time.Second, Endpoint: "e", Parts: []uint64{1}}}},
 		Demand:         map[gooseberrypass.ID]float64{"s": 12.5},
 		EndpointStatus: &balancer.EndpointStatus{Address: "10.0.0.2:1", Loading: true, Models: map[string]int{"m": 1}},
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -25,7 +25,6 @@
 type Message struct {
 	Address        string                        // sender's address for other processes
 	Advisories     []balancer.AdvisoryReport     // that an entry has heard from endpoints
-	CrashCounts    map[uint64]int                // recent endpoint failures that each request is suspected of
 	CrashEvidence  attributor.Evidence           // from entries
 	Demand         map[gooseberrypass.ID]float64 // requests per second that come to an entry, by service with a limited endpoint
 	EndpointStatus *balancer.EndpointStatus      // endpoint of an agent, nil from an entry
@@ -37,6 +36,7 @@
 	Outranked      []gooseberrypass.Topic                         // topics of which an entry knows newer records than the restored log
 	Refused        []uint64                                       // requests that an entry has just refused for load
 	Region         gooseberrypass.Region
+	RequestCrashes []gooseberrypass.RequestCrashes // that an entry has seen or was told of
 	Role           gooseberrypass.Role
 	Starting       bool                        // the sender, an entry, has just started and asks for the receiver's state
 	Targets        []gooseberrypass.AgedTarget // versions named of late, as this entry saw it or was told
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -77,10 +77,10 @@
 // identified by the first eight bytes of their digests. It is nil in agents.
 type RequestHistory interface {
 	AddCrashEvidence(from gooseberrypass.ID, e attributor.Evidence)
-	CrashCounts() map[uint64]int
+	AddRequestCrashes(told []gooseberrypass.RequestCrashes)
 	CrashEvidence() attributor.Evidence
 	Refused() []uint64
-	SetCrashCounts(from gooseberrypass.ID, counts map[uint64]int)
+	RequestCrashes() []gooseberrypass.RequestCrashes
 	SetRefused(keys []uint64)
 }
 
@@ -196,7 +196,7 @@
 		m.Advisories = r.ownDeparture(now)
 	}
 	if r.loads != nil && to == gooseberrypass.RoleEntry {
-		m.CrashCounts, m.CrashEvidence, m.Refused = r.history.CrashCounts(), r.history.CrashEvidence(), r.history.Refused()
+		m.CrashEvidence, m.Refused, m.RequestCrashes = r.history.CrashEvidence(), r.history.Refused(), r.history.RequestCrashes()
 		m.Advisories, m.Demand, m.Loads = r.loads.OwnAdvisories(), r.loads.OwnDemand(), r.loads.OwnLoads()
 		m.ListAge = r.listAge(now)
 		m.Outranked, m.Targets = r.outranked(), r.recentTargets(now)
@@ -331,7 +331,7 @@
 		r.recordReader(now, m)
 		r.history.AddCrashEvidence(m.From, m.CrashEvidence)
 		r.materializer.ObserveRead(now, m.ListAge, m.Region == r.self.Region)
-		r.history.SetCrashCounts(m.From, m.CrashCounts)
+		r.history.AddRequestCrashes(m.RequestCrashes)
 		r.history.SetRefused(m.Refused)
 		r.loads.SetEntryLoads(now, m.From, m.Loads)
 		r.loads.AddAdvisories(now, m.From, m.Advisories)
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -80,9 +80,9 @@
 
 func (noHistory) AddCrashEvidence(gooseberrypass.ID, attributor.Evidence) {}
 func (noHistory) CrashEvidence() attributor.Evidence                      { return attributor.Evidence{} }
-func (noHistory) CrashCounts() map[uint64]int                             { return nil }
+func (noHistory) AddRequestCrashes([]gooseberrypass.RequestCrashes)       {}
 func (noHistory) Refused() []uint64                                       { return nil }
-func (noHistory) SetCrashCounts(gooseberrypass.ID, map[uint64]int)        {}
+func (noHistory) RequestCrashes() []gooseberrypass.RequestCrashes         { return nil }
 func (noHistory) SetRefused([]uint64)                                     {}
 
 func newProcessWith(id gooseberrypass.ID, role gooseberrypass.Role, l replicator.LoadExchange, settings replicator.Settings) *process {
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -43,7 +43,7 @@
 	g := &Gateway{machineProcess: m, transport: platform.NewTransport(settings.transportLimits(), d.Clock)}
 	g.history = forwarder.RequestTracker{
 		RefusalTracker: forwarder.NewRefusalTracker(m.clock, settings.forwardDuration("return-time")),
-		CrashTracker:   forwarder.NewCrashTracker(m.clock, settings.forwarderSettings()),
+		CrashTracker:   forwarder.NewCrashTracker(m.clock, settings.forwarderSettings(), m.startID()),
 	}
 	if g.history.Attributor, err = attributor.New(m.clock, settings.attributorSettings(), m.seed, m.registry, m.logger); err != nil {
 		return nil, err
--- a/runner/machine.go
+++ b/runner/machine.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -107,6 +109,11 @@
 	}}
 }
 
+// startID identifies this start of the process among all starts of all processes.
+func (m *machineProcess) startID() uint64 {
+	return xxhash.Sum64String(string(m.self.ID) + " " + strconv.FormatUint(m.seed, 10))
+}
+
 // follow adds a follower of a topic.
 func (m *machineProcess) follow(reads *prometheus.CounterVec, topic gooseberrypass.Topic, settings follower.Settings) {
 	settings.Restores, settings.RetryDelay = m.restores, followRetryDelay
