Double the quarantine of a request with each crash after it

A crash counts for as long as a longer quarantine could need it now, the first one after a quarantine begins the next, and that takes twice as long, up to 32 times. A request with one crash is told to others for no longer than before.

Failed before: TestQuarantineOfARequestGrowsWithItsCrashes ("got 29 dispatches, want at most 6").

--- a/forwarder/crashes.go
+++ b/forwarder/crashes.go
@@ -11,6 +11,7 @@
 
 // The limits of what is remembered.
 const (
+	maxDoublings = 5    // of the quarantine
 	maxObservers = 64   // starts of entries for each request
 	maxShared    = 64   // counts that are sent to other entries
 	maxTracked   = 4096 // requests
@@ -25,9 +26,10 @@
 
 // A CrashTracker counts the connections to endpoints that broke during each request, to
 // quarantine requests that crash endpoints. Callers repeat such a request, possibly through
-// another entry, and the connection breaks each time. Entries tell one another what they have
-// seen and what they were told, so that the counts outlast the entries that saw the crashes.
-// It is safe for concurrent use.
+// another entry, and the connection breaks each time. Each further crash, after the
+// quarantine has ended, doubles it. Entries tell one another what they have seen and what they
+// were told, so that the counts outlast the entries that saw the crashes. It is safe for
+// concurrent use.
 type CrashTracker struct {
 	clock    gooseberrypass.Clock
 	observer uint64 // this start of this entry
@@ -67,21 +69,29 @@
 // evict drops the records that are too old or too few to quarantine a request.
 func (t *CrashTracker) evict(now time.Time) {
 	for request := range t.records {
-		if t.count(now, request) < t.settings.QuarantineCrashes {
+		if count, _ := t.crashes(now, request); count < t.settings.QuarantineCrashes {
 			delete(t.records, request)
 		}
 	}
 }
 
-// count returns how often connections broke of late during a request.
-func (t *CrashTracker) count(now time.Time, request uint64) int {
-	count := 0
+// memory is how long a crash counts: until the longest quarantine has ended, and as long
+// again for the request to come once more.
+func (t *CrashTracker) memory() time.Duration { return t.settings.QuarantineTime << (maxDoublings + 1) }
+
+// crashes returns how often connections broke during a request, and when the last one did.
+func (t *CrashTracker) crashes(now time.Time, request uint64) (int, time.Time) {
+	count, last := 0, time.Time{}
 	for _, r := range t.records[request] {
-		if now.Sub(r.last) <= t.settings.QuarantineTime {
-			count += r.count
+		if now.Sub(r.last) > t.memory() {
+			continue
+		}
+		count += r.count
+		if r.last.After(last) {
+			last = r.last
 		}
 	}
-	return count
+	return count, last
 }
 
 // isQuarantined reports whether a request is refused because connections broke during it,
@@ -89,7 +99,10 @@
 func (t *CrashTracker) isQuarantined(digest gooseberrypass.Digest) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.count(t.clock.Now(), digest.Prefix()) >= t.settings.QuarantineCrashes
+	now := t.clock.Now()
+	count, last := t.crashes(now, digest.Prefix())
+	excess := count - t.settings.QuarantineCrashes
+	return excess >= 0 && now.Sub(last) <= t.settings.QuarantineTime<<min(excess, maxDoublings)
 }
 
 // RequestCrashes returns what this entry tells others: what it has seen, and what it was told
@@ -100,9 +113,11 @@
 	now := t.clock.Now()
 	var all []gooseberrypass.RequestCrashes
 	for request, records := range t.records {
-		relayed := t.count(now, request) > 1
+		count, _ := t.crashes(now, request)
 		for observer, r := range records {
-			if age := now.Sub(r.last); age <= t.settings.QuarantineTime && (relayed || observer == t.observer) {
+			age := now.Sub(r.last)
+			suspect := count > 1 && age <= t.memory()
+			if suspect || observer == t.observer && age <= t.settings.QuarantineTime {
 				all = append(all, gooseberrypass.RequestCrashes{Age: age, Count: r.count, Observer: observer, Request: request})
 			}
 		}
@@ -120,7 +135,7 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	for _, c := range told {
-		if c.Count <= 0 || c.Age < 0 || c.Age > t.settings.QuarantineTime || c.Observer == t.observer {
+		if c.Count <= 0 || c.Age < 0 || c.Age > t.memory() || c.Observer == t.observer {
 			continue
 		}
 		if known, ok := t.records[c.Request][c.Observer]; !ok || c.Count > known.count {
--- a/forwarder/crashes_test.go
+++ b/forwarder/crashes_test.go
@@ -56,6 +56,38 @@
 	}
 }
 
+// A request that crashes endpoints was let through again and again, as the quarantine always took
+// as long. It comes at all entries for a quarter of an hour, and entries are restarted meanwhile.
+func TestQuarantineOfARequestGrowsWithItsCrashes(t *testing.T) {
+	const (
+		pause = 400 * time.Millisecond
+		until = 15 * time.Minute
+	)
+	entries := newEntries(t, 4)
+	age, sent := time.Duration(0), 0
+	for n := 0; age < until; n++ {
+		i := n % len(entries)
+		if n%100 == 99 {
+			entries[i] = newFixture(t, reaction{reset: true})
+			entries[i].clock.Advance(age)
+			exchange(entries)
+		}
+		before := len(entries[i].transport.sent)
+		entries[i].send("/once/poison", "key")
+		if len(entries[i].transport.sent) > before {
+			sent++
+			exchange(entries)
+		}
+		for _, f := range entries {
+			f.clock.Advance(pause)
+		}
+		age += pause
+	}
+	if got, want := sent, 3+3; got > want {
+		t.Errorf("got %d dispatches, want at most %d: three before the quarantine, and three retries", got, want)
+	}
+}
+
 // What entries tell one another again and again is no further crash, and ends the quarantine
 // no later.
 func TestCrashesThatAreToldAgainDoNotCountAgain(t *testing.T) {
