Clear a request of crashes once it was answered

A request that crashes endpoints is never answered, so an answer to the same request clears it, at this entry and, told with the counts, at the others.

Failed before: TestAnswerClearsARequest (entries 1 and 2 after the answer: got 0 dispatches, want 1).

--- a/forwarder/crashes.go
+++ b/forwarder/crashes.go
@@ -35,14 +35,15 @@
 	observer uint64 // this start of this entry
 	settings Settings
 
-	mu      sync.Mutex
-	records map[uint64]map[uint64]crashRecord // by request and observer
+	mu       sync.Mutex
+	answered map[uint64]time.Time              // last answer to requests that have records
+	records  map[uint64]map[uint64]crashRecord // by request and observer
 }
 
 // NewCrashTracker returns an empty CrashTracker. observer must differ from that of any other
 // start of an entry.
 func NewCrashTracker(clock gooseberrypass.Clock, settings Settings, observer uint64) *CrashTracker {
-	return &CrashTracker{clock: clock, observer: observer, records: map[uint64]map[uint64]crashRecord{}, settings: settings}
+	return &CrashTracker{answered: map[uint64]time.Time{}, clock: clock, observer: observer, records: map[uint64]map[uint64]crashRecord{}, settings: settings}
 }
 
 // recordCrash counts a connection that broke during a request.
@@ -50,7 +51,31 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now, key := t.clock.Now(), digest.Prefix()
-	t.put(now, key, t.observer, crashRecord{count: t.records[key][t.observer].count + 1, last: now})
+	r := t.records[key][t.observer]
+	if t.cleared(key, r) {
+		r.count = 0
+	}
+	t.put(now, key, t.observer, crashRecord{count: r.count + 1, last: now})
+}
+
+// recordAnswered clears a request that was answered to the end: a request that crashes
+// endpoints never is, so that earlier crashes had another cause.
+func (t *CrashTracker) recordAnswered(digest gooseberrypass.Digest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.clear(digest.Prefix(), t.clock.Now())
+}
+
+// clear makes the crashes of a request up to a time count no more.
+func (t *CrashTracker) clear(request uint64, at time.Time) {
+	if t.records[request] != nil && at.After(t.answered[request]) {
+		t.answered[request] = at
+	}
+}
+
+// cleared reports whether a request was answered after the crashes of a record.
+func (t *CrashTracker) cleared(request uint64, r crashRecord) bool {
+	return !r.last.After(t.answered[request])
 }
 
 // put stores a record.
@@ -71,6 +96,7 @@
 	for request := range t.records {
 		if count, _ := t.crashes(now, request); count < t.settings.QuarantineCrashes {
 			delete(t.records, request)
+			delete(t.answered, request)
 		}
 	}
 }
@@ -83,7 +109,7 @@
 func (t *CrashTracker) crashes(now time.Time, request uint64) (int, time.Time) {
 	count, last := 0, time.Time{}
 	for _, r := range t.records[request] {
-		if now.Sub(r.last) > t.memory() {
+		if now.Sub(r.last) > t.memory() || t.cleared(request, r) {
 			continue
 		}
 		count += r.count
@@ -116,11 +142,17 @@
 		count, _ := t.crashes(now, request)
 		for observer, r := range records {
 			age := now.Sub(r.last)
+			if t.cleared(request, r) {
+				continue
+			}
 			suspect := count > 1 && age <= t.memory()
 			if suspect || observer == t.observer && age <= t.settings.QuarantineTime {
 				all = append(all, gooseberrypass.RequestCrashes{Age: age, Count: r.count, Observer: observer, Request: request})
 			}
 		}
+		if age := now.Sub(t.answered[request]); age <= t.settings.QuarantineTime {
+			all = append(all, gooseberrypass.RequestCrashes{Age: age, Observer: t.observer, Request: request})
+		}
 	}
 	slices.SortFunc(all, func(a, b gooseberrypass.RequestCrashes) int {
 		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Observer, b.Observer))
@@ -135,11 +167,18 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	for _, c := range told {
-		if c.Count <= 0 || c.Age < 0 || c.Age > t.memory() || c.Observer == t.observer {
+		if c.Count < 0 || c.Age < 0 || c.Age > t.memory() || c.Observer == t.observer {
+			continue
+		}
+		if c.Count == 0 {
+			t.clear(c.Request, now.Add(-c.Age))
 			continue
 		}
-		if known, ok := t.records[c.Request][c.Observer]; !ok || c.Count > known.count {
-			t.put(now, c.Request, c.Observer, crashRecord{count: c.Count, last: now.Add(-c.Age)})
+		r := crashRecord{count: c.Count, last: now.Add(-c.Age)}
+		known, ok := t.records[c.Request][c.Observer]
+		anew := t.cleared(c.Request, known) && !t.cleared(c.Request, r) // counts begin anew after an answer
+		if !ok || anew || c.Count > known.count {
+			t.put(now, c.Request, c.Observer, r)
 		}
 	}
 }
--- a/forwarder/crashes_test.go
+++ b/forwarder/crashes_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/gooseberrypass/gooseberrypass"
 )
 
 // exchange makes every entry tell every other one, some times over.
@@ -113,3 +115,40 @@
 		}
 	}
 }
+
+// A request that many callers send was refused for a minute after one crash that broke three
+// runs of it, although others were answered.
+func TestAnswerClearsARequest(t *testing.T) {
+	entries := newEntries(t, 3)
+	for range 3 {
+		entries[0].send("/once/popular", "key")
+	}
+	sound := newFixture(t, reaction{body: "answer"})
+	entries = append(entries, sound)
+	sound.transport.onSend = func(gooseberrypass.Dispatch) { exchange(entries) } // it runs already when they hear of the crashes
+	for _, f := range entries {
+		f.clock.Advance(time.Second)
+	}
+	if c := sound.send("/once/popular", "key"); c.body.String() != "answer" {
+		t.Fatalf("got %q, want the answer", c.body.String())
+	}
+	exchange(entries)
+	for i, f := range entries[1:3] {
+		f.clock.Advance(time.Second)
+		before := len(f.transport.sent)
+		f.send("/once/popular", "key")
+		if got, want := len(f.transport.sent)-before, 1; got != want {
+			t.Errorf("entry %d after the answer: got %d dispatches, want %d", i+1, got, want)
+		}
+	}
+	entries[0].clock.Advance(time.Second)
+	entries[0].send("/once/popular", "key") // with the two above three crashes since
+	exchange(entries[:3])
+	for i, f := range entries[:3] {
+		before := len(f.transport.sent)
+		f.send("/once/popular", "key")
+		if got := len(f.transport.sent) - before; got > 0 {
+			t.Errorf("entry %d after three further crashes: got %d dispatches, want 0", i, got)
+		}
+	}
+}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -102,6 +102,7 @@
 		r.attempts++
 		last, failed := r.deliver(r.newAttempt(r.ctx, ticket))
 		if failed == nil {
+			f.tracker.recordAnswered(r.digest)
 			return nil
 		}
 		if r.ctx.Err() != nil {
