Give each call and generation of an agent a connection of its own

On a kept connection a late copy of a 429, 404 or 400 told the next caller that its call had not run, and a late copy of a 200 was the answer to another call.

Failed before: TestLateCopyIsNoAnswerToTheNextCall and TestLateCopyIsNoAnswerToTheNextGeneration, two cases each ("got not run (overloaded)", "got "other"").

--- a/connector/client.go
+++ b/connector/client.go
@@ -63,6 +63,23 @@
 	return client{base: strings.TrimRight(baseURL, "/"), http: &c}
 }
 
+// newSingleUseClient returns a client whose connections carry one request each. Responses of
+// endpoints do not say which request they answer, so that on a kept connection a late copy of
+// an earlier response would be taken for the next one.
+func newSingleUseClient(httpClient *http.Client, baseURL string) client {
+	c := newClient(httpClient, baseURL)
+	next := c.http.Transport
+	if next == nil {
+		next = http.DefaultTransport
+	}
+	if t, ok := next.(*http.Transport); ok {
+		t = t.Clone()
+		t.DisableKeepAlives = true
+		c.http.Transport = t
+	}
+	return c
+}
+
 // send sends a request and returns the response if its status is want. Any other
 // status is a *StatusError. The caller closes the body.
 func (c client) send(r *http.Request, want int) (*http.Response, error) {
--- a/connector/engine.go
+++ b/connector/engine.go
@@ -14,12 +14,13 @@
 
 // An Engine is the client of a model engine.
 type Engine struct {
-	client client
+	attempts client // of generations
+	client   client
 }
 
 // NewEngine returns a client of the engine at baseURL.
 func NewEngine(httpClient *http.Client, baseURL string) *Engine {
-	return &Engine{client: newClient(httpClient, baseURL)}
+	return &Engine{attempts: newSingleUseClient(httpClient, baseURL), client: newClient(httpClient, baseURL)}
 }
 
 // CacheEvents implements gooseberrypass.Engine.
@@ -71,7 +72,7 @@
 	order gooseberrypass.GenerateOrder,
 ) (gooseberrypass.TokenStream, error) {
 	var trace sendTrace
-	r, err := e.client.newJSONRequest(trace.attach(ctx), http.MethodPost, "/generate", order)
+	r, err := e.attempts.newJSONRequest(trace.attach(ctx), http.MethodPost, "/generate", order)
 	if err != nil {
 		return nil, &gooseberrypass.RequestError{
 			Detail:  err.Error(),
@@ -79,7 +80,7 @@
 			Reason:  gooseberrypass.ReasonBadRequest,
 		}
 	}
-	resp, err := e.client.send(r, http.StatusOK) //nolint:bodyclose // closed by the stream
+	resp, err := e.attempts.send(r, http.StatusOK) //nolint:bodyclose // closed by the stream
 	if err != nil {
 		return nil, generateError(&trace, err)
 	}
--- a/connector/plainservice.go
+++ b/connector/plainservice.go
@@ -25,7 +25,7 @@
 
 // NewPlainService returns a client of the service at baseURL.
 func NewPlainService(httpClient *http.Client, baseURL string) *PlainService {
-	return &PlainService{client: newClient(httpClient, baseURL)}
+	return &PlainService{client: newSingleUseClient(httpClient, baseURL)}
 }
 
 // Call implements gooseberrypass.PlainService. Errors are
