--- a/crash.go
+++ b/crash.go
@@ -7,6 +7,6 @@
 type RequestCrashes struct {
 	Age      time.Duration // time since the last one
 	Count    int           // 0 if the request was answered then, so that earlier crashes had another cause
-	Observer uint64 // identifies the start of the entry
-	Request  uint64 // first eight bytes of the request's digest
+	Observer uint64        // identifies the start of the entry
+	Request  uint64        // first eight bytes of the request's digest
 }
--- a/forwarder/waiting_test.go
+++ b/forwarder/waiting_test.go
@@ -98,7 +98,7 @@
 			if c := f.send(tt.path, "key"); c.status != 200 || c.aborted {
 				t.Errorf("got status %d (aborted %t), want an answer", c.status, c.aborted)
 			}
-			var got []bool
+			got := make([]bool, 0, len(f.transport.sent))
 			for _, d := range f.transport.sent {
 				got = append(got, !d.FirstSent.IsZero())
 			}
