Weigh answers to others without a part before the next crash under it

They are judged again, at most every 0.2 s, while others are answered within 10 s of a crash.

Failed before: TestAnswersToOthersAreWeighedBeforeTheNextCrash.

--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -32,6 +32,7 @@
 	settings Settings
 
 	mu          sync.Mutex
+	answered    bool     // an answer was begun since the last judgement
 	crashes     []*crash // the newest last
 	judgedAt    time.Time
 	own         []interruption
@@ -135,6 +136,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.parts.countAnswer(p.service)
+	a.answered = true
 	now := a.clock.Now()
 	for _, key := range p.parts {
 		a.recordAnswer(key, now)
@@ -177,17 +179,34 @@
 // judgeInterval is the shortest time between two judgements, during which requests wait.
 const judgeInterval = 50 * time.Millisecond
 
+// Judgements for answers alone.
+const (
+	reviewInterval = 200 * time.Millisecond // shortest time since the last judgement
+	reviewTime     = 10 * time.Second       // longest time since the last crash
+)
+
+// crashedWithin reports whether enough crashes for a quarantine are known, the last one of late.
+func (a *Attributor) crashedWithin(now time.Time, d time.Duration) bool {
+	n := len(a.crashes)
+	return n >= minHitsUnanswered && now.Sub(a.crashes[n-1].at) <= d
+}
+
 // judge quarantines the parts that explain the crashes, the most likely one first.
-// Only those that a changed crash puts under suspicion can have become
-// convincing.
+// Only those that a changed crash puts under suspicion can have become convincing, and those
+// on which there is no answer while others are answered.
 func (a *Attributor) judge(now time.Time) {
-	if !a.pending || now.Sub(a.judgedAt) < judgeInterval {
+	since := now.Sub(a.judgedAt)
+	review := !a.pending && a.answered && since >= reviewInterval && a.crashedWithin(now, reviewTime)
+	if !review && (!a.pending || since < judgeInterval) {
 		return
 	}
 	a.dropCrashes(now)
 	a.dropQuarantines(now)
 	candidates := partsOf(a.takeChanged())
-	a.judgedAt = now
+	if review {
+		candidates = a.recentSuspects(now)
+	}
+	a.answered, a.judgedAt = false, now
 	for {
 		found, ok := a.mostLikelyCause(now, candidates)
 		if !ok {
--- a/attributor/cause.go
+++ b/attributor/cause.go
@@ -111,6 +111,16 @@
 	return parts
 }
 
+// maxReviewed is the number of crashes whose parts are judged again when others are answered.
+const maxReviewed = 32
+
+// recentSuspects returns the parts of the suspects of the newest crashes that no quarantine
+// explains, and their services.
+func (a *Attributor) recentSuspects(now time.Time) map[part]gooseberrypass.ID {
+	newest := a.crashes[max(0, len(a.crashes)-maxReviewed):]
+	return partsOf(slices.DeleteFunc(slices.Clone(newest), func(c *crash) bool { return now.Sub(c.at) > evidenceTTL || a.explained(c) }))
+}
+
 // assess weighs a part as the cause of crashes. Crashes before the last
 // answer on the part do not count, and neither do repeats of one request, which other
 // fields of the request may explain.
--- a/attributor/share_test.go
+++ b/attributor/share_test.go
@@ -4,6 +4,11 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/attributor"
 )
 
 // A part in about half of the prompts crashed the few engines again and again: ten crashes
@@ -102,3 +107,48 @@
 		t.Error("got no quarantine after four crashes, want one")
 	}
 }
+
+// Crashes alone did not tell the part from a coincidence, and the answers to others that came
+// after the last one were weighed only at the next crash.
+func TestAnswersToOthersAreWeighedBeforeTheNextCrash(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a := newAttributor(t, clock, 1)
+	n := 0
+	send := func(part string) attributor.Prompt {
+		n++
+		return a.Register(service, digestOf(n), []string{"shared", part})
+	}
+	answerOthers := func(count int) {
+		for i := range count {
+			p := send(fmt.Sprint("sound-", i%8))
+			clock.Advance(30 * time.Millisecond)
+			a.RecordAnswer(p)
+		}
+	}
+	answerOthers(40)
+	for range 35 {
+		send("deadly")
+	}
+	for i := range 4 {
+		p, beside := send("deadly"), send(fmt.Sprint("sound-", i))
+		clock.Advance(300 * time.Millisecond)
+		endpoint := gooseberrypass.ID(fmt.Sprint("engine-", i))
+		a.RecordInterruption(beside, endpoint, false)
+		a.RecordInterruption(p, endpoint, false)
+	}
+	clock.Advance(300 * time.Millisecond)
+	if isQuarantined(a, service, "deadly") {
+		t.Fatal("got a quarantine by the crashes alone, want a case that they do not decide")
+	}
+	for range 12 {
+		send("deadly") // finds no endpoint with room
+		answerOthers(1)
+	}
+	clock.Advance(300 * time.Millisecond)
+	if !isQuarantined(a, service, "deadly") {
+		t.Error("got no quarantine after twelve answers to others, want one")
+	}
+	if isQuarantined(a, service, "shared") || isQuarantined(a, service, "sound-1") {
+		t.Error("a sound part is quarantined")
+	}
+}
