Lengthen the quarantine of a request by crashes after it only

Counts have the number of relapses now, crashes that came more than two seconds after the request was known to crash endpoints, and only those double the time.

Failed before: TestOneCrashDoesNotLengthenTheQuarantine (four entries after the usual quarantine: got 0 dispatches, want 1).

--- a/crash.go
+++ b/crash.go
@@ -8,5 +8,6 @@
 	Age      time.Duration // time since the last one
 	Count    int           // 0 if the request was answered then, so that earlier crashes had another cause
 	Observer uint64        // identifies the start of the entry
+	Relapses int           // how often a connection broke although the request was known to crash endpoints
 	Request  uint64        // first eight bytes of the request's digest
 }
--- a/forwarder/crashes.go
+++ b/forwarder/crashes.go
@@ -17,17 +17,21 @@
 	maxTracked   = 4096 // requests
 )
 
+// crashWindow is the time within which connections break by one crash.
+const crashWindow = 2 * time.Second
+
 // A crashRecord counts the connections to endpoints that one start of an entry saw break
 // during a request.
 type crashRecord struct {
-	count int
-	last  time.Time // time of the last one
+	count    int
+	last     time.Time // time of the last one
+	relapses int       // how often one came although the request was known to crash endpoints
 }
 
 // A CrashTracker counts the connections to endpoints that broke during each request, to
 // quarantine requests that crash endpoints. Callers repeat such a request, possibly through
-// another entry, and the connection breaks each time. Each further crash, after the
-// quarantine has ended, doubles it. Entries tell one another what they have seen and what they
+// another entry, and the connection breaks each time. Each crash after the quarantine has
+// ended doubles it. Entries tell one another what they have seen and what they
 // were told, so that the counts outlast the entries that saw the crashes. It is safe for
 // concurrent use.
 type CrashTracker struct {
@@ -53,9 +57,13 @@
 	now, key := t.clock.Now(), digest.Prefix()
 	r := t.records[key][t.observer]
 	if t.cleared(key, r) {
-		r.count = 0
+		r = crashRecord{}
+	}
+	if known := t.crashes(now, key); known.count >= t.settings.QuarantineCrashes && now.Sub(known.last) > crashWindow {
+		r.relapses++
 	}
-	t.put(now, key, t.observer, crashRecord{count: r.count + 1, last: now})
+	r.count, r.last = r.count+1, now
+	t.put(now, key, t.observer, r)
 }
 
 // recordAnswered clears a request that was answered to the end: a request that crashes
@@ -94,7 +102,7 @@
 // evict drops the records that are too old or too few to quarantine a request.
 func (t *CrashTracker) evict(now time.Time) {
 	for request := range t.records {
-		if count, _ := t.crashes(now, request); count < t.settings.QuarantineCrashes {
+		if t.crashes(now, request).count < t.settings.QuarantineCrashes {
 			delete(t.records, request)
 			delete(t.answered, request)
 		}
@@ -105,19 +113,20 @@
 // again for the request to come once more.
 func (t *CrashTracker) memory() time.Duration { return t.settings.QuarantineTime << (maxDoublings + 1) }
 
-// crashes returns how often connections broke during a request, and when the last one did.
-func (t *CrashTracker) crashes(now time.Time, request uint64) (int, time.Time) {
-	count, last := 0, time.Time{}
+// crashes returns the sum of the records of a request.
+func (t *CrashTracker) crashes(now time.Time, request uint64) crashRecord {
+	var sum crashRecord
 	for _, r := range t.records[request] {
 		if now.Sub(r.last) > t.memory() || t.cleared(request, r) {
 			continue
 		}
-		count += r.count
-		if r.last.After(last) {
-			last = r.last
+		sum.count += r.count
+		sum.relapses += r.relapses
+		if r.last.After(sum.last) {
+			sum.last = r.last
 		}
 	}
-	return count, last
+	return sum
 }
 
 // isQuarantined reports whether a request is refused because connections broke during it,
@@ -126,9 +135,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	count, last := t.crashes(now, digest.Prefix())
-	excess := count - t.settings.QuarantineCrashes
-	return excess >= 0 && now.Sub(last) <= t.settings.QuarantineTime<<min(excess, maxDoublings)
+	known := t.crashes(now, digest.Prefix())
+	return known.count >= t.settings.QuarantineCrashes && now.Sub(known.last) <= t.settings.QuarantineTime<<min(known.relapses, maxDoublings)
 }
 
 // RequestCrashes returns what this entry tells others: what it has seen, and what it was told
@@ -139,7 +147,7 @@
 	now := t.clock.Now()
 	var all []gooseberrypass.RequestCrashes
 	for request, records := range t.records {
-		count, _ := t.crashes(now, request)
+		count := t.crashes(now, request).count
 		for observer, r := range records {
 			age := now.Sub(r.last)
 			if t.cleared(request, r) {
@@ -147,7 +155,7 @@
 			}
 			suspect := count > 1 && age <= t.memory()
 			if suspect || observer == t.observer && age <= t.settings.QuarantineTime {
-				all = append(all, gooseberrypass.RequestCrashes{Age: age, Count: r.count, Observer: observer, Request: request})
+				all = append(all, gooseberrypass.RequestCrashes{Age: age, Count: r.count, Observer: observer, Relapses: r.relapses, Request: request})
 			}
 		}
 		if age := now.Sub(t.answered[request]); age <= t.settings.QuarantineTime {
@@ -167,14 +175,14 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	for _, c := range told {
-		if c.Count < 0 || c.Age < 0 || c.Age > t.memory() || c.Observer == t.observer {
+		if c.Count < 0 || c.Relapses < 0 || c.Age < 0 || c.Age > t.memory() || c.Observer == t.observer {
 			continue
 		}
 		if c.Count == 0 {
 			t.clear(c.Request, now.Add(-c.Age))
 			continue
 		}
-		r := crashRecord{count: c.Count, last: now.Add(-c.Age)}
+		r := crashRecord{count: c.Count, last: now.Add(-c.Age), relapses: c.Relapses}
 		known, ok := t.records[c.Request][c.Observer]
 		anew := t.cleared(c.Request, known) && !t.cleared(c.Request, r) // counts begin anew after an answer
 		if !ok || anew || c.Count > known.count {
--- a/forwarder/crashes_test.go
+++ b/forwarder/crashes_test.go
@@ -152,3 +152,23 @@
 		}
 	}
 }
+
+// One crash that breaks many runs of a request at many entries begins one quarantine of the
+// usual length.
+func TestOneCrashDoesNotLengthenTheQuarantine(t *testing.T) {
+	entries := newEntries(t, 4)
+	for _, f := range entries {
+		for range 3 {
+			f.send("/once/popular", "key")
+		}
+	}
+	exchange(entries)
+	for i, f := range entries {
+		f.clock.Advance(f.settings.QuarantineTime + time.Second)
+		before := len(f.transport.sent)
+		f.send("/once/popular", "key")
+		if got, want := len(f.transport.sent)-before, 1; got != want {
+			t.Errorf("entry %d after the usual quarantine: got %d dispatches, want %d", i, got, want)
+		}
+	}
+}
--- a/gossiper/encoding.go
+++ b/gossiper/encoding.go
@@ -21,7 +21,7 @@
 	}
 	for _, c := range m.RequestCrashes {
 		g.RequestCrashes = append(g.RequestCrashes, &wire.RequestCrashes{
-			AgeMillis: c.Age.Milliseconds(), Count: uint32(min(max(c.Count, 0), math.MaxInt32)), Observer: c.Observer, Request: c.Request,
+			AgeMillis: c.Age.Milliseconds(), Count: uint32(min(max(c.Count, 0), math.MaxInt32)), Observer: c.Observer, Relapses: uint32(min(max(c.Relapses, 0), math.MaxInt32)), Request: c.Request,
 		})
 	}
 	for topic, next := range m.Next {
@@ -66,7 +66,7 @@
 	m.CrashEvidence = decodeEvidence(g.GetCrashEvidence())
 	for _, c := range g.GetRequestCrashes() {
 		m.RequestCrashes = append(m.RequestCrashes, gooseberrypass.RequestCrashes{
-			Age: decodeAge(c.GetAgeMillis()), Count: int(min(c.GetCount(), math.MaxInt32)), Observer: c.GetObserver(), Request: c.GetRequest(),
+			Age: decodeAge(c.GetAgeMillis()), Count: int(min(c.GetCount(), math.MaxInt32)), Observer: c.GetObserver(), Relapses: int(min(c.GetRelapses(), math.MaxInt32)), Request: c.GetRequest(),
 		})
 	}
 	for topic, next := range g.GetNext() {
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -37,7 +37,7 @@
 				{Age: time.Second, Endpoint: "i-2"},
 				{Advisory: gooseberrypass.Advisory{Leaving: true}, Age: time.Second, Endpoint: "i-3", StartMillis: 1764800000123},
 			},
-			Address: "10.0.0.1:7700", RequestCrashes: []gooseberrypass.RequestCrashes{{Age: 70 * time.Millisecond, Count: 2, Observer: 1 << 62, Request: 1<<63 + 5}}, From: "e1", ListAge: 300 * time.Millisecond, Refused: []uint64{7, 1 << 63}, Region: "r", Role: gooseberrypass.RoleEntry,
+			Address: "10.0.0.1:7700", RequestCrashes: []gooseberrypass.RequestCrashes{{Age: 70 * time.Millisecond, Count: 2, Observer: 1 << 62, Relapses: 1, Request: 1<<63 + 5}}, From: "e1", ListAge: 300 * time.Millisecond, Refused: []uint64{7, 1 << 63}, Region: "r", Role: gooseberrypass.RoleEntry,
 			Next: map[gooseberrypass.Topic]gooseberrypass.Offset{gooseberrypass.TopicOperator: 1 << 40, gooseberrypass.TopicEndpoints: 0},
 			CrashEvidence: attributor.Evidence{
 				Answers:       []attributor.Answer{{Age: time.Second, Part: 1 << 63}},
