--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -55,6 +55,7 @@
 // A Query describes the request for which an endpoint is needed.
 type Query struct {
 	AnswerTokens  int           // tokens of the answer as the caller estimates them, 0 if unknown
+	Headroom      float64       // share of the slots of each engine that is kept free for more urgent requests
 	Model         string        // "" for a plain service
 	Objective     time.Duration // target time to the first event, 0 for none
 	Polled        bool          // the same request has been refused and waits for an endpoint
@@ -62,6 +63,7 @@
 	Regions       gooseberrypass.RegionSet // regions whose endpoints may be chosen
 	RefusedBefore bool                     // refused because of load earlier, so that its answer is already late
 	Resumed       bool                     // resumes an interrupted stream
+	Scheduled     bool                     // requests for the service are scheduled, see package scheduler
 	Service       gooseberrypass.ID
 	Tried         []gooseberrypass.ID // endpoints that are not chosen again
 	Staying       bool                // the endpoint must not have announced a drain
--- a/proxy.go
+++ b/proxy.go
@@ -69,6 +69,7 @@
 	Misdirected  bool        // the endpoint or its loaded version is not the expected one
 	ModelVersion int         // version of the weights, 0 if not reported
 	NotRun       bool        // the endpoint did not run the request
+	Pace         float64     // time that work takes at the endpoint now, as a ratio to its usual time, 0 if not reported
 	Replaced     bool        // the address now belongs to another endpoint
 	Signed       bool        // has the endpoint's signature
 	Status       int         // HTTP status code
