--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -6,6 +6,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -94,6 +95,8 @@
 	self     Self
 	settings Settings
 
+	onCapacity atomic.Pointer[func(service gooseberrypass.ID, ended bool)] // set by OnCapacity
+
 	mu           sync.Mutex
 	advised      map[gooseberrypass.ID]*endpoint // listed endpoints of which an advisory is known
 	demands      map[gooseberrypass.ID]*demand   // of this entry, by service
@@ -148,13 +151,11 @@
 func (b *Balancer) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
 	switch e := event.(type) {
 	case materializer.Changed:
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.update(e.Snapshot)
+		b.locked(func() { b.update(e.Snapshot) })
+		b.reportAllCapacity()
 	case gooseberrypass.Tick:
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.expire(now)
+		b.locked(func() { b.expire(now) })
+		b.reportAllCapacity() // backoffs, ejections and pauses end with time alone
 	}
 	return nil
 }
@@ -242,14 +243,17 @@
 
 // SetEntryLoads replaces the load that another entry reports, by endpoint.
 func (b *Balancer) SetEntryLoads(now time.Time, from gooseberrypass.ID, loads map[gooseberrypass.ID]Load) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if _, ok := b.entriesSeen[from]; !ok {
-		b.entriesEpoch++
-		defer b.countLocalEntries()
-	}
-	b.entriesSeen[from] = now
-	b.replaceReport(from, loads)
+	var freed []gooseberrypass.ID
+	b.locked(func() {
+		if _, ok := b.entriesSeen[from]; !ok {
+			b.entriesEpoch++
+			defer b.countLocalEntries()
+		}
+		b.entriesSeen[from] = now
+		freed = b.servicesFreed(b.reports[from], loads)
+		b.replaceReport(from, loads)
+	})
+	b.reportCapacity(false, freed...)
 }
 
 // replaceReport replaces the loads that another entry reported.
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -232,7 +232,7 @@
 		cost += float64(first) / float64(engine.EventInterval)
 	}
 	inTime := q.Objective == 0 || first <= time.Duration(b.settings.FirstEventShare*float64(q.Objective))
-	return cost, total < slots*fill && (inTime || load.UnreadTokens == 0)
+	return cost, total < fillLimit(slots*fill, q.Headroom) && (inTime || load.UnreadTokens == 0)
 }
 
 // predictFirstEvent predicts the time until an engine has read unread prompt tokens
--- a/balancer/ticket.go
+++ b/balancer/ticket.go
@@ -65,17 +65,18 @@
 // HeadReceived records the time that the endpoint took to the head of its answer.
 func (t *Ticket) HeadReceived(took time.Duration) {
 	b := t.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	t.promptRead()
-	now := b.clock.Now()
-	t.endpoint.lastSign = now
-	t.endpoint.probation = false
-	b.endProbe(now, t, true)
-	smooth(&t.endpoint.headTime, took)
-	average := b.headTimes[t.endpoint.listed.Service]
-	smooth(&average, took)
-	b.headTimes[t.endpoint.listed.Service] = average
+	b.locked(func() {
+		t.promptRead()
+		now := b.clock.Now()
+		t.endpoint.lastSign = now
+		t.endpoint.probation = false
+		b.endProbe(now, t, true)
+		smooth(&t.endpoint.headTime, took)
+		average := b.headTimes[t.endpoint.listed.Service]
+		smooth(&average, took)
+		b.headTimes[t.endpoint.listed.Service] = average
+	})
+	b.reportCapacity(false, t.target.Service)
 }
 
 // EventReceived records that the endpoint sent another event of its answer. It
@@ -140,15 +141,19 @@
 // Done releases the place and records the result. Later calls have no effect.
 func (t *Ticket) Done(result Result) {
 	b := t.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if t.done {
-		return
+	ended := false
+	b.locked(func() {
+		if t.done {
+			return
+		}
+		t.done, ended = true, true
+		t.promptRead()
+		t.endpoint.own.Requests--
+		now := b.clock.Now()
+		b.endProbe(now, t, false)
+		t.endpoint.record(now, result, b.settings)
+	})
+	if ended {
+		b.reportCapacity(true, t.target.Service)
 	}
-	t.done = true
-	t.promptRead()
-	t.endpoint.own.Requests--
-	now := b.clock.Now()
-	b.endProbe(now, t, false)
-	t.endpoint.record(now, result, b.settings)
 }
--- a/deployment.go
+++ b/deployment.go
@@ -1,6 +1,9 @@
 package gooseberrypass
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -53,6 +56,22 @@
 	return s == nil || ok
 }
 
+// Equal reports whether both sets have the same regions.
+func (s RegionSet) Equal(t RegionSet) bool { return (s == nil) == (t == nil) && maps.Equal(s, t) }
+
+// Within reports whether t has all regions of the set.
+func (s RegionSet) Within(t RegionSet) bool {
+	if s == nil || t == nil {
+		return t == nil
+	}
+	for region := range s {
+		if !t.Contains(region) {
+			return false
+		}
+	}
+	return true
+}
+
 // Intersect returns the set without the regions that are not listed. An empty list
 // restricts nothing.
 func (s RegionSet) Intersect(regions []Region) RegionSet {
@@ -117,6 +136,7 @@
 type Deployment struct {
 	accounts map[string]AccountSpec // nil if no request needs a client account
 	limits   CallerLimits
+	ranks    map[ID][]urgency // of the requests for each service, the most urgent first
 	routes   map[string][]Route
 	services map[ID]ServiceSpec
 	version  int64
@@ -138,9 +158,73 @@
 	for _, s := range services {
 		d.services[s.ID] = s
 	}
+	d.ranks = d.listRanks(routes)
 	return d
 }
 
+// An urgency is what the rank of a request follows from. Requests of client accounts without
+// a priority of their own have that of the route.
+type urgency struct {
+	account int // priority of the client account
+	route   int // priority of the route
+}
+
+// compare orders urgencies, the most urgent first.
+func (u urgency) compare(v urgency) int {
+	return cmp.Or(cmp.Compare(u.account, v.account), cmp.Compare(u.route, v.route))
+}
+
+// urgencyOf returns the urgency of a request; accountPriority is -1 for none.
+func urgencyOf(route *Route, accountPriority int) urgency {
+	if accountPriority < 0 {
+		accountPriority = route.Priority
+	}
+	return urgency{account: accountPriority, route: route.Priority}
+}
+
+// listRanks returns the different urgencies of the requests for each service.
+func (d *Deployment) listRanks(routes []Route) map[ID][]urgency {
+	priorities := map[int]struct{}{}
+	for _, a := range d.accounts {
+		priorities[max(a.Priority, -1)] = struct{}{}
+	}
+	ranks := map[ID][]urgency{}
+	for i := range routes {
+		r := &routes[i]
+		var urgencies []urgency
+		if r.Public || !d.RequiresAccount() {
+			urgencies = append(urgencies, urgencyOf(r, -1))
+		} else {
+			for p := range priorities {
+				urgencies = append(urgencies, urgencyOf(r, p))
+			}
+		}
+		for _, t := range r.Targets {
+			ranks[t.Service] = append(ranks[t.Service], urgencies...)
+		}
+	}
+	for service, list := range ranks {
+		slices.SortFunc(list, urgency.compare)
+		ranks[service] = slices.Compact(list)
+	}
+	return ranks
+}
+
+// Rank returns the rank of a request for a service, 0 for the most urgent, and the number of
+// ranks. accountPriority is that of its client account, -1 for none. The priority of the client
+// account takes precedence over that of the route.
+func (d *Deployment) Rank(service ID, route *Route, accountPriority int) (int, int) {
+	ranks := d.ranks[service]
+	n, _ := slices.BinarySearchFunc(ranks, urgencyOf(route, accountPriority), urgency.compare)
+	return min(n, max(len(ranks)-1, 0)), len(ranks)
+}
+
+// PrioritiesDiffer reports whether routes of different priority lead to a service.
+func (d *Deployment) PrioritiesDiffer(service ID) bool {
+	ranks := d.ranks[service]
+	return slices.ContainsFunc(ranks, func(u urgency) bool { return u.route != ranks[0].route })
+}
+
 // Account returns the client account with a key. No account matches an empty key.
 func (d *Deployment) Account(key string) (AccountSpec, bool) {
 	a, ok := d.accounts[key]
--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -136,6 +136,7 @@
 	build     func(forwarder.Chooser) (*forwarder.Forwarder, error)
 	deployed  *gooseberrypass.Deployment // when build is called
 	log       bytes.Buffer
+	scheduler forwarder.Scheduler      // nil for none
 	sender    gooseberrypass.Transport // used instead of transport, if not nil
 	settings  forwarder.Settings
 	snapshot  *materializer.Snapshot
@@ -200,7 +201,7 @@
 		if f.sender != nil {
 			sender = f.sender
 		}
-		return forwarder.New(f.clock, deployments{f.deployed}, chooser, sender, f.tracker, f.settings, prometheus.NewRegistry(), log)
+		return forwarder.New(f.clock, deployments{f.deployed}, chooser, f.scheduler, sender, f.tracker, f.settings, prometheus.NewRegistry(), log)
 	}
 	f.forwarder, err = f.build(b)
 	if err != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
+	"github.com/gooseberrypass/gooseberrypass/scheduler"
 )
 
 // Settings configure a Forwarder.
@@ -45,6 +46,13 @@
 	Entries() int
 }
 
+// A Scheduler lets requests wait for capacity in the order of their urgency.
+type Scheduler interface {
+	Choose(ctx context.Context, r *scheduler.Request) (*balancer.Ticket, error)
+	RetryAfter(r *scheduler.Request, timeLeft time.Duration) time.Duration
+	Schedules(d *gooseberrypass.Deployment, service gooseberrypass.ID) bool
+}
+
 // Deployments returns the deployment in force, nil before the first one.
 type Deployments interface {
 	Deployment() *gooseberrypass.Deployment
@@ -58,16 +66,18 @@
 	deployments Deployments
 	logger      logrus.FieldLogger
 	metrics     *metrics
+	scheduler   Scheduler // nil if no service is scheduled
 	settings    Settings
 	tracker     RequestTracker
 	transport   gooseberrypass.Transport
 }
 
-// New returns a forwarder.
+// New returns a forwarder. Without a scheduler no service is scheduled.
 func New(
 	clock gooseberrypass.Clock,
 	deployments Deployments,
 	chooser Chooser,
+	scheduler Scheduler,
 	transport gooseberrypass.Transport,
 	tracker RequestTracker,
 	settings Settings,
@@ -86,6 +96,7 @@
 		deployments: deployments,
 		logger:      logger,
 		metrics:     m,
+		scheduler:   scheduler,
 		settings:    settings,
 		tracker:     tracker,
 	}, nil
@@ -93,7 +104,7 @@
 
 // HandleProxyRequest implements gooseberrypass.ProxyHandler.
 func (f *Forwarder) HandleProxyRequest(ctx context.Context, p *gooseberrypass.ProxyRequest, w gooseberrypass.Responder) {
-	r := &request{arrivedAt: f.clock.Now(), ctx: ctx, firstSent: map[gooseberrypass.ID]time.Time{}, forwarder: f, proxyRequest: p, lastEvent: p.LastEvent, w: w}
+	r := &request{accountPriority: -1, arrivedAt: f.clock.Now(), ctx: ctx, firstSent: map[gooseberrypass.ID]time.Time{}, forwarder: f, proxyRequest: p, lastEvent: p.LastEvent, w: w}
 	err := r.prepare()
 	if err == nil {
 		err = r.serve()
@@ -123,6 +134,7 @@
 		}
 		r.account = account.ID
 		r.regions = r.regions.Intersect(account.Regions)
+		r.accountPriority = account.Priority
 		if account.Priority >= 0 {
 			r.priority = account.Priority
 		}
@@ -142,6 +154,7 @@
 	if spec.Engine != nil {
 		r.model = spec.Engine.Model
 	}
+	r.setRank(d)
 	r.digest, r.repeatDigest = r.proxyRequest.Digest(), r.proxyRequest.RepeatDigest()
 	r.refusedBefore = f.tracker.refusedRecently(r.repeatDigest)
 	if r.model != "" {
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -27,43 +27,46 @@
 // A request is the state of one proxy request while it is handled. The goroutine that handles
 // it holds mu while it changes what a handover reads, or waits in await.
 type request struct {
-	account       gooseberrypass.ID
-	arrivedAt     time.Time
-	attempts      int   // attempts made
-	beginCrashes  int   // attempts whose answer broke off at its begin
-	configVersion int64 // version of the deployment
-	ctx           context.Context
-	deadline      time.Time
-	deliveredAt   time.Time // last event delivered, zero for none
-	digest        gooseberrypass.Digest
-	fallback      *heldResponse
-	firstSent     map[gooseberrypass.ID]time.Time // first attempt at each endpoint
-	forwarder     *Forwarder
-	headTime      time.Duration     // time from arrival to the head of the answer
-	inFlight      int               // requests at the last endpoint when it was chosen
-	lastEndpoint  gooseberrypass.ID // endpoint of the last attempt
-	lastEvent     int               // index of the last event delivered, -1 for none
-	maxConns      int               // connections that an endpoint of the service accepts, 0 for any number
-	mayRun        bool              // an attempt may have run
-	model         string            // "" for a plain service
-	nextMove      time.Time         // the stream is not moved before
-	stays         bool              // the stream is moved no more
-	priority      int
-	prompt        attributor.Prompt
-	proxyRequest  *gooseberrypass.ProxyRequest
-	refusedBy     []gooseberrypass.ID      // endpoints that refused to run it
-	regions       gooseberrypass.RegionSet // regions that may serve the request
-	refusedBefore bool                     // retry of a request that was refused because of load
-	repeatDigest  gooseberrypass.Digest    // digest that includes the prompt
-	route         *gooseberrypass.Route
-	service       gooseberrypass.ID
-	started       bool // part of the answer was delivered
-	status        int
-	tried         []gooseberrypass.ID // endpoints that may have run it
-	unbegun       atomic.Int32        // attempts that were withdrawn without a sign of an answer
-	version       int                 // version of the weights that began the answer
-	w             gooseberrypass.Responder
-	wholeBegun    bool // part of an answer that is no stream was delivered, which nothing can go on
+	account         gooseberrypass.ID
+	accountPriority int // -1 for none
+	arrivedAt       time.Time
+	attempts        int   // attempts made
+	beginCrashes    int   // attempts whose answer broke off at its begin
+	configVersion   int64 // version of the deployment
+	ctx             context.Context
+	deadline        time.Time
+	deliveredAt     time.Time // last event delivered, zero for none
+	digest          gooseberrypass.Digest
+	fallback        *heldResponse
+	firstSent       map[gooseberrypass.ID]time.Time // first attempt at each endpoint
+	forwarder       *Forwarder
+	headTime        time.Duration     // time from arrival to the head of the answer
+	inFlight        int               // requests at the last endpoint when it was chosen
+	lastEndpoint    gooseberrypass.ID // endpoint of the last attempt
+	lastEvent       int               // index of the last event delivered, -1 for none
+	maxConns        int               // connections that an endpoint of the service accepts, 0 for any number
+	mayRun          bool              // an attempt may have run
+	model           string            // "" for a plain service
+	nextMove        time.Time         // the stream is not moved before
+	stays           bool              // the stream is moved no more
+	priority        int
+	prompt          attributor.Prompt
+	proxyRequest    *gooseberrypass.ProxyRequest
+	refusedBy       []gooseberrypass.ID      // endpoints that refused to run it
+	regions         gooseberrypass.RegionSet // regions that may serve the request
+	refusedBefore   bool                     // retry of a request that was refused because of load
+	rank            int                      // 0 is the most urgent
+	ranks           int                      // number of ranks of the service, 0 if it is not scheduled
+	repeatDigest    gooseberrypass.Digest    // digest that includes the prompt
+	route           *gooseberrypass.Route
+	service         gooseberrypass.ID
+	started         bool // part of the answer was delivered
+	status          int
+	tried           []gooseberrypass.ID // endpoints that may have run it
+	unbegun         atomic.Int32        // attempts that were withdrawn without a sign of an answer
+	version         int                 // version of the weights that began the answer
+	w               gooseberrypass.Responder
+	wholeBegun      bool // part of an answer that is no stream was delivered, which nothing can go on
 
 	mu       sync.Mutex
 	awaited  *attempt  // attempt whose data the request waits for
@@ -228,6 +231,9 @@
 // choose reserves a place at an endpoint. If all endpoints are full, it retries until
 // waitUntil.
 func (r *request) choose() (*balancer.Ticket, error) {
+	if r.ranks > 0 && r.attempts == 0 {
+		return r.forwarder.scheduler.Choose(r.ctx, r.scheduled())
+	}
 	f := r.forwarder
 	until, poll := r.waitUntil()
 	for polled := false; ; polled = true {
@@ -293,6 +299,7 @@
 		answer = min(answer, r.proxyRequest.MaxTokens)
 	}
 	return balancer.Query{
+		Scheduled:    r.ranks > 0,
 		AnswerTokens: answer, Tried: slices.Clone(r.tried), Model: r.model, Objective: r.route.Objective, PromptTokens: r.proxyRequest.PromptTokens,
 		Regions: r.regions, Resumed: r.started, RefusedBefore: r.refusedBefore, Service: r.service, Version: r.version,
 	}
@@ -318,6 +325,9 @@
 // retryAfter returns the Retry-After of a refusal: the usual one, or the time until an
 // endpoint takes requests if that is longer. It is at most a third of the caller's time.
 func (r *request) retryAfter(room time.Duration) time.Duration {
+	if r.ranks > 0 {
+		return r.scheduledRetryAfter(room)
+	}
 	wait := max(r.forwarder.settings.RetryAfter, room)
 	if !r.proxyRequest.Deadline.IsZero() {
 		wait = min(wait, r.proxyRequest.Deadline.Sub(r.arrivedAt)/3)
--- /dev/null
+++ b/forwarder/scheduling.go
@@ -0,0 +1,52 @@
+package forwarder
+
+import (
+	"time"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/scheduler"
+)
+
+// maxEnginePriority is the number of the least urgent priority that engines know.
+const maxEnginePriority = 9
+
+// setRank sets the rank of a request for a service that is scheduled. Its engines learn the
+// rank where the priorities of the routes differ.
+func (r *request) setRank(d *gooseberrypass.Deployment) {
+	s := r.forwarder.scheduler
+	if s == nil || !s.Schedules(d, r.service) {
+		return
+	}
+	r.rank, r.ranks = d.Rank(r.service, r.route, r.accountPriority)
+	if d.PrioritiesDiffer(r.service) {
+		r.priority = enginePriority(r.rank, r.ranks)
+	}
+}
+
+// enginePriority returns the priority that tells engines a rank. Neighboring ranks share one if
+// there are more than engines know.
+func enginePriority(rank, ranks int) int {
+	if ranks <= maxEnginePriority+1 {
+		return rank
+	}
+	return rank * maxEnginePriority / (ranks - 1)
+}
+
+// scheduled returns the request as the scheduler knows it.
+func (r *request) scheduled() *scheduler.Request {
+	return &scheduler.Request{
+		Account: r.account, ArrivedAt: r.arrivedAt, Key: r.digest.Prefix(), Late: r.refusedBefore, Query: r.endpointQuery(), Rank: r.rank, Ranks: r.ranks,
+	}
+}
+
+// scheduledRetryAfter returns the Retry-After of a refusal: the time at which capacity is
+// expected, or the time until an endpoint takes requests if that is longer. It is at most a
+// third of the time that the caller has left.
+func (r *request) scheduledRetryAfter(room time.Duration) time.Duration {
+	f := r.forwarder
+	longest := 3 * f.settings.RetryAfter
+	if !r.deadline.IsZero() {
+		longest = r.deadline.Sub(f.clock.Now())
+	}
+	return min(max(f.scheduler.RetryAfter(r.scheduled(), longest), room), longest/3)
+}
--- a/gossiper/encoding.go
+++ b/gossiper/encoding.go
@@ -48,7 +48,7 @@
 			g.Notice.Models[model] = int32(version)
 		}
 	}
-	g.CrashEvidence = encodeEvidence(m.CrashEvidence)
+	g.Backlogs, g.CrashEvidence = encodeBacklogs(m.Backlogs), encodeEvidence(m.CrashEvidence)
 	body, err := proto.Marshal(g)
 	return body, errors.Wrap(err, "encode message")
 }
@@ -63,7 +63,7 @@
 		ListAge: decodeAge(g.GetListAgeMillis()), Refused: g.GetRefused(), Region: gooseberrypass.Region(g.GetRegion()),
 		Role: gooseberrypass.Role(g.GetRole()), Loads: make(map[gooseberrypass.ID]balancer.Load, len(g.GetShares())), Starting: g.GetStarting(),
 	}
-	m.CrashEvidence = decodeEvidence(g.GetCrashEvidence())
+	m.Backlogs, m.CrashEvidence = decodeBacklogs(g.GetBacklogs()), decodeEvidence(g.GetCrashEvidence())
 	for _, c := range g.GetRequestCrashes() {
 		m.RequestCrashes = append(m.RequestCrashes, gooseberrypass.RequestCrashes{
 			Age: decodeAge(c.GetAgeMillis()), Count: int(min(c.GetCount(), math.MaxInt32)), Observer: c.GetObserver(), Relapses: int(min(c.GetRelapses(), math.MaxInt32)), Request: c.GetRequest(),
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -15,6 +15,7 @@
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/attributor"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
+	"github.com/gooseberrypass/gooseberrypass/scheduler"
 )
 
 // maxDatagram bounds an encoded message, in bytes.
@@ -23,11 +24,12 @@
 // A Message is the state that one process announces to others. Requests are
 // identified by the first eight bytes of their digests.
 type Message struct {
-	Address        string                        // sender's address for other processes
-	Advisories     []balancer.AdvisoryReport     // that an entry has heard from endpoints
-	CrashEvidence  attributor.Evidence           // from entries
-	Demand         map[gooseberrypass.ID]float64 // requests per second that come to an entry, by service with a limited endpoint
-	EndpointStatus *balancer.EndpointStatus      // endpoint of an agent, nil from an entry
+	Address        string                                  // sender's address for other processes
+	Advisories     []balancer.AdvisoryReport               // that an entry has heard from endpoints
+	Backlogs       map[gooseberrypass.ID]scheduler.Backlog // requests that lack capacity at an entry, by service
+	CrashEvidence  attributor.Evidence                     // from entries
+	Demand         map[gooseberrypass.ID]float64           // requests per second that come to an entry, by service with a limited endpoint
+	EndpointStatus *balancer.EndpointStatus                // endpoint of an agent, nil from an entry
 	From           gooseberrypass.ID
 	ListAge        time.Duration                                  // age of an entry's last own read of the endpoint list
 	Loads          map[gooseberrypass.ID]balancer.Load            // load that an entry puts on each endpoint
--- a/replicator/outageorders_test.go
+++ b/replicator/outageorders_test.go
@@ -161,7 +161,7 @@
 			p.readers[topic] = &simReader{}
 		}
 	}
-	p.replicator = replicator.New(replicator.Self{Address: string(id), ID: id, Role: role}, m, p.sender, &http.Client{Transport: simTransport{from: id, sim: s}}, loads, noHistory{}, replicator.Settings{
+	p.replicator = replicator.New(replicator.Self{Address: string(id), ID: id, Role: role}, m, p.sender, &http.Client{Transport: simTransport{from: id, sim: s}}, loads, nil, noHistory{}, replicator.Settings{
 		Fanout: 4, ListPullDelay: 800 * time.Millisecond, MaxListAge: simListAge, Period: simTick, PullDelay: 150 * time.Millisecond, PullTimeout: time.Second, ReaderTimeout: 450 * time.Millisecond,
 	}, 1, log)
 	s.processes = slices.DeleteFunc(s.processes, func(old *simProcess) bool { return old.id == id })
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -19,6 +19,7 @@
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 	"github.com/gooseberrypass/gooseberrypass/gossiper"
 	"github.com/gooseberrypass/gooseberrypass/materializer"
+	"github.com/gooseberrypass/gooseberrypass/scheduler"
 )
 
 // Pattern is the http.ServeMux pattern of the handler that NewHandler returns.
@@ -71,6 +72,13 @@
 	OwnLoads() map[gooseberrypass.ID]balancer.Load
 }
 
+// A BacklogExchange exchanges which requests lack capacity at entries. It is nil in agents, and
+// in entries that schedule no service.
+type BacklogExchange interface {
+	OwnBacklogs() map[gooseberrypass.ID]scheduler.Backlog
+	SetEntryBacklogs(now time.Time, from gooseberrypass.ID, backlogs map[gooseberrypass.ID]scheduler.Backlog)
+}
+
 // A RequestHistory exchanges what entries remember of requests: how many endpoint
 // failures each is suspected of, under which parts of prompts endpoints crashed, and
 // which were refused for load. Requests are
@@ -99,6 +107,7 @@
 	announcedToAgents gooseberrypass.Offset              // next offset of the operator's topic last announced to agents
 	askedFar          int                                // messages to agents that other entries serve, by an entry that has just started
 	behindSince       map[gooseberrypass.Topic]time.Time // when this process fell behind another
+	backlogs          BacklogExchange
 	client            *http.Client
 	farEntries        int                           // entries of other regions at the last message to all
 	contacts          map[gooseberrypass.ID]contact // with agents; entries only
@@ -125,10 +134,10 @@
 	statuses          map[string]balancer.EndpointStatus // last status of each endpoint, by address
 }
 
-// New returns a replicator. loads and history are nil in an agent.
-func New(self Self, m *materializer.Materializer, sender Sender, client *http.Client, loads LoadExchange, history RequestHistory, settings Settings, seed uint64, logger logrus.FieldLogger) *Replicator {
+// New returns a replicator. loads, backlogs and history are nil in an agent.
+func New(self Self, m *materializer.Materializer, sender Sender, client *http.Client, loads LoadExchange, backlogs BacklogExchange, history RequestHistory, settings Settings, seed uint64, logger logrus.FieldLogger) *Replicator {
 	return &Replicator{
-		behindSince: map[gooseberrypass.Topic]time.Time{}, client: client, contacts: map[gooseberrypass.ID]contact{}, remoteNext: map[gooseberrypass.Topic]gooseberrypass.Offset{}, loads: loads, logger: logger,
+		backlogs: backlogs, behindSince: map[gooseberrypass.Topic]time.Time{}, client: client, contacts: map[gooseberrypass.ID]contact{}, remoteNext: map[gooseberrypass.Topic]gooseberrypass.Offset{}, loads: loads, logger: logger,
 		statuses: map[string]balancer.EndpointStatus{}, pulling: map[gooseberrypass.Topic]bool{}, history: history, readers: map[gooseberrypass.ID]reader{}, rng: rand.New(rand.NewPCG(seed, seed)), self: self, sender: sender,
 		materializer: m, repliedAt: map[gooseberrypass.ID]time.Time{}, settings: settings,
 	}
@@ -199,6 +208,9 @@
 		m.CrashEvidence, m.Refused, m.RequestCrashes = r.history.CrashEvidence(), r.history.Refused(), r.history.RequestCrashes()
 		m.Advisories, m.Demand, m.Loads = r.loads.OwnAdvisories(), r.loads.OwnDemand(), r.loads.OwnLoads()
 		m.ListAge = r.listAge(now)
+		if r.backlogs != nil {
+			m.Backlogs = r.backlogs.OwnBacklogs()
+		}
 		m.Outranked, m.Targets = r.outranked(), r.recentTargets(now)
 		m.Next[gooseberrypass.TopicEndpoints] = next(gooseberrypass.TopicEndpoints)
 	}
@@ -336,6 +348,9 @@
 		r.loads.SetEntryLoads(now, m.From, m.Loads)
 		r.loads.AddAdvisories(now, m.From, m.Advisories)
 		r.loads.SetEntryDemand(m.From, m.Demand)
+		if r.backlogs != nil {
+			r.backlogs.SetEntryBacklogs(now, m.From, m.Backlogs)
+		}
 	}
 	if m.EndpointStatus != nil {
 		r.handleStatus(now, m)
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/gooseberrypass/gooseberrypass/materializer"
 	"github.com/gooseberrypass/gooseberrypass/platform"
 	"github.com/gooseberrypass/gooseberrypass/replicator"
+	"github.com/gooseberrypass/gooseberrypass/scheduler"
 )
 
 // defaultMaxBody is the size limit of a request body in bytes, used if no
@@ -30,7 +31,8 @@
 	callers   *listener.Server // serves callers
 	drainer   *drainer.Drainer
 	history   forwarder.RequestTracker // history of requests, exchanged with other entries
-	ready     *listener.Server         // serves the platform's readiness checks
+	scheduler *scheduler.Scheduler
+	ready     *listener.Server // serves the platform's readiness checks
 	transport *platform.Transport
 }
 
@@ -50,16 +52,20 @@
 	}
 	self := balancer.Self{ID: m.self.ID, Region: m.self.Region}
 	g.balancer = balancer.New(m.clock, self, settings.regionOf, settings.balancerSettings(), m.seed, m.logger)
+	if g.scheduler, err = scheduler.New(m.clock, g.balancer, settings.schedulerSettings(), m.seed, m.registry, m.logger); err != nil {
+		return nil, err
+	}
+	g.balancer.OnCapacity(g.scheduler.Serve)
 	if err := m.registry.Register(g.limitGauge()); err != nil {
 		return nil, errors.Wrap(err, "register balancer metrics")
 	}
 	m.materializer = materializer.New(platform.Decoder{}, settings.materializerSettings(), m.logger, g.balancer)
 	m.metricsMux.Handle("GET "+StatusPath, NewStatusHandler(self, m.materializer, g.balancer, m.logger))
-	repl := m.newReplicator(g.balancer, g.history)
+	repl := m.newReplicator(g.balancer, g.scheduler, g.history)
 	if m.registrar, err = m.newRegistrar(); err != nil {
 		return nil, err
 	}
-	m.loop.Add(m.materializer, replicator.NewResponder(m.materializer), g.balancer, repl, m.registrar)
+	m.loop.Add(m.materializer, replicator.NewResponder(m.materializer), g.balancer, g.scheduler, repl, m.registrar)
 	reads, err := follower.NewReadCounter(m.registry)
 	if err != nil {
 		return nil, err
@@ -78,7 +84,7 @@
 }
 
 func (g *Gateway) bind(ctx context.Context) error {
-	f, err := forwarder.New(g.clock, g.materializer, g.balancer, g.transport, g.history, g.settings.forwarderSettings(), g.registry, g.logger)
+	f, err := forwarder.New(g.clock, g.materializer, g.balancer, g.scheduler, g.transport, g.history, g.settings.forwarderSettings(), g.registry, g.logger)
 	if err != nil {
 		return errors.Wrap(err, "create request path")
 	}
@@ -145,6 +151,7 @@
 // not ready before the address for callers closes.
 func (g *Gateway) drain(listen time.Duration) {
 	g.drainer.Begin()
+	g.scheduler.Stop()
 	g.logger.Info("gateway stopping")
 	timer := g.clock.NewTimer(listen)
 	defer timer.Stop()
--- a/runner/machine.go
+++ b/runner/machine.go
@@ -137,10 +137,10 @@
 	return registrar.New(m.clock, m.store, m.materializer, string(m.self.ID), body, m.seed, m.logger), nil
 }
 
-// newReplicator returns the replicator of the process. loads and history are nil in
-// an agent.
-func (m *machineProcess) newReplicator(loads replicator.LoadExchange, history replicator.RequestHistory) *replicator.Replicator {
-	return replicator.New(replicator.Self{Address: m.self.Address, ID: m.self.ID, Region: m.self.Region, Role: m.self.Role}, m.materializer, m.gossiper, m.client, loads, history,
+// newReplicator returns the replicator of the process. loads, backlogs and history are nil
+// in an agent.
+func (m *machineProcess) newReplicator(loads replicator.LoadExchange, backlogs replicator.BacklogExchange, history replicator.RequestHistory) *replicator.Replicator {
+	return replicator.New(replicator.Self{Address: m.self.Address, ID: m.self.ID, Region: m.self.Region, Role: m.self.Role}, m.materializer, m.gossiper, m.client, loads, backlogs, history,
 		m.settings.replicatorSettings(), m.seed, m.logger)
 }
 
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -17,6 +17,7 @@
 	"github.com/gooseberrypass/gooseberrypass/parser"
 	"github.com/gooseberrypass/gooseberrypass/platform"
 	"github.com/gooseberrypass/gooseberrypass/replicator"
+	"github.com/gooseberrypass/gooseberrypass/scheduler"
 	"github.com/gooseberrypass/gooseberrypass/stager"
 )
 
@@ -152,7 +153,11 @@
 			{Name: "return-fill", Type: checker.Float(0.1, 10), Default: "0.85", Doc: "As fill, for callers that retry after a refusal: their answer is late already, and under overload the remaining capacity is for callers that can be answered in time."},
 			{Name: "return-time", Type: checker.Duration(0, longest), Default: "5s", Doc: "Time after a refusal for which a retry of the caller is recognized; callers are told to retry after retry-after."},
 			{Name: "sample", Type: checker.Float(0, 1000), Default: "1", Doc: "Endpoints compared for a request, as a multiple of those for each entry of the region, at least two; 0 compares all. Entries that compare all of them choose the same one between two messages."},
+			{Name: "queue-most", Type: checker.Int(1, 1000000), Default: "256", Doc: "Waiting requests of a scheduled service beyond which the least urgent one is refused; a few times what can be served while they wait."},
+			{Name: "scheduling", Type: checker.Enum("always", "auto", "never"), Default: "auto", Doc: "Services whose requests wait in the order of their urgency: all, those that routes of different priority lead to or whose endpoints share their machines, or none."},
 			{Name: "servers-pause", Type: checker.Duration(time.Millisecond, longest), Default: default500ms, Doc: "Pause between reads of the list of endpoints."},
+			{Name: "share-least", Type: checker.Float(0, 1), Default: "0.12", Doc: "Share of the objective for which the least urgent requests of a scheduled service wait for an endpoint with capacity."},
+			{Name: "share-most", Type: checker.Float(0, 1), Default: "0.4", Doc: "As share-least, for the most urgent requests. What is left of the objective is for the first event."},
 			{Name: "slow-tolerance", Type: checker.Float(1, 100), Default: "1.6", Doc: "Factor by which an endpoint may be slower than its service before it counts as fuller; a load that differs by a few requests has as much effect."},
 			{Name: "stall", Type: checker.Duration(0, longest), Default: "400ms", Doc: "Silence of an endpoint with requests in flight after which it gets no more; as long as an objective, and many passes of an engine."},
 			{Name: "stall-times", Type: checker.Float(1, 100), Default: "3", Doc: "As stall, as a multiple of the service's time to the head of an answer; the longer of the two applies."},
@@ -322,6 +327,16 @@
 	}
 }
 
+func (s *MachineSettings) schedulerSettings() scheduler.Settings {
+	return scheduler.Settings{
+		LeastWaitShare: s.float(sectionForward, "share-least"),
+		MaxWaiting:     checker.Get[int](s.values, sectionForward, "queue-most"),
+		Mode:           scheduler.Mode(checker.Get[string](s.values, sectionForward, "scheduling")),
+		MostWaitShare:  s.float(sectionForward, "share-most"),
+		ReportTTL:      s.forwardDuration("notice-life"),
+	}
+}
+
 func (s *MachineSettings) attributorSettings() attributor.Settings {
 	return attributor.Settings{QuarantineTime: s.forwardDuration("poison-time")}
 }
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -82,7 +82,7 @@
 	}, settings.stagerSettings())
 	adapter := &fetcherAdapter{fetcher: f, sidecar: s}
 	m.materializer = materializer.New(platform.Decoder{}, settings.materializerSettings(), m.logger, adapter, stg)
-	repl := m.newReplicator(nil, nil)
+	repl := m.newReplicator(nil, nil, nil)
 	notifier.replicator = repl
 	if m.registrar, err = m.newRegistrar(); err != nil {
 		return nil, err
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,288 @@
+// Package scheduler decides the order in which requests that compete for capacity get an
+// endpoint. Each entry has one scheduler; entries tell one another which requests lack
+// capacity.
+package scheduler
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/balancer"
+)
+
+// A Mode says which services are scheduled.
+type Mode string
+
+// The modes.
+const (
+	ModeAlways Mode = "always"
+	ModeAuto   Mode = "auto" // those that routes of different priority lead to, or whose endpoints share their machines
+	ModeNever  Mode = "never"
+)
+
+// Settings configure a Scheduler.
+type Settings struct {
+	LeastWaitShare float64 // longest wait of the least urgent requests, as a share of the objective
+	MaxWaiting     int     // waiting requests of a service beyond which the least urgent is refused
+	Mode           Mode
+	MostWaitShare  float64       // LeastWaitShare for the most urgent requests
+	ReportTTL      time.Duration // age at which the backlogs of other entries expire
+}
+
+// A Chooser reserves places at endpoints.
+type Chooser interface {
+	Choose(q balancer.Query) (*balancer.Ticket, error)
+	FirstEvent(q balancer.Query) time.Duration
+	SharesMachines(service gooseberrypass.ID) bool
+}
+
+// A Request is a request that needs an endpoint.
+type Request struct {
+	Account   gooseberrypass.ID
+	ArrivedAt time.Time
+	Key       uint64 // digest of the request, by which some requests are exempt from the hold-back
+	Late      bool   // the answer is late already, because the request was refused before
+	Query     balancer.Query
+	Rank      int // 0 is the most urgent
+	Ranks     int // number of ranks of the service
+}
+
+// A waiter is a request that waits in a queue.
+type waiter struct {
+	deadline time.Time  // end of the wait
+	granted  chan grant // receives once; has room for it
+	request  *Request
+}
+
+// A grant ends the wait of a request.
+type grant struct {
+	err    error
+	ticket *balancer.Ticket
+}
+
+// A Scheduler lets requests wait for capacity and gives it to the most urgent one. It is safe
+// for concurrent use.
+type Scheduler struct {
+	chooser  Chooser
+	clock    gooseberrypass.Clock
+	logger   logrus.FieldLogger
+	metrics  *metrics
+	settings Settings
+
+	mu       sync.Mutex
+	reports  reports
+	rng      *rand.Rand
+	services map[gooseberrypass.ID]*service
+	stopped  bool
+}
+
+// A service is the state of one service.
+type service struct {
+	holdBack holdBack
+	id       gooseberrypass.ID
+	queue    *queue
+	ranks    int // largest number of ranks seen
+	refusals refusals
+	retries  retryEstimate
+}
+
+// New returns the scheduler of an entry.
+func New(clock gooseberrypass.Clock, chooser Chooser, settings Settings, seed uint64, registerer prometheus.Registerer, logger logrus.FieldLogger) (*Scheduler, error) {
+	m, err := newMetrics(registerer)
+	if err != nil {
+		return nil, err
+	}
+	return &Scheduler{
+		chooser: chooser, clock: clock, logger: logger, metrics: m, settings: settings,
+		reports: reports{byEntry: map[gooseberrypass.ID]report{}, ttl: settings.ReportTTL}, rng: rand.New(rand.NewPCG(seed, seed)), services: map[gooseberrypass.ID]*service{},
+	}, nil
+}
+
+// Schedules reports whether the requests for a service are scheduled.
+func (s *Scheduler) Schedules(d *gooseberrypass.Deployment, service gooseberrypass.ID) bool {
+	switch s.settings.Mode {
+	case ModeAlways:
+		return true
+	case ModeNever:
+		return false
+	default:
+		return d.PrioritiesDiffer(service) || s.chooser.SharesMachines(service)
+	}
+}
+
+// Choose reserves a place at an endpoint. If there is none, or if a request that is as urgent
+// waits already, it waits for one. The error is a *gooseberrypass.RequestError if there is no
+// capacity in time.
+func (s *Scheduler) Choose(ctx context.Context, r *Request) (*balancer.Ticket, error) {
+	w, ticket, err := s.enter(r)
+	if w == nil {
+		return ticket, err
+	}
+	timer := s.clock.NewTimer(s.clock.Until(w.deadline))
+	defer timer.Stop()
+	select {
+	case g := <-w.granted:
+		return g.ticket, g.err
+	case <-ctx.Done():
+	case <-timer.Chan():
+	}
+	return s.leave(w, ctx.Err() == nil)
+}
+
+// enter reserves a place for a request or, if there is none, adds it to the queue.
+func (s *Scheduler) enter(r *Request) (*waiter, *balancer.Ticket, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	state := s.service(r.Query.Service, r.Ranks)
+	if !r.Late {
+		state.retries.arrivals.add(now)
+	}
+	r.Query.Scheduled = true
+	w := &waiter{deadline: s.waitUntil(r), granted: make(chan grant, 1), request: r}
+	var refused error = overloaded("more urgent requests wait")
+	if !state.queue.blocks(w) {
+		ticket, err := s.place(now, state, w)
+		if err == nil || !waits(err) {
+			return nil, ticket, err
+		}
+		refused = err
+	}
+	if s.stopped || !w.deadline.After(now.Add(timeUntilRoom(refused))) {
+		s.recordRefused(now, state, r)
+		return nil, nil, refused
+	}
+	state.queue.add(w)
+	if state.queue.size > s.settings.MaxWaiting {
+		dropped := state.queue.last(now)
+		state.queue.remove(dropped)
+		s.recordRefused(now, state, dropped.request)
+		dropped.granted <- grant{err: overloaded("too many requests wait")}
+	}
+	return w, nil, nil
+}
+
+// leave ends the wait of a request that got no endpoint in time, or whose caller has left.
+func (s *Scheduler) leave(w *waiter, refused bool) (*balancer.Ticket, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.services[w.request.Query.Service]
+	if !state.queue.remove(w) {
+		g := <-w.granted
+		return g.ticket, g.err
+	}
+	if refused {
+		s.recordRefused(s.clock.Now(), state, w.request)
+	}
+	return nil, overloaded("no endpoint had capacity in time")
+}
+
+// Serve gives free capacity at the endpoints of a service to the waiting requests. It is called
+// whenever capacity may have been freed; ended is set if a request of this entry has ended.
+func (s *Scheduler) Serve(id gooseberrypass.ID, ended bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, ok := s.services[id]
+	if !ok {
+		return
+	}
+	now := s.clock.Now()
+	if ended {
+		state.retries.freed.add(now)
+	}
+	for s.serveOne(now, state) {
+	}
+}
+
+// serveOne serves the first request of a lane, in the order of their urgency, and reports
+// whether there was capacity for one.
+func (s *Scheduler) serveOne(now time.Time, state *service) bool {
+	for _, w := range state.queue.heads(now) {
+		ticket, err := s.place(now, state, w)
+		if err != nil && waits(err) {
+			continue
+		}
+		state.queue.remove(w)
+		w.granted <- grant{err: err, ticket: ticket}
+		return true
+	}
+	return false
+}
+
+// place reserves a place for a request.
+func (s *Scheduler) place(now time.Time, state *service, w *waiter) (*balancer.Ticket, error) {
+	r := w.request
+	r.Query.Headroom = 0
+	if r.Key%exemptShare != 0 {
+		r.Query.Headroom = state.holdBack.of(r.Rank)
+	}
+	ticket, err := s.chooser.Choose(r.Query)
+	r.Query.Polled = true
+	if err != nil {
+		return nil, err
+	}
+	state.queue.recordServed(now, r.Account)
+	s.metrics.observePlaced(r, now)
+	return ticket, nil
+}
+
+// waits reports whether a request waits for an endpoint after a refusal.
+func waits(err error) bool {
+	var refusal *gooseberrypass.RequestError
+	return errors.As(err, &refusal) && refusal.Reason == gooseberrypass.ReasonOverloaded
+}
+
+// timeUntilRoom returns the time until an endpoint takes requests again, 0 if it may be at any
+// moment.
+func timeUntilRoom(err error) time.Duration {
+	var refusal *gooseberrypass.RequestError
+	if !errors.As(err, &refusal) {
+		return 0
+	}
+	return refusal.RetryAfter
+}
+
+// waitUntil returns until when a request waits: for a share of its objective that grows with
+// its urgency, and not beyond the time at which its first event could still be in time.
+func (s *Scheduler) waitUntil(r *Request) time.Time {
+	share := s.settings.MostWaitShare
+	if r.Ranks > 1 {
+		share -= (s.settings.MostWaitShare - s.settings.LeastWaitShare) * float64(r.Rank) / float64(r.Ranks-1)
+	}
+	wait := time.Duration(share * float64(r.Query.Objective))
+	if !r.Late {
+		wait = min(wait, r.Query.Objective-s.chooser.FirstEvent(r.Query))
+	}
+	return r.ArrivedAt.Add(wait)
+}
+
+// service returns the state of a service. The caller holds s.mu.
+func (s *Scheduler) service(id gooseberrypass.ID, ranks int) *service {
+	state, ok := s.services[id]
+	if !ok {
+		state = &service{id: id, queue: newQueue()}
+		s.services[id] = state
+	}
+	state.ranks = max(state.ranks, ranks)
+	return state
+}
+
+// recordRefused records that a request was refused for lack of capacity.
+func (s *Scheduler) recordRefused(now time.Time, state *service, r *Request) {
+	if !r.Late {
+		state.refusals.add(now, r.Rank)
+	}
+	s.metrics.refused.WithLabelValues(string(state.id), rankLabel(r.Rank)).Inc()
+}
+
+// overloaded returns the error of a request that is refused for lack of capacity.
+func overloaded(detail string) *gooseberrypass.RequestError {
+	return &gooseberrypass.RequestError{Detail: detail, Outcome: gooseberrypass.OutcomeNotRun, Reason: gooseberrypass.ReasonOverloaded}
+}
