--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -63,6 +63,7 @@
 	PromptTokens  int
 	Regions       gooseberrypass.RegionSet // regions whose endpoints may be chosen
 	RefusedBefore bool                     // refused because of load earlier, so that its answer is already late
+	Rivals        []uint64                 // keys of the other entries where requests wait for the service, see RivalKey
 	Resumed       bool                     // resumes an interrupted stream
 	Scheduled     bool                     // requests for the service are scheduled, see package scheduler
 	Service       gooseberrypass.ID
@@ -93,6 +94,7 @@
 	regionOf func(gooseberrypass.FailureDomain) gooseberrypass.Region
 	rng      *rand.Rand
 	self     Self
+	selfKey  uint64 // RivalKey of self
 	settings Settings
 
 	onCapacity atomic.Pointer[func(service gooseberrypass.ID, ended bool)] // set by OnCapacity
@@ -137,6 +139,7 @@
 		regionOf:     regionOf,
 		rng:          rand.New(rand.NewPCG(seed, seed)),
 		self:         self,
+		selfKey:      RivalKey(self.ID),
 		pauses:       map[gooseberrypass.ID]*pause{},
 		reports:      map[gooseberrypass.ID]map[gooseberrypass.ID]Load{},
 		unlisted:     map[gooseberrypass.ID]*endpoint{},
@@ -304,6 +307,7 @@
 	now := b.clock.Now()
 	loads := map[gooseberrypass.ID]Load{}
 	for id, e := range b.endpoints {
+		e.reported = e.own.Requests
 		if e.own.Requests > 0 {
 			load := e.own
 			load.Stalled = b.settings.StallTimeout > 0 && e.stalled(now, b.stallTimeout(e))
--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -77,3 +78,42 @@
 	defer b.mu.Unlock()
 	return b.predictFirstEvent(q.PromptTokens, q.Service, 1)
 }
+
+// rivalEpoch is the time after which the order of entries at an endpoint changes, so that none
+// is always first or last.
+const rivalEpoch = 100 * time.Millisecond
+
+// RivalKey returns the number by which entries are ordered at endpoints.
+func RivalKey(id gooseberrypass.ID) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id)) // never fails
+	return h.Sum64()
+}
+
+// mayTake reports whether this entry may take one of the free places of an endpoint. Entries
+// where requests wait see the same free places at the same time, with the messages of others,
+// and would all take them. So of those entries only as many may as there are places. The
+// order of the entries differs between endpoints and changes with time. A place that this entry
+// has freed and not yet reported is seen by no other entry.
+func (b *Balancer) mayTake(e *endpoint, q Query, free int) bool {
+	if free > len(q.Rivals) || e.own.Requests < e.reported {
+		return true
+	}
+	salt := RivalKey(e.listed.ID) + uint64(b.clock.Now().UnixNano()/int64(rivalEpoch))
+	own, before := mix(b.selfKey^salt), 0
+	for _, rival := range q.Rivals {
+		if mix(rival^salt) < own {
+			before++
+		}
+	}
+	return before < free
+}
+
+// mix spreads the bits of a number, as the finalizer of MurmurHash3 does.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -232,7 +232,8 @@
 		cost += float64(first) / float64(engine.EventInterval)
 	}
 	inTime := q.Objective == 0 || first <= time.Duration(b.settings.FirstEventShare*float64(q.Objective))
-	return cost, total < fillLimit(slots*fill, q.Headroom) && (inTime || load.UnreadTokens == 0)
+	limit := fillLimit(slots*fill, q.Headroom)
+	return cost, total < limit && (inTime || load.UnreadTokens == 0) && b.mayTake(e, q, int(math.Ceil(limit))-load.Requests)
 }
 
 // predictFirstEvent predicts the time until an engine has read unread prompt tokens
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -21,6 +21,7 @@
 	others       loadSum // load from other entries
 	own          Load    // load from this entry
 	probation    bool    // was ejected and has not answered since, gets one request at a time
+	reported     int     // requests there that this entry last reported to others
 	refusals     int     // refusals because of load in a row
 	region       gooseberrypass.Region
 	remote       bool // in another region than this entry
--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gooseberrypass/gooseberrypass"
@@ -14,19 +15,17 @@
 
 // lacks reports whether requests of a rank lack capacity.
 func (b Backlog) lacks(rank int) bool {
-	return rank < len(b.Waiting) && b.Waiting[rank] > 0 || rank < len(b.Refused) && b.Refused[rank] > 0
+	return rank < len(b.Refused) && b.Refused[rank] > 0
+}
+
+// waits reports whether any request waits.
+func (b Backlog) waits() bool {
+	return slices.ContainsFunc(b.Waiting, func(n int) bool { return n > 0 })
 }
 
 // isEmpty reports whether no request lacks capacity.
 func (b Backlog) isEmpty() bool {
-	for _, counts := range [][]int{b.Refused, b.Waiting} {
-		for _, n := range counts {
-			if n > 0 {
-				return false
-			}
-		}
-	}
-	return true
+	return !b.waits() && !slices.ContainsFunc(b.Refused, func(n int) bool { return n > 0 })
 }
 
 // The window in which refusals count, and its parts.
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/balancer"
 )
 
 // Handle implements gooseberrypass.Controller.
@@ -25,6 +26,7 @@
 	defer s.mu.Unlock()
 	var waiting []gooseberrypass.ID
 	for id, state := range s.services {
+		state.stale = true // reports expire
 		s.updateHoldBack(now, state)
 		state.queue.expire(now)
 		s.metrics.observeState(state)
@@ -100,6 +102,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reports.set(now, from, backlogs)
+	for _, state := range s.services {
+		state.stale = true
+	}
+}
+
+// rivals returns the keys of the other entries where requests for a service wait.
+func (s *Scheduler) rivals(now time.Time, state *service) []uint64 {
+	if !state.stale {
+		return state.rivals
+	}
+	state.rivals, state.stale = nil, false
+	for entry, b := range s.reports.of(now, state.id) {
+		if b.waits() {
+			state.rivals = append(state.rivals, balancer.RivalKey(entry))
+		}
+	}
+	return state.rivals
 }
 
 // RetryAfter returns after which time the caller of a request that was refused is told to
--- a/scheduler/holdback.go
+++ b/scheduler/holdback.go
@@ -7,7 +7,8 @@
 	exemptShare    = 5                      // one request in exemptShare of each rank is never held back
 	headroomStep   = 0.05                   // increase of the headroom in each holdBackPeriod
 	holdBackPeriod = 100 * time.Millisecond // interval of messages between entries
-	maxHeadroom    = 0.5                    // largest share of the slots that a rank must leave free
+	maxHeadroom    = 0.4                    // largest share of the slots that a rank must leave free
+	rankHeadroom   = 0.09                   // largest headroom of a rank beyond that of the next more urgent one
 	releaseTime    = 2 * time.Second        // time in which the largest headroom shrinks to nothing
 )
 
@@ -43,8 +44,8 @@
 		switch {
 		case rank <= shortest:
 			h.headroom[rank] = max(h.headroom[rank]-maxHeadroom*float64(since)/float64(releaseTime), 0)
-		case !grown && h.headroom[rank] < maxHeadroom:
-			h.headroom[rank] = min(h.headroom[rank]+headroomStep*periods, maxHeadroom)
+		case !grown && h.headroom[rank] < largestHeadroom(rank):
+			h.headroom[rank] = min(h.headroom[rank]+headroomStep*periods, largestHeadroom(rank))
 			grown = true
 		}
 	}
@@ -67,3 +68,7 @@
 	}
 	return false
 }
+
+// largestHeadroom returns the largest headroom of a rank. It grows with the rank, so that each
+// rank finds places that the next one must leave free.
+func largestHeadroom(rank int) float64 { return min(rankHeadroom*float64(rank), maxHeadroom) }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -88,7 +88,9 @@
 	holdBack holdBack
 	id       gooseberrypass.ID
 	queue    *queue
-	ranks    int // largest number of ranks seen
+	ranks    int      // largest number of ranks seen
+	rivals   []uint64 // keys of the other entries where requests wait
+	stale    bool     // rivals may have changed
 	refusals refusals
 	retries  retryEstimate
 }
@@ -223,6 +225,7 @@
 	if r.Key%exemptShare != 0 {
 		r.Query.Headroom = state.holdBack.of(r.Rank)
 	}
+	r.Query.Rivals = s.rivals(now, state)
 	ticket, err := s.chooser.Choose(r.Query)
 	r.Query.Polled = true
 	if err != nil {
