--- a/balancer/advisory.go
+++ b/balancer/advisory.go
@@ -9,7 +9,11 @@
 	"github.com/gooseberrypass/gooseberrypass"
 )
 
-const fieldEndpoint = "endpoint" // log field
+// Log fields.
+const (
+	fieldEndpoint = "endpoint"
+	fieldService  = "service"
+)
 
 // An advisory is the newest advisory of an endpoint that any entry has heard.
 type advisory struct {
@@ -110,7 +114,7 @@
 	old := e.advisory
 	b.storeAdvisory(e, heard)
 	b.shareLimit(b.clock.Now(), e)
-	logger := b.logger.WithFields(logrus.Fields{fieldEndpoint: e.listed.ID, "heard_by": from, "service": e.listed.Service})
+	logger := b.logger.WithFields(logrus.Fields{fieldEndpoint: e.listed.ID, "heard_by": from, fieldService: e.listed.Service})
 	switch {
 	case heard.Limited && (!old.Limited || math.Abs(heard.Rate-old.Rate) > minLoggedChange*old.Rate):
 		logger.WithFields(logrus.Fields{"entries": len(e.limit.order), "old_rate": old.Rate, "rate": heard.Rate, "share": float64(e.limit.bucket.Limit())}).Info("endpoint limits its request rate")
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -36,6 +36,7 @@
 	Fill            float64       // most requests at an engine, as a multiple of its slots
 	FirstEventShare float64       // share of the objective within which the first event must be predicted
 	MaxEjection     time.Duration // longest ejection
+	PaceTTL         time.Duration // age from which the pace of an endpoint has no weight
 	PlainFill       float64       // most requests at a plain service's endpoint, as a multiple of its slots
 	PlainPenalty    float64       // cost of a plain endpoint in another region, in requests per slot
 	RefusalBackoff  time.Duration // backoff after a refusal because of load; doubles with refusals in a row
@@ -105,6 +106,7 @@
 	entriesSeen  map[gooseberrypass.ID]time.Time                     // last report of each other entry
 	headTimes    map[gooseberrypass.ID]time.Duration                 // moving average of the time to the head of an answer, by service
 	localEntries int                                                 // entries in this entry's region, including itself
+	pacesHeard   map[gooseberrypass.ID]time.Time                     // when a pace was last heard from any endpoint, by service
 	pauses       map[gooseberrypass.ID]*pause                        // by endpoint
 	reports      map[gooseberrypass.ID]map[gooseberrypass.ID]Load    // last load that each other entry reported, by endpoint
 	services     map[gooseberrypass.ID]*pool
@@ -134,6 +136,7 @@
 		regionOf:     regionOf,
 		rng:          rand.New(rand.NewPCG(seed, seed)),
 		self:         self,
+		pacesHeard:   map[gooseberrypass.ID]time.Time{},
 		pauses:       map[gooseberrypass.ID]*pause{},
 		reports:      map[gooseberrypass.ID]map[gooseberrypass.ID]Load{},
 		unlisted:     map[gooseberrypass.ID]*endpoint{},
@@ -176,7 +179,7 @@
 		}
 		if ok && listed.StartMillis > e.listed.StartMillis && e.listed.StartMillis > 0 {
 			b.storeAdvisory(e, advisory{heardAt: b.clock.Now()}) // it has not said anything since its start
-			e.limit = limit{}
+			e.limit, e.pace = limit{}, pace{}
 		}
 		e.listed, e.region = listed, b.regionOf(listed.FailureDomain)
 		e.remote = e.region != b.self.Region
@@ -218,6 +221,7 @@
 	b.countLocalEntries()
 	b.expireAdvisories(now)
 	b.expireDepartures(now)
+	b.expirePaces(now)
 	b.expirePauses(now)
 	b.shareLimits(now)
 	for address, at := range b.statusesSeen {
@@ -240,7 +244,8 @@
 	}
 }
 
-// SetEntryLoads replaces the load that another entry reports, by endpoint.
+// SetEntryLoads replaces the load that another entry reports, by endpoint, and records the
+// paces that it has heard.
 func (b *Balancer) SetEntryLoads(now time.Time, from gooseberrypass.ID, loads map[gooseberrypass.ID]Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -250,6 +255,11 @@
 	}
 	b.entriesSeen[from] = now
 	b.replaceReport(from, loads)
+	for id, load := range loads {
+		if e, ok := b.endpoints[id]; ok {
+			b.addEntryPace(now, e, load, from)
+		}
+	}
 }
 
 // replaceReport replaces the loads that another entry reported.
@@ -293,15 +303,18 @@
 	b.statuses[status.Address], b.statusesSeen[status.Address] = status, now
 }
 
-// OwnLoads returns the load that this entry puts on endpoints.
+// OwnLoads returns the load that this entry puts on endpoints, and the paces that it has
+// heard from them of late.
 func (b *Balancer) OwnLoads() map[gooseberrypass.ID]Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	loads := map[gooseberrypass.ID]Load{}
 	for id, e := range b.endpoints {
-		if e.own.Requests > 0 {
+		ratio, age := b.ownPace(now, e)
+		if e.own.Requests > 0 || ratio > 0 {
 			load := e.own
+			load.Pace, load.PaceAge = ratio, age
 			load.Stalled = b.settings.StallTimeout > 0 && e.stalled(now, b.stallTimeout(e))
 			loads[id] = load
 		}
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -102,7 +102,7 @@
 	if state := b.eligibility(now, e, q); state != stateAvailable {
 		return 0, state
 	}
-	cost, hasRoom := b.cost(e, q)
+	cost, hasRoom := b.cost(now, e, q)
 	pause := b.pauseState(now, e)
 	switch {
 	case slices.Contains(q.Tried, e.listed.ID):
@@ -201,16 +201,16 @@
 
 // cost returns the cost of an endpoint for a request, in requests or, for plain
 // services, in requests per slot, and whether it has room. The load of a slow
-// endpoint counts for more.
-func (b *Balancer) cost(e *endpoint, q Query) (float64, bool) {
+// endpoint counts for more. Its pace changes too often to say how many requests fit.
+func (b *Balancer) cost(now time.Time, e *endpoint, q Query) (float64, bool) {
 	slots := float64(max(e.listed.Slots, 1))
-	slowness := b.slowness(e)
+	slowness, pace := b.slowness(e), b.paceOf(now, e)
 	load := e.total(b.sharers(e.remote))
 	// Up to half a request of random load keeps entries that see the same loads
 	// from choosing the same endpoint.
 	total := (float64(load.Requests) + b.rng.Float64()/2) * slowness
 	if q.Model == "" {
-		cost := total / slots
+		cost := total * pace / slots
 		if e.remote {
 			cost += b.settings.PlainPenalty
 		}
@@ -223,11 +223,11 @@
 	case q.RefusedBefore:
 		fill = b.settings.RetryFill
 	}
-	cost := total
+	cost := total * pace
 	if e.remote {
 		cost += b.settings.EnginePenalty
 	}
-	first := b.predictFirstEvent(load.UnreadTokens+q.PromptTokens, q.Service, slowness)
+	first := b.predictFirstEvent(load.UnreadTokens+q.PromptTokens, q.Service, slowness*pace)
 	if engine := b.engine(q.Service); engine != nil && engine.EventInterval > 0 {
 		cost += float64(first) / float64(engine.EventInterval)
 	}
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -20,17 +20,20 @@
 	listed       gooseberrypass.Endpoint
 	others       loadSum // load from other entries
 	own          Load    // load from this entry
-	probation    bool    // was ejected and has not answered since, gets one request at a time
-	refusals     int     // refusals because of load in a row
+	pace         pace
+	probation    bool // was ejected and has not answered since, gets one request at a time
+	refusals     int  // refusals because of load in a row
 	region       gooseberrypass.Region
 	remote       bool // in another region than this entry
 }
 
 // A Load is the part of an endpoint's load that comes from one entry.
 type Load struct {
-	Requests     int  // requests in flight
-	Stalled      bool // the endpoint has sent the entry nothing for its stall timeout
-	UnreadTokens int  // prompt tokens of requests without a first event
+	Pace         float64       // time that work takes at the endpoint, as a ratio to its usual time, as the entry last heard; 0 for none
+	PaceAge      time.Duration // time since it heard Pace
+	Requests     int           // requests in flight
+	Stalled      bool          // the endpoint has sent the entry nothing for its stall timeout
+	UnreadTokens int           // prompt tokens of requests without a first event
 }
 
 // A loadSum is the load of an endpoint that comes from several entries.
--- a/balancer/ticket.go
+++ b/balancer/ticket.go
@@ -16,6 +16,7 @@
 	model           string                 // "" for a plain service
 	mustBegin       time.Time              // latest begin on the endpoint's version, zero for none
 	onMustBegin     func(latest time.Time) // set by WatchMustBegin
+	pace            float64                // of the endpoint, by the head of the answer, 0 if it named none
 	target          gooseberrypass.Endpoint
 	unread          int // prompt tokens, 0 after the first event
 	version         int // version of the model at the endpoint when it was chosen
@@ -72,6 +73,9 @@
 	t.endpoint.lastSign = now
 	t.endpoint.probation = false
 	b.endProbe(now, t, true)
+	if t.pace > 0 {
+		took = time.Duration(float64(took) / t.pace) // the average has what the pace does not explain
+	}
 	smooth(&t.endpoint.headTime, took)
 	average := b.headTimes[t.endpoint.listed.Service]
 	smooth(&average, took)
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -104,6 +104,7 @@
 	}
 	a.reply = reply
 	a.ticket.AdvisoryReceived(reply.Advisory)
+	a.ticket.PaceReceived(reply.Pace)
 	if reply.NotRun {
 		return a.rejection()
 	}
--- a/gossiper/encoding.go
+++ b/gossiper/encoding.go
@@ -31,9 +31,7 @@
 		g.Outranked = append(g.Outranked, string(topic))
 	}
 	for id, load := range m.Loads {
-		g.Shares = append(g.Shares, &wire.LoadShare{
-			Endpoint: string(id), Requests: uint32(max(load.Requests, 0)), Silent: load.Stalled, UnreadTokens: uint32(max(load.UnreadTokens, 0)),
-		})
+		g.Shares = append(g.Shares, encodeLoad(id, load))
 	}
 	g.Advisories, g.Demand = encodeAdvisories(m.Advisories), encodeDemand(m.Demand)
 	for _, t := range m.Manifests {
@@ -76,7 +74,7 @@
 		m.Outranked = append(m.Outranked, gooseberrypass.Topic(topic))
 	}
 	for _, s := range g.GetShares() {
-		m.Loads[gooseberrypass.ID(s.GetEndpoint())] = balancer.Load{Requests: int(s.GetRequests()), Stalled: s.GetSilent(), UnreadTokens: int(s.GetUnreadTokens())}
+		m.Loads[gooseberrypass.ID(s.GetEndpoint())] = decodeLoad(s)
 	}
 	m.Advisories, m.Demand = decodeAdvisories(g.GetAdvisories()), decodeDemand(g.GetDemand())
 	for _, v := range g.GetManifests() {
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -47,7 +47,7 @@
 				Quarantines:   []attributor.Quarantine{{Age: time.Minute, Count: 2, Part: 3}},
 			},
 			Demand:    map[gooseberrypass.ID]float64{"s": 12.5},
-			Loads:     map[gooseberrypass.ID]balancer.Load{"i-1": {Requests: 3, UnreadTokens: 4100}, "i-2": {Requests: 1, Stalled: true}},
+			Loads:     map[gooseberrypass.ID]balancer.Load{"i-1": {Requests: 3, UnreadTokens: 4100}, "i-2": {Requests: 1, Stalled: true}, "i-3": {Pace: 2.5, PaceAge: 130 * time.Millisecond}},
 			Outranked: []gooseberrypass.Topic{gooseberrypass.TopicOperator},
 			Starting:  true,
 			Targets:   []gooseberrypass.AgedTarget{{Age: 2500 * time.Millisecond, Model: "m", Observed: true, Version: 8}},
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -50,8 +50,10 @@
 	}
 	self := balancer.Self{ID: m.self.ID, Region: m.self.Region}
 	g.balancer = balancer.New(m.clock, self, settings.regionOf, settings.balancerSettings(), m.seed, m.logger)
-	if err := m.registry.Register(g.limitGauge()); err != nil {
-		return nil, errors.Wrap(err, "register balancer metrics")
+	for _, gauge := range []prometheus.Collector{g.limitGauge(), g.paceGauge()} {
+		if err := m.registry.Register(gauge); err != nil {
+			return nil, errors.Wrap(err, "register balancer metrics")
+		}
 	}
 	m.materializer = materializer.New(platform.Decoder{}, settings.materializerSettings(), m.logger, g.balancer)
 	m.metricsMux.Handle("GET "+StatusPath, NewStatusHandler(self, m.materializer, g.balancer, m.logger))
@@ -77,6 +79,13 @@
 	}, func() float64 { return float64(g.balancer.LimitedEndpoints()) })
 }
 
+func (g *Gateway) paceGauge() prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "gooseberrypass_paced_endpoints",
+		Help: "Endpoints whose pace is known and recent.",
+	}, func() float64 { return float64(g.balancer.PacedEndpoints()) })
+}
+
 func (g *Gateway) bind(ctx context.Context) error {
 	f, err := forwarder.New(g.clock, g.materializer, g.balancer, g.transport, g.history, g.settings.forwarderSettings(), g.registry, g.logger)
 	if err != nil {
