--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -37,6 +37,7 @@
 	FirstEventShare float64       // share of the objective within which the first event must be predicted
 	MaxEjection     time.Duration // longest ejection
 	PaceTTL         time.Duration // age from which the pace of an endpoint has no weight
+	PassShare       float64       // as FirstEventShare, for predictions in passes
 	PlainFill       float64       // most requests at a plain service's endpoint, as a multiple of its slots
 	PlainPenalty    float64       // cost of a plain endpoint in another region, in requests per slot
 	RefusalBackoff  time.Duration // backoff after a refusal because of load; doubles with refusals in a row
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -227,26 +227,14 @@
 	if e.remote {
 		cost += b.settings.EnginePenalty
 	}
-	first := b.predictFirstEvent(load.UnreadTokens+q.PromptTokens, q.Service, slowness*pace)
+	first, share := b.predictFor(q, load, slowness*pace)
 	if engine := b.engine(q.Service); engine != nil && engine.EventInterval > 0 {
 		cost += float64(first) / float64(engine.EventInterval)
 	}
-	inTime := q.Objective == 0 || first <= time.Duration(b.settings.FirstEventShare*float64(q.Objective))
+	inTime := q.Objective == 0 || first <= time.Duration(share*float64(q.Objective))
 	return cost, total < slots*fill && (inTime || load.UnreadTokens == 0)
 }
 
-// predictFirstEvent predicts the time until an engine has read unread prompt tokens
-// and sent the first event, 0 if the engine's rate is unknown. The engine reads
-// prompts between the passes of its batch.
-func (b *Balancer) predictFirstEvent(unread int, service gooseberrypass.ID, slowness float64) time.Duration {
-	engine := b.engine(service)
-	if engine == nil || engine.ReadRate <= 0 {
-		return 0
-	}
-	read := time.Duration(float64(unread) / engine.ReadRate * float64(time.Second))
-	return time.Duration(slowness * float64(engine.EventInterval+read))
-}
-
 // engine returns the engine model of a service, nil if it is unknown or plain.
 func (b *Balancer) engine(service gooseberrypass.ID) *gooseberrypass.EngineSpec {
 	if b.snapshot.Deployment == nil {
--- a/deployment.go
+++ b/deployment.go
@@ -77,9 +77,21 @@
 	LoadTime       time.Duration // time to load a staged version
 	MeanTokens     int           // mean number of tokens of an answer
 	Model          string        // name of the model
-	ReadRate       float64       // prompt tokens read per second
-	Slots          int           // largest number of requests in a batch
-	TokensPerEvent int           // tokens in one event of a stream
+	Passes         PassSpec
+	ReadRate       float64 // prompt tokens read per second
+	Slots          int     // largest number of requests in a batch
+	TokensPerEvent int     // tokens in one event of a stream
+}
+
+// A PassSpec describes the passes in which an engine works. Each prefills a chunk of prompt
+// tokens and runs the decode steps of one event.
+type PassSpec struct {
+	Chunk        int           // most prompt tokens that a pass prefills, 0 for no limit
+	ContextTime  time.Duration // of a decode step, for 1,000 tokens of context of its requests
+	MeanPrompt   int           // mean number of tokens of a prompt, 0 if unknown
+	PairsTime    time.Duration // of prefill, for a million pairs of a token and an earlier one
+	SequenceTime time.Duration // of a decode step, for each request in decode
+	StepTime     time.Duration // of a decode step, whatever its requests are; 0 if unknown
 }
 
 // A ServiceSpec describes a service of a deployment.
@@ -96,7 +108,12 @@
 	if s.Origin != t.Origin || s.FailureDomain != t.FailureDomain || (s.Engine == nil) != (t.Engine == nil) {
 		return false
 	}
-	return s.Engine == nil || *s.Engine == *t.Engine
+	if s.Engine == nil {
+		return true
+	}
+	a, b := *s.Engine, *t.Engine
+	a.Passes, b.Passes = PassSpec{}, PassSpec{}
+	return a == b
 }
 
 // CallerLimits are the size limits of requests.
