--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -102,7 +102,7 @@
 	if state := b.eligibility(now, e, q); state != stateAvailable {
 		return 0, state
 	}
-	cost, hasRoom := b.cost(e, q)
+	cost, hasRoom := b.cost(now, e, q)
 	pause := b.pauseState(now, e)
 	switch {
 	case slices.Contains(q.Tried, e.listed.ID):
@@ -201,16 +201,16 @@
 
 // cost returns the cost of an endpoint for a request, in requests or, for plain
 // services, in requests per slot, and whether it has room. The load of a slow
-// endpoint counts for more.
-func (b *Balancer) cost(e *endpoint, q Query) (float64, bool) {
+// endpoint counts for more. Its pace changes too often to say how many requests fit.
+func (b *Balancer) cost(now time.Time, e *endpoint, q Query) (float64, bool) {
 	slots := float64(max(e.listed.Slots, 1))
-	slowness := b.slowness(e)
+	slowness, pace := b.slowness(e), b.paceOf(now, e)
 	load := e.total(b.sharers(e.remote))
 	// Up to half a request of random load keeps entries that see the same loads
 	// from choosing the same endpoint.
 	total := (float64(load.Requests) + b.rng.Float64()/2) * slowness
 	if q.Model == "" {
-		cost := total / slots
+		cost := total * pace / slots
 		if e.remote {
 			cost += b.settings.PlainPenalty
 		}
@@ -223,31 +223,19 @@
 	case q.RefusedBefore:
 		fill = b.settings.RetryFill
 	}
-	cost := total
+	cost := total * pace
 	if e.remote {
 		cost += b.settings.EnginePenalty
 	}
-	first := b.predictFirstEvent(load.UnreadTokens+q.PromptTokens, q.Service, slowness)
+	first, share := b.predictFor(q, load, slowness*pace)
 	if engine := b.engine(q.Service); engine != nil && engine.EventInterval > 0 {
 		cost += float64(first) / float64(engine.EventInterval)
 	}
-	inTime := q.Objective == 0 || first <= time.Duration(b.settings.FirstEventShare*float64(q.Objective))
+	inTime := q.Objective == 0 || first <= time.Duration(share*float64(q.Objective))
 	limit := fillLimit(slots*fill, q.Headroom)
 	return cost, total < limit && (inTime || load.UnreadTokens == 0) && b.mayTake(e, q, int(math.Ceil(limit))-load.Requests)
 }
 
-// predictFirstEvent predicts the time until an engine has read unread prompt tokens
-// and sent the first event, 0 if the engine's rate is unknown. The engine reads
-// prompts between the passes of its batch.
-func (b *Balancer) predictFirstEvent(unread int, service gooseberrypass.ID, slowness float64) time.Duration {
-	engine := b.engine(service)
-	if engine == nil || engine.ReadRate <= 0 {
-		return 0
-	}
-	read := time.Duration(float64(unread) / engine.ReadRate * float64(time.Second))
-	return time.Duration(slowness * float64(engine.EventInterval+read))
-}
-
 // engine returns the engine model of a service, nil if it is unknown or plain.
 func (b *Balancer) engine(service gooseberrypass.ID) *gooseberrypass.EngineSpec {
 	if b.snapshot.Deployment == nil {
