--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -214,7 +214,7 @@
 		if e.remote {
 			cost += b.settings.PlainPenalty
 		}
-		return cost, total < slots*b.settings.PlainFill
+		return cost, total < fillLimit(slots*b.settings.PlainFill, q.Headroom)
 	}
 	fill := b.settings.Fill
 	switch {
--- a/forwarder/scheduling.go
+++ b/forwarder/scheduling.go
@@ -44,9 +44,12 @@
 // third of the time that the caller has left.
 func (r *request) scheduledRetryAfter(room time.Duration) time.Duration {
 	f := r.forwarder
+	if r.ctx.Err() != nil {
+		return 0 // nobody is told
+	}
 	longest := 3 * f.settings.RetryAfter
-	if !r.deadline.IsZero() {
-		longest = r.deadline.Sub(f.clock.Now())
+	if !r.proxyRequest.Deadline.IsZero() {
+		longest = r.proxyRequest.Deadline.Sub(f.clock.Now())
 	}
 	return min(max(f.scheduler.RetryAfter(r.scheduled(), longest), room), longest/3)
 }
--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -13,9 +13,13 @@
 	Waiting []int // requests that wait for an endpoint
 }
 
+// minWaiting is the number of waiting requests from which on a rank lacks capacity. At a high
+// load that is no overload a few requests wait for moments.
+const minWaiting = 3
+
 // lacks reports whether requests of a rank lack capacity.
 func (b Backlog) lacks(rank int) bool {
-	return rank < len(b.Refused) && b.Refused[rank] > 0
+	return rank < len(b.Waiting) && b.Waiting[rank] >= minWaiting || rank < len(b.Refused) && b.Refused[rank] > 0
 }
 
 // waits reports whether any request waits.
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -113,8 +113,8 @@
 		return state.rivals
 	}
 	state.rivals, state.stale = nil, false
-	for entry, b := range s.reports.of(now, state.id) {
-		if b.waits() {
+	for entry, r := range s.reports.byEntry {
+		if now.Sub(r.at) < s.reports.ttl && r.backlogs[state.id].waits() {
 			state.rivals = append(state.rivals, balancer.RivalKey(entry))
 		}
 	}
--- a/scheduler/holdback.go
+++ b/scheduler/holdback.go
@@ -7,7 +7,7 @@
 	exemptShare    = 5                      // one request in exemptShare of each rank is never held back
 	headroomStep   = 0.05                   // increase of the headroom in each holdBackPeriod
 	holdBackPeriod = 100 * time.Millisecond // interval of messages between entries
-	maxHeadroom    = 0.4                    // largest share of the slots that a rank must leave free
+	maxHeadroom    = 0.6                    // largest share of the slots that a rank must leave free
 	rankHeadroom   = 0.09                   // largest headroom of a rank beyond that of the next more urgent one
 	releaseTime    = 2 * time.Second        // time in which the largest headroom shrinks to nothing
 )
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -88,7 +88,7 @@
 	holdBack holdBack
 	id       gooseberrypass.ID
 	queue    *queue
-	ranks    int      // largest number of ranks seen
+	ranks    int      // of the deployment in force
 	rivals   []uint64 // keys of the other entries where requests wait
 	stale    bool     // rivals may have changed
 	refusals refusals
@@ -157,7 +157,7 @@
 		}
 		refused = err
 	}
-	if s.stopped || !w.deadline.After(now.Add(timeUntilRoom(refused))) {
+	if s.stopped || !w.deadline.After(now.Add(timeUntilRoom(refused))) || state.hopeless(now, w) {
 		s.recordRefused(now, state, r)
 		return nil, nil, refused
 	}
@@ -242,6 +242,18 @@
 	return errors.As(err, &refusal) && refusal.Reason == gooseberrypass.ReasonOverloaded
 }
 
+// hopelessFactor is the number of requests that must wait before a request, as a multiple of
+// those that are expected to be served until the end of its wait, for it not to wait at all.
+// Places are given back in bursts, as answers of one engine end together.
+const hopelessFactor = 2
+
+// hopeless reports whether a request will not be served before the end of its wait, because of
+// the requests before it and the rate at which places are given back.
+func (s *service) hopeless(now time.Time, w *waiter) bool {
+	freed := s.retries.freed.perSecond(now)
+	return freed > 0 && float64(s.queue.ahead(w)) > hopelessFactor*freed*w.deadline.Sub(now).Seconds()+1
+}
+
 // timeUntilRoom returns the time until an endpoint takes requests again, 0 if it may be at any
 // moment.
 func timeUntilRoom(err error) time.Duration {
@@ -273,7 +285,7 @@
 		state = &service{id: id, queue: newQueue()}
 		s.services[id] = state
 	}
-	state.ranks = max(state.ranks, ranks)
+	state.ranks = ranks // those of the deployment in force
 	return state
 }
 
