--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -136,6 +136,7 @@
 	build     func(forwarder.Chooser) (*forwarder.Forwarder, error)
 	deployed  *gooseberrypass.Deployment // when build is called
 	log       bytes.Buffer
+	logger    *logrus.Logger
 	scheduler forwarder.Scheduler      // nil for none
 	sender    gooseberrypass.Transport // used instead of transport, if not nil
 	settings  forwarder.Settings
@@ -185,7 +186,7 @@
 			Address: string(id), ID: id, Models: map[string]int{"m": 1}, Service: "engines", Slots: 4,
 		})
 	}
-	f.balancer, f.deployed, f.snapshot = b, d, snapshot
+	f.balancer, f.deployed, f.logger, f.snapshot = b, d, log, snapshot
 	b.Handle(f.clock.Now(), materializer.Changed{Snapshot: snapshot})
 	f.settings = forwarder.Settings{
 		DeadlineGrace: 100 * time.Millisecond, HeadTimeoutFactor: 3, EventTimeoutFactor: 4, MaxBufferedAnswer: 1 << 16, MoveShare: 0.5, MoveWaitFactor: 0.8, ResumePoll: 50 * time.Millisecond, QuarantineCrashes: 3, QuarantineTime: time.Minute,
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -16,6 +16,7 @@
 	"github.com/gooseberrypass/gooseberrypass/attributor"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 	"github.com/gooseberrypass/gooseberrypass/gossiper"
+	"github.com/gooseberrypass/gooseberrypass/scheduler"
 )
 
 func newGossiper(t *testing.T, post func(gooseberrypass.Event)) *gossiper.Gossiper {
@@ -46,6 +47,7 @@
 				Interruptions: []attributor.Interruption{{Age: 20 * time.Millisecond, Begun: true, Endpoint: "i-1", Parts: []uint64{3, 1 << 63}, Request: 9, Service: "s"}},
 				Quarantines:   []attributor.Quarantine{{Age: time.Minute, Count: 2, Part: 3}},
 			},
+			Backlogs:  map[gooseberrypass.ID]scheduler.Backlog{"s": {Refused: []int{0, 4}, Waiting: []int{2, 0}}},
 			Demand:    map[gooseberrypass.ID]float64{"s": 12.5},
 			Loads:     map[gooseberrypass.ID]balancer.Load{"i-1": {Requests: 3, UnreadTokens: 4100}, "i-2": {Requests: 1, Stalled: true}},
 			Outranked: []gooseberrypass.Topic{gooseberrypass.TopicOperator},
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -99,7 +99,8 @@
 	log.SetOutput(io.Discard)
 	p := &process{materializer: materializer.New(decoder{}, materializer.Settings{}, log), sender: &recordingSender{}}
 	p.answerer = replicator.NewResponder(p.materializer)
-	p.replicator = replicator.New(replicator.Self{Address: string(id), ID: id, Region: region, Role: role}, p.materializer, p.sender, client, l, nil, noHistory{},
+	backlogs, _ := l.(replicator.BacklogExchange)
+	p.replicator = replicator.New(replicator.Self{Address: string(id), ID: id, Region: region, Role: role}, p.materializer, p.sender, client, l, backlogs, noHistory{},
 		settings, 1, log)
 	return p
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -247,11 +247,15 @@
 // Places are given back in bursts, as answers of one engine end together.
 const hopelessFactor = 2
 
+// minFreedRate is the rate of places given back, per second, below which it says nothing: it
+// rests on a few requests.
+const minFreedRate = 4
+
 // hopeless reports whether a request will not be served before the end of its wait, because of
 // the requests before it and the rate at which places are given back.
 func (s *service) hopeless(now time.Time, w *waiter) bool {
 	freed := s.retries.freed.perSecond(now)
-	return freed > 0 && float64(s.queue.ahead(w)) > hopelessFactor*freed*w.deadline.Sub(now).Seconds()+1
+	return freed >= minFreedRate && float64(s.queue.ahead(w)) > hopelessFactor*freed*w.deadline.Sub(now).Seconds()+1
 }
 
 // timeUntilRoom returns the time until an endpoint takes requests again, 0 if it may be at any
