--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -172,7 +172,7 @@
 		known[listed.ID] = struct{}{}
 		e, ok := b.endpoints[listed.ID]
 		if !ok {
-			e = &endpoint{}
+			e = &endpoint{key: RivalKey(listed.ID)}
 			for _, loads := range b.reports {
 				e.others.add(loads[listed.ID])
 			}
--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -83,7 +83,7 @@
 // is always first or last.
 const rivalEpoch = 100 * time.Millisecond
 
-// RivalKey returns the number by which entries are ordered at endpoints.
+// RivalKey returns the number of an entry or endpoint by which entries are ordered at endpoints.
 func RivalKey(id gooseberrypass.ID) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(id)) // never fails
@@ -99,7 +99,7 @@
 	if free > len(q.Rivals) || e.own.Requests < e.reported {
 		return true
 	}
-	salt := RivalKey(e.listed.ID) + uint64(b.clock.Now().UnixNano()/int64(rivalEpoch))
+	salt := e.key + uint64(b.clock.Now().UnixNano()/int64(rivalEpoch))
 	own, before := mix(b.selfKey^salt), 0
 	for _, rival := range q.Rivals {
 		if mix(rival^salt) < own {
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -15,6 +15,7 @@
 	failures     int           // failures in a row
 	fullUntil    time.Time     // end of the backoff after a refusal because of load
 	headTime     time.Duration // moving average of the time to the head of an answer
+	key          uint64        // RivalKey of its ID
 	lastSign     time.Time     // last data received
 	limit        limit
 	listed       gooseberrypass.Endpoint
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -6,6 +6,53 @@
 	"time"
 )
 
+// steady returns a load of three ranks at a constant factor.
+func steady(factor float64) pattern {
+	return pattern{
+		accounts: func(rng *rand.Rand) int { return rng.IntN(24) },
+		classes:  [3]float64{191.0 / 584, 230.0 / 584, 163.0 / 584},
+		engines:  func(time.Duration) int { return modelEngines },
+		entries:  func(rng *rand.Rand, _ time.Duration) int { return rng.IntN(modelEntries) },
+		factor:   func(time.Duration, int) float64 { return factor },
+	}
+}
+
+// compare runs a pattern under today's policy and with schedulers, over a few seeds.
+func (p pattern) compare(t *testing.T) (today, scheduled *model) { //nolint:nonamedreturns // tells the results apart
+	t.Helper()
+	var results [2]*model
+	for i := range results {
+		for seed := range uint64(2) {
+			p.scheduled = i == 1
+			m := newModel(p, seed)
+			m.run()
+			if results[i] == nil {
+				results[i] = m
+				continue
+			}
+			for class, n := range m.result {
+				results[i].result[class].add(n)
+			}
+			for account, n := range m.byAccount {
+				sum := results[i].byAccount[account]
+				if sum == nil {
+					sum = &counts{}
+					results[i].byAccount[account] = sum
+				}
+				sum.add(*n)
+			}
+			results[i].over, results[i].most, results[i].work = results[i].over+m.over, max(results[i].most, m.most), results[i].work+m.work
+		}
+		name := []string{"today", "scheduled"}[i]
+		for class, n := range results[i].result {
+			t.Logf("%s, rank %d: in time %d (%d%%), late %d (%d%%), refused %d (%d%%)", name, class, n.inTime, n.share(n.inTime), n.late, n.share(n.late), n.refused, n.share(n.refused))
+		}
+		sum := results[i].total()
+		t.Logf("%s: in time %d, answered %d, work %s, engines over their slots in %d steps, at most %d requests", name, sum.inTime, sum.inTime+sum.late, results[i].work, results[i].over, results[i].most)
+	}
+	return results[0], results[1]
+}
+
 // during returns a factor for a time, and another one outside of it.
 func during(from, to time.Duration, inside, outside float64) func(time.Duration, int) float64 {
 	return func(at time.Duration, _ int) float64 {
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
-	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -62,7 +61,6 @@
 	entries   func(rng *rand.Rand, at time.Duration) int
 	engines   func(at time.Duration) int
 	factor    func(at time.Duration, class int) float64
-	alive     func(entry int, at time.Duration) bool
 	leaves    float64 // share of the callers that leave after 50 ms
 	lost      float64 // share of lost messages
 	scheduled bool
@@ -319,7 +317,7 @@
 	const period = int(modelGossip / modelStep)
 	now := m.clock.Now()
 	for i := range modelEntries {
-		if step%period != i*period/modelEntries || !m.pattern.alive(i, now.Sub(m.started)) {
+		if step%period != i*period/modelEntries {
 			continue
 		}
 		m.balancers[i].Handle(now, gooseberrypass.Tick{})
@@ -327,7 +325,7 @@
 			m.schedulers[i].Handle(now, gooseberrypass.Tick{})
 		}
 		for j := range modelEntries {
-			if i == j || m.rng.Float64() < m.pattern.lost || !m.pattern.alive(j, now.Sub(m.started)) {
+			if i == j || m.rng.Float64() < m.pattern.lost {
 				continue
 			}
 			id := gooseberrypass.ID(strconv.Itoa(i))
@@ -368,51 +366,3 @@
 	}
 	return sum
 }
-
-// steady returns a load of three ranks at a constant factor.
-func steady(factor float64) pattern {
-	return pattern{
-		accounts: func(rng *rand.Rand) int { return rng.IntN(24) },
-		alive:    func(int, time.Duration) bool { return true },
-		classes:  [3]float64{191.0 / 584, 230.0 / 584, 163.0 / 584},
-		engines:  func(time.Duration) int { return modelEngines },
-		entries:  func(rng *rand.Rand, _ time.Duration) int { return rng.IntN(modelEntries) },
-		factor:   func(time.Duration, int) float64 { return factor },
-	}
-}
-
-// compare runs a pattern under today's policy and with schedulers, over a few seeds.
-func (p pattern) compare(t *testing.T) (today, scheduled *model) { //nolint:nonamedreturns // tells the results apart
-	t.Helper()
-	var results [2]*model
-	for i := range results {
-		for seed := range uint64(2) {
-			p.scheduled = i == 1
-			m := newModel(p, seed)
-			m.run()
-			if results[i] == nil {
-				results[i] = m
-				continue
-			}
-			for class, n := range m.result {
-				results[i].result[class].add(n)
-			}
-			for account, n := range m.byAccount {
-				sum := results[i].byAccount[account]
-				if sum == nil {
-					sum = &counts{}
-					results[i].byAccount[account] = sum
-				}
-				sum.add(*n)
-			}
-			results[i].over, results[i].most, results[i].work = results[i].over+m.over, max(results[i].most, m.most), results[i].work+m.work
-		}
-		name := []string{"today", "scheduled"}[i]
-		for class, n := range results[i].result {
-			t.Logf("%s, rank %d: in time %d (%d%%), late %d (%d%%), refused %d (%d%%)", name, class, n.inTime, n.share(n.inTime), n.late, n.share(n.late), n.refused, n.share(n.refused))
-		}
-		sum := results[i].total()
-		t.Logf("%s: in time %d, answered %d, work %s, engines over their slots in %d steps, at most %d requests", name, sum.inTime, sum.inTime+sum.late, results[i].work, results[i].over, results[i].most)
-	}
-	return results[0], results[1]
-}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -31,8 +31,37 @@
 // come after all others.
 type class struct {
 	accounts map[gooseberrypass.ID][]*waiter // by deadline
-	late     bool
-	rank     int
+	urgency
+	regions gooseberrypass.RegionSet
+}
+
+// An urgency is what the order of classes follows from.
+type urgency struct {
+	held bool // the hold-back applies
+	late bool // the answer is late already
+	rank int
+}
+
+// compare orders urgencies, the most urgent first.
+func (u urgency) compare(v urgency) int {
+	return cmp.Or(compareBool(u.late, v.late), cmp.Compare(u.rank, v.rank), compareBool(u.held, v.held))
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// precedes reports whether a waiting request of u holds back requests of v: it is as urgent or
+// more urgent, and may use as many slots of each engine.
+func (u urgency) precedes(v urgency) bool {
+	return u.rank <= v.rank && (v.late || !u.late) && (v.held || !u.held)
 }
 
 // served is the number of requests served to a client account, which decays with time.
@@ -47,17 +76,6 @@
 
 func newQueue() *queue { return &queue{served: map[gooseberrypass.ID]served{}} }
 
-// compareClass orders classes, the most urgent first.
-func compareClass(c *class, w *waiter) int {
-	if c.late != w.request.Late {
-		if c.late {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Compare(c.rank, w.request.Rank)
-}
-
 // add adds a request.
 func (q *queue) add(w *waiter) {
 	l := q.lane(w.request.Query.Regions)
@@ -65,9 +83,9 @@
 		l = &lane{regions: w.request.Query.Regions}
 		q.lanes = append(q.lanes, l)
 	}
-	i, ok := slices.BinarySearchFunc(l.classes, w, compareClass)
+	i, ok := l.find(w.urgency)
 	if !ok {
-		l.classes = slices.Insert(l.classes, i, &class{accounts: map[gooseberrypass.ID][]*waiter{}, late: w.request.Late, rank: w.request.Rank})
+		l.classes = slices.Insert(l.classes, i, &class{accounts: map[gooseberrypass.ID][]*waiter{}, regions: l.regions, urgency: w.urgency})
 	}
 	c := l.classes[i]
 	list := c.accounts[w.request.Account]
@@ -81,6 +99,11 @@
 	q.size++
 }
 
+// find returns the index of the class of an urgency, or where it belongs.
+func (l *lane) find(u urgency) (int, bool) {
+	return slices.BinarySearchFunc(l.classes, u, func(c *class, u urgency) int { return c.compare(u) })
+}
+
 // lane returns the lane of the requests that regions may serve, nil if none waits.
 func (q *queue) lane(regions gooseberrypass.RegionSet) *lane {
 	for _, l := range q.lanes {
@@ -97,7 +120,7 @@
 	if l == nil {
 		return false
 	}
-	i, ok := slices.BinarySearchFunc(l.classes, w, compareClass)
+	i, ok := l.find(w.urgency)
 	if !ok {
 		return false
 	}
@@ -123,27 +146,18 @@
 	return true
 }
 
-// blocks reports whether a waiting request that is as urgent as w or more urgent could be sent
-// to all endpoints to which w could be sent.
-func (q *queue) blocks(w *waiter) bool {
-	for _, l := range q.lanes {
-		if w.request.Query.Regions.Within(l.regions) && compareClass(l.classes[0], w) <= 0 {
-			return true
-		}
-	}
-	return false
+// holdsBack reports whether the requests of a class hold back a request: they are as urgent or
+// more urgent, and could be sent to all endpoints to which it could be sent.
+func (c *class) holdsBack(w *waiter) bool {
+	return c.precedes(w.urgency) && w.request.Query.Regions.Within(c.regions)
 }
 
-// ahead returns the number of waiting requests that are as urgent as w or more urgent and could
-// be sent to the same endpoints.
+// ahead returns the number of waiting requests that hold back w.
 func (q *queue) ahead(w *waiter) int {
 	n := 0
 	for _, l := range q.lanes {
-		if !w.request.Query.Regions.Within(l.regions) {
-			continue
-		}
 		for _, c := range l.classes {
-			if compareClass(c, w) <= 0 {
+			if c.holdsBack(w) {
 				n += c.len()
 			}
 		}
@@ -159,15 +173,16 @@
 	return n
 }
 
-// heads returns the first request of each lane, the most urgent first.
-func (q *queue) heads(now time.Time) []*waiter {
-	lanes := slices.Clone(q.lanes)
-	slices.SortStableFunc(lanes, func(a, b *lane) int { return compareClass(a.classes[0], b.classes[0].any()) })
-	heads := make([]*waiter, 0, len(lanes))
-	for _, l := range lanes {
-		heads = append(heads, q.first(now, l.classes[0]))
+// classes returns the classes of all lanes, the most urgent first.
+func (q *queue) classes() []*class {
+	var classes []*class
+	for _, l := range q.lanes {
+		classes = append(classes, l.classes...)
+	}
+	if len(q.lanes) > 1 {
+		slices.SortStableFunc(classes, func(a, b *class) int { return a.compare(b.urgency) })
 	}
-	return heads
+	return classes
 }
 
 // first returns the first request of a class: that of the account served least lately.
@@ -175,9 +190,9 @@
 	var best *waiter
 	least := 0.0
 	for account, list := range c.accounts {
-		count := q.served[account].now(now)
-		if best == nil || count < least || count == least && list[0].deadline.Before(best.deadline) {
-			best, least = list[0], count
+		w, count := list[0], q.served[account].now(now)
+		if best == nil || cmp.Or(cmp.Compare(count, least), w.deadline.Compare(best.deadline), cmp.Compare(account, best.request.Account)) < 0 {
+			best, least = w, count
 		}
 	}
 	return best
@@ -187,29 +202,23 @@
 // most lately, nil if none waits.
 func (q *queue) last(now time.Time) *waiter {
 	var worst *waiter
+	most := 0.0
 	for _, l := range q.lanes {
 		c := l.classes[len(l.classes)-1]
-		if worst != nil && compareClass(c, worst) <= 0 {
+		if worst != nil && c.compare(worst.urgency) <= 0 {
 			continue
 		}
-		most := -1.0
+		worst = nil
 		for account, list := range c.accounts {
-			if count := q.served[account].now(now); count > most {
-				worst, most = list[len(list)-1], count
+			w, count := list[len(list)-1], q.served[account].now(now)
+			if worst == nil || cmp.Or(cmp.Compare(count, most), w.deadline.Compare(worst.deadline), cmp.Compare(account, worst.request.Account)) > 0 {
+				worst, most = w, count
 			}
 		}
 	}
 	return worst
 }
 
-// any returns a request of a class.
-func (c *class) any() *waiter {
-	for _, list := range c.accounts {
-		return list[0]
-	}
-	return nil
-}
-
 // recordServed counts a request of a client account that got an endpoint.
 func (q *queue) recordServed(now time.Time, account gooseberrypass.ID) {
 	q.served[account] = served{at: now, count: q.served[account].now(now) + 1}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,6 +60,7 @@
 	deadline time.Time  // end of the wait
 	granted  chan grant // receives once; has room for it
 	request  *Request
+	urgency
 }
 
 // A grant ends the wait of a request.
@@ -148,9 +150,10 @@
 		state.retries.arrivals.add(now)
 	}
 	r.Query.Scheduled = true
-	w := &waiter{deadline: s.waitUntil(r), granted: make(chan grant, 1), request: r}
+	w := &waiter{deadline: s.waitUntil(r), granted: make(chan grant, 1), request: r, urgency: urgency{late: r.Late, rank: r.Rank}}
+	w.held = r.Key%exemptShare != 0 && state.holdBack.of(r.Rank) > 0
 	var refused error = overloaded("more urgent requests wait")
-	if !state.queue.blocks(w) {
+	if state.queue.ahead(w) == 0 {
 		ticket, err := s.place(now, state, w)
 		if err == nil || !waits(err) {
 			return nil, ticket, err
@@ -203,12 +206,18 @@
 	}
 }
 
-// serveOne serves the first request of a lane, in the order of their urgency, and reports
-// whether there was capacity for one.
+// serveOne serves the first request that no other one holds back and for which there is
+// capacity, and reports whether there is one.
 func (s *Scheduler) serveOne(now time.Time, state *service) bool {
-	for _, w := range state.queue.heads(now) {
+	var failed []*class
+	for _, c := range state.queue.classes() {
+		w := state.queue.first(now, c)
+		if slices.ContainsFunc(failed, func(f *class) bool { return f.holdsBack(w) }) {
+			continue
+		}
 		ticket, err := s.place(now, state, w)
 		if err != nil && waits(err) {
+			failed = append(failed, c)
 			continue
 		}
 		state.queue.remove(w)
@@ -222,7 +231,7 @@
 func (s *Scheduler) place(now time.Time, state *service, w *waiter) (*balancer.Ticket, error) {
 	r := w.request
 	r.Query.Headroom = 0
-	if r.Key%exemptShare != 0 {
+	if w.held {
 		r.Query.Headroom = state.holdBack.of(r.Rank)
 	}
 	r.Query.Rivals = s.rivals(now, state)
