--- a/forwarder/scheduling.go
+++ b/forwarder/scheduling.go
@@ -53,3 +53,16 @@
 	}
 	return min(max(f.scheduler.RetryAfter(r.scheduled(), longest), room), longest/3)
 }
+
+// retryAfter returns the Retry-After of a refusal: the usual one, or the time until an
+// endpoint takes requests if that is longer. It is at most a third of the caller's time.
+func (r *request) retryAfter(room time.Duration) time.Duration {
+	if r.ranks > 0 {
+		return r.scheduledRetryAfter(room)
+	}
+	wait := max(r.forwarder.settings.RetryAfter, room)
+	if !r.proxyRequest.Deadline.IsZero() {
+		wait = min(wait, r.proxyRequest.Deadline.Sub(r.arrivedAt)/3)
+	}
+	return wait
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -19,7 +19,6 @@
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 	"github.com/gooseberrypass/gooseberrypass/gossiper"
 	"github.com/gooseberrypass/gooseberrypass/materializer"
-	"github.com/gooseberrypass/gooseberrypass/scheduler"
 )
 
 // Pattern is the http.ServeMux pattern of the handler that NewHandler returns.
@@ -72,13 +71,6 @@
 	OwnLoads() map[gooseberrypass.ID]balancer.Load
 }
 
-// A BacklogExchange exchanges which requests lack capacity at entries. It is nil in agents, and
-// in entries that schedule no service.
-type BacklogExchange interface {
-	OwnBacklogs() map[gooseberrypass.ID]scheduler.Backlog
-	SetEntryBacklogs(now time.Time, from gooseberrypass.ID, backlogs map[gooseberrypass.ID]scheduler.Backlog)
-}
-
 // A RequestHistory exchanges what entries remember of requests: how many endpoint
 // failures each is suspected of, under which parts of prompts endpoints crashed, and
 // which were refused for load. Requests are
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -17,7 +17,6 @@
 	"github.com/gooseberrypass/gooseberrypass/parser"
 	"github.com/gooseberrypass/gooseberrypass/platform"
 	"github.com/gooseberrypass/gooseberrypass/replicator"
-	"github.com/gooseberrypass/gooseberrypass/scheduler"
 	"github.com/gooseberrypass/gooseberrypass/stager"
 )
 
@@ -327,16 +326,6 @@
 	}
 }
 
-func (s *MachineSettings) schedulerSettings() scheduler.Settings {
-	return scheduler.Settings{
-		LeastWaitShare: s.float(sectionForward, "share-least"),
-		MaxWaiting:     checker.Get[int](s.values, sectionForward, "queue-most"),
-		Mode:           scheduler.Mode(checker.Get[string](s.values, sectionForward, "scheduling")),
-		MostWaitShare:  s.float(sectionForward, "share-most"),
-		ReportTTL:      s.forwardDuration("notice-life"),
-	}
-}
-
 func (s *MachineSettings) attributorSettings() attributor.Settings {
 	return attributor.Settings{QuarantineTime: s.forwardDuration("poison-time")}
 }
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -101,7 +101,7 @@
 }
 
 func newModel(p pattern, seed uint64) *model {
-	clock := clockwork.NewFakeClock()
+	clock := clockwork.NewFakeClockAt(time.Unix(1_800_000_000, 0)) // the order of entries at freed places depends on the time
 	m := &model{clock: clock, pattern: p, rng: rand.New(rand.NewPCG(seed, seed)), started: clock.Now(), byAccount: map[int]*counts{}}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
