--- a/scheduler/holdback.go
+++ b/scheduler/holdback.go
@@ -41,11 +41,12 @@
 	}
 	grown := false
 	for rank := ranks - 1; rank >= 0; rank-- {
+		largest := largestHeadroom(rank - shortest)
 		switch {
-		case rank <= shortest:
-			h.headroom[rank] = max(h.headroom[rank]-maxHeadroom*float64(since)/float64(releaseTime), 0)
-		case !grown && h.headroom[rank] < largestHeadroom(rank):
-			h.headroom[rank] = min(h.headroom[rank]+headroomStep*periods, largestHeadroom(rank))
+		case h.headroom[rank] > largest:
+			h.headroom[rank] = max(h.headroom[rank]-maxHeadroom*float64(since)/float64(releaseTime), largest)
+		case !grown && h.headroom[rank] < largest:
+			h.headroom[rank] = min(h.headroom[rank]+headroomStep*periods, largest)
 			grown = true
 		}
 	}
@@ -69,6 +70,9 @@
 	return false
 }
 
-// largestHeadroom returns the largest headroom of a rank. It grows with the rank, so that each
-// rank finds places that the next one must leave free.
-func largestHeadroom(rank int) float64 { return min(rankHeadroom*float64(rank), maxHeadroom) }
+// largestHeadroom returns the largest headroom of a rank that is so much less urgent than the
+// one that lacks capacity. It grows with that, so that each rank finds places that the next one
+// must leave free.
+func largestHeadroom(below int) float64 {
+	return min(rankHeadroom*float64(max(below, 0)), maxHeadroom)
+}
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -158,3 +158,22 @@
 		t.Errorf("small accounts in time: got %d%%, want clearly more than today's %d%%, and more than the large accounts' %d%%", many, manyToday, few)
 	}
 }
+
+// With ranks for accounts and routes, a shortage of a rank in the middle held back all less
+// urgent ones so far that engines stood idle.
+func TestLoadSixRanks(t *testing.T) {
+	p := steady(1.3)
+	p.urgentAccounts = 5
+	today, scheduled := p.compare(t)
+	for rank, n := range scheduled.result {
+		if got := n.share(n.inTime); rank < 3 && got < 90 {
+			t.Errorf("rank %d of urgent accounts in time: got %d%%, want at least 90%%", rank, got)
+		}
+		if got := n.share(n.inTime + n.late); got < 20 {
+			t.Errorf("rank %d answered: got %d%%, want at least a fifth", rank, got)
+		}
+	}
+	if got, want := scheduled.total().inTime, today.total().inTime; got < want {
+		t.Errorf("in time: got %d, want at least %d", got, want)
+	}
+}
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -34,6 +34,7 @@
 // A call is a request of a caller, over its retry.
 type call struct {
 	account, class int
+	rank           int
 	arrived        time.Time
 	began          bool
 	entry          int
@@ -56,14 +57,23 @@
 
 // A pattern is a load. Factors are relative to what the engines can serve.
 type pattern struct {
-	accounts  func(rng *rand.Rand) int
-	classes   [3]float64 // share of each class
-	entries   func(rng *rand.Rand, at time.Duration) int
-	engines   func(at time.Duration) int
-	factor    func(at time.Duration, class int) float64
-	leaves    float64 // share of the callers that leave after 50 ms
-	lost      float64 // share of lost messages
-	scheduled bool
+	accounts       func(rng *rand.Rand) int
+	classes        [3]float64 // share of each class
+	entries        func(rng *rand.Rand, at time.Duration) int
+	engines        func(at time.Duration) int
+	factor         func(at time.Duration, class int) float64
+	leaves         float64 // share of the callers that leave after 50 ms
+	lost           float64 // share of lost messages
+	scheduled      bool
+	urgentAccounts int // accounts that take precedence, 0 for none
+}
+
+// ranks returns the number of ranks.
+func (p pattern) ranks() int {
+	if p.urgentAccounts > 0 {
+		return 2 * len(p.classes)
+	}
+	return len(p.classes)
 }
 
 // modelCapacity is the rate of requests at which the engines are full: today's policy answers
@@ -91,7 +101,7 @@
 	over       int           // steps of engines with more requests than slots
 	work       time.Duration // time of engines for the answers, at full batches
 	pattern    pattern
-	result     [3]counts
+	result     []counts // by rank
 	retrying   []*call
 	rng        *rand.Rand
 	schedulers []*scheduler.Scheduler
@@ -102,7 +112,7 @@
 
 func newModel(p pattern, seed uint64) *model {
 	clock := clockwork.NewFakeClockAt(time.Unix(1_800_000_000, 0)) // the order of entries at freed places depends on the time
-	m := &model{clock: clock, pattern: p, rng: rand.New(rand.NewPCG(seed, seed)), started: clock.Now(), byAccount: map[int]*counts{}}
+	m := &model{clock: clock, pattern: p, rng: rand.New(rand.NewPCG(seed, seed)), started: clock.Now(), byAccount: map[int]*counts{}, result: make([]counts, p.ranks())}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for i := range modelEntries {
@@ -159,6 +169,10 @@
 			account: m.pattern.accounts(m.rng), arrived: m.clock.Now(), class: class, entry: m.pattern.entries(m.rng, at), events: 8 + m.rng.IntN(20),
 			tokens: int([]float64{1290, 787, 607}[class] * min(3, 0.4+0.6*m.rng.ExpFloat64())),
 		}
+		c.rank = class
+		if c.account >= m.pattern.urgentAccounts && m.pattern.urgentAccounts > 0 {
+			c.rank += len(m.pattern.classes)
+		}
 		if m.rng.Float64() < m.pattern.leaves {
 			c.leaves = c.arrived.Add(50 * time.Millisecond)
 		}
@@ -171,7 +185,7 @@
 	now := m.clock.Now()
 	c.prompt = c.tokens
 	c.request = &scheduler.Request{
-		Account: gooseberrypass.ID(strconv.Itoa(c.account)), ArrivedAt: now, Key: m.rng.Uint64(), Late: c.retried, Rank: c.class, Ranks: 3,
+		Account: gooseberrypass.ID(strconv.Itoa(c.account)), ArrivedAt: now, Key: m.rng.Uint64(), Late: c.retried, Rank: c.rank, Ranks: m.pattern.ranks(),
 		Query: balancer.Query{Model: "m", Objective: objective(c.class), PromptTokens: c.tokens, RefusedBefore: c.retried, Service: "s"},
 	}
 	if !m.pattern.scheduled {
@@ -256,7 +270,7 @@
 }
 
 func (m *model) count(c *call, add func(*counts)) {
-	add(&m.result[c.class])
+	add(&m.result[c.rank])
 	if m.byAccount[c.account] == nil {
 		m.byAccount[c.account] = &counts{}
 	}
