--- a/deployment.go
+++ b/deployment.go
@@ -99,10 +99,11 @@
 	return s.Engine == nil || *s.Engine == *t.Engine
 }
 
-// CallerLimits are the size limits of requests.
+// CallerLimits are the limits of requests. 0 is no limit.
 type CallerLimits struct {
-	Body    int64 // bytes
-	Headers int   // bytes
+	Body       int64         // bytes
+	HeaderTime time.Duration // for the headers to arrive
+	Headers    int           // bytes
 }
 
 // An AccountSpec describes a client account of a deployment.
@@ -151,7 +152,7 @@
 // client account, also if no client account has one.
 func (d *Deployment) RequiresAccount() bool { return d.accounts != nil }
 
-// Limits returns the size limits of requests.
+// Limits returns the limits of requests.
 func (d *Deployment) Limits() CallerLimits { return d.limits }
 
 // Match returns the route of host with the longest matching prefix of path.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"time"
@@ -202,16 +201,14 @@
 	return ev, err
 }
 
-// readBody reads the body of a whole answer, up to MaxBufferedAnswer bytes.
+// readBody reads the body of a whole answer, up to MaxBufferedAnswer bytes or to the memory
+// that is left.
 func (a *attempt) readBody() *failure {
 	r := a.request
-	limit := r.forwarder.settings.MaxBufferedAnswer
-	var body bytes.Buffer
-	n, err := io.Copy(&body, io.LimitReader(a.reply.Body, limit))
-	if err != nil {
+	var err error
+	if a.body, a.bodyEnded, err = r.bufferAnswer(a.reply.Body); err != nil {
 		return a.connectionFailure(&gooseberrypass.DispatchError{Err: errors.Wrap(err, "read body"), Sent: true})
 	}
-	a.body, a.bodyEnded = body.Bytes(), n < limit
 	if a.reply.Status >= 500 && a.bodyEnded && (a.beside || r.route.Mode == gooseberrypass.RouteIdempotent && !a.last) {
 		a.fallback = &heldResponse{body: a.body, reply: a.reply}
 		return &failure{err: unknown(gooseberrypass.ReasonUpstream, "the endpoint answered with an error"), result: balancer.ResultAnswered}
--- a/listener/acceptor.go
+++ b/listener/acceptor.go
@@ -16,19 +16,26 @@
 // wait to be accepted.
 type acceptor struct {
 	net.Listener
+	conns    *connections
+	limits   *Limits
 	stopping atomic.Bool
 }
 
 // Accept implements net.Listener.
 func (a *acceptor) Accept() (net.Conn, error) {
-	c, err := a.Listener.Accept()
-	switch {
-	case err == nil:
-		return &conn{Conn: c}, nil
-	case a.stopping.Load():
-		return nil, net.ErrClosed
-	default:
-		return nil, err //nolint:wrapcheck // net/http retries a net.Error
+	for {
+		c, err := a.Listener.Accept()
+		switch {
+		case err == nil && !a.conns.makeRoom():
+			turnAway(c)
+		case err == nil:
+			limitBuffers(c, a.limits)
+			return &conn{Conn: c, limits: a.limits}, nil
+		case a.stopping.Load():
+			return nil, net.ErrClosed
+		default:
+			return nil, err //nolint:wrapcheck // net/http retries a net.Error
+		}
 	}
 }
 
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -17,7 +17,11 @@
 // unread input resets the connection, and the peer may lose the last answer.
 type conn struct {
 	net.Conn
-	discard atomic.Bool
+	busy      atomic.Bool // a request is being handled
+	discard   atomic.Bool
+	headAt    atomic.Int64 // when the first byte of the head arrived, in Unix nanoseconds, 0 for none
+	headBytes atomic.Int64 // bytes that have arrived of the head
+	limits    *Limits      // nil for none
 }
 
 // Close implements net.Conn.
--- a/listener/connections.go
+++ b/listener/connections.go
@@ -13,22 +13,27 @@
 
 // A connState is what a server knows of one connection.
 type connState struct {
-	busy   bool // a request is being handled
-	closed bool // closed by the server while it was not busy
-	used   bool // a request has been handled
+	busy   bool      // a request is being handled
+	closed bool      // closed by the server while it was not busy
+	since  time.Time // when it was opened or became idle
+	used   bool      // a request has been handled
 }
 
 // connections tracks the connections of a server. In a shutdown it closes those that
 // are idle, and never one whose request is handled.
 type connections struct {
 	changed chan struct{} // receives after a connection ended
+	closed  int           // connections in states that the server has closed
 	closing bool          // idle connections are closed
+	full    bool          // the limit of connections was reached
+	fullAt  time.Time     // when it was last reached
+	limits  *Limits       // nil for none
 	mu      sync.Mutex
 	states  map[net.Conn]*connState
 }
 
-func newConnections() *connections {
-	return &connections{changed: make(chan struct{}, 1), states: map[net.Conn]*connState{}}
+func newConnections(limits *Limits) *connections {
+	return &connections{changed: make(chan struct{}, 1), limits: limits, states: map[net.Conn]*connState{}}
 }
 
 // observe implements http.Server.ConnState.
@@ -37,13 +42,17 @@
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		c.states[conn] = &connState{}
+		c.states[conn] = &connState{since: time.Now()}
 	case http.StateIdle:
 		if s, ok := c.states[conn]; ok {
-			s.busy = false
+			s.busy, s.since = false, time.Now()
+			endRequest(conn)
 			c.closeIdle(conn, s)
 		}
 	case http.StateClosed, http.StateHijacked:
+		if s, ok := c.states[conn]; ok && s.closed {
+			c.closed--
+		}
 		delete(c.states, conn)
 		select {
 		case c.changed <- struct{}{}:
@@ -63,6 +72,7 @@
 		return false
 	}
 	s.busy, s.used = true, true
+	beginRequest(conn)
 	return true
 }
 
@@ -98,7 +108,13 @@
 	if !c.closing || s.busy || !s.used || s.closed {
 		return
 	}
+	c.closeConn(conn, s)
+}
+
+// closeConn closes a connection that is not busy.
+func (c *connections) closeConn(conn net.Conn, s *connState) {
 	s.closed = true
+	c.closed++
 	_ = conn.Close()
 }
 
--- /dev/null
+++ b/listener/limits.go
@@ -0,0 +1,109 @@
+package listener
+
+import (
+	"io"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// Reasons for which connections of callers are closed or turned away.
+const (
+	ReasonConnEvicted  = "connection_evicted"
+	ReasonConnRefused  = "connection_refused"
+	ReasonHeadTimeout  = "head_timeout"
+	ReasonHeadTooLarge = "head_too_large"
+)
+
+// connBuffer is the size of the kernel's send and receive buffers of a limited connection, in
+// bytes. They are memory of the machine too, and grow to megabytes for a caller that does not
+// read. Twice the size is a round trip of 25 ms at 80 Mbit/s.
+const connBuffer = 128 << 10
+
+// headSlack is how far a head may exceed its limit, in bytes, as the begin of a body may be
+// read with it. net/http has the same slack.
+const headSlack = 4 << 10
+
+// HeadLimits are limits of the head of a request, which apply where they are tighter than
+// those of each server. 0 is no limit.
+type HeadLimits struct {
+	Bytes int
+	Time  time.Duration // from the first byte
+}
+
+// Limits protect a server from callers that nobody controls.
+type Limits struct {
+	Head     func() HeadLimits   // limits in force
+	Logger   logrus.FieldLogger  // of changes of state
+	MaxConns int                 // open connections
+	OnFull   func() bool         // makes a busy connection end, returns false if it cannot
+	Refused  func(reason string) // counts connections that are closed or turned away
+}
+
+var errHeadTooLarge = errors.New("head of the request is too large")
+
+// Read implements net.Conn. It limits the time and the size of the head of a request.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.limits == nil || c.busy.Load() {
+		return c.Conn.Read(p)
+	}
+	if err := c.limitHead(); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.busy.Load() {
+		c.headAt.CompareAndSwap(0, time.Now().UnixNano())
+		c.headBytes.Add(int64(n))
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.headAt.Load() != 0 && !c.busy.Load() {
+		c.limits.Refused(ReasonHeadTimeout)
+	}
+	return n, err
+}
+
+// limitHead sets the deadline of a head that has begun to arrive, and returns an error if it
+// is too large.
+func (c *conn) limitHead() error {
+	at := c.headAt.Load()
+	if at == 0 {
+		return nil
+	}
+	limit := c.limits.Head()
+	if limit.Bytes > 0 && c.headBytes.Load() >= int64(limit.Bytes+headSlack) {
+		c.limits.Refused(ReasonHeadTooLarge)
+		return errHeadTooLarge
+	}
+	if limit.Time > 0 && limit.Time < readHeaderTimeout {
+		return c.SetReadDeadline(time.Unix(0, at).Add(limit.Time)) // net/http removes it after the head
+	}
+	return nil
+}
+
+// begin records that the head of a request has arrived.
+func (c *conn) begin() { c.busy.Store(true) }
+
+// end records that a request was answered.
+func (c *conn) end() {
+	c.headAt.Store(0)
+	c.headBytes.Store(0)
+	c.busy.Store(false)
+}
+
+// limitBuffers limits the kernel's buffers of a connection.
+func limitBuffers(c net.Conn, limits *Limits) {
+	tcp, ok := c.(*net.TCPConn)
+	if limits == nil || !ok {
+		return
+	}
+	_ = tcp.SetReadBuffer(connBuffer)  // fails only on a closed connection
+	_ = tcp.SetWriteBuffer(connBuffer) // as above
+}
+
+// turnAway refuses a connection. The answer fits in the empty send buffer.
+func turnAway(c net.Conn) {
+	_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: 1\r\n\r\n")
+	_ = c.Close()
+}
--- /dev/null
+++ b/listener/limits_test.go
@@ -0,0 +1,148 @@
+package listener_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass/listener"
+)
+
+// startLimited serves handler with limits until the test ends. The channel receives the
+// reasons for which connections are closed.
+func startLimited(t *testing.T, handler http.Handler, conns int, head listener.HeadLimits, onFull func() bool) (*listener.Server, <-chan string) {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	reasons := make(chan string, 10)
+	l, err := listener.ListenLimited(t.Context(), "127.0.0.1:0", handler, listener.Limits{
+		Head: func() listener.HeadLimits { return head }, Logger: logger, MaxConns: conns, OnFull: onFull, Refused: func(reason string) { reasons <- reason },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx, testGrace) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("Run: got error %v, want none", err)
+		}
+	})
+	return l, reasons
+}
+
+// Connections that send nothing or a part of a head must not shut out ordinary callers.
+func TestStuckConnectionMakesRoom(t *testing.T) {
+	l, reasons := startLimited(t, http.HandlerFunc(echo), 2, listener.HeadLimits{}, func() bool { return false })
+	silent := dial(t, l.Address())
+	awaitConnections(l, 1)
+	used := dial(t, l.Address())
+	send(t, used, plainRequest)
+	usedReader := bufio.NewReader(used)
+	if body, _ := readAnswer(usedReader); body != "got " {
+		t.Fatalf("got %q, want an answer", body)
+	}
+	time.Sleep(1100 * time.Millisecond) // an unused connection is preferred after a second
+	conn := dial(t, l.Address())
+	send(t, conn, plainRequest)
+	if body, _ := readAnswer(bufio.NewReader(conn)); body != "got " {
+		t.Errorf("new connection: got %q, want an answer", body)
+	}
+	if _, err := silent.Read(make([]byte, 1)); err == nil {
+		t.Error("got bytes on the connection that sent nothing, want it closed")
+	}
+	send(t, used, plainRequest)
+	if body, _ := readAnswer(usedReader); body != "got " {
+		t.Errorf("kept connection: got %q, want an answer", body)
+	}
+	if got := <-reasons; got != listener.ReasonConnEvicted {
+		t.Errorf("got reason %s, want %s", got, listener.ReasonConnEvicted)
+	}
+}
+
+// awaitConnections returns once a server has n connections.
+func awaitConnections(l *listener.Server, n int) {
+	for l.Connections() < n {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A request in progress must not be cut for a new connection.
+func TestNewConnectionIsTurnedAwayIfAllAreBusy(t *testing.T) {
+	entered, release := make(chan struct{}, 2), make(chan struct{})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		entered <- struct{}{}
+		<-release
+		echo(w, r)
+	})
+	stalled := false // whether a body may be given up
+	l, reasons := startLimited(t, handler, 1, listener.HeadLimits{}, func() bool { return stalled })
+	busy := dial(t, l.Address())
+	send(t, busy, plainRequest)
+	<-entered
+	res, err := http.ReadResponse(bufio.NewReader(dial(t, l.Address())), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = res.Body.Close()
+	if res.StatusCode != http.StatusServiceUnavailable || !res.Close || res.Header.Get("Retry-After") == "" {
+		t.Errorf("got status %d (closes %t), want %d, Retry-After and a close", res.StatusCode, res.Close, http.StatusServiceUnavailable)
+	}
+	if got := <-reasons; got != listener.ReasonConnRefused {
+		t.Errorf("got reason %s, want %s", got, listener.ReasonConnRefused)
+	}
+	close(release)
+	if body, _ := readAnswer(bufio.NewReader(busy)); body != "got " {
+		t.Errorf("busy connection: got %q, want an answer", body)
+	}
+}
+
+// The operator's limits of the head hold where they are tighter than the server's, also for
+// the second request of a connection.
+func TestHeadLimits(t *testing.T) {
+	for _, tt := range []struct {
+		name, sent, want string
+		limits           listener.HeadLimits
+	}{
+		{"time", "GET / HTTP/1.1\r\nHo", listener.ReasonHeadTimeout, listener.HeadLimits{Time: 50 * time.Millisecond}},
+		{"size", "GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 16<<10), listener.ReasonHeadTooLarge, listener.HeadLimits{Bytes: 1 << 10}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			l, reasons := startLimited(t, http.HandlerFunc(echo), 10, tt.limits, func() bool { return false })
+			conn := dial(t, l.Address())
+			r := bufio.NewReader(conn)
+			for range 2 {
+				send(t, conn, plainRequest)
+				if body, _ := readAnswer(r); body != "got " {
+					t.Fatalf("got %q, want an answer", body)
+				}
+				time.Sleep(100 * time.Millisecond) // idle for longer than a head may take
+			}
+			send(t, conn, tt.sent)
+			if got := <-reasons; got != tt.want {
+				t.Errorf("got reason %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+// The deadline of a head must not cut off the body and the answer behind it.
+func TestHeadTimeEndsWithTheHead(t *testing.T) {
+	l, _ := startLimited(t, http.HandlerFunc(echo), 10, listener.HeadLimits{Time: 50 * time.Millisecond}, func() bool { return false })
+	conn := dial(t, l.Address())
+	send(t, conn, "POST / HTTP/1.1\r\nHo")
+	send(t, conn, "st: h\r\nContent-Length: 4\r\n\r\nbo")
+	time.Sleep(150 * time.Millisecond)
+	send(t, conn, "dy")
+	if body, _ := readAnswer(bufio.NewReader(conn)); body != "got body" {
+		t.Errorf("got %q, want %q", body, "got body")
+	}
+}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -44,9 +44,21 @@
 	return New(lis, handler), nil
 }
 
+// ListenLimited is Listen for callers that nobody controls.
+func ListenLimited(ctx context.Context, address string, handler http.Handler, limits Limits) (*Server, error) {
+	lis, err := Bind(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return newServer(lis, handler, &limits), nil
+}
+
 // New returns a server for handler on lis. It takes ownership of lis.
-func New(lis net.Listener, handler http.Handler) *Server {
-	s := &Server{conns: newConnections(), lis: &acceptor{Listener: lis}}
+func New(lis net.Listener, handler http.Handler) *Server { return newServer(lis, handler, nil) }
+
+func newServer(lis net.Listener, handler http.Handler, limits *Limits) *Server {
+	conns := newConnections(limits)
+	s := &Server{conns: conns, lis: &acceptor{Listener: lis, conns: conns, limits: limits}}
 	s.http = &http.Server{
 		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ConnState:         s.conns.observe,
@@ -76,6 +88,9 @@
 // Address returns the bound address.
 func (s *Server) Address() string { return s.lis.Addr().String() }
 
+// Connections returns the number of open connections.
+func (s *Server) Connections() int { return s.conns.open() }
+
 // Close releases the address of a server on which Run was not called.
 func (s *Server) Close() error { return s.lis.Close() }
 
--- a/proxy.go
+++ b/proxy.go
@@ -18,6 +18,7 @@
 	ID              string // ID of this attempt of the caller
 	LastEvent       int    // index of the last event that the caller has received, -1 for none
 	MaxTokens       int    // largest number of tokens in the answer, 0 if unknown
+	Memory          Memory // for what is buffered of the answer, nil for no limit
 	Method          string
 	Model           string
 	Path            string   // without the query
@@ -27,6 +28,13 @@
 	URI             string   // path and query as sent by the caller
 }
 
+// Memory is what one request may use of the memory for all requests. What it has reserved is
+// given back when the request has ended.
+type Memory interface {
+	// TryReserve reserves n bytes and returns whether they were available.
+	TryReserve(n int64) bool
+}
+
 // fields returns the fields by which requests are compared: account, host, method,
 // URI and body.
 func (p *ProxyRequest) fields() RequestFields {
--- /dev/null
+++ b/reserver/ledger.go
@@ -0,0 +1,135 @@
+package reserver
+
+import "time"
+
+// progressBytes is the number of bytes that count as progress. Fewer would let a caller that
+// sends single bytes keep its memory.
+const progressBytes = 1 << 10
+
+// An entry is the state of one reservation.
+type entry struct {
+	arrived    int64 // bytes since progressAt
+	complete   bool  // the whole body has arrived
+	giveUp     func()
+	givenUp    bool
+	held       int64 // bytes reserved
+	progressAt time.Time
+	waiting    bool // for memory; the caller is not to blame for the lack of progress
+}
+
+// progress records that n bytes have arrived.
+func (e *entry) progress(now time.Time, n int64) {
+	if e.arrived += n; e.arrived >= progressBytes {
+		e.arrived, e.progressAt = 0, now
+	}
+}
+
+// A ledger decides who gets memory. It has no clock, no lock and no goroutine.
+type ledger struct {
+	entries  map[*entry]struct{}
+	gaveUp   int64 // bodies
+	leaving  int64 // bytes of bodies that were given up and not given back yet
+	refused  int64 // reservations
+	settings Settings
+	used     int64 // bytes, with those leaving
+}
+
+func newLedger(settings Settings) ledger {
+	return ledger{entries: map[*entry]struct{}{}, settings: settings}
+}
+
+// A decision is the outcome of a request for memory.
+type decision struct {
+	gaveUp  int // bodies given up for it
+	granted bool
+	wait    time.Duration // time until the next try, 0 for a refusal
+}
+
+func (l *ledger) add(e *entry) { l.entries[e] = struct{}{} }
+
+func (l *ledger) remove(e *entry) {
+	if _, ok := l.entries[e]; ok {
+		l.shrink(e, e.held)
+		delete(l.entries, e)
+	}
+}
+
+func (l *ledger) shrink(e *entry, n int64) {
+	n = min(n, e.held)
+	e.held -= n
+	l.used -= n
+	if e.givenUp {
+		l.leaving -= n
+	}
+}
+
+func (l *ledger) usage() Usage {
+	return Usage{Bodies: len(l.entries), GivenUp: l.gaveUp, Refused: l.refused, Total: l.settings.Total, Used: l.used}
+}
+
+// limitFor returns up to how many bytes may be used if e gets n more. A part of the total is
+// for small bodies, so that large ones do not shut them out.
+func (l *ledger) limitFor(e *entry, n int64) int64 {
+	if e.held+n <= l.settings.SmallBody {
+		return l.settings.Total
+	}
+	return l.settings.Total - l.settings.Small
+}
+
+// tryReserve reserves n bytes if no more than limit are used then.
+func (l *ledger) tryReserve(e *entry, n, limit int64) bool {
+	if l.used+n > limit {
+		return false
+	}
+	e.held += n
+	l.used += n
+	return true
+}
+
+// reserve reserves n bytes for e, or gives up stalled bodies until what they hold suffices.
+// e waits until a body that was given up has given its memory back, or until others may be
+// given up, but not beyond until.
+func (l *ledger) reserve(now time.Time, e *entry, n int64, until time.Time) decision {
+	limit := l.limitFor(e, n)
+	if l.tryReserve(e, n, limit) {
+		return decision{granted: true}
+	}
+	if e.held+n > limit {
+		return decision{}
+	}
+	d := decision{wait: until.Sub(now)}
+	for l.used-l.leaving+n > limit {
+		victim := l.stalled(now, e)
+		if victim == nil {
+			d.wait = min(d.wait, l.settings.Stall)
+			break
+		}
+		l.giveUp(victim)
+		d.gaveUp++
+	}
+	return d
+}
+
+// stalled returns the incomplete body that has made no progress for longest, and for at least
+// Stall. It returns nil if there is none. A body that holds no memory is not chosen for except,
+// which needs memory.
+func (l *ledger) stalled(now time.Time, except *entry) *entry {
+	var oldest *entry
+	for e := range l.entries {
+		if e == except || e.giveUp == nil || e.complete || e.givenUp || e.waiting || except != nil && e.held == 0 || now.Sub(e.progressAt) < l.settings.Stall {
+			continue
+		}
+		if oldest == nil || e.progressAt.Before(oldest.progressAt) {
+			oldest = e
+		}
+	}
+	return oldest
+}
+
+// giveUp gives a body up. Its memory counts as used until it is given back.
+func (l *ledger) giveUp(e *entry) {
+	e.givenUp = true
+	l.leaving += e.held
+	l.gaveUp++
+	e.giveUp()
+}
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/attributor"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
+	"github.com/gooseberrypass/gooseberrypass/checker"
 	"github.com/gooseberrypass/gooseberrypass/drainer"
 	"github.com/gooseberrypass/gooseberrypass/follower"
 	"github.com/gooseberrypass/gooseberrypass/forwarder"
@@ -93,11 +94,25 @@
 	if err != nil {
 		return err
 	}
+	guard, err := newCallerGuard(g.clock, g.settings.Memory(), checker.Get[int](g.settings.values, sectionMachine, "max-files"), g.registry, g.logger)
+	if err != nil {
+		return err
+	}
 	callers := platform.NewCallerHandler(g.drainer, g.clock, g.drainer, g.maxBody)
-	g.callers, err = listener.Listen(ctx, g.settings.address("callers-listen"), callers)
+	callers.LimitMemory(guard.budget, guard.count)
+	g.callers, err = listener.ListenLimited(ctx, g.settings.address("callers-listen"), callers, guard.limits(g.headLimits))
 	return err
 }
 
+// headLimits returns the limits of the head of a request.
+func (g *Gateway) headLimits() listener.HeadLimits {
+	d := g.materializer.Deployment()
+	if d == nil {
+		return listener.HeadLimits{}
+	}
+	return listener.HeadLimits{Bytes: d.Limits().Headers, Time: d.Limits().HeaderTime}
+}
+
 func (g *Gateway) maxBody() int64 {
 	if d := g.materializer.Deployment(); d != nil && d.Limits().Body > 0 {
 		return d.Limits().Body
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -65,7 +65,7 @@
 			{Name: "instance", Required: true, Type: checker.Word(), Doc: "The instance's name."},
 			{Name: "listen", Required: true, Type: checker.Address(), Doc: "Listen address for the system's other processes."},
 			{Name: "log-level", Type: checker.Enum("debug", "error", "info", "warning"), Default: "info", Doc: "Least severe level that is logged."},
-			{Name: "memory", Type: checker.Size(1<<20, 1<<40), Default: "128MiB", Doc: "Memory that the process may use."},
+			{Name: "memory", Type: checker.Size(1<<20, 1<<40), Default: "128MiB", Doc: "Memory that the process may use. In an entry, a fifth of it is for bodies of requests and answers, and a quarter limits callers' connections."},
 			{Name: "metrics-listen", Required: true, Type: checker.Address(), Doc: "Listen address for reads of the metrics."},
 			{Name: "region", Required: true, Type: checker.Word(), Doc: "Region of the instance."},
 			{Name: "regions", Required: true, Type: checker.Pairs(), Doc: "Region of each failure domain."},
@@ -78,6 +78,7 @@
 func entryKeys() []checker.Key {
 	return []checker.Key{
 		{Name: "callers-listen", Required: true, Type: checker.Address(), Doc: "Listen address for callers."},
+		{Name: "max-files", Type: checker.Int(0, 1<<30), Default: "0", Doc: "File descriptors that the process may use; 200 of them are not for callers' connections. 0 takes the limit of the process."},
 		{Name: "ready-listen", Required: true, Type: checker.Address(), Doc: "Listen address for the platform's readiness checks."},
 	}
 }
--- a/runner/machinesettings_test.go
+++ b/runner/machinesettings_test.go
@@ -17,7 +17,7 @@
 	return map[string]string{
 		"Bounds.GraceS": "8", "Bounds.RetryRatio": "0.2", "Bounds.RetrySlack": "100", "Bounds.RetryWindowS": "10",
 		"Bounds.StableWindowMs": "3000", "Bounds.version_ms": "8000", "HeartbeatMs": "1200", "InternalPorts.0": "7700", "Ip": "10.1.0.40",
-		"Limits.LinkMbps": "7.3", "Limits.MemoryMb": "284", "Listen.Frontend": "10.1.0.40:8005", "Listen.Ready": "10.1.0.40:8002",
+		"Limits.LinkMbps": "7.3", "Limits.MaxFds": "4100", "Limits.MemoryMb": "284", "Listen.Frontend": "10.1.0.40:8005", "Listen.Ready": "10.1.0.40:8002",
 		"NodeName": "edge-a-1", "Platform.Address": "10.200.1.7:8007", "Region": "centro", "Service": "s", "Zone": "centro-a",
 		"app": "10.1.0.41:8001",
 	}
