--- a/answerer/entry.go
+++ b/answerer/entry.go
@@ -12,6 +12,7 @@
 	"github.com/gooseberrypass/gooseberrypass/claimer"
 	"github.com/gooseberrypass/gooseberrypass/limiter"
 	"github.com/gooseberrypass/gooseberrypass/quarantiner"
+	"github.com/gooseberrypass/gooseberrypass/reserver"
 	"github.com/gooseberrypass/gooseberrypass/retrier"
 	"github.com/gooseberrypass/gooseberrypass/router"
 	"github.com/gooseberrypass/gooseberrypass/wire"
@@ -26,8 +27,10 @@
 	Log        gooseberrypass.Log
 	Logger     logrus.FieldLogger
 	Membership gooseberrypass.Membership
+	Memory     *reserver.Budget           // bounds the bodies of requests; nil for no bound
 	Partitions int                        // number of claim log streams; 0 means claimer.DefaultPartitions
 	Post       func(gooseberrypass.Event) // sends an event to the control loop
+	Refused    func(reason string)        // counts bodies that are refused; may be nil without Memory
 	Registerer prometheus.Registerer
 	Seed       uint64
 	Self       gooseberrypass.ListedInstance
@@ -87,6 +90,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if d.Memory != nil {
+		handler = &bodyReader{limit: maxRequestBody, memory: d.Memory, next: handler, refused: d.Refused}
+	}
 	return &Entry{
 		clock:       d.Clock,
 		config:      d.Config,
--- a/answerer/fakes_test.go
+++ b/answerer/fakes_test.go
@@ -199,8 +199,8 @@
 }
 
 // startStoppingEntry is startEntry for an entry that cancels its requests once stop is
-// done.
-func startStoppingEntry(t *testing.T, stop context.Context, log gooseberrypass.Log, m members) (*api.Client, string) { //nolint:contextcheck,revive // not the context of this call
+// done. with changes its dependencies.
+func startStoppingEntry(t *testing.T, stop context.Context, log gooseberrypass.Log, m members, with ...func(*answerer.Dependencies)) (*api.Client, string) { //nolint:contextcheck,revive // not the context of this call
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -208,10 +208,14 @@
 	clock := clockwork.NewRealClock()
 	var loop *looper.Loop
 	transport := &http.Transport{}
-	entry, err := answerer.NewEntry(answerer.Dependencies{
+	d := answerer.Dependencies{
 		Client: &http.Client{Transport: transport}, Clock: clock, Config: newConfig(), Log: log, Logger: logger, Membership: m,
 		Post: func(e gooseberrypass.Event) { loop.Post(e) }, Registerer: registry, Seed: 1, Self: listed("entry-1", "", ""),
-	})
+	}
+	for _, change := range with {
+		change(&d)
+	}
+	entry, err := answerer.NewEntry(d)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -27,7 +27,8 @@
 	callers  *listener.Server // serves callers
 	entry    *answerer.Entry
 	expire   context.CancelFunc // cancels the requests in progress
-	internal *listener.Server   // serves other processes
+	guard    *callerGuard
+	internal *listener.Server // serves other processes
 }
 
 // NewEntry binds the addresses of an entry and creates its parts.
@@ -36,7 +37,11 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{process: p}
+	guard, err := newCallerGuard(p.clock, settings.memory, settings.maxFiles, p.registry, p.logger)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{guard: guard, process: p}
 	e.entry, err = answerer.NewEntry(answerer.Dependencies{
 		Client:     p.dialer.Client(dialer.ClassAttempt),
 		Clock:      p.clock,
@@ -44,7 +49,9 @@
 		Log:        p.log,
 		Logger:     p.logger,
 		Membership: p.tracker,
+		Memory:     guard.budget,
 		Post:       p.loop.Post,
+		Refused:    guard.count,
 		Registerer: p.registry,
 		Seed:       p.seed,
 		Self:       settings.self,
@@ -100,7 +107,8 @@
 	e.internal = listener.New(e.dialer.WrapListener(lis), handler)
 	expired, expire := context.WithCancel(context.WithoutCancel(ctx))
 	e.expire = expire
-	e.callers, err = listener.Listen(ctx, e.settings.callers.String(), listener.CancelRequests(expired, e.entry.Handler()))
+	limits := e.guard.limits(func() listener.HeadLimits { return listener.HeadLimits{} })
+	e.callers, err = listener.ListenLimited(ctx, e.settings.callers.String(), listener.CancelRequests(expired, e.entry.Handler()), limits)
 	if err != nil {
 		_ = e.internal.Close()
 	}
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -37,6 +37,8 @@
 	logLevel      string
 	logURL        string
 	listURL       string
+	maxFiles      int   // of an entry, 0 for the limit of the process
+	memory        int64 // of an entry, in bytes
 	originURL     string
 	retention     time.Duration
 	seed          uint64
@@ -98,6 +100,8 @@
 		Kind: sectionEntry,
 		Keys: []checker.Key{
 			{Name: "callers-listen", Required: true, Type: checker.Address(), Doc: "Listen address for callers."},
+			{Name: "max-files", Type: checker.Int(0, 1<<30), Default: "0", Doc: "File descriptors that the process may use; 200 of them are not for callers' connections. 0 takes the limit of the process."},
+			{Name: "memory", Type: checker.Size(128<<20, 1<<40), Default: "512MiB", Doc: "Memory that the process may use. A fifth of it is for bodies of requests, and a quarter limits callers' connections."},
 		},
 	}
 }
@@ -191,6 +195,11 @@
 		return checker.Get[string](values, section, key)
 	}
 	listen := checker.Get[netip.AddrPort](values, sectionProcess, "listen")
+	var maxFiles int
+	var memory int64
+	if role == gooseberrypass.RoleEntry {
+		maxFiles, memory = checker.Get[int](values, sectionEntry, "max-files"), checker.Get[int64](values, sectionEntry, "memory")
+	}
 	return &Settings{
 		callers:   checker.Get[netip.AddrPort](values, sectionEntry, "callers-listen"),
 		engineURL: text(sectionAgent, "engine"),
@@ -199,6 +208,8 @@
 		listURL:   text(sectionPlatform, "instance-list"),
 		logLevel:  text(sectionProcess, "log-level"),
 		logURL:    text(sectionPlatform, "log"),
+		maxFiles:  maxFiles,
+		memory:    memory,
 		originURL: text(sectionPlatform, "origin"),
 		retention: checker.Get[time.Duration](values, sectionPlatform, "log-retention"),
 		seed:      uint64(checker.Get[int](values, sectionProcess, "seed")),
