--- a/commander/commander.go
+++ b/commander/commander.go
@@ -40,6 +40,7 @@
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print the line that adds completions to your shell."`
 	Merge              mergeCmd                     `cmd:"" help:"Print the merge of a folder, with the place of each value."`
 	Pack               packCmd                      `cmd:"" help:"Make the manifest of a weights file."`
+	Precheck           precheckCmd                  `cmd:"" help:"Check a configuration of prepared machines before it is sent."`
 	Publish            publishCmd                   `cmd:"" help:"Publish a folder of INI files."`
 	Pull               pullCmd                      `cmd:"" help:"Write the accepted files to a folder."`
 	Sidecar            sidecarCmd                   `cmd:"" help:"Run the process beside an engine on a prepared machine."`
