--- a/stager/job.go
+++ b/stager/job.go
@@ -180,7 +180,7 @@
 	if now.Before(j.dueAt) {
 		if j.drainSentAt.IsZero() && !now.Before(j.dueAt.Add(-s.settings.DrainLead)) {
 			j.drainSentAt = now
-			s.notify(now, false)
+			s.notify(now, s.loading())
 		}
 		return false
 	}
--- a/stager/order.go
+++ b/stager/order.go
@@ -92,7 +92,5 @@
 		j.ordered = true
 		j.failedAt = now // gives the engine time to report the order
 	}
-	if e.result != gooseberrypass.StartRefused {
-		s.judgeOrder(j, e)
-	}
+	s.judgeOrder(j, e)
 }
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -71,9 +71,11 @@
 // An engine stores staged chunks and loads them when ordered.
 type engine struct {
 	calls    int
-	hold     func() // called by the next order before it is accepted, may be nil
-	lost     bool   // the answer to the next order is lost
-	loaded   []byte // bytes that the last order loaded
+	held     *gooseberrypass.StartOrder // the order that is accepted later, nil for none
+	hold     func()                     // called by the next order before it is accepted, may be nil
+	late     bool                       // the next order gets no answer, and the caller accepts it later
+	lost     bool                       // the answer to the next order is lost
+	loaded   []byte                     // bytes that the last order loaded
 	mu       sync.Mutex
 	onAccept func() // called when an order is accepted, may be nil
 	onCall   func() // called by each call, may be nil
@@ -140,6 +142,21 @@
 	if e.refuse || order.Orders != e.report.Orders {
 		return gooseberrypass.StartRefused, io.ErrUnexpectedEOF
 	}
+	if e.late {
+		e.late = false
+		e.held = &order
+		return gooseberrypass.StartUnknown, io.ErrUnexpectedEOF
+	}
+	e.accept(order)
+	if e.lost {
+		e.lost = false
+		return gooseberrypass.StartUnknown, io.ErrUnexpectedEOF
+	}
+	return gooseberrypass.StartAccepted, nil
+}
+
+// accept takes what is staged for an order.
+func (e *engine) accept(order gooseberrypass.StartOrder) {
 	e.orders = append(e.orders, order)
 	e.report.Orders++
 	e.loaded = nil
@@ -150,11 +167,6 @@
 	if e.onAccept != nil {
 		e.onAccept()
 	}
-	if e.lost {
-		e.lost = false
-		return gooseberrypass.StartUnknown, io.ErrUnexpectedEOF
-	}
-	return gooseberrypass.StartAccepted, nil
 }
 
 // A pool is a fetcher that gets the chunks of the versions that other agents hold.
@@ -242,7 +254,7 @@
 		Chunks: c, Clock: f.clock, Engine: f.engine, Fetcher: f.pool, Log: log, Manifests: f.manifests, Origin: f.origin,
 		Self: materializer.Process{Endpoint: "a", ID: "self", Role: gooseberrypass.RoleAgent, Service: "s"}, Notifier: f.recorder,
 	}, stager.Settings{
-		StopLead: 200 * time.Millisecond, LoadDelay: 3 * time.Second, PollInterval: 100 * time.Millisecond, RetryDelay: 100 * time.Millisecond,
+		DrainLead: 300 * time.Millisecond, StopLead: 200 * time.Millisecond, LoadDelay: 3 * time.Second, PollInterval: 100 * time.Millisecond, RetryDelay: 100 * time.Millisecond,
 		VerifyAge: 2 * time.Second, MinUse: 1500 * time.Millisecond, SkipGap: 2 * time.Second, LoadSpread: time.Second, PreviousUsable: bound - time.Second,
 	})
 	return f
--- a/stager/verification_test.go
+++ b/stager/verification_test.go
@@ -1,6 +1,7 @@
 package stager_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -123,3 +124,45 @@
 		t.Errorf("got version %d in service after %d reads, want 2", m.served(), failures)
 	}
 }
+
+// The engine accepted an order late, with a corrupt chunk. The agent had begun to order the
+// load again and staged that chunk anew, so that the load looked sound when it was verified.
+func TestRepairBeforeARepeatedOrderDoesNotHideACorruptLoad(t *testing.T) {
+	for _, rotten := range []bool{false, true} {
+		for _, inService := range []bool{true, false} {
+			m := newLoadModel(t, inService)
+			m.engine.late = true
+			m.engine.hold = func() {
+				m.engine.hold = nil
+				if rotten {
+					m.rot(1)
+				}
+				m.stop(4 * time.Second)
+			}
+			m.engine.before = func(context.Context) {
+				if order := m.engine.held; order != nil {
+					m.engine.held = nil
+					m.engine.accept(*order)
+				}
+			}
+			m.nameVersions(materializer.Target{Since: m.now, Version: 2})
+			if m.play(2 * bound) {
+				t.Errorf("in service %t: a corrupt load is in service", inService)
+			}
+			if got, want := m.served() == 2, !rotten; got != want {
+				t.Errorf("corrupt %t, in service %t: version 2 in service: got %t, want %t", rotten, inService, got, want)
+			}
+			first := materializer.Target{Since: m.now.Add(-2 * bound), Version: 2}
+			m.nameVersions(first, materializer.Target{Since: m.now, Version: 3})
+			m.play(2 * bound)
+			for _, status := range m.recorder.statuses {
+				if rotten && status.Models["m"] == 2 && !status.Loading {
+					t.Errorf("in service %t: entries were told to use the corrupt load before the next version", inService)
+				}
+			}
+			if got := m.served(); got != 3 {
+				t.Errorf("corrupt %t, in service %t: version %d in service, want 3", rotten, inService, got)
+			}
+		}
+	}
+}
--- a/stager/verify.go
+++ b/stager/verify.go
@@ -19,6 +19,7 @@
 // them, as the order was accepted long after they were verified.
 type suspicion struct {
 	confirmed  bool      // a chunk is corrupt: it may have been so before
+	repaired   bool      // a chunk was staged anew after the order: the load may have taken the corrupt one
 	verifiedAt time.Time // begin of the verification before the order
 	version    int       // 0 for no suspicion
 }
@@ -33,8 +34,8 @@
 // EventName implements gooseberrypass.Event.
 func (verified) EventName() string { return "load-verified" }
 
-// A verifyEffect reads back the chunks that a load has taken. Chunks do not turn good again,
-// so those that are good now were good when the engine took them.
+// A verifyEffect reads back the chunks that a load has taken. Unless they are staged anew, chunks
+// do not turn good again, so those that are good now were good when the engine took them.
 type verifyEffect struct {
 	stageEffect
 }
@@ -79,6 +80,13 @@
 // judgeOrder suspects the load of an order unless the engine has accepted it shortly after its
 // chunks were verified. An order without a response may still be accepted.
 func (s *Stager) judgeOrder(j *job, e startDone) {
+	if s.suspicion.version == j.version {
+		// The engine accepts an order only if it has accepted none since the report before it.
+		s.suspicion.repaired = e.result != gooseberrypass.StartAccepted && (s.suspicion.repaired || e.repaired > 0)
+	}
+	if e.result == gooseberrypass.StartRefused {
+		return
+	}
 	age := elapsed(e.verifiedAt, s.deps.Clock.Now())
 	if e.result == gooseberrypass.StartAccepted && age <= s.settings.VerifyAge {
 		s.suspicion = suspicion{}
@@ -139,7 +147,7 @@
 	switch {
 	case e.err != nil:
 		log.WithError(e.err).Warn("verifying the load failed")
-	case e.wrong > 0:
+	case e.wrong > 0 || s.suspicion.repaired:
 		s.suspicion.confirmed = true
 		log.Error("chunks of the load are corrupt, engine is kept out of service until it starts anew or loads another version")
 	default:
