--- a/deployment.go
+++ b/deployment.go
@@ -84,7 +84,9 @@
 
 // A ServiceSpec describes a service of a deployment.
 type ServiceSpec struct {
-	Engine        *EngineSpec // nil for a plain service
+	ColdRate      float64       // requests per second that a cold endpoint sustains, 0 for no limit
+	ColdTime      time.Duration // time for which an endpoint is cold after it started
+	Engine        *EngineSpec   // nil for a plain service
 	FailureDomain FailureDomain
 	ID            ID
 	MaxConns      int    // connections that one endpoint accepts in total, 0 for any number
@@ -205,11 +207,13 @@
 // An Endpoint is an endpoint as given by the platform's list.
 type Endpoint struct {
 	Address       string
+	ColdLeft      time.Duration // time for which it stays cold, as its record says
 	FailureDomain FailureDomain
 	ID            ID
 	Lapsed        bool // its record expired during an outage of the list, it may be gone
 	Leaving       bool
 	Models        map[string]int // loaded version of each model
+	ReportedAt    time.Time      // when a process first knew its record
 	Service       ID
 	Slots         int   // requests that it runs at once
 	StartMillis   int64 // start of the endpoint, in Unix milliseconds, 0 if unknown
--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -25,6 +25,7 @@
 type Decoder interface {
 	Deployment(r gooseberrypass.KeyedRecord) (*gooseberrypass.Deployment, error)
 	Endpoint(r gooseberrypass.KeyedRecord) (gooseberrypass.Endpoint, error)
+	Evacuation(r gooseberrypass.KeyedRecord) (gooseberrypass.FailureDomain, bool)
 	Revision(topic gooseberrypass.Topic, r gooseberrypass.KeyedRecord) gooseberrypass.Revision
 	Target(r gooseberrypass.KeyedRecord) (gooseberrypass.ModelTarget, bool, error)
 }
@@ -33,8 +34,10 @@
 type Snapshot struct {
 	Deployment *gooseberrypass.Deployment // nil before the first one
 	Endpoints  []gooseberrypass.Endpoint
+	Evacuated  map[gooseberrypass.FailureDomain]struct{} // failure domains whose endpoints get no requests
 	Processes  []Process
-	Targets    map[string]Targets // by model
+	Released   map[gooseberrypass.FailureDomain]time.Time // end of the last evacuation of each failure domain, as first known to any process
+	Targets    map[string]Targets                         // by model
 }
 
 // Changed is the event that a new snapshot is in force.
@@ -71,6 +74,7 @@
 	ignored     *ignoredRecords
 	listeners   []gooseberrypass.Controller
 	logger      logrus.FieldLogger
+	renewed     []gooseberrypass.Endpoint                                      // endpoints whose records were renewed since the last event about them
 	offsets     atomic.Pointer[map[gooseberrypass.Topic]gooseberrypass.Offset] // next offset of each topic
 	reported    []gooseberrypass.AgedTarget                                    // versions that another process knows, to be added at the next snapshot
 	outage      outage
@@ -209,7 +213,7 @@
 		changed = m.releaseRestored(now) || changed
 	}
 	if !changed {
-		return nil
+		return m.publishRenewals(now)
 	}
 	return m.publish(now)
 }
@@ -238,8 +242,10 @@
 	}
 	m.ignored.end(topic, r.Key)
 	delete(m.retained, r.Key)
+	endpoint.ReportedAt = m.topic(topic).knownSince[r.Key]
 	m.endpoints[r.Key] = endpoint
 	if known && equalEndpoints(held, endpoint) {
+		m.renewed = append(m.renewed, endpoint)
 		return false
 	}
 	m.logger.WithFields(logrus.Fields{
@@ -291,7 +297,8 @@
 }
 
 // equalEndpoints reports whether two records describe an endpoint in the same
-// way.
+// way. The time for which it stays cold does not count: each renewal of the record of a cold
+// endpoint names another one.
 func equalEndpoints(a, b gooseberrypass.Endpoint) bool {
 	return a.Address == b.Address && a.Lapsed == b.Lapsed && a.Leaving == b.Leaving && a.Service == b.Service && a.Slots == b.Slots && a.StartMillis == b.StartMillis &&
 		a.FailureDomain == b.FailureDomain && maps.Equal(a.Models, b.Models)
@@ -323,11 +330,13 @@
 // publish builds a new snapshot and passes it to the listeners.
 func (m *Materializer) publish(now time.Time) []gooseberrypass.Effect {
 	old := m.snapshot.Load()
-	snapshot := &Snapshot{Deployment: old.Deployment, Targets: maps.Clone(old.Targets)}
+	snapshot := &Snapshot{
+		Deployment: old.Deployment, Evacuated: map[gooseberrypass.FailureDomain]struct{}{}, Released: map[gooseberrypass.FailureDomain]time.Time{}, Targets: maps.Clone(old.Targets),
+	}
 	for _, a := range m.reported {
 		snapshot.Targets[a.Model] = snapshot.Targets[a.Model].withReported(newTarget(now, a))
 	}
-	m.reported = nil
+	m.reported, m.renewed = nil, nil
 	t := m.topic(gooseberrypass.TopicOperator)
 	for _, key := range slices.Sorted(maps.Keys(t.records)) {
 		m.decodeOperatorRecord(now, snapshot, t, t.records[key])
@@ -344,10 +353,14 @@
 	return effects
 }
 
-// decodeOperatorRecord adds the deployment or target of an operator record to a
+// decodeOperatorRecord adds the deployment, target or evacuation of an operator record to a
 // snapshot.
 func (m *Materializer) decodeOperatorRecord(now time.Time, snapshot *Snapshot, t *topicRecords, r gooseberrypass.KeyedRecord) {
 	const topic = gooseberrypass.TopicOperator
+	if domain, ok := m.decoder.Evacuation(r); ok {
+		snapshot.addEvacuation(domain, r, t.knownSince[r.Key])
+		return
+	}
 	if m.ignored.has(topic, r) {
 		return
 	}
--- a/materializer/materializer_test.go
+++ b/materializer/materializer_test.go
@@ -34,6 +34,11 @@
 	return gooseberrypass.Endpoint{ID: gooseberrypass.ID(r.Key), Leaving: strings.HasSuffix(text, "leaving"), Service: "s"}, nil
 }
 
+func (textDecoder) Evacuation(r gooseberrypass.KeyedRecord) (gooseberrypass.FailureDomain, bool) {
+	domain, ok := strings.CutPrefix(r.Key, "away/")
+	return gooseberrypass.FailureDomain(domain), ok
+}
+
 func (textDecoder) Target(r gooseberrypass.KeyedRecord) (gooseberrypass.ModelTarget, bool, error) {
 	if r.Key != "version" {
 		return gooseberrypass.ModelTarget{}, false, nil
--- a/materializer/records.go
+++ b/materializer/records.go
@@ -100,8 +100,7 @@
 		}
 		delete(t.outranked, r.Key)
 		t.records[r.Key] = r
-		rewritten := known && held.Offset.Restores() != r.Offset.Restores() && r.Value != nil && bytes.Equal(held.Value, r.Value)
-		if !rewritten {
+		if !known || !saysTheSame(held, r) {
 			t.knownSince[r.Key] = now.Add(-m.recordAge(e, i))
 			t.observed[r.Key] = e.Ages == nil && !e.FirstRead
 		}
@@ -110,6 +109,15 @@
 	return changed
 }
 
+// saysTheSame reports whether a record is no news: it was written again after a restore, or
+// deletes a key that was deleted before.
+func saysTheSame(held, r gooseberrypass.KeyedRecord) bool {
+	if r.Value == nil {
+		return held.Value == nil
+	}
+	return held.Offset.Restores() != r.Offset.Restores() && bytes.Equal(held.Value, r.Value)
+}
+
 // supersedes reports whether a record is newer than the known one of its key. If the log
 // came back from an older copy between them, their offsets say nothing, and the writer's
 // revisions decide.
@@ -118,6 +126,9 @@
 	if held.Offset.Restores() == r.Offset.Restores() {
 		return later
 	}
+	if m.isEvacuation(topic, r) {
+		return m.supersedesEvacuation(held, r)
+	}
 	old, revision := m.revision(topic, held), m.revision(topic, r)
 	known := old != (gooseberrypass.Revision{}) && revision != (gooseberrypass.Revision{})
 	order := revision.Compare(old)
@@ -138,6 +149,9 @@
 	if r.Value == nil {
 		return r.Revision
 	}
+	if m.isEvacuation(topic, r) {
+		return evacuationRevision(r)
+	}
 	return m.decoder.Revision(topic, r)
 }
 
@@ -188,7 +202,7 @@
 			revision = gooseberrypass.Revision{} // it was lost, not deleted, and may be written again as it was
 		}
 		held.Revision, held.Value = revision, nil
-		t.records[key] = held
+		t.records[key], t.knownSince[key] = held, now
 		changed = m.applyRecord(now, e.Topic, held, retention) || changed
 	}
 	return changed
@@ -217,7 +231,7 @@
 		r := o.record
 		m.logger.WithFields(logrus.Fields{fieldKey: key, fieldOffset: r.Offset.Index()}).Info("endpoint record came back with the log and has not expired, using it")
 		delete(t.outranked, key)
-		t.records[key] = r
+		t.records[key], t.knownSince[key] = r, o.since
 		changed = m.applyRecord(now, gooseberrypass.TopicEndpoints, r, 0) || changed
 	}
 	return changed
@@ -247,14 +261,15 @@
 	return restores, restores > 0 && (!known || held.Offset.Restores() < restores)
 }
 
-// recordAge returns the time for which a record has been known. The age of a
-// record that was there when the process started is unknown, so AssumedAge is
-// used.
+// recordAge returns the time for which a record has been known. The age of the
+// record of a version that was there when the process started is unknown, so AssumedAge is
+// used. For other records that would be too early: the time for which an endpoint stays cold
+// counts from then on, here and at processes that pull the record.
 func (m *Materializer) recordAge(e gooseberrypass.TopicChanged, i int) time.Duration {
 	switch {
 	case i < len(e.Ages):
 		return e.Ages[i]
-	case e.FirstRead:
+	case e.FirstRead && e.Topic == gooseberrypass.TopicOperator && !m.isEvacuation(e.Topic, e.Batch.Records[i]):
 		return m.settings.AssumedAge
 	default:
 		return 0
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -29,6 +29,10 @@
 	return gooseberrypass.Endpoint{Address: r.Key + ":1", ID: gooseberrypass.ID(r.Key), Leaving: string(r.Value) == "leaving"}, nil
 }
 
+func (decoder) Evacuation(gooseberrypass.KeyedRecord) (gooseberrypass.FailureDomain, bool) {
+	return "", false
+}
+
 func (decoder) Revision(gooseberrypass.Topic, gooseberrypass.KeyedRecord) gooseberrypass.Revision {
 	return gooseberrypass.Revision{}
 }
