--- a/balancer/advisory.go
+++ b/balancer/advisory.go
@@ -9,7 +9,11 @@
 	"github.com/gooseberrypass/gooseberrypass"
 )
 
-const fieldEndpoint = "endpoint" // log field
+// Log fields.
+const (
+	fieldEndpoint = "endpoint"
+	fieldRate     = "rate"
+)
 
 // An advisory is the newest advisory of an endpoint that any entry has heard.
 type advisory struct {
@@ -113,7 +117,7 @@
 	logger := b.logger.WithFields(logrus.Fields{fieldEndpoint: e.listed.ID, "heard_by": from, "service": e.listed.Service})
 	switch {
 	case heard.Limited && (!old.Limited || math.Abs(heard.Rate-old.Rate) > minLoggedChange*old.Rate):
-		logger.WithFields(logrus.Fields{"entries": len(e.limit.order), "old_rate": old.Rate, "rate": heard.Rate, "share": float64(e.limit.bucket.Limit())}).Info("endpoint limits its request rate")
+		logger.WithFields(logrus.Fields{"entries": len(e.limit.order), "old_rate": old.Rate, fieldRate: heard.Rate, "share": float64(e.limit.bucket.Limit())}).Info("endpoint limits its request rate")
 	case old.Limited && !heard.Limited:
 		logger.WithField("old_rate", old.Rate).Info("endpoint no longer limits its request rate")
 	}
@@ -139,7 +143,7 @@
 			continue
 		}
 		if e.advisory.Limited {
-			b.logger.WithFields(logrus.Fields{fieldEndpoint: e.listed.ID, "rate": e.advisory.Rate}).Info("no entry has heard the rate limit of an endpoint for long, forgetting it")
+			b.logger.WithFields(logrus.Fields{fieldEndpoint: e.listed.ID, fieldRate: e.advisory.Rate}).Info("no entry has heard the rate limit of an endpoint for long, forgetting it")
 			e.probation = true // one request is enough to hear it again
 		}
 		b.storeAdvisory(e, advisory{})
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -31,10 +31,13 @@
 // Settings configure a Balancer.
 type Settings struct {
 	AdvisoryTTL     time.Duration // time for which a rate limit, or what other entries say of an endpoint, is remembered after an entry last heard it
+	ColdOvershoot   float64       // requests that reach a cold endpoint in a second, as a multiple of the rate that it sustains; 0 for no limit
+	ColdSlack       float64       // requests that may reach a cold endpoint in a second beyond ColdOvershoot
 	Ejection        time.Duration // ejection after a timeout or two failures in a row; doubles with each ejection
 	EnginePenalty   float64       // cost of an engine in another region, in requests
 	Fill            float64       // most requests at an engine, as a multiple of its slots
 	FirstEventShare float64       // share of the objective within which the first event must be predicted
+	ListLag         time.Duration // longest time from the writing of an endpoint's record until a process knows it
 	MaxEjection     time.Duration // longest ejection
 	PlainFill       float64       // most requests at a plain service's endpoint, as a multiple of its slots
 	PlainPenalty    float64       // cost of a plain endpoint in another region, in requests per slot
@@ -96,6 +99,8 @@
 
 	mu           sync.Mutex
 	advised      map[gooseberrypass.ID]*endpoint // listed endpoints of which an advisory is known
+	cold         coldEndpoints
+	coldLogs     map[gooseberrypass.ID]coldLog   // by service
 	demands      map[gooseberrypass.ID]*demand   // of this entry, by service
 	departures   map[gooseberrypass.ID]departure // endpoints that said that they leave
 	drainsAt     map[string]time.Time            // announced start of the drain of endpoints, by address
@@ -120,6 +125,8 @@
 	return &Balancer{
 		advised:      map[gooseberrypass.ID]*endpoint{},
 		clock:        clock,
+		cold:         coldEndpoints{known: map[gooseberrypass.ID]coldness{}, newsLag: settings.ListLag},
+		coldLogs:     map[gooseberrypass.ID]coldLog{},
 		demands:      map[gooseberrypass.ID]*demand{},
 		departures:   map[gooseberrypass.ID]departure{},
 		drainsAt:     map[string]time.Time{},
@@ -151,6 +158,10 @@
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.update(e.Snapshot)
+	case materializer.EndpointsRenewed:
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.updateRenewed(now, e.Endpoints)
 	case gooseberrypass.Tick:
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -161,6 +172,7 @@
 
 // update replaces the snapshot and the endpoints. Known endpoints keep their load.
 func (b *Balancer) update(snapshot *materializer.Snapshot) {
+	b.logEvacuations(snapshot)
 	b.snapshot = snapshot
 	known := map[gooseberrypass.ID]struct{}{}
 	services := map[gooseberrypass.ID]*pool{}
@@ -199,6 +211,7 @@
 	}
 	b.services = services
 	b.entriesEpoch++
+	b.updateCold(b.clock.Now())
 	for t := range b.waiting {
 		t.updateMustBegin()
 	}
@@ -217,6 +230,7 @@
 	}
 	b.countLocalEntries()
 	b.expireAdvisories(now)
+	b.expireCold(now)
 	b.expireDepartures(now)
 	b.expirePauses(now)
 	b.shareLimits(now)
@@ -343,7 +357,7 @@
 	if t.expectedVersion == 0 && (counts.required > 0 || wanted && t.version >= newest.Version) {
 		t.expectedVersion = t.version
 	}
-	best.takeFromLimit(now)
+	best.takeFromLimits(now)
 	b.startProbe(t)
 	if best.own.Requests == 0 {
 		best.busySince = now
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -46,6 +46,8 @@
 		}
 		c.counts.byState[state]++
 		switch state {
+		case stateCold:
+			c.counts.addWait(e.coldWait(c.now))
 		case stateEjected:
 			c.counts.addWait(e.ejectedUntil.Sub(c.now))
 		case stateLimited:
@@ -113,6 +115,8 @@
 		return 0, stateFull
 	case e.limitWait(now) > 0:
 		return 0, stateLimited
+	case e.coldWait(now) > 0:
+		return 0, stateCold
 	default:
 		return cost, stateAvailable
 	}
@@ -145,6 +149,8 @@
 	switch {
 	case !q.Regions.Contains(e.region):
 		return stateExcluded
+	case b.isEvacuated(e):
+		return stateEvacuated
 	case e.listed.Leaving || b.hasDeparted(e):
 		return stateLeaving
 	case now.Before(e.ejectedUntil) || e.probation && e.own.Requests > 0:
--- a/balancer/demand.go
+++ b/balancer/demand.go
@@ -40,7 +40,9 @@
 }
 
 // OwnDemand returns the requests per second that come to this entry, by service. Services
-// without a limited endpoint are left out: only limits are shared by demand.
+// without a limited endpoint are left out: only limits are shared by demand. Those whose
+// endpoints can be cold are always reported, as entries must know the demand of one another
+// when an endpoint becomes cold.
 func (b *Balancer) OwnDemand() map[gooseberrypass.ID]float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -51,6 +53,11 @@
 			demands[e.listed.Service] = b.ownDemand(now, e.listed.Service)
 		}
 	}
+	for service := range b.services {
+		if b.coldSpec(service).rate > 0 {
+			demands[service] = b.ownDemand(now, service)
+		}
+	}
 	return demands
 }
 
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -10,6 +10,8 @@
 type endpoint struct {
 	advisory     advisory
 	busySince    time.Time // start of the time in which this entry has had requests there
+	coldLimit    limit     // requests that it gets while it is cold
+	coldUntil    time.Time // it counts as cold until then, past if it does not
 	ejectedUntil time.Time
 	ejections    int           // shift of the next ejection; each answer halves it
 	failures     int           // failures in a row
--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -34,7 +34,13 @@
 // limitWait returns the time until this entry may send a request to an endpoint under its
 // limit, 0 if it may now. Without a share that is maxLimitWait.
 func (e *endpoint) limitWait(now time.Time) time.Duration {
-	bucket := e.limit.bucket
+	return e.limit.wait(now)
+}
+
+// wait returns the time until this entry may send a request under the limit, 0 if it may
+// now. Without a share that is maxLimitWait.
+func (l *limit) wait(now time.Time) time.Duration {
+	bucket := l.bucket
 	if bucket == nil {
 		return 0
 	}
@@ -49,10 +55,12 @@
 	}
 }
 
-// takeFromLimit counts a request that is sent to an endpoint.
-func (e *endpoint) takeFromLimit(now time.Time) {
-	if e.limit.bucket != nil {
-		e.limit.bucket.AllowN(now, 1)
+// takeFromLimits counts a request that is sent to an endpoint.
+func (e *endpoint) takeFromLimits(now time.Time) {
+	for _, l := range []*limit{&e.limit, &e.coldLimit} {
+		if l.bucket != nil {
+			l.bucket.AllowN(now, 1)
+		}
 	}
 }
 
@@ -62,6 +70,7 @@
 		if e.limit.bucket != nil {
 			b.shareLimit(now, e)
 		}
+		b.shareColdLimit(now, e)
 	}
 }
 
@@ -106,22 +115,24 @@
 	if e.limit.order == nil || e.limit.epoch != b.entriesEpoch {
 		e.limit.order, e.limit.epoch = b.limitOrder(e), b.entriesEpoch
 	}
-	order := e.limit.order
-	if len(order) > holders {
-		order = order[:holders]
-	}
+	return b.shareAmong(now, e.listed.Service, e.limit.order[:min(holders, len(e.limit.order))])
+}
+
+// shareAmong returns the share of this entry in the demand for a service at some entries,
+// from 0 to 1.
+func (b *Balancer) shareAmong(now time.Time, service gooseberrypass.ID, order []gooseberrypass.ID) float64 {
 	if !slices.Contains(order, b.self.ID) {
 		return 0
 	}
 	sum := 0.0
 	for _, id := range order {
-		sum += b.demandOf(now, id, e.listed.Service)
+		sum += b.demandOf(now, id, service)
 	}
 	if sum == 0 {
 		return 1 / float64(len(order))
 	}
 	idle := idleWeight * sum / float64(len(order))
-	return (b.ownDemand(now, e.listed.Service) + idle) / (sum * (1 + idleWeight))
+	return (b.ownDemand(now, service) + idle) / (sum * (1 + idleWeight))
 }
 
 // limitOrder returns the live entries in the order in which they get a share of the limit
--- a/balancer/overview.go
+++ b/balancer/overview.go
@@ -12,6 +12,8 @@
 // An EndpointOverview is what an entry knows about one endpoint, for operators.
 type EndpointOverview struct {
 	Address       string                       `json:"address"`
+	ColdMillis    int64                        `json:"cold_ms"`              // time for which it counts as cold, if requests to it are limited meanwhile
+	ColdShare     *float64                     `json:"cold_share,omitempty"` // this entry's share of what it gets while it is cold, in requests per second
 	FailureDomain gooseberrypass.FailureDomain `json:"failure_domain"`
 	ID            gooseberrypass.ID            `json:"id"`
 	Leaving       bool                         `json:"leaving"`         // by the list or by its own word
@@ -64,6 +66,10 @@
 		rate := e.advisory.Rate
 		o.Limit, o.Share = &rate, &share
 	}
+	if e.coldLimit.bucket != nil {
+		share := float64(e.coldLimit.bucket.Limit())
+		o.ColdMillis, o.ColdShare = max(e.coldUntil.Sub(now).Milliseconds(), 0), &share
+	}
 	if p := b.pauseOf(e); p != nil {
 		o.PauseMillis = max(p.until.Sub(now).Milliseconds(), 0)
 	}
@@ -89,6 +95,8 @@
 		return stateFull
 	case e.limitWait(now) > 0:
 		return stateLimited
+	case e.coldWait(now) > 0:
+		return stateCold
 	case b.silent(now, e):
 		return stateSilent
 	default:
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -14,7 +14,9 @@
 // The states of endpoints.
 const (
 	stateAvailable state = iota
+	stateCold            // has got what this entry may send while it is cold
 	stateEjected         // failed or timed out, or is on probation with a request in flight
+	stateEvacuated       // in a failure domain that is evacuated
 	stateExcluded        // in a region that may not serve the request
 	stateFull            // at its limit, or refused because of load
 	stateLeaving         // listed as leaving, or said so itself
@@ -30,8 +32,12 @@
 // String returns the state as it appears in the detail of refusals.
 func (s state) String() string {
 	switch s {
+	case stateCold:
+		return "warming up"
 	case stateEjected:
 		return "ejected"
+	case stateEvacuated:
+		return "evacuated"
 	case stateExcluded:
 		return "in a region that may not serve the request"
 	case stateFull:
@@ -59,7 +65,7 @@
 type stateCounts struct {
 	required int // required version, 0 for any
 	byState  [numStates]int
-	wait     time.Duration // shortest time until an endpoint takes a request that its rate limit, a pause or its ejection keeps from it, 0 for none
+	wait     time.Duration // shortest time until an endpoint takes a request that a rate limit, a pause or its ejection keeps from it, 0 for none
 }
 
 // addWait records the time until an endpoint takes a request that its rate limit, a pause or
@@ -76,7 +82,7 @@
 func (c stateCounts) refusal() *gooseberrypass.RequestError {
 	err := &gooseberrypass.RequestError{Outcome: gooseberrypass.OutcomeNotRun, Reason: gooseberrypass.ReasonNoEndpoint}
 	text := "no endpoint takes work"
-	if c.byState[stateFull]+c.byState[stateLimited]+c.byState[statePaused]+c.byState[stateSilent]+c.byState[stateTried] > 0 {
+	if c.byState[stateCold]+c.byState[stateFull]+c.byState[stateLimited]+c.byState[statePaused]+c.byState[stateSilent]+c.byState[stateTried] > 0 {
 		err.Reason, text = gooseberrypass.ReasonOverloaded, "every endpoint is full"
 	}
 	if c.byState[stateFull]+c.byState[stateSilent] == 0 {
