--- a/commander/machinestatus.go
+++ b/commander/machinestatus.go
@@ -149,6 +149,13 @@
 		}
 		parts = append(parts, limit)
 	}
+	if o.ColdMillis > 0 {
+		cold := fmt.Sprintf("cold %s left", time.Duration(o.ColdMillis)*time.Millisecond)
+		if o.ColdShare != nil {
+			cold += fmt.Sprintf(" (here %.3g/s)", *o.ColdShare)
+		}
+		parts = append(parts, cold)
+	}
 	if o.PauseMillis > 0 {
 		parts = append(parts, fmt.Sprintf("pause %s left", time.Duration(o.PauseMillis)*time.Millisecond))
 	}
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -50,8 +50,10 @@
 	}
 	self := balancer.Self{ID: m.self.ID, Region: m.self.Region}
 	g.balancer = balancer.New(m.clock, self, settings.regionOf, settings.balancerSettings(), m.seed, m.logger)
-	if err := m.registry.Register(g.limitGauge()); err != nil {
-		return nil, errors.Wrap(err, "register balancer metrics")
+	for _, gauge := range g.endpointGauges() {
+		if err := m.registry.Register(gauge); err != nil {
+			return nil, errors.Wrap(err, "register balancer metrics")
+		}
 	}
 	m.materializer = materializer.New(platform.Decoder{}, settings.materializerSettings(), m.logger, g.balancer)
 	m.metricsMux.Handle("GET "+StatusPath, NewStatusHandler(self, m.materializer, g.balancer, m.logger))
@@ -70,11 +72,16 @@
 	return g, g.bind(ctx)
 }
 
-func (g *Gateway) limitGauge() prometheus.Collector {
-	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "gooseberrypass_limited_endpoints",
-		Help: "Endpoints that limit the rate of their requests.",
-	}, func() float64 { return float64(g.balancer.LimitedEndpoints()) })
+// endpointGauges returns the gauges of endpoints that get few requests or none.
+func (g *Gateway) endpointGauges() []prometheus.Collector {
+	gauge := func(name, help string, count func() int) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(count()) })
+	}
+	return []prometheus.Collector{
+		gauge("gooseberrypass_cold_endpoints", "Endpoints that get few requests because they are cold.", g.balancer.ColdEndpoints),
+		gauge("gooseberrypass_evacuated_endpoints", "Endpoints in failure domains that are evacuated.", g.balancer.EvacuatedEndpoints),
+		gauge("gooseberrypass_limited_endpoints", "Endpoints that limit the rate of their requests.", g.balancer.LimitedEndpoints),
+	}
 }
 
 func (g *Gateway) bind(ctx context.Context) error {
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -96,6 +96,8 @@
 		Doc:  "The bounds that the platform's operator sets.",
 		Kind: sectionBounds,
 		Keys: []checker.Key{
+			{Name: "cold-overshoot", Type: checker.Float(1, 1000), Doc: "Most requests that may reach a cold endpoint in a second, as a multiple of the rate that it sustains; without it nothing limits them."},
+			{Name: "cold-slack", Type: checker.Float(0, 1e6), Doc: "Requests that may reach a cold endpoint in a second beyond cold-overshoot."},
 			{Name: "grace", Required: true, Type: checker.Duration(time.Second, longest), Doc: "Time between SIGTERM and SIGKILL."},
 			{Name: "heartbeat", Type: checker.Duration(time.Millisecond, longest), Default: "1200ms", Doc: "Interval at which endpoints renew their records; a record expires after three without a renewal."},
 			{Name: "lapse", Type: checker.Duration(0, longest), Default: default2500ms, Doc: "Time after an outage of the store for which endpoints that expired in it are kept; 2 s by the platform's contract and a margin for a read."},
@@ -273,14 +275,21 @@
 	return p
 }
 
+// listLagReads is the longest time from the writing of an endpoint's record until a process
+// knows it, as a multiple of the pause between two reads of the list; one more for the read.
+const listLagReads = 2
+
 func (s *MachineSettings) balancerSettings() balancer.Settings {
 	return balancer.Settings{
+		ColdOvershoot:   s.float(sectionBounds, "cold-overshoot"),
+		ColdSlack:       s.float(sectionBounds, "cold-slack"),
 		Ejection:        s.forwardDuration("ejection"),
 		MaxEjection:     s.forwardDuration("ejection-most"),
 		EnginePenalty:   s.float(sectionForward, "engine-penalty"),
 		Fill:            s.float(sectionForward, "fill"),
 		FirstEventShare: s.float(sectionForward, "first-share"),
 		AdvisoryTTL:     s.forwardDuration("advisory-life"),
+		ListLag:         listLagReads * s.forwardDuration("servers-pause"),
 		RefusalBackoff:  s.forwardDuration("full-pause"),
 		ReportTTL:       s.forwardDuration("notice-life"),
 		PlainFill:       s.float(sectionForward, "plain-fill"),
--- a/runner/machinesettings_test.go
+++ b/runner/machinesettings_test.go
@@ -31,6 +31,13 @@
 		t.Fatal(err)
 	}
 	text := strings.ReplaceAll(string(body), "{{#Zones}}{{@}}={{.}}{{,}}{{/Zones}}", "centro-a=centro,norte-a=norte")
+	text = regexp.MustCompile(`{{#([^}]*)}}([^\n]*){{/[^}]*}}`).ReplaceAllStringFunc(text, func(section string) string {
+		name, content, _ := strings.Cut(strings.TrimPrefix(section, "{{#"), "}}")
+		if _, ok := fields[name]; !ok {
+			return ""
+		}
+		return strings.TrimSuffix(content, "{{/"+name+"}}")
+	})
 	return []byte(regexp.MustCompile(`{{[^}]*}}`).ReplaceAllStringFunc(text, func(placeholder string) string {
 		return fields[strings.Trim(placeholder, "{}")]
 	}))
@@ -44,6 +51,22 @@
 	}
 }
 
+// A platform whose bounds lack the rule of cold endpoints renders no settings of it.
+func TestTemplateHasTheRuleOfColdEndpointsOnlyWhereItExists(t *testing.T) {
+	fields := templateFields()
+	if got := string(render(t, "gateway.ini", fields)); strings.Contains(got, "cold-") {
+		t.Errorf("without the bounds: got %q, want no setting of cold endpoints", got)
+	}
+	fields["Bounds.ColdOvershoot"], fields["Bounds.ColdSlack"] = "1.5", "0"
+	body := render(t, "gateway.ini", fields)
+	if got := string(body); !strings.Contains(got, "\ncold-overshoot = 1.5\ncold-slack = 0\n") {
+		t.Errorf("with the bounds: got %q, want both settings", got)
+	}
+	if _, err := runner.ParseMachineSettings("gateway.ini", gooseberrypass.RoleEntry, body); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestTemplateWithMissingFieldIsRejected(t *testing.T) {
 	for field := range templateFields() {
 		for name, role := range map[string]gooseberrypass.Role{"gateway.ini": gooseberrypass.RoleEntry, "sidecar.ini": gooseberrypass.RoleAgent} {
