--- a/balancer/cold_test.go
+++ b/balancer/cold_test.go
@@ -35,6 +35,7 @@
 // A coldCase is a load under which cold endpoints come back.
 type coldCase struct {
 	cold, warm int     // endpoints
+	cut        bool    // messages between regions are lost
 	demand     float64 // requests per second, without retries
 	entries    int
 	joins      int  // further entries that start shortly after the release
@@ -120,6 +121,9 @@
 // inform passes an entry its first snapshot, and the one in which the domain is released.
 func (m *coldModel) inform(e *coldEntry) {
 	snapshot := m.snapshot
+	if e.from == 0 { // it hears of those that start later from their messages only
+		snapshot.Processes = snapshot.Processes[:m.coldCase.entries]
+	}
 	if m.now >= e.informed {
 		snapshot.Evacuated = nil
 		snapshot.Released = map[gooseberrypass.FailureDomain]time.Time{coldDomain: m.clock.Now().Add(coldRelease - m.now)}
@@ -190,7 +194,7 @@
 		}
 		loads, demand := from.balancer.OwnLoads(), from.balancer.OwnDemand()
 		for _, to := range m.entries {
-			if to == from || !m.lives(to) || to.region != from.region && m.now%(3*coldExchange) != 0 {
+			if to == from || !m.lives(to) || to.region != from.region && (m.cut || m.now%(3*coldExchange) != 0) {
 				continue
 			}
 			to.balancer.SetEntryLoads(now, from.id, loads)
@@ -267,6 +271,7 @@
 		}
 		with("most requests come to one", func(c *coldCase) { c.uneven = true })
 		with("most requests come to one and then another", func(c *coldCase) { c.shifts, c.uneven = true, true })
+		with("links between regions are cut", func(c *coldCase) { c.cut = true })
 		with("two join", func(c *coldCase) { c.joins = 2 })
 		with("two leave", func(c *coldCase) { c.leaves = 2 })
 	}
