--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -57,7 +57,7 @@
 		return nil, err
 	}
 	g.balancer.OnCapacity(g.scheduler.Serve)
-	for _, gauge := range []prometheus.Collector{g.limitGauge(), g.paceGauge()} {
+	for _, gauge := range g.endpointGauges() {
 		if err := m.registry.Register(gauge); err != nil {
 			return nil, errors.Wrap(err, "register balancer metrics")
 		}
@@ -79,18 +79,17 @@
 	return g, g.bind(ctx)
 }
 
-func (g *Gateway) limitGauge() prometheus.Collector {
-	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "gooseberrypass_limited_endpoints",
-		Help: "Endpoints that limit the rate of their requests.",
-	}, func() float64 { return float64(g.balancer.LimitedEndpoints()) })
-}
-
-func (g *Gateway) paceGauge() prometheus.Collector {
-	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "gooseberrypass_paced_endpoints",
-		Help: "Endpoints whose pace is known and recent.",
-	}, func() float64 { return float64(g.balancer.PacedEndpoints()) })
+// endpointGauges returns the gauges of what endpoints report beside their load.
+func (g *Gateway) endpointGauges() []prometheus.Collector {
+	gauge := func(name, help string, count func() int) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(count()) })
+	}
+	return []prometheus.Collector{
+		gauge("gooseberrypass_cold_endpoints", "Endpoints that get few requests because they are cold.", g.balancer.ColdEndpoints),
+		gauge("gooseberrypass_evacuated_endpoints", "Endpoints in failure domains that are evacuated.", g.balancer.EvacuatedEndpoints),
+		gauge("gooseberrypass_limited_endpoints", "Endpoints that limit the rate of their requests.", g.balancer.LimitedEndpoints),
+		gauge("gooseberrypass_paced_endpoints", "Endpoints whose pace is known and recent.", g.balancer.PacedEndpoints),
+	}
 }
 
 func (g *Gateway) bind(ctx context.Context) error {
