--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -36,6 +36,7 @@
 	Fill            float64       // most requests at an engine, as a multiple of its slots
 	FirstEventShare float64       // share of the objective within which the first event must be predicted
 	MaxEjection     time.Duration // longest ejection
+	PaceWeight      float64       // weight of the pace in the cost of the requests at an endpoint; its first event is predicted with all of it
 	PaceTTL         time.Duration // age from which the pace of an endpoint has no weight
 	PassShare       float64       // as FirstEventShare, for predictions in passes
 	PlainFill       float64       // most requests at a plain service's endpoint, as a multiple of its slots
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -210,7 +210,7 @@
 	// from choosing the same endpoint.
 	total := (float64(load.Requests) + b.rng.Float64()/2) * slowness
 	if q.Model == "" {
-		cost := total * pace / slots
+		cost := total * b.paceFactor(pace) / slots
 		if e.remote {
 			cost += b.settings.PlainPenalty
 		}
@@ -223,16 +223,15 @@
 	case q.RefusedBefore:
 		fill = b.settings.RetryFill
 	}
-	cost := total * pace
+	cost := total * b.paceFactor(pace)
 	if e.remote {
 		cost += b.settings.EnginePenalty
 	}
-	first, share := b.predictFor(q, load, slowness*pace)
+	first, inTime := b.firstEvent(q, load, slowness*pace)
 	if engine := b.engine(q.Service); engine != nil && engine.EventInterval > 0 {
 		cost += float64(first) / float64(engine.EventInterval)
 	}
-	inTime := q.Objective == 0 || first <= time.Duration(share*float64(q.Objective))
-	return cost, total < slots*fill && (inTime || load.UnreadTokens == 0)
+	return cost, total < slots*fill && inTime
 }
 
 // engine returns the engine model of a service, nil if it is unknown or plain.
--- a/balancer/pace.go
+++ b/balancer/pace.go
@@ -118,6 +118,10 @@
 	return 1 + paceWeight(now.Sub(e.pace.heardAt), b.settings.PaceTTL)*(e.pace.ratio-1)
 }
 
+// paceFactor returns the factor of a pace in the cost of the requests at an endpoint. They
+// outlast a pace, whereas the first event of the next request depends on it in full.
+func (b *Balancer) paceFactor(pace float64) float64 { return 1 + b.settings.PaceWeight*(pace-1) }
+
 // ownPace returns the pace of an endpoint and its age, for other entries, if this entry has
 // heard it and it still has weight.
 func (b *Balancer) ownPace(now time.Time, e *endpoint) (float64, time.Duration) {
--- a/balancer/pace_test.go
+++ b/balancer/pace_test.go
@@ -12,7 +12,7 @@
 func newPaceFixture(t *testing.T) *fixture {
 	t.Helper()
 	s := settings()
-	s.PaceTTL, s.EnginePenalty = 600*time.Millisecond, 0
+	s.PaceTTL, s.PaceWeight, s.EnginePenalty = 600*time.Millisecond, 1, 0
 	return newFixtureWith(t, 2, s)
 }
 
--- a/balancer/passmodel_test.go
+++ b/balancer/passmodel_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
+	"github.com/gooseberrypass/gooseberrypass/forwarder"
 	"github.com/gooseberrypass/gooseberrypass/materializer"
 )
 
@@ -26,9 +27,9 @@
 type passRequest struct {
 	arrived   time.Time
 	class     int
-	end       func(balancer.Result)
 	left      int // tokens of the answer
 	objective time.Duration
+	priority  int // at the engine
 	prompt    int
 	ticket    *balancer.Ticket
 	unread    int
@@ -42,8 +43,7 @@
 	ends    time.Time // of the pass in progress
 	pace    float64
 	queue   []*passRequest // waiting for a slot
-	running []*passRequest // in the order of prefill
-	shorts  bool           // prefills short prompts first
+	running []*passRequest // in the order of prefill: by priority, then as they came
 }
 
 // finish ends the pass in progress.
@@ -76,9 +76,7 @@
 	if len(e.running) == 0 {
 		return
 	}
-	if e.shorts {
-		slices.SortStableFunc(e.running, func(a, b *passRequest) int { return a.prompt - b.prompt })
-	}
+	slices.SortStableFunc(e.running, func(a, b *passRequest) int { return a.priority - b.priority })
 	left, read, pairs, context, decoding := spec.Passes.Chunk, 0, 0.0, 0, 0
 	for _, r := range e.running {
 		if r.unread > 0 {
@@ -98,22 +96,22 @@
 	e.ends = now.Add(time.Duration(e.pace * seconds * float64(time.Second)))
 }
 
+// modelWaitShare is the share of the objective for which a request waits at an entry.
+const modelWaitShare = 0.25
+
 // A passLoadModel is a load on engines that work in passes.
 type passLoadModel struct {
 	classes    []passClass
 	engines    int
 	entries    int
-	figures    func(*gooseberrypass.EngineSpec)
-	oldPolicy  bool          // predicts the first event as for requests that are not scheduled
-	paceChange time.Duration // between changes of the engines that take pacedTime, 0 for none
-	hidesPace  bool
-	rate       float64 // requests per second
+	hidesPace  bool          // the balancers ignore paces
+	oldPolicy  bool          // predicts the first event as for requests that are not scheduled, and prefills by class only
+	paceChange time.Duration // between changes of the engines that are slow, 0 for none
+	ranked     bool          // each class has a rank of its own
+	rate       float64       // requests per second
 	run        time.Duration
-	settings   func(*balancer.Settings)
-	shorts     bool
-	spread     float64 // of the logarithm of prompt lengths
-	wait       float64 // share of the objective for which requests wait at the entry
-	ordered    bool
+	spec       func() *gooseberrypass.EngineSpec
+	spread     float64 // standard deviation of the logarithm of prompt lengths
 }
 
 // A passResult counts requests of one class, or of a part of it.
@@ -123,6 +121,8 @@
 
 func (r passResult) served() float64 { return float64(r.inTime+r.late) / float64(max(r.all(), 1)) }
 
+func (r passResult) inTimeShare() float64 { return float64(r.inTime) / float64(max(r.all(), 1)) }
+
 func (r passResult) String() string {
 	n := float64(max(r.all(), 1)) / 100
 	return fmt.Sprintf("%.1f%% in time, %.1f%% late, %.1f%% refused", float64(r.inTime)/n, float64(r.late)/n, float64(r.refused)/n)
@@ -134,108 +134,136 @@
 	passMaxTimes = 3 // largest prompt, as a multiple of the mean
 )
 
-// passOutcome has the results by class and by size: the smallest seven tenths of the prompts of
-// each class, the next fifth and the largest tenth.
+// A passOutcome has the results by class and, within a class, by size: the smallest seven tenths
+// of its prompts, the next fifth and the largest tenth.
 type passOutcome struct {
 	byClass []passResult
-	bySize  [3]passResult
+	bySize  [][3]passResult // by class and size
 	total   passResult
 }
 
+// passSpec returns the engines of the ranked deployment, which serve 8 to 9 requests a second
+// when full.
 func passSpec() *gooseberrypass.EngineSpec {
 	return &gooseberrypass.EngineSpec{
-		EventInterval: 47 * time.Millisecond, MeanTokens: 125, Model: "m", ReadRate: 30600, Slots: 12, TokensPerEvent: 7,
-		Passes: gooseberrypass.PassSpec{Chunk: 2048, ContextTime: 20 * time.Microsecond, MeanPrompt: 941, PairsTime: 2 * time.Millisecond, SequenceTime: 20 * time.Microsecond, StepTime: 6400 * time.Microsecond},
+		EventInterval: 48 * time.Millisecond, MeanTokens: 125, Model: "m", ReadRate: 30600, Slots: 12, TokensPerEvent: 7,
+		Passes: gooseberrypass.PassSpec{Chunk: 2048, ContextTime: 20 * time.Microsecond, MeanPrompt: 941, PairsTime: 2 * time.Millisecond, SequenceTime: 20 * time.Microsecond, StepTime: 6730 * time.Microsecond},
 	}
 }
 
-// simulate plays the load and returns what became of the requests.
-func (m passLoadModel) simulate(seed uint64) passOutcome {
-	const tick = 2 * time.Millisecond
-	clock, rng := clockwork.NewFakeClock(), rand.New(rand.NewPCG(seed, 7))
+// unevenSpec returns the engines of the uneven deployment.
+func unevenSpec() *gooseberrypass.EngineSpec {
 	spec := passSpec()
-	if m.figures != nil {
-		m.figures(spec)
-	}
+	spec.EventInterval, spec.ReadRate, spec.TokensPerEvent, spec.Passes.StepTime = 45*time.Millisecond, 19100, 5, 8870*time.Microsecond
+	return spec
+}
+
+// A passRun is one simulation of a passLoadModel.
+type passRun struct {
+	begin    time.Time
+	clock    *clockwork.FakeClock
+	due      float64 // requests that are due
+	engines  []*passEngine
+	entries  []*balancer.Balancer
+	model    passLoadModel
+	requests []*passRequest
+	rng      *rand.Rand
+	spec     *gooseberrypass.EngineSpec
+	waiting  [][]*passRequest // by entry
+}
+
+func (m passLoadModel) newRun(seed uint64) *passRun {
+	clock, spec := clockwork.NewFakeClock(), m.spec()
+	r := &passRun{begin: clock.Now(), clock: clock, model: m, rng: rand.New(rand.NewPCG(seed, seed)), spec: spec, waiting: make([][]*passRequest, m.entries)}
 	snapshot := &materializer.Snapshot{Deployment: gooseberrypass.NewDeployment(1, nil, []gooseberrypass.ServiceSpec{{Engine: spec, ID: "s"}}, nil, gooseberrypass.CallerLimits{})}
-	engines := make([]*passEngine, m.engines)
-	for i := range engines {
-		engines[i] = &passEngine{pace: 1, shorts: m.shorts}
+	for i := range m.engines {
+		r.engines = append(r.engines, &passEngine{pace: 1})
 		snapshot.Endpoints = append(snapshot.Endpoints, gooseberrypass.Endpoint{Address: strconv.Itoa(i), ID: gooseberrypass.ID(strconv.Itoa(i)), Models: map[string]int{"m": 1}, Service: "s", Slots: spec.Slots})
 	}
 	s := settings()
-	s.Fill, s.FirstEventShare, s.PassShare, s.EnginePenalty, s.RetryFill, s.SampleFactor, s.PaceTTL, s.SlowTolerance = 1, 0.5, 0.85, 1, 0.85, 1, 600*time.Millisecond, 1.6
-	if m.settings != nil {
-		m.settings(&s)
-	}
+	s.Fill, s.FirstEventShare, s.PassShare, s.PaceTTL, s.PaceWeight, s.SampleFactor, s.SlowTolerance = 1, 0.5, 0.7, 600*time.Millisecond, 0.5, 1, 1.6
 	if m.hidesPace {
 		s.PaceTTL = 0
 	}
-	entries := make([]*balancer.Balancer, m.entries)
-	waiting := make([][]*passRequest, m.entries)
-	for i := range entries {
-		entries[i] = balancer.New(clock, balancer.Self{ID: "self", Region: "r"}, func(gooseberrypass.FailureDomain) gooseberrypass.Region { return "r" }, s, seed*100+uint64(i), quietLogger())
-		entries[i].Handle(clock.Now(), materializer.Changed{Snapshot: snapshot})
+	for i := range m.entries {
+		entry := balancer.New(clock, balancer.Self{ID: "self", Region: "r"}, func(gooseberrypass.FailureDomain) gooseberrypass.Region { return "r" }, s, seed*100+uint64(i), quietLogger())
+		entry.Handle(clock.Now(), materializer.Changed{Snapshot: snapshot})
+		r.entries = append(r.entries, entry)
 	}
-	var requests []*passRequest
-	due := 0.0
-	begin := clock.Now()
-	for n := 0; clock.Now().Sub(begin) < m.run; n++ {
-		now := clock.Now()
-		if m.paceChange > 0 && now.Sub(begin)%m.paceChange == 0 {
-			for _, e := range engines {
-				e.pace = 1
-			}
-			for _, i := range rng.Perm(len(engines))[:(15*len(engines)+50)/100] {
-				engines[i].pace = 2.5
-			}
+	return r
+}
+
+// simulate plays the load and returns what became of the requests.
+func (m passLoadModel) simulate(seed uint64) passOutcome {
+	const tick = 2 * time.Millisecond
+	r := m.newRun(seed)
+	for elapsed := time.Duration(0); elapsed < m.run; elapsed += tick {
+		if m.paceChange > 0 && elapsed%m.paceChange == 0 {
+			r.changePaces()
 		}
-		if n%50 == 0 { // 100 ms
-			for i, from := range entries {
-				for j, to := range entries {
-					if i != j {
-						to.SetEntryLoads(now, gooseberrypass.ID(strconv.Itoa(i)), from.OwnLoads())
-					}
-				}
-				from.Handle(now, gooseberrypass.Tick{})
-			}
+		if elapsed%modelShareInterval == 0 {
+			r.share()
 		}
-		for due += m.rate * tick.Seconds() * 2 * rng.Float64(); due >= 1; due-- {
-			r := m.request(rng, now)
-			requests = append(requests, r)
-			i := rng.IntN(m.entries)
-			waiting[i] = append(waiting[i], r)
+		r.arrive(tick)
+		for i := range r.entries {
+			r.serve(i)
 		}
-		for i, entry := range entries {
-			var kept []*passRequest
-			for _, r := range waiting[i] {
-				if m.ordered && len(kept) > 0 {
-					if now.Sub(r.arrived) < time.Duration(m.wait*float64(r.objective)) {
-						kept = append(kept, r)
-					}
-					continue
-				}
-				ticket, err := entry.Choose(balancer.Query{Model: "m", Objective: r.objective - now.Sub(r.arrived), PromptTokens: r.prompt, Scheduled: !m.oldPolicy, Service: "s", Polled: r.arrived != now})
-				if err == nil {
-					k, _ := strconv.Atoi(string(ticket.Endpoint().ID))
-					r.ticket = ticket
-					engines[k].queue = append(engines[k].queue, r)
-				} else if now.Sub(r.arrived) < time.Duration(m.wait*float64(r.objective)) {
-					kept = append(kept, r)
-				}
+		for _, e := range r.engines {
+			if now := r.clock.Now(); !e.ends.After(now) {
+				e.finish(now, r.spec)
+				e.begin(now, r.spec)
 			}
-			waiting[i] = kept
 		}
-		for _, e := range engines {
-			if e.ends.After(now) {
-				continue
+		r.clock.Advance(tick)
+	}
+	return m.count(r.requests, r.clock.Now())
+}
+
+// changePaces makes other engines slow, 15 in 100.
+func (r *passRun) changePaces() {
+	for _, e := range r.engines {
+		e.pace = 1
+	}
+	for _, i := range r.rng.Perm(len(r.engines))[:(15*len(r.engines)+50)/100] {
+		r.engines[i].pace = 2.5
+	}
+}
+
+func (r *passRun) share() {
+	now := r.clock.Now()
+	for i, from := range r.entries {
+		for j, to := range r.entries {
+			if i != j {
+				to.SetEntryLoads(now, gooseberrypass.ID(strconv.Itoa(i)), from.OwnLoads())
 			}
-			e.finish(now, spec)
-			e.begin(now, spec)
 		}
-		clock.Advance(tick)
+		from.Handle(now, gooseberrypass.Tick{})
+	}
+}
+
+func (r *passRun) arrive(tick time.Duration) {
+	for r.due += r.model.rate * tick.Seconds() * 2 * r.rng.Float64(); r.due >= 1; r.due-- {
+		q := r.model.request(r.rng, r.clock.Now())
+		r.requests = append(r.requests, q)
+		i := r.rng.IntN(len(r.entries))
+		r.waiting[i] = append(r.waiting[i], q)
 	}
-	return m.count(requests, clock.Now())
+}
+
+// serve sends the requests that wait at an entry, as far as they find a place.
+func (r *passRun) serve(entry int) {
+	now := r.clock.Now()
+	r.waiting[entry] = slices.DeleteFunc(r.waiting[entry], func(q *passRequest) bool {
+		waited := now.Sub(q.arrived)
+		ticket, err := r.entries[entry].Choose(balancer.Query{Model: "m", Objective: q.objective - waited, Polled: waited > 0, PromptTokens: q.prompt, Scheduled: !r.model.oldPolicy, Service: "s"})
+		if err != nil {
+			return waited >= time.Duration(modelWaitShare*float64(q.objective))
+		}
+		i, _ := strconv.Atoi(string(ticket.Endpoint().ID))
+		q.ticket = ticket
+		r.engines[i].queue = append(r.engines[i].queue, q)
+		return true
+	})
 }
 
 // request returns a random request.
@@ -248,7 +276,15 @@
 	c := m.classes[class]
 	factor := math.Exp(m.spread*rng.NormFloat64() - m.spread*m.spread/2)
 	prompt := int(c.mean * min(factor, passMaxTimes))
-	return &passRequest{arrived: now, class: class, left: 65 + rng.IntN(121), objective: c.objective, prompt: prompt, unread: prompt}
+	rank, ranks := 0, 1
+	if m.ranked {
+		rank, ranks = class, len(m.classes)
+	}
+	priority := rank
+	if !m.oldPolicy {
+		priority = forwarder.EnginePriority(rank, ranks, prompt, m.spec().Passes.MeanPrompt)
+	}
+	return &passRequest{arrived: now, class: class, priority: priority, left: 65 + rng.IntN(121), objective: c.objective, prompt: prompt, unread: prompt}
 }
 
 func (r *passResult) add(q *passRequest) {
@@ -266,16 +302,16 @@
 	r.inTime, r.late, r.refused = r.inTime+o.inTime, r.late+o.late, r.refused+o.refused
 }
 
-// simulateAll plays the load with several seeds.
-func (m passLoadModel) simulateAll(seeds uint64) passOutcome {
-	sum := passOutcome{byClass: make([]passResult, len(m.classes))}
-	for seed := range seeds {
+// simulateAll plays the load with passSeeds seeds.
+func (m passLoadModel) simulateAll() passOutcome {
+	sum := passOutcome{byClass: make([]passResult, len(m.classes)), bySize: make([][3]passResult, len(m.classes))}
+	for seed := range uint64(passSeeds) {
 		o := m.simulate(seed)
 		for i, r := range o.byClass {
 			sum.byClass[i].merge(r)
-		}
-		for i, r := range o.bySize {
-			sum.bySize[i].merge(r)
+			for size, part := range o.bySize[i] {
+				sum.bySize[i][size].merge(part)
+			}
 		}
 		sum.total.merge(o.total)
 	}
@@ -284,7 +320,7 @@
 
 // count counts the requests that arrived a second or more before the end.
 func (m passLoadModel) count(requests []*passRequest, end time.Time) passOutcome {
-	o := passOutcome{byClass: make([]passResult, len(m.classes))}
+	o := passOutcome{byClass: make([]passResult, len(m.classes)), bySize: make([][3]passResult, len(m.classes))}
 	for class := range m.classes {
 		var members []*passRequest
 		for _, r := range requests {
@@ -302,7 +338,7 @@
 			}
 			o.total.add(r)
 			o.byClass[class].add(r)
-			o.bySize[size].add(r)
+			o.bySize[class][size].add(r)
 		}
 	}
 	return o
--- a/balancer/predict.go
+++ b/balancer/predict.go
@@ -28,15 +28,36 @@
 	return time.Duration(slowness * float64(engine.EventInterval+read))
 }
 
-// predictFor predicts the first event of a request at an endpoint with a load, and returns the
-// share of the objective within which it must be predicted.
-func (b *Balancer) predictFor(q Query, load Load, slowness float64) (time.Duration, float64) {
+// firstEvent predicts the time to the first event of a request at an endpoint with a load,
+// and reports whether the endpoint may get the request by this time. One that has no prompt
+// left to read may always: it would not answer earlier later.
+func (b *Balancer) firstEvent(q Query, load Load, slowness float64) (time.Duration, bool) {
 	engine := b.engine(q.Service)
 	if !q.Scheduled || engine == nil || engine.Passes.StepTime <= 0 {
-		return b.predictFirstEvent(load.UnreadTokens+q.PromptTokens, q.Service, slowness), b.settings.FirstEventShare
+		first := b.predictFirstEvent(load.UnreadTokens+q.PromptTokens, q.Service, slowness)
+		return first, load.UnreadTokens == 0 || withinShare(first, q.Objective, b.settings.FirstEventShare)
 	}
-	first := float64(predictPasses(engine, passLoadOf(engine, load), q.PromptTokens))
-	return time.Duration(min(slowness*first, float64(longestPrediction))), b.settings.PassShare
+	ahead, mean := passLoadOf(engine, load), engine.Passes.MeanPrompt
+	predict := func(load passLoad, prompt int) time.Duration {
+		return time.Duration(min(slowness*float64(predictPasses(engine, load, prompt)), float64(longestPrediction)))
+	}
+	first := predict(ahead, q.PromptTokens)
+	if load.UnreadTokens == 0 {
+		return first, true
+	}
+	if mean == 0 || q.PromptTokens <= mean {
+		return first, withinShare(first, q.Objective, b.settings.PassShare)
+	}
+	// The limit of tokens ahead is the same for long and short prompts, so that short ones do
+	// not keep an engine closed to long ones. A prompt of the mean length behind a long one
+	// must still be answered in time, and so the long one itself.
+	behind := passLoad{ahead: ahead.ahead + q.PromptTokens, decoding: ahead.decoding}
+	return first, withinShare(predict(ahead, mean), q.Objective, b.settings.PassShare) && withinShare(predict(behind, mean), q.Objective, 1)
+}
+
+// withinShare reports whether a time is within a share of an objective, 0 for none.
+func withinShare(first, objective time.Duration, share float64) bool {
+	return objective == 0 || first <= time.Duration(share*float64(objective))
 }
 
 // predictPasses predicts the time until an engine sends the first event of a request for
--- a/forwarder/enginepriority.go
+++ b/forwarder/enginepriority.go
@@ -21,5 +21,5 @@
 
 // rangeStart returns the first priority of a rank.
 func rangeStart(rank, ranks int) int {
-	return int(float64(rank) / float64(ranks) * enginePriorities)
+	return rank * enginePriorities / ranks
 }
--- a/runner/machinesettings.go
+++ b/runner/machinesettings.go
@@ -34,6 +34,7 @@
 	default500ms  = "500ms"
 	default2500ms = "2500ms"
 	default300ms  = "300ms"
+	defaultHalf   = "0.5"
 )
 
 // defaultMarginShare is the default of margin-share, on which entries and agents
@@ -124,7 +125,7 @@
 			{Name: "fill", Type: checker.Float(0.1, 10), Default: "1", Doc: "Requests at an engine, as a multiple of its slots, up to which more are sent; those beyond wait without being read."},
 			{Name: "far-period", Type: checker.Duration(time.Millisecond, longest), Default: default300ms, Doc: "Interval of messages to entries of other regions, whose endpoints are chosen only when those of the own region are fuller."},
 			{Name: "far-rate", Type: checker.Float(0, 1e6), Default: "60", Doc: "Messages a second to entries of other regions above which far-period grows, up to half of notice-life; 0 for no limit."},
-			{Name: "first-share", Type: checker.Float(0.01, 10), Default: "0.5", Doc: "Share of the objective within which the first event must be predicted for an engine to get a request; the rest is a margin for what the prediction leaves out."},
+			{Name: "first-share", Type: checker.Float(0.01, 10), Default: defaultHalf, Doc: "Share of the objective within which the first event must be predicted for an engine to get a request; the rest is a margin for what the prediction leaves out."},
 			{Name: "first-waits", Type: checker.Float(1, 100), Default: "3", Doc: "Longest wait for the head of an answer before a repeatable request is tried at another endpoint, as a multiple of the objective."},
 			{Name: "full-pause", Type: checker.Duration(0, longest), Default: "150ms", Doc: "Time for which an endpoint that refused a request for load is skipped; about the time until a slot is free."},
 			{Name: "gap-waits", Type: checker.Float(1, 100), Default: "4", Doc: "Silence after which a stream is resumed at another endpoint, as a multiple of the route's longest gap between events; callers leave after 8."},
@@ -133,11 +134,12 @@
 			{Name: "loss-poll", Type: checker.Duration(0, longest), Default: default100ms, Doc: "Interval at which a repeatable request checks whether any entry hears from its endpoint; 0 for never."},
 			{Name: "margin-share", Type: checker.Float(0, 1), Default: defaultMarginShare, Doc: "Share of the version bound before its end from which only the new version is used; the delivery of a request and its wait at an engine."},
 			{Name: "max-answer", Type: checker.Size(1024, 1<<30), Default: "1MiB", Doc: "Most bytes of an answer that is buffered until it is complete."},
-			{Name: "move-share", Type: checker.Float(0, 1), Default: "0.5", Doc: "Share of the retry budget for streams that move from an engine which is about to load a version; the rest is left for failures."},
+			{Name: "move-share", Type: checker.Float(0, 1), Default: defaultHalf, Doc: "Share of the retry budget for streams that move from an engine which is about to load a version; the rest is left for failures."},
 			{Name: "move-wait", Type: checker.Float(0.01, 10), Default: "1.25", Doc: "Longest pause of a stream that moves, as a multiple of the route's longest gap between events; if the other engine has not begun by then, the stream stays."},
 			{Name: "notice-life", Type: checker.Duration(time.Millisecond, longest), Default: "3s", Doc: "Time for which a report of another process is used."},
 			{Name: "pace-life", Type: checker.Duration(0, longest), Default: "600ms", Doc: "Age from which the pace that an endpoint reported has no weight; until then its weight falls evenly. The pace of an engine that shares its machine changes every few hundred milliseconds. 0 ignores paces."},
-			{Name: "pass-share", Type: checker.Float(0.01, 10), Default: "0.7", Doc: "As first-share, where requests are scheduled and the first event is predicted in passes of the engine. The prediction leaves out less, so the margin is smaller; above, more answers are late under overload, below, long prompts are refused more often."},
+			{Name: "pace-weight", Type: checker.Float(0, 10), Default: defaultHalf, Doc: "Weight of the pace of an endpoint in the cost of the requests there, which outlast a pace. The first event is predicted with all of it."},
+			{Name: "pass-share", Type: checker.Float(0.01, 10), Default: "0.7", Doc: "As first-share, where requests are scheduled and the first event is predicted in passes of the engine. The prediction leaves out less, so the margin is smaller. For a prompt above the mean, the first event of one of the mean length in its place must be within it, and that of one behind it within the objective."},
 			{Name: "period", Type: checker.Duration(time.Millisecond, longest), Default: default100ms, Doc: "Interval of messages to other entries of the region; a slot becomes free about as often."},
 			{Name: "plain-fill", Type: checker.Float(0.1, 100), Default: "3", Doc: "Requests at a plain endpoint, as a multiple of its slots, up to which more are sent."},
 			{Name: "plain-penalty", Type: checker.Float(0, 100), Default: "0.4", Doc: "Load, as a multiple of the slots, added to that of a plain endpoint in another region when endpoints are compared."},
@@ -286,6 +288,7 @@
 		RefusalBackoff:  s.forwardDuration("full-pause"),
 		ReportTTL:       s.forwardDuration("notice-life"),
 		PaceTTL:         s.forwardDuration("pace-life"),
+		PaceWeight:      s.float(sectionForward, "pace-weight"),
 		PassShare:       s.float(sectionForward, "pass-share"),
 		PlainFill:       s.float(sectionForward, "plain-fill"),
 		PlainPenalty:    s.float(sectionForward, "plain-penalty"),
