--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -29,6 +29,7 @@
 // A reaction is how an endpoint reacts to one dispatch.
 type reaction struct {
 	advisory gooseberrypass.Advisory
+	pace     float64
 	body     string
 	cut      bool          // the connection breaks after the body
 	delay    time.Duration // time until the answer
@@ -94,7 +95,7 @@
 		a.header = http.Header{}
 	}
 	return &gooseberrypass.Reply{
-		Advisory: a.advisory, Body: io.NopCloser(body), Header: a.header, ModelVersion: a.version, NotRun: a.notRun, Signed: !a.notRun, Status: a.status,
+		Advisory: a.advisory, Body: io.NopCloser(body), Header: a.header, ModelVersion: a.version, NotRun: a.notRun, Pace: a.pace, Signed: !a.notRun, Status: a.status,
 		Unframed: a.unframed,
 	}, nil
 }
