--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -46,6 +46,7 @@
 	PlainFill       float64       // most requests at a plain service's endpoint, as a multiple of its slots
 	PlainPenalty    float64       // cost of a plain endpoint in another region, in requests per slot
 	RefusalBackoff  time.Duration // backoff after a refusal because of load; doubles with refusals in a row
+	RemoteFill      float64       // share of Fill for engines in another region, for scheduled requests that engines of the own region serve too; 0 for all of it
 	ReportTTL       time.Duration // age at which the loads of other entries expire, and that an endpoint is loading
 	ResumeFill      float64       // Fill for interrupted streams that are resumed
 	RetryFill       float64       // Fill for requests that were refused before
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -16,6 +16,7 @@
 	c := comparison{allowSilent: allowSilent, counts: stateCounts{required: b.requiredVersion(now, q.Model)}, now: now, query: q}
 	if p := b.services[q.Service]; p != nil {
 		b.compare(&c, p.local, b.sharers(false))
+		c.serving = c.counts.byState[stateAvailable]+c.counts.byState[stateFull] > 0
 		b.compare(&c, p.remote, b.sharers(true))
 		if c.best == nil {
 			b.compare(&c, p.lapsed, b.sharers(true))
@@ -32,6 +33,7 @@
 	counts      stateCounts
 	now         time.Time
 	query       Query
+	serving     bool // endpoints of the own region serve the request when they have room
 }
 
 // compare compares a sample of the available endpoints of a group, which is preferred
@@ -40,7 +42,7 @@
 	left := b.sampleSize(len(group), entries)
 	for i := 0; i < len(group) && left > 0; i++ {
 		e := pick(b.rng, group, i)
-		cost, state := b.evaluate(c.now, e, c.query)
+		cost, state := b.evaluate(c, e)
 		if state == stateAvailable && !c.allowSilent && b.silent(c.now, e) {
 			state = stateSilent
 		}
@@ -100,11 +102,12 @@
 }
 
 // evaluate returns the cost of an endpoint for a request and whether it is available.
-func (b *Balancer) evaluate(now time.Time, e *endpoint, q Query) (float64, state) {
+func (b *Balancer) evaluate(c *comparison, e *endpoint) (float64, state) {
+	now, q := c.now, c.query
 	if state := b.eligibility(now, e, q); state != stateAvailable {
 		return 0, state
 	}
-	cost, hasRoom := b.cost(now, e, q)
+	cost, hasRoom := b.cost(now, e, q, c.serving)
 	pause := b.pauseState(now, e)
 	switch {
 	case slices.Contains(q.Tried, e.listed.ID):
@@ -207,8 +210,9 @@
 
 // cost returns the cost of an endpoint for a request, in requests or, for plain
 // services, in requests per slot, and whether it has room. The load of a slow
-// endpoint counts for more. Its pace changes too often to say how many requests fit.
-func (b *Balancer) cost(now time.Time, e *endpoint, q Query) (float64, bool) {
+// endpoint counts for more. Its pace changes too often to say how many requests fit. serving
+// is set if endpoints of the own region serve the request when they have room.
+func (b *Balancer) cost(now time.Time, e *endpoint, q Query, serving bool) (float64, bool) {
 	slots := float64(max(e.listed.Slots, 1))
 	slowness, pace := b.slowness(e), b.paceOf(now, e)
 	load := e.total(b.sharers(e.remote))
@@ -229,6 +233,9 @@
 	case q.RefusedBefore:
 		fill = b.settings.RetryFill
 	}
+	if q.Scheduled && e.remote && serving && b.settings.RemoteFill > 0 {
+		fill *= b.settings.RemoteFill // its load is known late, and entries of its region take the last places
+	}
 	cost := total * b.paceFactor(pace)
 	if e.remote {
 		cost += b.settings.EnginePenalty
--- a/forwarder/scheduling.go
+++ b/forwarder/scheduling.go
@@ -7,9 +7,6 @@
 	"github.com/gooseberrypass/gooseberrypass/scheduler"
 )
 
-// maxEnginePriority is the number of the least urgent priority that engines know.
-const maxEnginePriority = 9
-
 // setRank sets the rank of a request for a service that is scheduled. Its engines learn the
 // rank where the priorities of the routes differ.
 func (r *request) setRank(d *gooseberrypass.Deployment) {
@@ -19,17 +16,18 @@
 	}
 	r.rank, r.ranks = d.Rank(r.service, r.route, r.accountPriority)
 	if d.PrioritiesDiffer(r.service) {
-		r.priority = enginePriority(r.rank, r.ranks)
+		r.priority = EnginePriority(r.rank, r.ranks, r.proxyRequest.PromptTokens, meanPrompt(d, r.service))
 	}
 }
 
-// enginePriority returns the priority that tells engines a rank. Neighboring ranks share one if
-// there are more than engines know.
-func enginePriority(rank, ranks int) int {
-	if ranks <= maxEnginePriority+1 {
-		return rank
+// meanPrompt returns the mean number of prompt tokens of the requests for a service, 0 if it
+// is unknown.
+func meanPrompt(d *gooseberrypass.Deployment, service gooseberrypass.ID) int {
+	spec, _ := d.Service(service)
+	if spec.Engine == nil {
+		return 0
 	}
-	return rank * maxEnginePriority / (ranks - 1)
+	return spec.Engine.Passes.MeanPrompt
 }
 
 // scheduled returns the request as the scheduler knows it.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,6 +55,15 @@
 	Ranks     int // number of ranks of the service
 }
 
+// remaining returns the query with the objective less the time that the request has waited.
+func (r *Request) remaining(now time.Time) balancer.Query {
+	q := r.Query
+	if !r.Late && q.Objective > 0 {
+		q.Objective = max(q.Objective-now.Sub(r.ArrivedAt), 1) // 0 would be none
+	}
+	return q
+}
+
 // A waiter is a request that waits in a queue.
 type waiter struct {
 	deadline time.Time  // end of the wait
@@ -235,7 +244,7 @@
 		r.Query.Headroom = state.holdBack.of(r.Rank)
 	}
 	r.Query.Rivals = s.rivals(now, state)
-	ticket, err := s.chooser.Choose(r.Query)
+	ticket, err := s.chooser.Choose(r.remaining(now))
 	r.Query.Polled = true
 	if err != nil {
 		return nil, err
