--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -6,6 +6,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -31,14 +32,21 @@
 // Settings configure a Balancer.
 type Settings struct {
 	AdvisoryTTL     time.Duration // time for which a rate limit, or what other entries say of an endpoint, is remembered after an entry last heard it
+	ColdOvershoot   float64       // requests that reach a cold endpoint in a second, as a multiple of the rate that it sustains; 0 for no limit
+	ColdSlack       float64       // requests that may reach a cold endpoint in a second beyond ColdOvershoot
 	Ejection        time.Duration // ejection after a timeout or two failures in a row; doubles with each ejection
 	EnginePenalty   float64       // cost of an engine in another region, in requests
 	Fill            float64       // most requests at an engine, as a multiple of its slots
 	FirstEventShare float64       // share of the objective within which the first event must be predicted
+	ListLag         time.Duration // longest time from the writing of an endpoint's record until a process knows it
 	MaxEjection     time.Duration // longest ejection
+	PaceWeight      float64       // weight of the pace in the cost of the requests at an endpoint; its first event is predicted with all of it
+	PaceTTL         time.Duration // age from which the pace of an endpoint has no weight
+	PassShare       float64       // as FirstEventShare, for predictions in passes
 	PlainFill       float64       // most requests at a plain service's endpoint, as a multiple of its slots
 	PlainPenalty    float64       // cost of a plain endpoint in another region, in requests per slot
 	RefusalBackoff  time.Duration // backoff after a refusal because of load; doubles with refusals in a row
+	RemoteFill      float64       // share of Fill for engines in another region, for scheduled requests that engines of the own region serve too; 0 for all of it
 	ReportTTL       time.Duration // age at which the loads of other entries expire, and that an endpoint is loading
 	ResumeFill      float64       // Fill for interrupted streams that are resumed
 	RetryFill       float64       // Fill for requests that were refused before
@@ -62,6 +70,7 @@
 	PromptTokens  int
 	Regions       gooseberrypass.RegionSet // regions whose endpoints may be chosen
 	RefusedBefore bool                     // refused because of load earlier, so that its answer is already late
+	Rivals        []uint64                 // keys of the other entries where requests wait for the service, see RivalKey
 	Resumed       bool                     // resumes an interrupted stream
 	Scheduled     bool                     // requests for the service are scheduled, see package scheduler
 	Service       gooseberrypass.ID
@@ -92,10 +101,15 @@
 	regionOf func(gooseberrypass.FailureDomain) gooseberrypass.Region
 	rng      *rand.Rand
 	self     Self
+	selfKey  uint64 // RivalKey of self
 	settings Settings
 
+	onCapacity atomic.Pointer[func(service gooseberrypass.ID, ended bool)] // set by OnCapacity
+
 	mu           sync.Mutex
 	advised      map[gooseberrypass.ID]*endpoint // listed endpoints of which an advisory is known
+	cold         coldEndpoints
+	coldLogs     map[gooseberrypass.ID]coldLog   // by service
 	demands      map[gooseberrypass.ID]*demand   // of this entry, by service
 	departures   map[gooseberrypass.ID]departure // endpoints that said that they leave
 	drainsAt     map[string]time.Time            // announced start of the drain of endpoints, by address
@@ -105,6 +119,7 @@
 	entriesSeen  map[gooseberrypass.ID]time.Time                     // last report of each other entry
 	headTimes    map[gooseberrypass.ID]time.Duration                 // moving average of the time to the head of an answer, by service
 	localEntries int                                                 // entries in this entry's region, including itself
+	pacesHeard   map[gooseberrypass.ID]time.Time                     // when a pace was last heard from any endpoint, by service
 	pauses       map[gooseberrypass.ID]*pause                        // by endpoint
 	reports      map[gooseberrypass.ID]map[gooseberrypass.ID]Load    // last load that each other entry reported, by endpoint
 	services     map[gooseberrypass.ID]*pool
@@ -120,6 +135,8 @@
 	return &Balancer{
 		advised:      map[gooseberrypass.ID]*endpoint{},
 		clock:        clock,
+		cold:         coldEndpoints{known: map[gooseberrypass.ID]coldness{}, newsLag: settings.ListLag},
+		coldLogs:     map[gooseberrypass.ID]coldLog{},
 		demands:      map[gooseberrypass.ID]*demand{},
 		departures:   map[gooseberrypass.ID]departure{},
 		drainsAt:     map[string]time.Time{},
@@ -134,6 +151,8 @@
 		regionOf:     regionOf,
 		rng:          rand.New(rand.NewPCG(seed, seed)),
 		self:         self,
+		selfKey:      RivalKey(self.ID),
+		pacesHeard:   map[gooseberrypass.ID]time.Time{},
 		pauses:       map[gooseberrypass.ID]*pause{},
 		reports:      map[gooseberrypass.ID]map[gooseberrypass.ID]Load{},
 		unlisted:     map[gooseberrypass.ID]*endpoint{},
@@ -148,19 +167,20 @@
 func (b *Balancer) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
 	switch e := event.(type) {
 	case materializer.Changed:
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.update(e.Snapshot)
+		b.locked(func() { b.update(e.Snapshot) })
+		b.reportAllCapacity()
+	case materializer.EndpointsRenewed:
+		b.locked(func() { b.updateRenewed(now, e.Endpoints) })
 	case gooseberrypass.Tick:
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.expire(now)
+		b.locked(func() { b.expire(now) })
+		b.reportAllCapacity() // backoffs, ejections and pauses end with time alone
 	}
 	return nil
 }
 
 // update replaces the snapshot and the endpoints. Known endpoints keep their load.
 func (b *Balancer) update(snapshot *materializer.Snapshot) {
+	b.logEvacuations(snapshot)
 	b.snapshot = snapshot
 	known := map[gooseberrypass.ID]struct{}{}
 	services := map[gooseberrypass.ID]*pool{}
@@ -168,7 +188,7 @@
 		known[listed.ID] = struct{}{}
 		e, ok := b.endpoints[listed.ID]
 		if !ok {
-			e = &endpoint{}
+			e = &endpoint{key: RivalKey(listed.ID)}
 			for _, loads := range b.reports {
 				e.others.add(loads[listed.ID])
 			}
@@ -176,7 +196,7 @@
 		}
 		if ok && listed.StartMillis > e.listed.StartMillis && e.listed.StartMillis > 0 {
 			b.storeAdvisory(e, advisory{heardAt: b.clock.Now()}) // it has not said anything since its start
-			e.limit = limit{}
+			e.limit, e.pace = limit{}, pace{}
 		}
 		e.listed, e.region = listed, b.regionOf(listed.FailureDomain)
 		e.remote = e.region != b.self.Region
@@ -199,6 +219,7 @@
 	}
 	b.services = services
 	b.entriesEpoch++
+	b.updateCold(b.clock.Now())
 	for t := range b.waiting {
 		t.updateMustBegin()
 	}
@@ -217,7 +238,9 @@
 	}
 	b.countLocalEntries()
 	b.expireAdvisories(now)
+	b.expireCold(now)
 	b.expireDepartures(now)
+	b.expirePaces(now)
 	b.expirePauses(now)
 	b.shareLimits(now)
 	for address, at := range b.statusesSeen {
@@ -240,16 +263,25 @@
 	}
 }
 
-// SetEntryLoads replaces the load that another entry reports, by endpoint.
+// SetEntryLoads replaces the load that another entry reports, by endpoint, and records the
+// paces that it has heard.
 func (b *Balancer) SetEntryLoads(now time.Time, from gooseberrypass.ID, loads map[gooseberrypass.ID]Load) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if _, ok := b.entriesSeen[from]; !ok {
-		b.entriesEpoch++
-		defer b.countLocalEntries()
-	}
-	b.entriesSeen[from] = now
-	b.replaceReport(from, loads)
+	var freed []gooseberrypass.ID
+	b.locked(func() {
+		if _, ok := b.entriesSeen[from]; !ok {
+			b.entriesEpoch++
+			defer b.countLocalEntries()
+		}
+		b.entriesSeen[from] = now
+		freed = b.servicesFreed(b.reports[from], loads)
+		b.replaceReport(from, loads)
+		for id, load := range loads {
+			if e, ok := b.endpoints[id]; ok {
+				b.addEntryPace(now, e, load, from)
+			}
+		}
+	})
+	b.reportCapacity(false, freed...)
 }
 
 // replaceReport replaces the loads that another entry reported.
@@ -293,15 +325,19 @@
 	b.statuses[status.Address], b.statusesSeen[status.Address] = status, now
 }
 
-// OwnLoads returns the load that this entry puts on endpoints.
+// OwnLoads returns the load that this entry puts on endpoints, and the paces that it has
+// heard from them of late.
 func (b *Balancer) OwnLoads() map[gooseberrypass.ID]Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	loads := map[gooseberrypass.ID]Load{}
 	for id, e := range b.endpoints {
-		if e.own.Requests > 0 {
+		e.reported = e.own.Requests
+		ratio, age := b.ownPace(now, e)
+		if e.own.Requests > 0 || ratio > 0 {
 			load := e.own
+			load.Pace, load.PaceAge = ratio, age
 			load.Stalled = b.settings.StallTimeout > 0 && e.stalled(now, b.stallTimeout(e))
 			loads[id] = load
 		}
@@ -343,7 +379,7 @@
 	if t.expectedVersion == 0 && (counts.required > 0 || wanted && t.version >= newest.Version) {
 		t.expectedVersion = t.version
 	}
-	best.takeFromLimit(now)
+	best.takeFromLimits(now)
 	b.startProbe(t)
 	if best.own.Requests == 0 {
 		best.busySince = now
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -16,6 +16,7 @@
 	c := comparison{allowSilent: allowSilent, counts: stateCounts{required: b.requiredVersion(now, q.Model)}, now: now, query: q}
 	if p := b.services[q.Service]; p != nil {
 		b.compare(&c, p.local, b.sharers(false))
+		c.serving = c.counts.byState[stateAvailable]+c.counts.byState[stateFull] > 0
 		b.compare(&c, p.remote, b.sharers(true))
 		if c.best == nil {
 			b.compare(&c, p.lapsed, b.sharers(true))
@@ -32,6 +33,7 @@
 	counts      stateCounts
 	now         time.Time
 	query       Query
+	serving     bool // endpoints of the own region serve the request when they have room
 }
 
 // compare compares a sample of the available endpoints of a group, which is preferred
@@ -40,12 +42,14 @@
 	left := b.sampleSize(len(group), entries)
 	for i := 0; i < len(group) && left > 0; i++ {
 		e := pick(b.rng, group, i)
-		cost, state := b.evaluate(c.now, e, c.query)
+		cost, state := b.evaluate(c, e)
 		if state == stateAvailable && !c.allowSilent && b.silent(c.now, e) {
 			state = stateSilent
 		}
 		c.counts.byState[state]++
 		switch state {
+		case stateCold:
+			c.counts.addWait(e.coldWait(c.now))
 		case stateEjected:
 			c.counts.addWait(e.ejectedUntil.Sub(c.now))
 		case stateLimited:
@@ -98,11 +102,12 @@
 }
 
 // evaluate returns the cost of an endpoint for a request and whether it is available.
-func (b *Balancer) evaluate(now time.Time, e *endpoint, q Query) (float64, state) {
+func (b *Balancer) evaluate(c *comparison, e *endpoint) (float64, state) {
+	now, q := c.now, c.query
 	if state := b.eligibility(now, e, q); state != stateAvailable {
 		return 0, state
 	}
-	cost, hasRoom := b.cost(e, q)
+	cost, hasRoom := b.cost(now, e, q, c.serving)
 	pause := b.pauseState(now, e)
 	switch {
 	case slices.Contains(q.Tried, e.listed.ID):
@@ -113,6 +118,8 @@
 		return 0, stateFull
 	case e.limitWait(now) > 0:
 		return 0, stateLimited
+	case e.coldWait(now) > 0:
+		return 0, stateCold
 	default:
 		return cost, stateAvailable
 	}
@@ -145,6 +152,8 @@
 	switch {
 	case !q.Regions.Contains(e.region):
 		return stateExcluded
+	case b.isEvacuated(e):
+		return stateEvacuated
 	case e.listed.Leaving || b.hasDeparted(e):
 		return stateLeaving
 	case now.Before(e.ejectedUntil) || e.probation && e.own.Requests > 0:
@@ -201,20 +210,21 @@
 
 // cost returns the cost of an endpoint for a request, in requests or, for plain
 // services, in requests per slot, and whether it has room. The load of a slow
-// endpoint counts for more.
-func (b *Balancer) cost(e *endpoint, q Query) (float64, bool) {
+// endpoint counts for more. Its pace changes too often to say how many requests fit. serving
+// is set if endpoints of the own region serve the request when they have room.
+func (b *Balancer) cost(now time.Time, e *endpoint, q Query, serving bool) (float64, bool) {
 	slots := float64(max(e.listed.Slots, 1))
-	slowness := b.slowness(e)
+	slowness, pace := b.slowness(e), b.paceOf(now, e)
 	load := e.total(b.sharers(e.remote))
 	// Up to half a request of random load keeps entries that see the same loads
 	// from choosing the same endpoint.
 	total := (float64(load.Requests) + b.rng.Float64()/2) * slowness
 	if q.Model == "" {
-		cost := total / slots
+		cost := total * b.paceFactor(pace) / slots
 		if e.remote {
 			cost += b.settings.PlainPenalty
 		}
-		return cost, total < slots*b.settings.PlainFill
+		return cost, total < fillLimit(slots*b.settings.PlainFill, q.Headroom)
 	}
 	fill := b.settings.Fill
 	switch {
@@ -223,28 +233,19 @@
 	case q.RefusedBefore:
 		fill = b.settings.RetryFill
 	}
-	cost := total
+	if q.Scheduled && e.remote && serving && b.settings.RemoteFill > 0 {
+		fill *= b.settings.RemoteFill // its load is known late, and entries of its region take the last places
+	}
+	cost := total * b.paceFactor(pace)
 	if e.remote {
 		cost += b.settings.EnginePenalty
 	}
-	first := b.predictFirstEvent(load.UnreadTokens+q.PromptTokens, q.Service, slowness)
+	first, inTime := b.firstEvent(q, load, slowness*pace)
 	if engine := b.engine(q.Service); engine != nil && engine.EventInterval > 0 {
 		cost += float64(first) / float64(engine.EventInterval)
 	}
-	inTime := q.Objective == 0 || first <= time.Duration(b.settings.FirstEventShare*float64(q.Objective))
-	return cost, total < slots*fill && (inTime || load.UnreadTokens == 0)
-}
-
-// predictFirstEvent predicts the time until an engine has read unread prompt tokens
-// and sent the first event, 0 if the engine's rate is unknown. The engine reads
-// prompts between the passes of its batch.
-func (b *Balancer) predictFirstEvent(unread int, service gooseberrypass.ID, slowness float64) time.Duration {
-	engine := b.engine(service)
-	if engine == nil || engine.ReadRate <= 0 {
-		return 0
-	}
-	read := time.Duration(float64(unread) / engine.ReadRate * float64(time.Second))
-	return time.Duration(slowness * float64(engine.EventInterval+read))
+	limit := fillLimit(slots*fill, q.Headroom)
+	return cost, total < limit && inTime && b.mayTake(e, q, int(math.Ceil(limit))-load.Requests)
 }
 
 // engine returns the engine model of a service, nil if it is unknown or plain.
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -10,27 +10,34 @@
 type endpoint struct {
 	advisory     advisory
 	busySince    time.Time // start of the time in which this entry has had requests there
+	coldLimit    limit     // requests that it gets while it is cold
+	coldUntil    time.Time // it counts as cold until then, past if it does not
 	ejectedUntil time.Time
 	ejections    int           // shift of the next ejection; each answer halves it
 	failures     int           // failures in a row
 	fullUntil    time.Time     // end of the backoff after a refusal because of load
 	headTime     time.Duration // moving average of the time to the head of an answer
+	key          uint64        // RivalKey of its ID
 	lastSign     time.Time     // last data received
 	limit        limit
 	listed       gooseberrypass.Endpoint
 	others       loadSum // load from other entries
 	own          Load    // load from this entry
-	probation    bool    // was ejected and has not answered since, gets one request at a time
-	refusals     int     // refusals because of load in a row
+	pace         pace
+	probation    bool // was ejected and has not answered since, gets one request at a time
+	reported     int  // requests there that this entry last reported to others
+	refusals     int  // refusals because of load in a row
 	region       gooseberrypass.Region
 	remote       bool // in another region than this entry
 }
 
 // A Load is the part of an endpoint's load that comes from one entry.
 type Load struct {
-	Requests     int  // requests in flight
-	Stalled      bool // the endpoint has sent the entry nothing for its stall timeout
-	UnreadTokens int  // prompt tokens of requests without a first event
+	Pace         float64       // time that work takes at the endpoint, as a ratio to its usual time, as the entry last heard; 0 for none
+	PaceAge      time.Duration // time since it heard Pace
+	Requests     int           // requests in flight
+	Stalled      bool          // the endpoint has sent the entry nothing for its stall timeout
+	UnreadTokens int           // prompt tokens of requests without a first event
 }
 
 // A loadSum is the load of an endpoint that comes from several entries.
--- a/balancer/ticket.go
+++ b/balancer/ticket.go
@@ -16,6 +16,7 @@
 	model           string                 // "" for a plain service
 	mustBegin       time.Time              // latest begin on the endpoint's version, zero for none
 	onMustBegin     func(latest time.Time) // set by WatchMustBegin
+	pace            float64                // of the endpoint, by the head of the answer, 0 if it named none
 	target          gooseberrypass.Endpoint
 	unread          int // prompt tokens, 0 after the first event
 	version         int // version of the model at the endpoint when it was chosen
@@ -65,17 +66,21 @@
 // HeadReceived records the time that the endpoint took to the head of its answer.
 func (t *Ticket) HeadReceived(took time.Duration) {
 	b := t.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	t.promptRead()
-	now := b.clock.Now()
-	t.endpoint.lastSign = now
-	t.endpoint.probation = false
-	b.endProbe(now, t, true)
-	smooth(&t.endpoint.headTime, took)
-	average := b.headTimes[t.endpoint.listed.Service]
-	smooth(&average, took)
-	b.headTimes[t.endpoint.listed.Service] = average
+	b.locked(func() {
+		t.promptRead()
+		now := b.clock.Now()
+		t.endpoint.lastSign = now
+		t.endpoint.probation = false
+		b.endProbe(now, t, true)
+		if t.pace > 0 {
+			took = time.Duration(float64(took) / t.pace) // the average has what the pace does not explain
+		}
+		smooth(&t.endpoint.headTime, took)
+		average := b.headTimes[t.endpoint.listed.Service]
+		smooth(&average, took)
+		b.headTimes[t.endpoint.listed.Service] = average
+	})
+	b.reportCapacity(false, t.target.Service)
 }
 
 // EventReceived records that the endpoint sent another event of its answer. It
@@ -140,15 +145,19 @@
 // Done releases the place and records the result. Later calls have no effect.
 func (t *Ticket) Done(result Result) {
 	b := t.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if t.done {
-		return
+	ended := false
+	b.locked(func() {
+		if t.done {
+			return
+		}
+		t.done, ended = true, true
+		t.promptRead()
+		t.endpoint.own.Requests--
+		now := b.clock.Now()
+		b.endProbe(now, t, false)
+		t.endpoint.record(now, result, b.settings)
+	})
+	if ended {
+		b.reportCapacity(true, t.target.Service)
 	}
-	t.done = true
-	t.promptRead()
-	t.endpoint.own.Requests--
-	now := b.clock.Now()
-	b.endProbe(now, t, false)
-	t.endpoint.record(now, result, b.settings)
 }
--- a/deployment.go
+++ b/deployment.go
@@ -1,6 +1,9 @@
 package gooseberrypass
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -53,6 +56,22 @@
 	return s == nil || ok
 }
 
+// Equal reports whether both sets have the same regions.
+func (s RegionSet) Equal(t RegionSet) bool { return (s == nil) == (t == nil) && maps.Equal(s, t) }
+
+// Within reports whether t has all regions of the set.
+func (s RegionSet) Within(t RegionSet) bool {
+	if s == nil || t == nil {
+		return t == nil
+	}
+	for region := range s {
+		if !t.Contains(region) {
+			return false
+		}
+	}
+	return true
+}
+
 // Intersect returns the set without the regions that are not listed. An empty list
 // restricts nothing.
 func (s RegionSet) Intersect(regions []Region) RegionSet {
@@ -77,14 +96,28 @@
 	LoadTime       time.Duration // time to load a staged version
 	MeanTokens     int           // mean number of tokens of an answer
 	Model          string        // name of the model
-	ReadRate       float64       // prompt tokens read per second
-	Slots          int           // largest number of requests in a batch
-	TokensPerEvent int           // tokens in one event of a stream
+	Passes         PassSpec
+	ReadRate       float64 // prompt tokens read per second
+	Slots          int     // largest number of requests in a batch
+	TokensPerEvent int     // tokens in one event of a stream
+}
+
+// A PassSpec describes the passes in which an engine works. Each prefills a chunk of prompt
+// tokens and runs the decode steps of one event.
+type PassSpec struct {
+	Chunk        int           // most prompt tokens that a pass prefills, 0 for no limit
+	ContextTime  time.Duration // of a decode step, for 1,000 tokens of context of its requests
+	MeanPrompt   int           // mean number of tokens of a prompt, 0 if unknown
+	PairsTime    time.Duration // of prefill, for a million pairs of a token and an earlier one
+	SequenceTime time.Duration // of a decode step, for each request in decode
+	StepTime     time.Duration // of a decode step, whatever its requests are; 0 if unknown
 }
 
 // A ServiceSpec describes a service of a deployment.
 type ServiceSpec struct {
-	Engine        *EngineSpec // nil for a plain service
+	ColdRate      float64       // requests per second that a cold endpoint sustains, 0 for no limit
+	ColdTime      time.Duration // time for which an endpoint is cold after it started
+	Engine        *EngineSpec   // nil for a plain service
 	FailureDomain FailureDomain
 	ID            ID
 	MaxConns      int    // connections that one endpoint accepts in total, 0 for any number
@@ -96,13 +129,19 @@
 	if s.Origin != t.Origin || s.FailureDomain != t.FailureDomain || (s.Engine == nil) != (t.Engine == nil) {
 		return false
 	}
-	return s.Engine == nil || *s.Engine == *t.Engine
+	if s.Engine == nil {
+		return true
+	}
+	a, b := *s.Engine, *t.Engine
+	a.Passes, b.Passes = PassSpec{}, PassSpec{}
+	return a == b
 }
 
-// CallerLimits are the size limits of requests.
+// CallerLimits are the limits of requests. 0 is no limit.
 type CallerLimits struct {
-	Body    int64 // bytes
-	Headers int   // bytes
+	Body       int64         // bytes
+	HeaderTime time.Duration // for the headers to arrive
+	Headers    int           // bytes
 }
 
 // An AccountSpec describes a client account of a deployment.
@@ -117,6 +156,7 @@
 type Deployment struct {
 	accounts map[string]AccountSpec // nil if no request needs a client account
 	limits   CallerLimits
+	ranks    map[ID][]urgency // of the requests for each service, the most urgent first
 	routes   map[string][]Route
 	services map[ID]ServiceSpec
 	version  int64
@@ -138,9 +178,73 @@
 	for _, s := range services {
 		d.services[s.ID] = s
 	}
+	d.ranks = d.listRanks(routes)
 	return d
 }
 
+// An urgency is what the rank of a request follows from. Requests of client accounts without
+// a priority of their own have that of the route.
+type urgency struct {
+	account int // priority of the client account
+	route   int // priority of the route
+}
+
+// compare orders urgencies, the most urgent first.
+func (u urgency) compare(v urgency) int {
+	return cmp.Or(cmp.Compare(u.account, v.account), cmp.Compare(u.route, v.route))
+}
+
+// urgencyOf returns the urgency of a request; accountPriority is -1 for none.
+func urgencyOf(route *Route, accountPriority int) urgency {
+	if accountPriority < 0 {
+		accountPriority = route.Priority
+	}
+	return urgency{account: accountPriority, route: route.Priority}
+}
+
+// listRanks returns the different urgencies of the requests for each service.
+func (d *Deployment) listRanks(routes []Route) map[ID][]urgency {
+	priorities := map[int]struct{}{}
+	for _, a := range d.accounts {
+		priorities[max(a.Priority, -1)] = struct{}{}
+	}
+	ranks := map[ID][]urgency{}
+	for i := range routes {
+		r := &routes[i]
+		var urgencies []urgency
+		if r.Public || !d.RequiresAccount() {
+			urgencies = append(urgencies, urgencyOf(r, -1))
+		} else {
+			for p := range priorities {
+				urgencies = append(urgencies, urgencyOf(r, p))
+			}
+		}
+		for _, t := range r.Targets {
+			ranks[t.Service] = append(ranks[t.Service], urgencies...)
+		}
+	}
+	for service, list := range ranks {
+		slices.SortFunc(list, urgency.compare)
+		ranks[service] = slices.Compact(list)
+	}
+	return ranks
+}
+
+// Rank returns the rank of a request for a service, 0 for the most urgent, and the number of
+// ranks. accountPriority is that of its client account, -1 for none. The priority of the client
+// account takes precedence over that of the route.
+func (d *Deployment) Rank(service ID, route *Route, accountPriority int) (int, int) {
+	ranks := d.ranks[service]
+	n, _ := slices.BinarySearchFunc(ranks, urgencyOf(route, accountPriority), urgency.compare)
+	return min(n, max(len(ranks)-1, 0)), len(ranks)
+}
+
+// PrioritiesDiffer reports whether routes of different priority lead to a service.
+func (d *Deployment) PrioritiesDiffer(service ID) bool {
+	ranks := d.ranks[service]
+	return slices.ContainsFunc(ranks, func(u urgency) bool { return u.route != ranks[0].route })
+}
+
 // Account returns the client account with a key. No account matches an empty key.
 func (d *Deployment) Account(key string) (AccountSpec, bool) {
 	a, ok := d.accounts[key]
@@ -151,7 +255,7 @@
 // client account, also if no client account has one.
 func (d *Deployment) RequiresAccount() bool { return d.accounts != nil }
 
-// Limits returns the size limits of requests.
+// Limits returns the limits of requests.
 func (d *Deployment) Limits() CallerLimits { return d.limits }
 
 // Match returns the route of host with the longest matching prefix of path.
@@ -205,11 +309,13 @@
 // An Endpoint is an endpoint as given by the platform's list.
 type Endpoint struct {
 	Address       string
+	ColdLeft      time.Duration // time for which it stays cold, as its record says
 	FailureDomain FailureDomain
 	ID            ID
 	Lapsed        bool // its record expired during an outage of the list, it may be gone
 	Leaving       bool
 	Models        map[string]int // loaded version of each model
+	ReportedAt    time.Time      // when a process first knew its record
 	Service       ID
 	Slots         int   // requests that it runs at once
 	StartMillis   int64 // start of the endpoint, in Unix milliseconds, 0 if unknown
--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -29,6 +29,7 @@
 // A reaction is how an endpoint reacts to one dispatch.
 type reaction struct {
 	advisory gooseberrypass.Advisory
+	pace     float64
 	body     string
 	cut      bool          // the connection breaks after the body
 	delay    time.Duration // time until the answer
@@ -94,7 +95,7 @@
 		a.header = http.Header{}
 	}
 	return &gooseberrypass.Reply{
-		Advisory: a.advisory, Body: io.NopCloser(body), Header: a.header, ModelVersion: a.version, NotRun: a.notRun, Signed: !a.notRun, Status: a.status,
+		Advisory: a.advisory, Body: io.NopCloser(body), Header: a.header, ModelVersion: a.version, NotRun: a.notRun, Pace: a.pace, Signed: !a.notRun, Status: a.status,
 		Unframed: a.unframed,
 	}, nil
 }
@@ -136,6 +137,8 @@
 	build     func(forwarder.Chooser) (*forwarder.Forwarder, error)
 	deployed  *gooseberrypass.Deployment // when build is called
 	log       bytes.Buffer
+	logger    *logrus.Logger
+	scheduler forwarder.Scheduler      // nil for none
 	sender    gooseberrypass.Transport // used instead of transport, if not nil
 	settings  forwarder.Settings
 	snapshot  *materializer.Snapshot
@@ -184,7 +187,7 @@
 			Address: string(id), ID: id, Models: map[string]int{"m": 1}, Service: "engines", Slots: 4,
 		})
 	}
-	f.balancer, f.deployed, f.snapshot = b, d, snapshot
+	f.balancer, f.deployed, f.logger, f.snapshot = b, d, log, snapshot
 	b.Handle(f.clock.Now(), materializer.Changed{Snapshot: snapshot})
 	f.settings = forwarder.Settings{
 		DeadlineGrace: 100 * time.Millisecond, HeadTimeoutFactor: 3, EventTimeoutFactor: 4, MaxBufferedAnswer: 1 << 16, MoveShare: 0.5, MoveWaitFactor: 0.8, ResumePoll: 50 * time.Millisecond, QuarantineCrashes: 3, QuarantineTime: time.Minute,
@@ -200,7 +203,7 @@
 		if f.sender != nil {
 			sender = f.sender
 		}
-		return forwarder.New(f.clock, deployments{f.deployed}, chooser, sender, f.tracker, f.settings, prometheus.NewRegistry(), log)
+		return forwarder.New(f.clock, deployments{f.deployed}, chooser, f.scheduler, sender, f.tracker, f.settings, prometheus.NewRegistry(), log)
 	}
 	f.forwarder, err = f.build(b)
 	if err != nil {
--- a/gossiper/encoding.go
+++ b/gossiper/encoding.go
@@ -31,9 +31,7 @@
 		g.Outranked = append(g.Outranked, string(topic))
 	}
 	for id, load := range m.Loads {
-		g.Shares = append(g.Shares, &wire.LoadShare{
-			Endpoint: string(id), Requests: uint32(max(load.Requests, 0)), Silent: load.Stalled, UnreadTokens: uint32(max(load.UnreadTokens, 0)),
-		})
+		g.Shares = append(g.Shares, encodeLoad(id, load))
 	}
 	g.Advisories, g.Demand = encodeAdvisories(m.Advisories), encodeDemand(m.Demand)
 	for _, t := range m.Manifests {
@@ -48,7 +46,7 @@
 			g.Notice.Models[model] = int32(version)
 		}
 	}
-	g.CrashEvidence = encodeEvidence(m.CrashEvidence)
+	g.Backlogs, g.CrashEvidence = encodeBacklogs(m.Backlogs), encodeEvidence(m.CrashEvidence)
 	body, err := proto.Marshal(g)
 	return body, errors.Wrap(err, "encode message")
 }
@@ -63,7 +61,7 @@
 		ListAge: decodeAge(g.GetListAgeMillis()), Refused: g.GetRefused(), Region: gooseberrypass.Region(g.GetRegion()),
 		Role: gooseberrypass.Role(g.GetRole()), Loads: make(map[gooseberrypass.ID]balancer.Load, len(g.GetShares())), Starting: g.GetStarting(),
 	}
-	m.CrashEvidence = decodeEvidence(g.GetCrashEvidence())
+	m.Backlogs, m.CrashEvidence = decodeBacklogs(g.GetBacklogs()), decodeEvidence(g.GetCrashEvidence())
 	for _, c := range g.GetRequestCrashes() {
 		m.RequestCrashes = append(m.RequestCrashes, gooseberrypass.RequestCrashes{
 			Age: decodeAge(c.GetAgeMillis()), Count: int(min(c.GetCount(), math.MaxInt32)), Observer: c.GetObserver(), Relapses: int(min(c.GetRelapses(), math.MaxInt32)), Request: c.GetRequest(),
@@ -76,7 +74,7 @@
 		m.Outranked = append(m.Outranked, gooseberrypass.Topic(topic))
 	}
 	for _, s := range g.GetShares() {
-		m.Loads[gooseberrypass.ID(s.GetEndpoint())] = balancer.Load{Requests: int(s.GetRequests()), Stalled: s.GetSilent(), UnreadTokens: int(s.GetUnreadTokens())}
+		m.Loads[gooseberrypass.ID(s.GetEndpoint())] = decodeLoad(s)
 	}
 	m.Advisories, m.Demand = decodeAdvisories(g.GetAdvisories()), decodeDemand(g.GetDemand())
 	for _, v := range g.GetManifests() {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -99,6 +99,7 @@
 	announcedToAgents gooseberrypass.Offset              // next offset of the operator's topic last announced to agents
 	askedFar          int                                // messages to agents that other entries serve, by an entry that has just started
 	behindSince       map[gooseberrypass.Topic]time.Time // when this process fell behind another
+	backlogs          BacklogExchange
 	client            *http.Client
 	farEntries        int                           // entries of other regions at the last message to all
 	contacts          map[gooseberrypass.ID]contact // with agents; entries only
@@ -125,10 +126,10 @@
 	statuses          map[string]balancer.EndpointStatus // last status of each endpoint, by address
 }
 
-// New returns a replicator. loads and history are nil in an agent.
-func New(self Self, m *materializer.Materializer, sender Sender, client *http.Client, loads LoadExchange, history RequestHistory, settings Settings, seed uint64, logger logrus.FieldLogger) *Replicator {
+// New returns a replicator. loads, backlogs and history are nil in an agent.
+func New(self Self, m *materializer.Materializer, sender Sender, client *http.Client, loads LoadExchange, backlogs BacklogExchange, history RequestHistory, settings Settings, seed uint64, logger logrus.FieldLogger) *Replicator {
 	return &Replicator{
-		behindSince: map[gooseberrypass.Topic]time.Time{}, client: client, contacts: map[gooseberrypass.ID]contact{}, remoteNext: map[gooseberrypass.Topic]gooseberrypass.Offset{}, loads: loads, logger: logger,
+		backlogs: backlogs, behindSince: map[gooseberrypass.Topic]time.Time{}, client: client, contacts: map[gooseberrypass.ID]contact{}, remoteNext: map[gooseberrypass.Topic]gooseberrypass.Offset{}, loads: loads, logger: logger,
 		statuses: map[string]balancer.EndpointStatus{}, pulling: map[gooseberrypass.Topic]bool{}, history: history, readers: map[gooseberrypass.ID]reader{}, rng: rand.New(rand.NewPCG(seed, seed)), self: self, sender: sender,
 		materializer: m, repliedAt: map[gooseberrypass.ID]time.Time{}, settings: settings,
 	}
@@ -199,6 +200,9 @@
 		m.CrashEvidence, m.Refused, m.RequestCrashes = r.history.CrashEvidence(), r.history.Refused(), r.history.RequestCrashes()
 		m.Advisories, m.Demand, m.Loads = r.loads.OwnAdvisories(), r.loads.OwnDemand(), r.loads.OwnLoads()
 		m.ListAge = r.listAge(now)
+		if r.backlogs != nil {
+			m.Backlogs = r.backlogs.OwnBacklogs()
+		}
 		m.Outranked, m.Targets = r.outranked(), r.recentTargets(now)
 		m.Next[gooseberrypass.TopicEndpoints] = next(gooseberrypass.TopicEndpoints)
 	}
@@ -336,6 +340,9 @@
 		r.loads.SetEntryLoads(now, m.From, m.Loads)
 		r.loads.AddAdvisories(now, m.From, m.Advisories)
 		r.loads.SetEntryDemand(m.From, m.Demand)
+		if r.backlogs != nil {
+			r.backlogs.SetEntryBacklogs(now, m.From, m.Backlogs)
+		}
 	}
 	if m.EndpointStatus != nil {
 		r.handleStatus(now, m)
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -29,6 +29,10 @@
 	return gooseberrypass.Endpoint{Address: r.Key + ":1", ID: gooseberrypass.ID(r.Key), Leaving: string(r.Value) == "leaving"}, nil
 }
 
+func (decoder) Evacuation(gooseberrypass.KeyedRecord) (gooseberrypass.FailureDomain, bool) {
+	return "", false
+}
+
 func (decoder) Revision(gooseberrypass.Topic, gooseberrypass.KeyedRecord) gooseberrypass.Revision {
 	return gooseberrypass.Revision{}
 }
@@ -99,7 +103,8 @@
 	log.SetOutput(io.Discard)
 	p := &process{materializer: materializer.New(decoder{}, materializer.Settings{}, log), sender: &recordingSender{}}
 	p.answerer = replicator.NewResponder(p.materializer)
-	p.replicator = replicator.New(replicator.Self{Address: string(id), ID: id, Region: region, Role: role}, p.materializer, p.sender, client, l, noHistory{},
+	backlogs, _ := l.(replicator.BacklogExchange)
+	p.replicator = replicator.New(replicator.Self{Address: string(id), ID: id, Region: region, Role: role}, p.materializer, p.sender, client, l, backlogs, noHistory{},
 		settings, 1, log)
 	return p
 }
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/attributor"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
+	"github.com/gooseberrypass/gooseberrypass/checker"
 	"github.com/gooseberrypass/gooseberrypass/drainer"
 	"github.com/gooseberrypass/gooseberrypass/follower"
 	"github.com/gooseberrypass/gooseberrypass/forwarder"
@@ -17,6 +18,7 @@
 	"github.com/gooseberrypass/gooseberrypass/materializer"
 	"github.com/gooseberrypass/gooseberrypass/platform"
 	"github.com/gooseberrypass/gooseberrypass/replicator"
+	"github.com/gooseberrypass/gooseberrypass/scheduler"
 )
 
 // defaultMaxBody is the size limit of a request body in bytes, used if no
@@ -30,7 +32,8 @@
 	callers   *listener.Server // serves callers
 	drainer   *drainer.Drainer
 	history   forwarder.RequestTracker // history of requests, exchanged with other entries
-	ready     *listener.Server         // serves the platform's readiness checks
+	scheduler *scheduler.Scheduler
+	ready     *listener.Server // serves the platform's readiness checks
 	transport *platform.Transport
 }
 
@@ -50,16 +53,22 @@
 	}
 	self := balancer.Self{ID: m.self.ID, Region: m.self.Region}
 	g.balancer = balancer.New(m.clock, self, settings.regionOf, settings.balancerSettings(), m.seed, m.logger)
-	if err := m.registry.Register(g.limitGauge()); err != nil {
-		return nil, errors.Wrap(err, "register balancer metrics")
+	if g.scheduler, err = scheduler.New(m.clock, g.balancer, settings.schedulerSettings(), m.seed, m.registry, m.logger); err != nil {
+		return nil, err
+	}
+	g.balancer.OnCapacity(g.scheduler.Serve)
+	for _, gauge := range g.endpointGauges() {
+		if err := m.registry.Register(gauge); err != nil {
+			return nil, errors.Wrap(err, "register balancer metrics")
+		}
 	}
 	m.materializer = materializer.New(platform.Decoder{}, settings.materializerSettings(), m.logger, g.balancer)
 	m.metricsMux.Handle("GET "+StatusPath, NewStatusHandler(self, m.materializer, g.balancer, m.logger))
-	repl := m.newReplicator(g.balancer, g.history)
+	repl := m.newReplicator(g.balancer, g.scheduler, g.history)
 	if m.registrar, err = m.newRegistrar(); err != nil {
 		return nil, err
 	}
-	m.loop.Add(m.materializer, replicator.NewResponder(m.materializer), g.balancer, repl, m.registrar)
+	m.loop.Add(m.materializer, replicator.NewResponder(m.materializer), g.balancer, g.scheduler, repl, m.registrar)
 	reads, err := follower.NewReadCounter(m.registry)
 	if err != nil {
 		return nil, err
@@ -70,15 +79,21 @@
 	return g, g.bind(ctx)
 }
 
-func (g *Gateway) limitGauge() prometheus.Collector {
-	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "gooseberrypass_limited_endpoints",
-		Help: "Endpoints that limit the rate of their requests.",
-	}, func() float64 { return float64(g.balancer.LimitedEndpoints()) })
+// endpointGauges returns the gauges of what endpoints report beside their load.
+func (g *Gateway) endpointGauges() []prometheus.Collector {
+	gauge := func(name, help string, count func() int) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(count()) })
+	}
+	return []prometheus.Collector{
+		gauge("gooseberrypass_cold_endpoints", "Endpoints that get few requests because they are cold.", g.balancer.ColdEndpoints),
+		gauge("gooseberrypass_evacuated_endpoints", "Endpoints in failure domains that are evacuated.", g.balancer.EvacuatedEndpoints),
+		gauge("gooseberrypass_limited_endpoints", "Endpoints that limit the rate of their requests.", g.balancer.LimitedEndpoints),
+		gauge("gooseberrypass_paced_endpoints", "Endpoints whose pace is known and recent.", g.balancer.PacedEndpoints),
+	}
 }
 
 func (g *Gateway) bind(ctx context.Context) error {
-	f, err := forwarder.New(g.clock, g.materializer, g.balancer, g.transport, g.history, g.settings.forwarderSettings(), g.registry, g.logger)
+	f, err := forwarder.New(g.clock, g.materializer, g.balancer, g.scheduler, g.transport, g.history, g.settings.forwarderSettings(), g.registry, g.logger)
 	if err != nil {
 		return errors.Wrap(err, "create request path")
 	}
@@ -93,11 +108,25 @@
 	if err != nil {
 		return err
 	}
+	guard, err := newCallerGuard(g.clock, g.settings.Memory(), checker.Get[int](g.settings.values, sectionMachine, "max-files"), g.registry, g.logger)
+	if err != nil {
+		return err
+	}
 	callers := platform.NewCallerHandler(g.drainer, g.clock, g.drainer, g.maxBody)
-	g.callers, err = listener.Listen(ctx, g.settings.address("callers-listen"), callers)
+	callers.LimitMemory(guard.budget, guard.count)
+	g.callers, err = listener.ListenLimited(ctx, g.settings.address("callers-listen"), callers, guard.limits(g.headLimits))
 	return err
 }
 
+// headLimits returns the limits of the head of a request.
+func (g *Gateway) headLimits() listener.HeadLimits {
+	d := g.materializer.Deployment()
+	if d == nil {
+		return listener.HeadLimits{}
+	}
+	return listener.HeadLimits{Bytes: d.Limits().Headers, Time: d.Limits().HeaderTime}
+}
+
 func (g *Gateway) maxBody() int64 {
 	if d := g.materializer.Deployment(); d != nil && d.Limits().Body > 0 {
 		return d.Limits().Body
@@ -145,6 +174,7 @@
 // not ready before the address for callers closes.
 func (g *Gateway) drain(listen time.Duration) {
 	g.drainer.Begin()
+	g.scheduler.Stop()
 	g.logger.Info("gateway stopping")
 	timer := g.clock.NewTimer(listen)
 	defer timer.Stop()
