--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -38,15 +38,20 @@
 	refusalParts = 10
 )
 
-// refusals counts the requests refused within the last second, by rank.
+// refusals counts the requests refused within the last second, by rank. Its parts are counted
+// from the first use, as the time of day may jump.
 type refusals struct {
 	byRank [][refusalParts]int
-	newest int64 // number of the newest part since the Unix epoch
+	newest int64 // number of the newest part
+	start  time.Time
 }
 
 // advance forgets the parts that have left the window.
 func (r *refusals) advance(now time.Time) {
-	part := now.UnixNano() / int64(refusalPart)
+	if r.start.IsZero() {
+		r.start = now
+	}
+	part := int64(now.Sub(r.start) / refusalPart)
 	for i := range min(max(part-r.newest, 0), refusalParts) {
 		for rank := range r.byRank {
 			r.byRank[rank][(part-i)%refusalParts] = 0
