--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -192,9 +192,11 @@
 		g := <-w.granted
 		return g.ticket, g.err
 	}
+	now := s.clock.Now()
 	if refused {
-		s.recordRefused(s.clock.Now(), state, w.request)
+		s.recordRefused(now, state, w.request)
 	}
+	s.serveAll(now, state) // those that it held back
 	return nil, overloaded("no endpoint had capacity in time")
 }
 
@@ -211,6 +213,12 @@
 	if ended {
 		state.retries.freed.add(now)
 	}
+	s.serveAll(now, state)
+}
+
+// serveAll serves waiting requests until there is no capacity for any more. The caller holds
+// s.mu.
+func (s *Scheduler) serveAll(now time.Time, state *service) {
 	for s.serveOne(now, state) {
 	}
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -121,6 +121,25 @@
 	}
 }
 
+// A short request that a long one held back found a free place only at the next tick after the
+// long one had left, and was refused if its own wait ended before.
+func TestRequestThatLeavesReleasesThoseItHeldBack(t *testing.T) {
+	for name, refused := range map[string]bool{"end of its wait": true, "its caller leaves": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			long := f.wait(1, "a", 5000)
+			f.chooser.free, f.chooser.longest = 1, 1000
+			short := f.wait(1, "b", 100)
+			if ticket, err := f.Leave(long, refused); ticket != nil || err == nil {
+				t.Errorf("long request: got ticket %v, error %v, want a refusal", ticket, err)
+			}
+			if ticket, ok := short.Granted(); !ok || ticket == nil {
+				t.Errorf("short request: got %v, %t, want the free place", ticket, ok)
+			}
+		})
+	}
+}
+
 // A waiting request held its memory and its place in the queue after its caller had left, or
 // while the entry was about to stop.
 func TestRequestsThatLeaveOrAreStopped(t *testing.T) {
