--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -103,14 +103,19 @@
 	r.byEntry[from] = report{at: now, backlogs: backlogs}
 }
 
-// of returns the backlogs for a service by entry, and drops those that have expired.
-func (r *reports) of(now time.Time, service gooseberrypass.ID) map[gooseberrypass.ID]Backlog {
-	backlogs := map[gooseberrypass.ID]Backlog{}
+// expire drops the reports that have expired.
+func (r *reports) expire(now time.Time) {
 	for entry, reported := range r.byEntry {
 		if now.Sub(reported.at) >= r.ttl {
 			delete(r.byEntry, entry)
-			continue
 		}
+	}
+}
+
+// of returns the backlogs for a service by entry.
+func (r *reports) of(service gooseberrypass.ID) map[gooseberrypass.ID]Backlog {
+	backlogs := map[gooseberrypass.ID]Backlog{}
+	for entry, reported := range r.byEntry {
 		if b, ok := reported.backlogs[service]; ok {
 			backlogs[entry] = b
 		}
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -24,6 +24,7 @@
 func (s *Scheduler) update(now time.Time) []gooseberrypass.ID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reports.expire(now)
 	var waiting []gooseberrypass.ID
 	for id, state := range s.services {
 		state.stale = true // reports expire
@@ -37,9 +38,10 @@
 	return waiting
 }
 
-// updateHoldBack updates the hold-back of a service and logs its begin and its end.
+// updateHoldBack updates the hold-back of a service and logs its begin and its end. Reports that
+// have expired must be dropped before.
 func (s *Scheduler) updateHoldBack(now time.Time, state *service) {
-	backlogs := s.reports.of(now, state.id)
+	backlogs := s.reports.of(state.id)
 	own := state.backlog(now)
 	active := state.holdBack.active()
 	lacking, entries := ranksLacking(state.ranks, own, backlogs)
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -29,3 +29,6 @@
 
 // Deadline returns the end of the wait.
 func (w *waiter) Deadline() time.Time { return w.deadline }
+
+// Reports returns the number of entries whose backlogs are remembered.
+func (s *Scheduler) Reports() int { return len(s.reports.byEntry) }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -249,6 +249,17 @@
 	}
 }
 
+// An entry without requests of its own kept the reports of entries that had crashed.
+func TestReportsExpireWithoutOwnRequests(t *testing.T) {
+	f := newFixture(t)
+	f.SetEntryBacklogs(f.clock.Now(), "b", map[gooseberrypass.ID]scheduler.Backlog{"s": {Waiting: []int{1}}})
+	f.clock.Advance(3 * time.Second)
+	f.Handle(f.clock.Now(), gooseberrypass.Tick{})
+	if got := f.Reports(); got != 0 {
+		t.Errorf("got %d reports after their time to live, want none", got)
+	}
+}
+
 // All refused callers were told the same time and came back as one burst.
 func TestRetryAfterIsSpreadAndBounded(t *testing.T) {
 	f := newFixture(t)
