--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -31,6 +31,11 @@
 		s.updateHoldBack(now, state)
 		state.queue.expire(now)
 		s.metrics.observeState(state)
+		if state.idle(now) {
+			delete(s.services, id)
+			s.metrics.forget(id)
+			continue
+		}
 		if state.queue.size > 0 {
 			waiting = append(waiting, id)
 		}
@@ -38,6 +43,16 @@
 	return waiting
 }
 
+// idleTime is the time after the last request for a service from which on its state is
+// dropped. It is far longer than the time in which the rates of a service are forgotten.
+const idleTime = time.Minute
+
+// idle reports whether the state of a service may be dropped: the service may have left the
+// configuration.
+func (s *service) idle(now time.Time) bool {
+	return s.queue.size == 0 && !s.holdBack.active() && now.Sub(s.used) >= idleTime
+}
+
 // updateHoldBack updates the hold-back of a service and logs its begin and its end. Reports that
 // have expired must be dropped before.
 func (s *Scheduler) updateHoldBack(now time.Time, state *service) {
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -32,3 +32,6 @@
 
 // Reports returns the number of entries whose backlogs are remembered.
 func (s *Scheduler) Reports() int { return len(s.reports.byEntry) }
+
+// Services returns the number of services whose state is kept.
+func (s *Scheduler) Services() int { return len(s.services) }
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/gooseberrypass/gooseberrypass"
 )
 
 // The labels of metrics, also used as fields of log lines.
@@ -56,8 +58,19 @@
 
 // observeState records the queue and the hold-back of a service.
 func (m *metrics) observeState(s *service) {
+	if s.observed > s.ranks { // those of ranks that no longer exist would keep their last values
+		m.forget(s.id)
+	}
+	s.observed = s.ranks
 	for rank, n := range s.queue.waiting(s.ranks) {
 		m.waiting.WithLabelValues(string(s.id), rankLabel(rank)).Set(float64(n))
 		m.headroom.WithLabelValues(string(s.id), rankLabel(rank)).Set(s.holdBack.of(rank))
 	}
 }
+
+// forget removes the gauges of a service. Its counters remain, as they must not start again at 0.
+func (m *metrics) forget(id gooseberrypass.ID) {
+	for _, gauge := range []*prometheus.GaugeVec{m.headroom, m.waiting} {
+		gauge.DeletePartialMatch(prometheus.Labels{labelService: string(id)})
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -98,12 +98,14 @@
 type service struct {
 	holdBack holdBack
 	id       gooseberrypass.ID
+	observed int // ranks whose gauges are set
 	queue    *queue
 	ranks    int      // of the deployment in force
 	rivals   []uint64 // keys of the other entries where requests wait
 	stale    bool     // rivals may have changed
 	refusals refusals
 	retries  retryEstimate
+	used     time.Time // last request
 }
 
 // New returns the scheduler of an entry.
@@ -188,7 +190,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.services[w.request.Query.Service]
-	if !state.queue.remove(w) {
+	if state == nil || !state.queue.remove(w) { // without waiting requests the state may be dropped
 		g := <-w.granted
 		return g.ticket, g.err
 	}
@@ -315,7 +317,7 @@
 		state = &service{id: id, queue: newQueue()}
 		s.services[id] = state
 	}
-	state.ranks = ranks // those of the deployment in force
+	state.ranks, state.used = ranks, s.clock.Now() // the ranks of the deployment in force
 	return state
 }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -39,18 +39,19 @@
 
 type fixture struct {
 	*scheduler.Scheduler
-	chooser *fakeChooser
-	clock   *clockwork.FakeClock
-	t       *testing.T
+	chooser  *fakeChooser
+	clock    *clockwork.FakeClock
+	registry *prometheus.Registry
+	t        *testing.T
 }
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	f := &fixture{chooser: &fakeChooser{}, clock: clockwork.NewFakeClock(), t: t}
+	f := &fixture{chooser: &fakeChooser{}, clock: clockwork.NewFakeClock(), registry: prometheus.NewRegistry(), t: t}
 	var err error
-	f.Scheduler, err = scheduler.New(f.clock, f.chooser, scheduler.Settings{LeastWaitShare: 0.1, MaxWaiting: 4, Mode: scheduler.ModeAuto, MostWaitShare: 0.4, ReportTTL: 3 * time.Second}, 1, prometheus.NewRegistry(), log)
+	f.Scheduler, err = scheduler.New(f.clock, f.chooser, scheduler.Settings{LeastWaitShare: 0.1, MaxWaiting: 4, Mode: scheduler.ModeAuto, MostWaitShare: 0.4, ReportTTL: 3 * time.Second}, 1, f.registry, log)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -260,6 +261,59 @@
 	}
 }
 
+// waitingSeries returns the number of ranks whose waiting requests the metrics show.
+func (f *fixture) waitingSeries() int {
+	f.t.Helper()
+	families, err := f.registry.Gather()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() == "gooseberrypass_scheduler_waiting" {
+			return len(family.GetMetric())
+		}
+	}
+	return 0
+}
+
+// The state of a service that had left the configuration was kept for ever, and the gauges of a
+// rank that no longer existed kept their last values.
+func TestStateFollowsTheConfiguration(t *testing.T) {
+	f := newFixture(t)
+	w := f.wait(2, "a", 0)
+	f.Handle(f.clock.Now(), gooseberrypass.Tick{})
+	if got := f.waitingSeries(); got != 3 {
+		t.Errorf("got gauges of %d ranks, want 3", got)
+	}
+	fewer := f.request(0, "a", 0)
+	fewer.Ranks = 2
+	other, _, _ := f.Enter(fewer)
+	f.Handle(f.clock.Now(), gooseberrypass.Tick{})
+	if got := f.waitingSeries(); got != 2 {
+		t.Errorf("got gauges of %d ranks after the configuration has two, want 2", got)
+	}
+	f.clock.Advance(2 * time.Minute)
+	f.Handle(f.clock.Now(), gooseberrypass.Tick{})
+	if got := f.Services(); got != 1 {
+		t.Errorf("got the state of %d services while requests wait, want 1", got)
+	}
+	f.chooser.free = 1
+	f.Serve("s", false)
+	if _, err := f.Leave(w, true); err == nil {
+		t.Error("got a place for the less urgent request, want a refusal")
+	}
+	f.Handle(f.clock.Now(), gooseberrypass.Tick{})
+	if got := f.Services(); got != 0 {
+		t.Errorf("got the state of %d services without requests, want none", got)
+	}
+	if got := f.waitingSeries(); got != 0 {
+		t.Errorf("got gauges of %d ranks without requests, want none", got)
+	}
+	if ticket, err := f.Leave(other, true); ticket == nil || err != nil {
+		t.Errorf("got ticket %v, error %v after the state was dropped, want the place that was given before", ticket, err)
+	}
+}
+
 // All refused callers were told the same time and came back as one burst.
 func TestRetryAfterIsSpreadAndBounded(t *testing.T) {
 	f := newFixture(t)
