--- a/balancer/demand.go
+++ b/balancer/demand.go
@@ -39,6 +39,12 @@
 	d.add(now)
 }
 
+// CountDemand counts a request for a service that waits before an endpoint is chosen for the
+// first time. Its queries have Polled set.
+func (b *Balancer) CountDemand(service gooseberrypass.ID) {
+	b.locked(func() { b.countDemand(b.clock.Now(), service) })
+}
+
 // OwnDemand returns the requests per second that come to this entry, by service. Services
 // without a limited endpoint are left out: only limits are shared by demand. Those whose
 // endpoints can be cold are always reported, as entries must know the demand of one another
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -40,6 +40,7 @@
 // A Chooser reserves places at endpoints.
 type Chooser interface {
 	Choose(q balancer.Query) (*balancer.Ticket, error)
+	CountDemand(service gooseberrypass.ID)
 	FirstEvent(q balancer.Query) time.Duration
 	SharesMachines(service gooseberrypass.ID) bool
 }
@@ -170,6 +171,9 @@
 			return nil, ticket, err
 		}
 		refused = err
+	} else {
+		s.chooser.CountDemand(r.Query.Service) // it may never be tried
+		r.Query.Polled = true
 	}
 	if s.stopped || !w.deadline.After(now.Add(timeUntilRoom(refused))) || state.hopeless(now, w) {
 		s.recordRefused(now, state, r)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -20,12 +20,18 @@
 // A fakeChooser has a number of free places, which all requests with at most a certain prompt
 // can take.
 type fakeChooser struct {
+	demand  int // requests counted
 	free    int
 	longest int // prompt tokens
 	queries []balancer.Query
 }
 
+func (c *fakeChooser) CountDemand(gooseberrypass.ID) { c.demand++ }
+
 func (c *fakeChooser) Choose(q balancer.Query) (*balancer.Ticket, error) {
+	if !q.Polled {
+		c.demand++
+	}
 	if c.free == 0 || c.longest > 0 && q.PromptTokens > c.longest {
 		return nil, &gooseberrypass.RequestError{Reason: gooseberrypass.ReasonOverloaded}
 	}
@@ -141,6 +147,22 @@
 	}
 }
 
+// Entries share rate limits by demand. An entry counted only the requests that it had tried to
+// send, so one with many waiting requests got a share that was too small.
+func TestEachRequestCountsAsDemandOnce(t *testing.T) {
+	f := newFixture(t)
+	waiters := []*scheduler.Waiter{f.wait(1, "a", 0), f.wait(1, "a", 0), f.wait(1, "b", 0)}
+	if got, want := f.chooser.demand, len(waiters); got != want {
+		t.Errorf("got a demand of %d requests, want %d", got, want)
+	}
+	for range waiters {
+		f.next(waiters)
+	}
+	if got, want := f.chooser.demand, len(waiters); got != want {
+		t.Errorf("got a demand of %d requests after they were served, want %d", got, want)
+	}
+}
+
 // A waiting request held its memory and its place in the queue after its caller had left, or
 // while the entry was about to stop.
 func TestRequestsThatLeaveOrAreStopped(t *testing.T) {
