--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -106,6 +106,7 @@
 	stale    bool     // rivals may have changed
 	refusals refusals
 	retries  retryEstimate
+	serveAt  time.Time // next time at which an endpoint is known to take requests again
 	used     time.Time // last request
 }
 
@@ -180,6 +181,7 @@
 		return nil, nil, refused
 	}
 	state.queue.add(w)
+	s.serveAfter(now, state, timeUntilRoom(refused))
 	if state.queue.size > s.settings.MaxWaiting {
 		dropped := state.queue.last(now)
 		state.queue.remove(dropped)
@@ -241,6 +243,7 @@
 		ticket, err := s.place(now, state, w)
 		if err != nil && waits(err) {
 			failed = append(failed, c)
+			s.serveAfter(now, state, timeUntilRoom(err))
 			continue
 		}
 		state.queue.remove(w)
@@ -250,6 +253,17 @@
 	return false
 }
 
+// serveAfter serves the waiting requests when a limit, a pause or an ejection of an endpoint
+// ends. This is no event, and the next tick may be after the end of their wait.
+func (s *Scheduler) serveAfter(now time.Time, state *service, wait time.Duration) {
+	at := now.Add(wait)
+	if wait <= 0 || state.serveAt.After(now) && !state.serveAt.After(at) {
+		return
+	}
+	state.serveAt = at
+	s.clock.AfterFunc(wait, func() { s.Serve(state.id, false) })
+}
+
 // place reserves a place for a request.
 func (s *Scheduler) place(now time.Time, state *service, w *waiter) (*balancer.Ticket, error) {
 	r := w.request
