--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -93,8 +93,11 @@
 // mayTake reports whether this entry may take one of the free places of an endpoint. Entries
 // where requests wait see the same free places at the same time, with the messages of others,
 // and would all take them. So of those entries only as many may as there are places. The
-// order of the entries differs between endpoints and changes with time. A place that this entry
-// has freed and not yet reported is seen by no other entry.
+// order of the entries differs between endpoints and changes with the time of day, the only
+// number that entries share without a message. If it jumps at an entry, that entry has another
+// order: on average as many entries as there are places still take one, and each entry gets its
+// share, as no order is remembered. A surplus request waits for a slot of the engine. A place
+// that this entry has freed and not yet reported is seen by no other entry.
 func (b *Balancer) mayTake(e *endpoint, q Query, free int) bool {
 	if free > len(q.Rivals) || e.own.Requests < e.reported {
 		return true
