--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -79,6 +79,19 @@
 	return b.predictFirstEvent(q.PromptTokens, q.Service, 1)
 }
 
+// Serves reports whether any endpoint serves a request when it has capacity.
+func (b *Balancer) Serves(q Query) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.services[q.Service]
+	if p == nil {
+		return false
+	}
+	now := b.clock.Now()
+	serves := func(e *endpoint) bool { return b.eligibility(now, e, q) == stateAvailable }
+	return slices.ContainsFunc(p.local, serves) || slices.ContainsFunc(p.remote, serves) || slices.ContainsFunc(p.lapsed, serves)
+}
+
 // rivalEpoch is the time after which the order of entries at an endpoint changes, so that none
 // is always first or last.
 const rivalEpoch = 100 * time.Millisecond
--- a/balancer/rivals_test.go
+++ b/balancer/rivals_test.go
@@ -62,3 +62,29 @@
 		})
 	}
 }
+
+// A request waits for capacity only if an endpoint that may serve it is there, also a full one.
+func TestServesTellsFullEndpointsFromNone(t *testing.T) {
+	f := newFixture(t, 2)
+	q := balancer.Query{Model: "m", Regions: gooseberrypass.RegionSet{"r0": {}}, Service: "s"}
+	for {
+		if _, err := f.balancer.Choose(q); err != nil {
+			break
+		}
+	}
+	if !f.balancer.Serves(q) {
+		t.Error("got false for a full endpoint, want true")
+	}
+	f.evacuate(time.Time{})
+	if f.balancer.Serves(q) {
+		t.Error("got true for an evacuated endpoint, want false")
+	}
+	q.Regions = nil
+	if !f.balancer.Serves(q) {
+		t.Error("got false for the endpoint of the other region, want true")
+	}
+	q.Service = "other"
+	if f.balancer.Serves(q) {
+		t.Error("got true for an unknown service, want false")
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -42,6 +42,7 @@
 	Choose(q balancer.Query) (*balancer.Ticket, error)
 	CountDemand(service gooseberrypass.ID)
 	FirstEvent(q balancer.Query) time.Duration
+	Serves(q balancer.Query) bool
 	SharesMachines(service gooseberrypass.ID) bool
 }
 
@@ -166,7 +167,7 @@
 	w := &waiter{deadline: s.waitUntil(r), granted: make(chan grant, 1), request: r, urgency: urgency{late: r.Late, rank: r.Rank}}
 	w.held = r.Key%exemptShare != 0 && state.holdBack.of(r.Rank) > 0
 	var refused error = overloaded("more urgent requests wait")
-	if state.queue.ahead(w) == 0 {
+	if state.queue.ahead(w) == 0 || !s.chooser.Serves(r.Query) {
 		ticket, err := s.place(now, state, w)
 		if err == nil || !waits(err) {
 			return nil, ticket, err
@@ -237,7 +238,7 @@
 	var failed []*class
 	for _, c := range state.queue.classes() {
 		w := state.queue.first(now, c)
-		if slices.ContainsFunc(failed, func(f *class) bool { return f.holdsBack(w) }) {
+		if slices.ContainsFunc(failed, func(f *class) bool { return f.holdsBack(w) }) && s.chooser.Serves(w.request.Query) {
 			continue
 		}
 		ticket, err := s.place(now, state, w)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -30,6 +30,11 @@
 
 func (c *fakeChooser) CountDemand(gooseberrypass.ID) { c.demand++ }
 
+// Serves reports whether a request is not restricted to the region that has no endpoints.
+func (*fakeChooser) Serves(q balancer.Query) bool {
+	return !q.Regions.Equal(gooseberrypass.RegionSet{"gone": {}})
+}
+
 func (c *fakeChooser) Choose(q balancer.Query) (*balancer.Ticket, error) {
 	if !q.Polled {
 		c.demand++
@@ -37,6 +42,9 @@
 	if wait := c.clock.Until(c.roomAt); wait > 0 {
 		return nil, &gooseberrypass.RequestError{Reason: gooseberrypass.ReasonOverloaded, RetryAfter: wait}
 	}
+	if !c.Serves(q) {
+		return nil, &gooseberrypass.RequestError{Outcome: gooseberrypass.OutcomeNotRun, Reason: gooseberrypass.ReasonNoEndpoint}
+	}
 	if c.free == 0 || c.longest > 0 && q.PromptTokens > c.longest {
 		return nil, &gooseberrypass.RequestError{Reason: gooseberrypass.ReasonOverloaded}
 	}
--- a/scheduler/state_test.go
+++ b/scheduler/state_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -71,3 +72,17 @@
 		t.Errorf("got ticket %v, error %v after the state was dropped, want the place that was given before", ticket, err)
 	}
 }
+
+// A request that only regions without endpoints may serve waited behind others until the end of
+// its wait, in place of an immediate refusal.
+func TestRequestWithoutAnyEndpointDoesNotWait(t *testing.T) {
+	f := newFixture(t)
+	f.wait(1, "a", 0)
+	r := f.request(1, "b", 0)
+	r.Query.Regions = gooseberrypass.RegionSet{"gone": {}}
+	w, ticket, err := f.Enter(r)
+	var refusal *gooseberrypass.RequestError
+	if w != nil || ticket != nil || !errors.As(err, &refusal) || refusal.Reason != gooseberrypass.ReasonNoEndpoint {
+		t.Errorf("got waiter %v, ticket %v, error %v, want a refusal for lack of an endpoint", w, ticket, err)
+	}
+}
