--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -66,7 +66,7 @@
 	Headroom      float64       // share of the slots of each engine that is kept free for more urgent requests
 	Model         string        // "" for a plain service
 	Objective     time.Duration // target time to the first event, 0 for none
-	Polled        bool          // the same request has been refused and waits for an endpoint
+	Polled        bool          // the request waits for an endpoint and was counted as demand before
 	PromptTokens  int
 	Regions       gooseberrypass.RegionSet // regions whose endpoints may be chosen
 	RefusedBefore bool                     // refused because of load earlier, so that its answer is already late
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -228,7 +228,8 @@
 	return errors.Wrap(r.w.Write(r.fallback.body), "deliver the held error of an endpoint")
 }
 
-// choose reserves a place at an endpoint. If all endpoints are full, it retries until
+// choose reserves a place at an endpoint. If all endpoints are full, the first attempt of a
+// scheduled request waits in the scheduler's queue; any other attempt checks again until
 // waitUntil.
 func (r *request) choose() (*balancer.Ticket, error) {
 	if r.ranks > 0 && r.attempts == 0 {
@@ -299,9 +300,8 @@
 		answer = min(answer, r.proxyRequest.MaxTokens)
 	}
 	return balancer.Query{
-		Scheduled:    r.ranks > 0,
 		AnswerTokens: answer, Tried: slices.Clone(r.tried), Model: r.model, Objective: r.route.Objective, PromptTokens: r.proxyRequest.PromptTokens,
-		Regions: r.regions, Resumed: r.started, RefusedBefore: r.refusedBefore, Service: r.service, Version: r.version,
+		Regions: r.regions, Resumed: r.started, RefusedBefore: r.refusedBefore, Scheduled: r.ranks > 0, Service: r.service, Version: r.version,
 	}
 }
 
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -65,7 +65,8 @@
 		return
 	}
 	s.logger.WithFields(logrus.Fields{
-		labelService: state.id, "active": !active, "lacking": lacking, "entries": entries, "waiting": own.Waiting, "refused": own.Refused, "age": s.reports.oldest(now).String(),
+		labelService: state.id, "active": !active, "lacking": lacking, "entries": entries,
+		"waiting": own.Waiting, "refused": own.Refused, "age": s.reports.oldest(now).String(),
 	}).Info("hold-back of less urgent requests changed")
 }
 
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -17,8 +17,8 @@
 	}
 }
 
-// compare runs a pattern under today's policy and with schedulers, over a few seeds.
-func (p pattern) compare(t *testing.T) (today, scheduled *model) { //nolint:nonamedreturns // tells the results apart
+// compare runs a pattern under the polling policy and with schedulers, over a few seeds.
+func (p pattern) compare(t *testing.T) (polling, scheduled *model) { //nolint:nonamedreturns // tells the results apart
 	t.Helper()
 	var results [2]*model
 	for i := range results {
@@ -43,7 +43,7 @@
 			}
 			results[i].over, results[i].most, results[i].work = results[i].over+m.over, max(results[i].most, m.most), results[i].work+m.work
 		}
-		name := []string{"today", "scheduled"}[i]
+		name := []string{"polling", "scheduled"}[i]
 		for class, n := range results[i].result {
 			t.Logf("%s, rank %d: in time %d (%d%%), late %d (%d%%), refused %d (%d%%)", name, class, n.inTime, n.share(n.inTime), n.late, n.share(n.late), n.refused, n.share(n.refused))
 		}
@@ -103,12 +103,12 @@
 		"a fifth of the callers leave after 50 ms": leaving,
 	} {
 		t.Run(name, func(t *testing.T) {
-			today, scheduled := p.compare(t)
-			first, old := scheduled.result[0], today.result[0]
+			polling, scheduled := p.compare(t)
+			first, old := scheduled.result[0], polling.result[0]
 			if got, want := first.share(first.inTime), max(90, old.share(old.inTime)+10); got < want {
 				t.Errorf("most urgent rank in time: got %d%%, want at least %d%%", got, want)
 			}
-			second, old := scheduled.result[1], today.result[1]
+			second, old := scheduled.result[1], polling.result[1]
 			if got, want := second.share(second.inTime), old.share(old.inTime); got < want {
 				t.Errorf("second rank in time: got %d%%, want at least %d%%", got, want)
 			}
@@ -116,14 +116,14 @@
 			if got := last.share(last.inTime + last.late); got < 20 {
 				t.Errorf("least urgent rank answered: got %d%%, want at least a fifth", got)
 			}
-			if got, want := scheduled.total().inTime, today.total().inTime; got*100 < want*97 {
+			if got, want := scheduled.total().inTime, polling.total().inTime; got*100 < want*97 {
 				t.Errorf("in time: got %d, want no less than %d but for 3%%", got, want)
 			}
-			if got, want := scheduled.work, today.work; got*100 < want*94 {
+			if got, want := scheduled.work, polling.work; got*100 < want*94 {
 				t.Errorf("work of the engines for answers: got %s, want no less than %s but for 6%%", got, want)
 			}
-			if scheduled.over*2 > today.over {
-				t.Errorf("engines with more requests than slots: got %d steps, want at most half of %d", scheduled.over, today.over)
+			if scheduled.over*2 > polling.over {
+				t.Errorf("engines with more requests than slots: got %d steps, want at most half of %d", scheduled.over, polling.over)
 			}
 		})
 	}
@@ -139,7 +139,7 @@
 		}
 		return large + rng.IntN(24-large)
 	}
-	today, scheduled := p.compare(t)
+	polling, scheduled := p.compare(t)
 	shares := func(m *model) (int, int) {
 		var few, many counts
 		for account, n := range m.byAccount {
@@ -151,11 +151,11 @@
 		}
 		return few.share(few.inTime), many.share(many.inTime)
 	}
-	fewToday, manyToday := shares(today)
+	fewPolling, manyPolling := shares(polling)
 	few, many := shares(scheduled)
-	t.Logf("in time: large accounts %d%%, small ones %d%%; today %d%%, %d%%", few, many, fewToday, manyToday)
-	if many < manyToday+5 || many <= few {
-		t.Errorf("small accounts in time: got %d%%, want clearly more than today's %d%%, and more than the large accounts' %d%%", many, manyToday, few)
+	t.Logf("in time: large accounts %d%%, small ones %d%%; polling %d%%, %d%%", few, many, fewPolling, manyPolling)
+	if many < manyPolling+5 || many <= few {
+		t.Errorf("small accounts in time: got %d%%, want clearly more than %d%% with polling, and more than the large accounts' %d%%", many, manyPolling, few)
 	}
 }
 
@@ -164,7 +164,7 @@
 func TestLoadSixRanks(t *testing.T) {
 	p := steady(1.3)
 	p.urgentAccounts = 5
-	today, scheduled := p.compare(t)
+	polling, scheduled := p.compare(t)
 	for rank, n := range scheduled.result {
 		if got := n.share(n.inTime); rank < 3 && got < 90 {
 			t.Errorf("rank %d of urgent accounts in time: got %d%%, want at least 90%%", rank, got)
@@ -173,7 +173,7 @@
 			t.Errorf("rank %d answered: got %d%%, want at least a fifth", rank, got)
 		}
 	}
-	if got, want := scheduled.total().inTime, today.total().inTime; got < want {
+	if got, want := scheduled.total().inTime, polling.total().inTime; got < want {
 		t.Errorf("in time: got %d, want at least %d", got, want)
 	}
 }
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -45,7 +45,7 @@
 	retryAt        time.Time
 	ticket         *balancer.Ticket
 	tokens         int
-	until, pollAt  time.Time // of today's policy
+	until, pollAt  time.Time // of the polling policy
 	waiter         *scheduler.Waiter
 }
 
@@ -76,7 +76,7 @@
 	return len(p.classes)
 }
 
-// modelCapacity is the rate of requests at which the engines are full: today's policy answers
+// modelCapacity is the rate of requests at which the engines are full: the polling policy answers
 // 195 to 201 a second at 1.1 to 2 times this rate.
 const modelCapacity = 196.0
 
@@ -205,7 +205,7 @@
 	}
 }
 
-// poll is today's policy: a waiting request checks every 12 ms.
+// poll is the polling policy: a waiting request checks every 12 ms.
 func (m *model) poll(c *call) {
 	now := m.clock.Now()
 	ticket, err := m.balancers[c.entry].Choose(c.request.Query)
--- a/scheduler/retryafter.go
+++ b/scheduler/retryafter.go
@@ -46,8 +46,8 @@
 }
 
 // retryAfter returns after which time a caller is told to retry, and remembers that. waiting is
-// the number of requests that wait, timeLeft the time until the caller's deadline, needed the time that an
-// answer takes at least, and random a number from 0 to 1.
+// the number of requests that wait, timeLeft the time until the caller's deadline, needed the
+// time that an answer takes at least, and random a number from 0 to 1.
 func (e *retryEstimate) retryAfter(now time.Time, waiting int, timeLeft, needed time.Duration, random float64) time.Duration {
 	longest := timeLeft / retryShare
 	e.told = dropDue(e.told, now)
