--- a/reserver/budget_test.go
+++ b/reserver/budget_test.go
@@ -195,3 +195,20 @@
 		}
 	}
 }
+
+// An attempt beside another one may still read its answer when the request has ended. What it
+// reserved then was never given back.
+func TestClosedReservationGetsNoMemory(t *testing.T) {
+	b := reserver.New(clockwork.NewFakeClock(), testSettings(), nil)
+	r := b.Open(nil)
+	r.Close()
+	if r.TryReserve(100) {
+		t.Error("part of an answer: got memory after the end, want none")
+	}
+	if err := r.Reserve(t.Context(), 100); !errors.Is(err, reserver.ErrShort) {
+		t.Errorf("body: got %v, want %v", err, reserver.ErrShort)
+	}
+	if got := b.Usage().Used; got != 0 {
+		t.Errorf("got %d bytes used, want 0", got)
+	}
+}
--- a/reserver/ledger.go
+++ b/reserver/ledger.go
@@ -76,9 +76,10 @@
 	return l.settings.Total - l.settings.Small
 }
 
-// tryReserve reserves n bytes if no more than limit are used then.
+// tryReserve reserves n bytes if no more than limit are used then. An entry that was removed
+// gets none, as nothing would give them back.
 func (l *ledger) tryReserve(e *entry, n, limit int64) bool {
-	if l.used+n > limit {
+	if _, ok := l.entries[e]; !ok || l.used+n > limit {
 		return false
 	}
 	e.held += n
@@ -94,7 +95,7 @@
 	if l.tryReserve(e, n, limit) {
 		return decision{granted: true}
 	}
-	if e.held+n > limit {
+	if _, ok := l.entries[e]; !ok || e.held+n > limit {
 		return decision{}
 	}
 	d := decision{wait: until.Sub(now)}
