--- a/listener/conn.go
+++ b/listener/conn.go
@@ -19,9 +19,9 @@
 	net.Conn
 	busy      atomic.Bool // a request is being handled
 	discard   atomic.Bool
-	headAt    atomic.Int64 // when the first byte of the head arrived, in Unix nanoseconds, 0 for none
-	headBytes atomic.Int64 // bytes that have arrived of the head
-	limits    *Limits      // nil for none
+	headAt    atomic.Pointer[time.Time] // when the first byte of the head arrived, nil for none
+	headBytes atomic.Int64              // bytes that have arrived of the head
+	limits    *Limits                   // nil for none
 }
 
 // Close implements net.Conn.
--- a/listener/limits.go
+++ b/listener/limits.go
@@ -55,10 +55,13 @@
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.busy.Load() {
-		c.headAt.CompareAndSwap(0, time.Now().UnixNano())
+		if c.headAt.Load() == nil {
+			now := time.Now()
+			c.headAt.Store(&now)
+		}
 		c.headBytes.Add(int64(n))
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.headAt.Load() != 0 && !c.busy.Load() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.headAt.Load() != nil && !c.busy.Load() {
 		c.limits.Refused(ReasonHeadTimeout)
 	}
 	return n, err
@@ -68,7 +71,7 @@
 // is too large.
 func (c *conn) limitHead() error {
 	at := c.headAt.Load()
-	if at == 0 {
+	if at == nil {
 		return nil
 	}
 	limit := c.limits.Head()
@@ -77,7 +80,7 @@
 		return errHeadTooLarge
 	}
 	if limit.Time > 0 && limit.Time < readHeaderTimeout {
-		return c.SetReadDeadline(time.Unix(0, at).Add(limit.Time)) // net/http removes it after the head
+		return c.SetReadDeadline(at.Add(limit.Time)) // net/http removes it after the head
 	}
 	return nil
 }
@@ -87,7 +90,7 @@
 
 // end records that a request was answered.
 func (c *conn) end() {
-	c.headAt.Store(0)
+	c.headAt.Store(nil)
 	c.headBytes.Store(0)
 	c.busy.Store(false)
 }
--- a/listener/room.go
+++ b/listener/room.go
@@ -71,8 +71,10 @@
 			continue
 		}
 		state := reserver.ConnState{Busy: s.busy, Since: s.since, Used: s.used}
-		if limited, ok := open.(*conn); ok && limited.headAt.Load() != 0 {
-			state.Since, state.Used = time.Unix(0, limited.headAt.Load()), false
+		if limited, ok := open.(*conn); ok {
+			if at := limited.headAt.Load(); at != nil {
+				state.Since, state.Used = *at, false
+			}
 		}
 		conns, states = append(conns, open), append(states, state)
 	}
