--- a/listener/conn.go
+++ b/listener/conn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -21,6 +22,7 @@
 	discard   atomic.Bool
 	headAt    atomic.Pointer[time.Time] // when the first byte of the head arrived, nil for none
 	headBytes atomic.Int64              // bytes that have arrived of the head
+	headMu    sync.Mutex                // held while busy is set, and while the deadline of a head is set
 	limits    *Limits                   // nil for none
 }
 
--- a/listener/headdeadline_test.go
+++ b/listener/headdeadline_test.go
@@ -80,3 +80,34 @@
 		t.Errorf("got %d deadlines by the time of day, want none", got)
 	}
 }
+
+// net/http reads on a connection while a request without a body is handled, and may begin
+// before the server knows that the request is in progress. The deadline of the head ended
+// such a read, and with it the request.
+func TestHeadDeadlineEndsBeforeTheRequestIsHandled(t *testing.T) {
+	late := make(chan time.Time, 1)
+	var lis *deadlineListener
+	lis = serveWithDeadlines(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(time.Millisecond) // lets the read of net/http begin
+		if last := lis.last.Load(); last != nil && !last.IsZero() {
+			select {
+			case late <- *last:
+			default:
+			}
+		}
+		echo(w, r)
+	}))
+	conn := dial(t, lis.Addr().String())
+	r := bufio.NewReader(conn)
+	for range 1000 {
+		send(t, conn, plainRequest)
+		if body, _ := readAnswer(r); body != "got " {
+			t.Fatalf("got %q, want an answer", body)
+		}
+	}
+	select {
+	case at := <-late:
+		t.Errorf("got the read deadline %v in a request, want none", at)
+	default:
+	}
+}
--- a/listener/limits.go
+++ b/listener/limits.go
@@ -79,14 +79,29 @@
 		c.limits.Refused(ReasonHeadTooLarge)
 		return errHeadTooLarge
 	}
-	if limit.Time > 0 && limit.Time < readHeaderTimeout {
-		return c.SetReadDeadline(at.Add(limit.Time)) // net/http removes it after the head
+	if limit.Time <= 0 || limit.Time >= readHeaderTimeout {
+		return nil
+	}
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	if c.busy.Load() {
+		return nil
 	}
-	return nil
+	return c.SetReadDeadline(at.Add(limit.Time)) // net/http removes it after the head
 }
 
-// begin records that the head of a request has arrived.
-func (c *conn) begin() { c.busy.Store(true) }
+// begin records that the head of a request has arrived. While a request without a body is
+// handled, net/http reads on in another goroutine. If that read began before, it has set the
+// deadline of the head again, which would cancel the request.
+func (c *conn) begin() {
+	if c.limits == nil {
+		return
+	}
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.busy.Store(true)
+	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+}
 
 // end records that a request was answered.
 func (c *conn) end() {
