--- a/reserver/budget.go
+++ b/reserver/budget.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -93,16 +94,22 @@
 	settings Settings
 
 	mu      sync.Mutex
-	awaited bool          // changed has been waited for
-	changed chan struct{} // closed and replaced when memory becomes available
 	ledger  ledger
 	short   bool
 	shortAt time.Time // last shortage
+	waiters []*waiter // in the order in which they began to wait
+}
+
+// A waiter waits for memory.
+type waiter struct {
+	bytes int64
+	entry *entry
+	ready chan struct{} // closed when the memory may be available
 }
 
 // New returns a budget. observer may be nil.
 func New(clock gooseberrypass.Clock, settings Settings, observer Observer) *Budget {
-	return &Budget{changed: make(chan struct{}), clock: clock, ledger: newLedger(settings), observer: observer, settings: settings}
+	return &Budget{clock: clock, ledger: newLedger(settings), observer: observer, settings: settings}
 }
 
 // Open returns a reservation without memory. giveUp makes reads of the body fail; it is
@@ -164,24 +171,26 @@
 	b := r.budget
 	until := b.clock.Now().Add(b.settings.Wait)
 	for {
-		wait, changed, err := r.tryReserve(n, until)
+		wait, w, err := r.tryReserve(n, until)
 		if wait <= 0 {
 			return err
 		}
 		timer := b.clock.NewTimer(wait)
 		select {
 		case <-ctx.Done():
-			timer.Stop()
-			return errors.Wrap(ctx.Err(), "wait for memory")
-		case <-changed:
+		case <-w.ready:
 		case <-timer.Chan():
 		}
 		timer.Stop()
+		b.stopWaiting(w)
+		if ctx.Err() != nil {
+			return errors.Wrap(ctx.Err(), "wait for memory")
+		}
 	}
 }
 
 // tryReserve reserves n bytes or returns how long to wait before the next try.
-func (r *Reservation) tryReserve(n int64, until time.Time) (time.Duration, <-chan struct{}, error) {
+func (r *Reservation) tryReserve(n int64, until time.Time) (time.Duration, *waiter, error) {
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -203,9 +212,11 @@
 		b.observe(now, true)
 		return 0, nil, ErrShort
 	default:
-		r.entry.waiting, b.awaited = true, true
+		r.entry.waiting = true
 		b.observe(now, d.gaveUp > 0)
-		return d.wait, b.changed, nil
+		w := &waiter{bytes: n, entry: &r.entry, ready: make(chan struct{})}
+		b.waiters = append(b.waiters, w)
+		return d.wait, w, nil
 	}
 }
 
@@ -260,12 +271,23 @@
 	b.wake()
 }
 
-// wake wakes up those who wait for memory.
+// wake wakes up as many of those who wait for memory as there is memory for. To wake all of
+// them would cost a machine with many waiting bodies much of its processor time.
 func (b *Budget) wake() {
-	if !b.awaited {
-		return
-	}
-	b.awaited = false
-	close(b.changed)
-	b.changed = make(chan struct{})
+	used := b.ledger.used
+	b.waiters = slices.DeleteFunc(b.waiters, func(w *waiter) bool {
+		if used+w.bytes > b.ledger.limitFor(w.entry, w.bytes) {
+			return false
+		}
+		used += w.bytes
+		close(w.ready)
+		return true
+	})
+}
+
+// stopWaiting removes a waiter that may have been woken up.
+func (b *Budget) stopWaiting(stopped *waiter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiters = slices.DeleteFunc(b.waiters, func(w *waiter) bool { return w == stopped })
 }
--- a/reserver/budget_test.go
+++ b/reserver/budget_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -212,3 +213,47 @@
 		t.Errorf("got %d bytes used, want 0", got)
 	}
 }
+
+// A timerClock counts its timers.
+type timerClock struct {
+	*clockwork.FakeClock
+	timers atomic.Int32
+}
+
+func (c *timerClock) NewTimer(d time.Duration) clockwork.Timer {
+	c.timers.Add(1)
+	return c.FakeClock.NewTimer(d)
+}
+
+// Each request that ended woke up all that waited for memory, each of which looked at all
+// bodies: a small machine with hundreds of them spent its time there.
+func TestReleaseWakesOnlyAsManyAsFit(t *testing.T) {
+	const waiting = 20
+	clock := &timerClock{FakeClock: clockwork.NewFakeClock()}
+	b := reserver.New(clock, testSettings(), nil)
+	held := b.Open(nil)
+	mustReserve(t, held, 800)
+	granted := make(chan struct{}, waiting)
+	for range waiting {
+		go func() {
+			if b.Open(nil).Reserve(t.Context(), 100) == nil {
+				granted <- struct{}{}
+			}
+		}()
+	}
+	if err := clock.BlockUntilContext(t.Context(), waiting); err != nil {
+		t.Fatal(err)
+	}
+	held.Shrink(99)
+	held.Shrink(1)
+	<-granted
+	held.Shrink(100)
+	<-granted
+	if err := clock.BlockUntilContext(t.Context(), waiting-2); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond) // lets others that were woken up wait again
+	if got := clock.timers.Load(); got != waiting {
+		t.Errorf("got %d waits, want %d", got, waiting)
+	}
+}
