--- a/listener/headdeadline_test.go
+++ b/listener/headdeadline_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -37,7 +38,7 @@
 
 func (c *deadlineConn) SetReadDeadline(t time.Time) error {
 	c.lis.last.Store(&t)
-	if t.After(time.Now()) && t == t.Round(0) { //nolint:revive // compares the monotonic parts too
+	if t.After(time.Now()) && !strings.Contains(t.String(), "m=") { // without a monotonic reading
 		c.lis.timeOfDay.Add(1)
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -61,7 +62,9 @@
 	go func() { done <- l.Run(ctx, testGrace) }()
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		if err := <-done; err != nil {
+			t.Errorf("Run: got error %v, want none", err)
+		}
 	})
 	return lis
 }
