--- a/answerer/bodies.go
+++ b/answerer/bodies.go
@@ -69,6 +69,8 @@
 	case errors.Is(err, reserver.ErrShort):
 		failure.Reason, status = gooseberrypass.ReasonOverloaded, http.StatusServiceUnavailable
 		b.refused(reserver.ReasonBodyMemory)
+	case errors.Is(err, context.Canceled): // the process stops, or the caller left
+		failure.Reason, status = gooseberrypass.ReasonOverloaded, http.StatusServiceUnavailable
 	}
 	if status == http.StatusRequestTimeout || status == http.StatusServiceUnavailable {
 		failure.RetryAfter = bodyRetryAfter
--- a/answerer/bodies_test.go
+++ b/answerer/bodies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -62,3 +63,32 @@
 		}
 	}
 }
+
+// A request that waits for memory when a planned stop ends is a sound one: it must be refused
+// for retry, not as malformed.
+func TestStopWhileABodyWaitsForMemory(t *testing.T) {
+	stop, expire := context.WithCancel(t.Context())
+	memory := reserver.New(clockwork.NewRealClock(), reserver.Settings{SmallBody: 1, Stall: time.Minute, Total: 64 << 10, Wait: time.Minute}, nil)
+	held := memory.Open(nil)
+	if err := held.Reserve(t.Context(), 64<<10); err != nil {
+		t.Fatal(err)
+	}
+	_, url := startStoppingEntry(t, stop, newLog(), members{}, func(d *answerer.Dependencies) {
+		d.Memory, d.Refused = memory, func(string) {}
+	})
+	go func() {
+		for memory.Usage().Bodies < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		expire()
+	}()
+	res, err := http.Post(url+"/v1/generate", "application/json", strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, _ := io.ReadAll(res.Body)
+	if res.StatusCode != http.StatusServiceUnavailable || !strings.Contains(string(body), `"outcome":"not run"`) {
+		t.Errorf("got %d %s, want %d, not run", res.StatusCode, body, http.StatusServiceUnavailable)
+	}
+}
