--- a/answerer/bodies.go
+++ b/answerer/bodies.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -74,7 +75,7 @@
 	}
 	if status == http.StatusRequestTimeout || status == http.StatusServiceUnavailable {
 		failure.RetryAfter = bodyRetryAfter
-		w.Header().Set("Retry-After", "1")
+		w.Header().Set("Retry-After", strconv.Itoa(int(bodyRetryAfter.Seconds())))
 	}
 	writeFailure(w, status, failure)
 }
--- a/balancer/pace.go
+++ b/balancer/pace.go
@@ -30,10 +30,13 @@
 // PaceReceived records the time that work takes at the endpoint now, as a ratio to its usual
 // time. 0 stands for none. It must be called for answers with any status, before HeadReceived.
 func (t *Ticket) PaceReceived(ratio float64) {
+	if !isPace(ratio) {
+		return
+	}
 	b := t.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !isPace(ratio) || b.endpoints[t.target.ID] != t.endpoint || t.endpoint.listed.StartMillis != t.target.StartMillis {
+	if b.endpoints[t.target.ID] != t.endpoint || t.endpoint.listed.StartMillis != t.target.StartMillis {
 		return
 	}
 	t.pace = clampPace(ratio)
--- a/reserver/budget.go
+++ b/reserver/budget.go
@@ -35,7 +35,7 @@
 // Settings configure a Budget.
 type Settings struct {
 	Small     int64         // bytes of Total that only small bodies get
-	SmallBody int64         // largest small body, in bytes
+	SmallBody int64         // most bytes that a small body holds, while its buffer grows too
 	Stall     time.Duration // time without progress after which a body may be given up
 	Total     int64         // bytes for all bodies
 	Wait      time.Duration // longest wait for memory
@@ -46,7 +46,7 @@
 	memoryShare    = 5        // one part of so many is for bodies; the Go runtime needs as much again until a collection
 	minTotal       = 16 << 20 // bytes; a single body of 4 MiB needs 6 MiB while its buffer grows
 	smallShare     = 4        // one part of so many of the total is for small bodies
-	smallBody      = 64 << 10 // bytes; ordinary prompts have a few thousand tokens
+	smallBody      = 64 << 10 // bytes; a body of 32 KiB while its buffer grows, as ordinary prompts have a few thousand tokens
 	stallTime      = time.Second / 4
 	waitTime       = time.Second
 	connShare      = 4        // one part of so many of the memory is for connections
