--- a/answerer/bodies.go
+++ b/answerer/bodies.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -69,10 +70,12 @@
 	case errors.Is(err, reserver.ErrShort):
 		failure.Reason, status = gooseberrypass.ReasonOverloaded, http.StatusServiceUnavailable
 		b.refused(reserver.ReasonBodyMemory)
+	case errors.Is(err, context.Canceled): // the process stops, or the caller left
+		failure.Reason, status = gooseberrypass.ReasonOverloaded, http.StatusServiceUnavailable
 	}
 	if status == http.StatusRequestTimeout || status == http.StatusServiceUnavailable {
 		failure.RetryAfter = bodyRetryAfter
-		w.Header().Set("Retry-After", "1")
+		w.Header().Set("Retry-After", strconv.Itoa(int(bodyRetryAfter.Seconds())))
 	}
 	writeFailure(w, status, failure)
 }
--- a/listener/limits.go
+++ b/listener/limits.go
@@ -55,10 +55,13 @@
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.busy.Load() {
-		c.headAt.CompareAndSwap(0, time.Now().UnixNano())
+		if c.headAt.Load() == nil {
+			now := time.Now()
+			c.headAt.Store(&now)
+		}
 		c.headBytes.Add(int64(n))
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.headAt.Load() != 0 && !c.busy.Load() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.headAt.Load() != nil && !c.busy.Load() {
 		c.limits.Refused(ReasonHeadTimeout)
 	}
 	return n, err
@@ -68,7 +71,7 @@
 // is too large.
 func (c *conn) limitHead() error {
 	at := c.headAt.Load()
-	if at == 0 {
+	if at == nil {
 		return nil
 	}
 	limit := c.limits.Head()
@@ -76,18 +79,33 @@
 		c.limits.Refused(ReasonHeadTooLarge)
 		return errHeadTooLarge
 	}
-	if limit.Time > 0 && limit.Time < readHeaderTimeout {
-		return c.SetReadDeadline(time.Unix(0, at).Add(limit.Time)) // net/http removes it after the head
+	if limit.Time <= 0 || limit.Time >= readHeaderTimeout {
+		return nil
+	}
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	if c.busy.Load() {
+		return nil
 	}
-	return nil
+	return c.SetReadDeadline(at.Add(limit.Time)) // net/http removes it after the head
 }
 
-// begin records that the head of a request has arrived.
-func (c *conn) begin() { c.busy.Store(true) }
+// begin records that the head of a request has arrived. While a request without a body is
+// handled, net/http reads on in another goroutine. If that read began before, it has set the
+// deadline of the head again, which would cancel the request.
+func (c *conn) begin() {
+	if c.limits == nil {
+		return
+	}
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.busy.Store(true)
+	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+}
 
 // end records that a request was answered.
 func (c *conn) end() {
-	c.headAt.Store(0)
+	c.headAt.Store(nil)
 	c.headBytes.Store(0)
 	c.busy.Store(false)
 }
