--- a/materializer/evacuation.go
+++ b/materializer/evacuation.go
@@ -43,11 +43,14 @@
 // supersedesEvacuation reports whether the record of an evacuation is newer than the known
 // one, if the log came back from an older copy between them. The copy may bring back an
 // evacuation that was removed, which is then found at its position from before. One at any
-// other position was written anew, as positions are given out again.
+// other position was written anew, as positions are given out again, and so was one at a
+// position that the copy did not have.
 func (m *Materializer) supersedesEvacuation(held, r gooseberrypass.KeyedRecord) bool {
 	const topic = gooseberrypass.TopicOperator
 	old, revision := m.revision(topic, held), m.revision(topic, r)
-	same := old == revision && old != (gooseberrypass.Revision{})
+	restoredNext := m.topic(topic).restoredNext
+	anew := restoredNext > 0 && max(held.Offset, r.Offset) >= restoredNext
+	same := old == revision && old != (gooseberrypass.Revision{}) && !anew
 	later := r.Offset > held.Offset
 	switch {
 	case r.Value == nil && held.Value != nil:
--- a/materializer/evacuation_test.go
+++ b/materializer/evacuation_test.go
@@ -78,6 +78,8 @@
 		"the copy lacks the end, ends again":       {[]logEvent{tail(begin), tail(end), every(1, 11, record("away/z", "{}", after(1, 10))), tail(record("away/z", "", after(1, 11)))}, ""},
 		"the copy lacks the end, begins again":     {[]logEvent{tail(begin), tail(end), every(1, 11, record("away/z", "{}", after(1, 10))), tail(record("away/z", "{}", after(1, 11)))}, "z"},
 		"begins anew at an earlier position":       {[]logEvent{tail(begin), tail(end), every(1, 6, record("away/z", "{}", after(1, 5)))}, "z"},
+		"the copy lacks both, begins anew there":   {[]logEvent{tail(begin), tail(end), every(1, 10), tail(record("away/z", "{}", after(1, 10)))}, "z"},
+		"begins anew there, a peer has the end":    {[]logEvent{tail(begin), tail(end), every(1, 10), tail(record("away/z", "{}", after(1, 10))), from(time.Second, every(1, 11, ended, record("away/z", "{}", after(1, 10))))}, "z"},
 		"the end is lost twice":                    {[]logEvent{tail(begin), tail(end), every(1, 11, record("away/z", "{}", after(1, 10))), every(2, 11, record("away/z", "{}", after(2, 10)))}, ""},
 		"a peer knows the end, this one the copy":  {[]logEvent{every(1, 11, record("away/z", "{}", after(1, 10))), from(time.Second, every(1, 11, ended, record("away/z", "{}", after(1, 10))))}, ""},
 		"a peer knows the end, this one nothing":   {[]logEvent{from(time.Second, every(1, 11, ended, record("away/z", "{}", after(1, 10))))}, ""},
--- a/materializer/records.go
+++ b/materializer/records.go
@@ -12,14 +12,15 @@
 
 // A topicRecords holds the records of one topic.
 type topicRecords struct {
-	complete   gooseberrypass.Offset                 // offset from which on every record is known, deletions included
-	knownSince map[string]time.Time                  // when any process first knew the record, by key
-	next       gooseberrypass.Offset                 // offset after the last known record
-	observed   map[string]bool                       // whether this process saw the record being written, by key
-	outranked  map[string]outrankedRecord            // records of a restored log that are older than the known ones, by key
-	pulled     bool                                  // every record of another process has been received
-	records    map[string]gooseberrypass.KeyedRecord // by key; a nil value is a tombstone
-	restoredAt time.Time                             // when this process learned of the last restore, zero if there was none since its start
+	complete     gooseberrypass.Offset                 // offset from which on every record is known, deletions included
+	knownSince   map[string]time.Time                  // when any process first knew the record, by key
+	next         gooseberrypass.Offset                 // offset after the last known record
+	observed     map[string]bool                       // whether this process saw the record being written, by key
+	outranked    map[string]outrankedRecord            // records of a restored log that are older than the known ones, by key
+	pulled       bool                                  // every record of another process has been received
+	records      map[string]gooseberrypass.KeyedRecord // by key; a nil value is a tombstone
+	restoredAt   time.Time                             // when this process learned of the last restore, zero if there was none since its start
+	restoredNext gooseberrypass.Offset                 // offset after the last record at restoredAt, 0 if there was no restore since the start
 }
 
 // An outrankedRecord is a record of a restored log that is older than the known one.
@@ -79,7 +80,7 @@
 	if t.next == 0 || e.Batch.Next.Restores() == t.next.Restores() {
 		return
 	}
-	t.restoredAt = now
+	t.restoredAt, t.restoredNext = now, e.Batch.Next
 	clear(t.outranked)
 	m.logger.WithFields(logrus.Fields{
 		"known": t.next.Index(), "next": e.Batch.Next.Index(), "restores": e.Batch.Next.Restores(), fieldTopic: e.Topic,
