--- a/prechecker/difference.go
+++ b/prechecker/difference.go
@@ -12,7 +12,8 @@
 
 // Compare returns the differences of a draft from the version in force, sorted by place.
 // Entries are the same if they have the same name. The place of a removed entry is that in
-// the version in force.
+// the version in force. If a whole section of either could not be decoded, only the versions are
+// compared.
 func Compare(d, inForce *gooseberrypass.Draft) []gooseberrypass.DraftFinding {
 	c := &check{draft: d}
 	place := gooseberrypass.DraftPlace{Field: gooseberrypass.FieldVersion, Index: -1}
@@ -22,6 +23,9 @@
 	if d.Version <= inForce.Version {
 		c.add(gooseberrypass.DraftError, place, "%d is not above %d, the version in force", d.Version, inForce.Version)
 	}
+	if d.Faulty || inForce.Faulty {
+		return c.findings // what the section holds would be reported as added or removed
+	}
 	if (d.Accounts == nil) != (inForce.Accounts == nil) {
 		place := gooseberrypass.DraftPlace{Index: -1, Section: gooseberrypass.DraftAccounts}
 		c.add(gooseberrypass.DraftDifference, place, "requests need a client account: %t -> %t", inForce.Accounts != nil, d.Accounts != nil)
--- a/prechecker/prechecker.go
+++ b/prechecker/prechecker.go
@@ -11,8 +11,8 @@
 )
 
 // Check returns the findings in a draft, sorted by place, none if a whole section could not be
-// decoded. regions maps failure domains to
-// their regions. If it is nil, regions are compared with those of client accounts only.
+// decoded. regions maps failure domains to their regions. If it is nil, regions are compared with
+// those of client accounts only.
 func Check(d *gooseberrypass.Draft, regions map[gooseberrypass.FailureDomain]gooseberrypass.Region) []gooseberrypass.DraftFinding {
 	c := &check{draft: d, regions: regions}
 	if d.Faulty {
--- a/prechecker/prechecker_test.go
+++ b/prechecker/prechecker_test.go
@@ -122,3 +122,18 @@
 		t.Errorf("same version: got %q, want %q", got, want)
 	}
 }
+
+// Guards against entries that are reported as removed or added although a fault of their section
+// keeps them from being read.
+func TestCompareLeavesOutSectionsThatWereNotRead(t *testing.T) {
+	d, faulty := soundDraft(), soundDraft()
+	d.Version = 3
+	faulty.Routes, faulty.Faulty = nil, true
+	if got, want := texts(t, prechecker.Compare(d, faulty)), []string{"difference  -1 version"}; !slices.Equal(got, want) {
+		t.Errorf("version in force: got %q, want %q", got, want)
+	}
+	faulty.Version, d.Version = 3, 2
+	if got, want := texts(t, prechecker.Compare(faulty, d)), []string{"difference  -1 version"}; !slices.Equal(got, want) {
+		t.Errorf("draft: got %q, want %q", got, want)
+	}
+}
