--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -364,8 +364,9 @@
 	}
 	best, counts := b.best(now, q, false)
 	// If most endpoints are silent, this process was suspended or its link failed,
-	// so silence says nothing about the endpoints.
-	if best == nil && 2*counts.byState[stateSilent] > b.services[q.Service].len() {
+	// so silence says nothing about the endpoints. Evacuated ones may all have ended
+	// their requests.
+	if best == nil && 2*counts.byState[stateSilent] > b.services[q.Service].len()-counts.byState[stateEvacuated] {
 		best, counts = b.best(now, q, true)
 	}
 	if best == nil {
--- a/balancer/evacuation_test.go
+++ b/balancer/evacuation_test.go
@@ -183,3 +183,13 @@
 		t.Errorf("after the end: got %+v, want an endpoint with room that is cold for 2.7 s", o)
 	}
 }
+
+// After this process was suspended, all endpoints look silent to it. While domains are
+// evacuated, those that are left were fewer than half, so that all requests were refused.
+func TestSilenceOfTheEndpointsBesideAnEvacuationRefusesNobody(t *testing.T) {
+	f := newStallFixture(t, 3)
+	f.evacuate(time.Time{})
+	f.choose(t)
+	f.clock.Advance(time.Minute)
+	f.choose(t)
+}
