--- a/balancer/coldlimit.go
+++ b/balancer/coldlimit.go
@@ -179,6 +179,15 @@
 	for service := range b.services {
 		b.logCold(now, service, cold[service])
 	}
+	for service, last := range b.coldLogs {
+		if b.services[service] != nil {
+			continue
+		}
+		b.logCold(now, service, nil)
+		if last.cold == 0 && now.Sub(last.at) >= coldLogPeriod {
+			delete(b.coldLogs, service)
+		}
+	}
 }
 
 // logCold logs a change of the number of cold endpoints of a service, at most once in
--- a/balancer/evacuation_test.go
+++ b/balancer/evacuation_test.go
@@ -1,9 +1,13 @@
 package balancer_test
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 	"github.com/gooseberrypass/gooseberrypass/materializer"
@@ -193,3 +197,27 @@
 	f.clock.Advance(time.Minute)
 	f.choose(t)
 }
+
+// The last log line about a service said that endpoints of it are cold for as long as the
+// process ran, if all of them were dropped from the list meanwhile.
+func TestEndOfColdnessIsLoggedForAServiceWithoutEndpoints(t *testing.T) {
+	f := newColdFixture(t, 1)
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	s := settings()
+	s.ColdOvershoot, s.ColdSlack, s.ListLag = coldOvershoot, coldSlack, time.Second
+	f.balancer = balancer.New(f.clock, balancer.Self{ID: "self", Region: "r0"}, func(d gooseberrypass.FailureDomain) gooseberrypass.Region { return gooseberrypass.Region(d) }, s, 1, log)
+	f.publish()
+	f.renew(2*time.Second, 0)
+	f.assertCold(t, "listed", 1)
+	f.snapshot.Endpoints = nil
+	f.publish()
+	for range 5 {
+		f.clock.Advance(time.Second)
+		f.assertCold(t, "no longer listed", 0)
+	}
+	if got := strings.Count(out.String(), "no endpoint of the service is cold any longer"); got != 1 {
+		t.Errorf("got %d log lines about the end, want 1: %s", got, out.String())
+	}
+}
