--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -135,7 +135,7 @@
 	return &Balancer{
 		advised:      map[gooseberrypass.ID]*endpoint{},
 		clock:        clock,
-		cold:         coldEndpoints{known: map[gooseberrypass.ID]coldness{}, newsLag: settings.ListLag},
+		cold:         coldEndpoints{known: map[gooseberrypass.ID]coldness{}, listLag: settings.ListLag},
 		coldLogs:     map[gooseberrypass.ID]coldLog{},
 		demands:      map[gooseberrypass.ID]*demand{},
 		departures:   map[gooseberrypass.ID]departure{},
--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -53,7 +53,7 @@
 		case stateEjected:
 			c.counts.addWait(e.ejectedUntil.Sub(c.now))
 		case stateLimited:
-			c.counts.addWait(e.limitWait(c.now))
+			c.counts.addWait(e.limit.wait(c.now))
 		case statePaused:
 			c.counts.addWait(b.pauseLeft(c.now, e))
 		}
@@ -116,7 +116,7 @@
 		return 0, pause
 	case !hasRoom || now.Before(e.fullUntil):
 		return 0, stateFull
-	case e.limitWait(now) > 0:
+	case e.limit.wait(now) > 0:
 		return 0, stateLimited
 	case e.coldWait(now) > 0:
 		return 0, stateCold
--- a/balancer/cold.go
+++ b/balancer/cold.go
@@ -24,8 +24,8 @@
 	warm        bool          // a record that was written after assumedAt says that it is not cold
 }
 
-// assume takes the endpoint to be cold from a time on. News that is not later than the last
-// changes nothing.
+// assume takes the endpoint to be cold from a time on. A time that is not later than the last
+// one changes nothing.
 func (c *coldness) assume(at time.Time) {
 	if at.After(c.assumedAt) {
 		c.assumedAt, c.warm = at, false
@@ -63,7 +63,7 @@
 type coldEndpoints struct {
 	known   map[gooseberrypass.ID]coldness
 	listed  bool          // there was a list of endpoints
-	newsLag time.Duration // longest time from the writing of a record until a process knows it
+	listLag time.Duration // longest time from the writing of a record until a process knows it
 }
 
 // list takes over a list of endpoints and the ends of evacuations. Endpoints of the first
@@ -82,7 +82,7 @@
 			k.assume(at)
 		}
 		if !e.ReportedAt.IsZero() {
-			k.report(knownAt(now, e), e.ColdLeft, c.newsLag)
+			k.report(knownAt(now, e), e.ColdLeft, c.listLag)
 		}
 		c.known[e.ID] = k
 	}
@@ -92,7 +92,7 @@
 // renew takes over the renewed record of a listed endpoint.
 func (c *coldEndpoints) renew(now time.Time, e gooseberrypass.Endpoint) {
 	if k, ok := c.known[e.ID]; ok && k.startMillis == e.StartMillis {
-		k.report(knownAt(now, e), e.ColdLeft, c.newsLag)
+		k.report(knownAt(now, e), e.ColdLeft, c.listLag)
 		c.known[e.ID] = k
 	}
 }
--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -31,12 +31,6 @@
 	order  []gooseberrypass.ID // entries in the order in which they get a share
 }
 
-// limitWait returns the time until this entry may send a request to an endpoint under its
-// limit, 0 if it may now. Without a share that is maxLimitWait.
-func (e *endpoint) limitWait(now time.Time) time.Duration {
-	return e.limit.wait(now)
-}
-
 // wait returns the time until this entry may send a request under the limit, 0 if it may
 // now. Without a share that is maxLimitWait.
 func (l *limit) wait(now time.Time) time.Duration {
--- a/balancer/overview.go
+++ b/balancer/overview.go
@@ -93,7 +93,7 @@
 	switch {
 	case now.Before(e.fullUntil) || float64(e.own.Requests+e.others.requests) >= fill*float64(max(e.listed.Slots, 1)):
 		return stateFull
-	case e.limitWait(now) > 0:
+	case e.limit.wait(now) > 0:
 		return stateLimited
 	case e.coldWait(now) > 0:
 		return stateCold
--- a/materializer/records.go
+++ b/materializer/records.go
@@ -101,7 +101,7 @@
 		}
 		delete(t.outranked, r.Key)
 		t.records[r.Key] = r
-		if !known || !saysTheSame(held, r) {
+		if !known || !isRepeated(held, r) {
 			t.knownSince[r.Key] = now.Add(-m.recordAge(e, i))
 			t.observed[r.Key] = e.Ages == nil && !e.FirstRead
 		}
@@ -110,9 +110,9 @@
 	return changed
 }
 
-// saysTheSame reports whether a record is no news: it was written again after a restore, or
+// isRepeated reports whether a record changes nothing: it was written again after a restore, or
 // deletes a key that was deleted before.
-func saysTheSame(held, r gooseberrypass.KeyedRecord) bool {
+func isRepeated(held, r gooseberrypass.KeyedRecord) bool {
 	if r.Value == nil {
 		return held.Value == nil
 	}
