--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -177,7 +177,7 @@
 		s.chooser.CountDemand(r.Query.Service) // it may never be tried
 		r.Query.Polled = true
 	}
-	if s.stopped || !w.deadline.After(now.Add(timeUntilRoom(refused))) || state.hopeless(now, w) {
+	if s.stopped || !w.deadline.After(now.Add(timeUntilRoom(refused))) || state.expiresUnserved(now, w) {
 		s.recordRefused(now, state, r)
 		return nil, nil, refused
 	}
@@ -289,20 +289,20 @@
 	return errors.As(err, &refusal) && refusal.Reason == gooseberrypass.ReasonOverloaded
 }
 
-// hopelessFactor is the number of requests that must wait before a request, as a multiple of
+// expiryFactor is the number of requests that must wait before a request, as a multiple of
 // those that are expected to be served until the end of its wait, for it not to wait at all.
 // Places are given back in bursts, as answers of one engine end together.
-const hopelessFactor = 2
+const expiryFactor = 2
 
 // minFreedRate is the rate of places given back, per second, below which it says nothing: it
 // rests on a few requests.
 const minFreedRate = 4
 
-// hopeless reports whether a request will not be served before the end of its wait, because of
+// expiresUnserved reports whether a request will not be served before the end of its wait, because of
 // the requests before it and the rate at which places are given back.
-func (s *service) hopeless(now time.Time, w *waiter) bool {
+func (s *service) expiresUnserved(now time.Time, w *waiter) bool {
 	freed := s.retries.freed.perSecond(now)
-	return freed >= minFreedRate && float64(s.queue.ahead(w)) > hopelessFactor*freed*w.deadline.Sub(now).Seconds()+1
+	return freed >= minFreedRate && float64(s.queue.ahead(w)) > expiryFactor*freed*w.deadline.Sub(now).Seconds()+1
 }
 
 // timeUntilRoom returns the time until an endpoint takes requests again, 0 if it may be at any
