Show that an order outlives its agent and loads pieces of another version

The case shows that an agent that is killed before its engine has taken up its order leaves an order behind of which the next process knows nothing. That process stages the next version over the pieces (stager/job.go, nextWrite), the engine takes the order up, and the version that it reports counts as sound, since the process has ordered none itself (stager/verify.go, suspected). Callers get streams made with pieces of another version.

--- a/review/platform/second/engine.go
+++ b/review/platform/second/engine.go
@@ -17,11 +17,9 @@
 	"time"
 )
 
-// The model, as the site file has it.
+// The model and the engines, as the site file has them.
 const (
 	modelName    = "daka510000"
-	chunkTotal   = 96
-	chunkLength  = 24576 // bytes
 	engineSlots  = 16
 	eventTime    = 40 * time.Millisecond
 	pieceTime    = 27 * time.Millisecond // of a piece over the link of the origin, 7.3 Mbit/s
@@ -29,6 +27,12 @@
 	warmTime     = 300 * time.Millisecond
 )
 
+// The weights of a version. A case may have smaller ones than the site file.
+var (
+	chunkTotal  = 96
+	chunkLength = 24576 // bytes
+)
+
 // pieceOf returns the bytes of a piece.
 func pieceOf(version, index int) []byte {
 	seed := sha256.Sum256([]byte(strconv.Itoa(1000*version + index)))
@@ -40,7 +44,7 @@
 	newest atomic.Int64 // version that the operator named last
 
 	mu   sync.Mutex // held while bytes are sent
-	sent int64
+	sent int        // bytes
 }
 
 // ServeHTTP implements http.Handler.
@@ -83,14 +87,18 @@
 	store   *store
 	zone    string
 
+	onOrder    func(version int) // called when an order arrives, may be nil
+	orderDelay time.Duration     // until an order is taken up
+
 	mu      sync.Mutex
+	broken  int  // requests that have run on a load with a piece of another version
 	busy    bool // an order is in progress
 	loaded  int  // version
 	ordered int  // version that it was last ordered to load
 	orders  int  // accepted
 	running int
 	staged  map[int][]byte
-	tainted bool // it has taken a piece of another version
+	tainted bool // the load has a piece that is missing or of another version
 	writes  int
 }
 
@@ -206,6 +214,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if e.onOrder != nil {
+		e.onOrder(order.Version)
+	}
+	time.Sleep(e.orderDelay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
@@ -216,23 +228,26 @@
 		return
 	}
 	e.orders++
-	e.busy, e.ordered, e.tainted = true, order.Version, false
+	e.busy, e.ordered = true, order.Version
+	wrong := 0
 	for i := range chunkTotal {
-		e.tainted = e.tainted || !bytes.Equal(e.staged[i], pieceOf(order.Version, i))
+		if !bytes.Equal(e.staged[i], pieceOf(order.Version, i)) {
+			wrong++
+		}
 	}
-	e.record.add("engine %s accepts the order to load version %d, sound: %v", e.id, order.Version, !e.tainted)
-	go e.load(order.Version)
+	e.record.add("engine %s accepts the order to load version %d, %d of %d pieces are missing or of another version", e.id, order.Version, wrong, chunkTotal)
+	go e.load(order.Version, wrong > 0)
 	w.WriteHeader(http.StatusAccepted)
 }
 
 // load loads a version after what is running.
-func (e *engine) load(version int) {
+func (e *engine) load(version int, tainted bool) {
 	for e.working() {
 		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(warmTime)
 	e.mu.Lock()
-	e.loaded, e.busy = version, false
+	e.loaded, e.busy, e.tainted = version, false, tainted
 	e.mu.Unlock()
 	e.record.add("engine %s has loaded version %d", e.id, version)
 	e.register()
@@ -288,6 +303,10 @@
 		return 0, http.StatusServiceUnavailable
 	}
 	e.running++
+	if e.tainted {
+		e.broken++
+		e.record.add("%s runs at %s on a load with pieces that are missing or of another version", r.Header.Get("X-Attempt-Id"), e.id)
+	}
 	return e.loaded, http.StatusOK
 }
 
--- a/review/platform/second/main.go
+++ b/review/platform/second/main.go
@@ -51,10 +51,10 @@
 
 func main() {
 	flag.Parse()
-	cases := map[string]func(*recorder, string) int{"crowd": runCrowd, "versions": runVersions}
+	cases := map[string]func(*recorder, string) int{"crowd": runCrowd, "orders": runOrders, "versions": runVersions}
 	run, ok := cases[flag.Arg(0)]
 	if !ok {
-		fmt.Fprintln(os.Stderr, "name a case: crowd or versions")
+		fmt.Fprintln(os.Stderr, "name a case: crowd, orders or versions")
 		os.Exit(exitNotRun)
 	}
 	endWithSignals()
--- a/review/platform/second/versions.go
+++ b/review/platform/second/versions.go
@@ -34,7 +34,6 @@
 const (
 	regionsText  = "zone-a=region-a,zone-b=region-b,zone-c=region-c"
 	gatewayCount = 2
-	engineCount  = 14
 	mostEngines  = 10
 )
 
@@ -72,6 +71,7 @@
 type callers struct {
 	gateways []*gateway
 	number   atomic.Int64
+	pause    time.Duration // between two requests
 	record   *recorder
 
 	mu       sync.Mutex
@@ -81,7 +81,7 @@
 // run sends requests until ctx is done, and waits for the answers.
 func (c *callers) run(ctx context.Context) {
 	var wg sync.WaitGroup
-	ticker := time.NewTicker(callPause)
+	ticker := time.NewTicker(c.pause)
 	defer ticker.Stop()
 	for {
 		select {
@@ -176,12 +176,13 @@
 	engines   []*engine
 	gateways  []*gateway
 	origin    *origin
-	processes []*process // all processes under test
+	processes []*process // all processes under test, the sidecars in the order of the engines first
 	record    *recorder
 	store     *store
 }
 
-func newFleet(r *recorder, dir string) (*fleet, string, error) {
+// newFleet returns a fleet with so many engines, and the address of its origin.
+func newFleet(r *recorder, dir string, engines int) (*fleet, string, error) {
 	f := &fleet{origin: &origin{}, record: r, store: newStore()}
 	f.origin.newest.Store(1)
 	originAddress, err := serve(f.origin)
@@ -194,7 +195,7 @@
 		return nil, "", err
 	}
 	zones := []string{"zone-a", "zone-b", "zone-c"}
-	for i := range engineCount {
+	for i := range engines {
 		zone := zones[i%len(zones)]
 		e, err := startEngine(f.store, r, fmt.Sprintf("i-%04x", 4099*(i+1)), zone)
 		if err != nil {
@@ -273,7 +274,7 @@
 // runVersions names three versions in quick succession after the final fault of a day, in which
 // all processes are killed. Without the disruption each version has time to be loaded.
 func runVersions(r *recorder, dir string) int {
-	f, originAddress, err := newFleet(r, dir)
+	f, originAddress, err := newFleet(r, dir, 14)
 	if err != nil {
 		return r.notRun(err)
 	}
@@ -282,7 +283,7 @@
 		return r.notRun(err)
 	}
 	time.Sleep(4 * time.Second) // the start
-	c := &callers{gateways: f.gateways, record: r}
+	c := &callers{gateways: f.gateways, pause: callPause, record: r}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ended := make(chan struct{})
@@ -329,5 +330,5 @@
 		status = exitBroken
 	}
 	return r.verdict(status, "served: before the final fault %d of %d, later than %s after the machines are back %d of %d, of these in the last 20 s %d of %d; engines by version: %s; the origin sent %.1f copies",
-		servedBefore, sentBefore, recoverTime, served, sent, lastServed, lastSent, f.versions(), float64(f.origin.sent)/(chunkTotal*chunkLength))
+		servedBefore, sentBefore, recoverTime, served, sent, lastServed, lastSent, f.versions(), float64(f.origin.sent)/float64(chunkTotal*chunkLength))
 }
