Tell a version that waits for chunk memory from one whose sources are slow

The fetcher knows the difference: the version does not fit in chunk memory beside more urgent ones.

Progress has Waiting now, "fetching version" has waits_for_memory, the begin and the end of a wait are logged, and gooseberrypass_versions_waiting_for_memory counts such versions. No decision depends on it.

TestVersionThatWaitsForMemoryIsReported does not compile without the change.

--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -41,6 +41,7 @@
 	stopped        bool
 	store          gooseberrypass.WeightStore
 	storePuts      int // writes to the weight store in flight
+	waiting        *waitingList
 	wants          []Want
 	watching       bool // whether a watchDemandEffect runs
 }
@@ -74,6 +75,7 @@
 		self:    self,
 		running: map[uint64]runningFetch{},
 		store:   reader.store,
+		waiting: newWaitingList(m.waiting, log),
 	}, nil
 }
 
@@ -250,6 +252,7 @@
 func (f *Fetcher) plan(now time.Time) []gooseberrypass.Effect {
 	if pins, changed := f.planner.Pins(); changed {
 		f.cacher.Pin(pins)
+		f.waiting.update(now, f.planner)
 	}
 	starts, cancels := f.planner.Plan(now)
 	for _, id := range cancels {
--- a/fetcher/metrics.go
+++ b/fetcher/metrics.go
@@ -13,6 +13,7 @@
 	bytes       *prometheus.CounterVec
 	corruptions *prometheus.CounterVec
 	results     *prometheus.CounterVec
+	waiting     prometheus.Gauge
 }
 
 func newMetrics(registerer prometheus.Registerer) (*metrics, error) {
@@ -29,8 +30,12 @@
 			Name: "gooseberrypass_fetch_results_total",
 			Help: "Ended reads of chunks, by source and result.",
 		}, []string{labelSource, "result"}),
+		waiting: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "gooseberrypass_versions_waiting_for_memory",
+			Help: "Wanted versions that are not fetched, as more urgent ones use the chunk memory.",
+		}),
 	}
-	for _, c := range []prometheus.Collector{m.bytes, m.corruptions, m.results} {
+	for _, c := range []prometheus.Collector{m.bytes, m.corruptions, m.results, m.waiting} {
 		if err := registerer.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register fetch metrics")
 		}
--- a/fetcher/planner.go
+++ b/fetcher/planner.go
@@ -276,6 +276,18 @@
 	return nil
 }
 
+// activeVersions returns the names of the versions that are fetched and kept, most urgent
+// first.
+func (p *Planner) activeVersions() []string {
+	var names []string
+	for _, v := range p.versions {
+		if v.active {
+			names = append(names, v.want.Version)
+		}
+	}
+	return names
+}
+
 // Demand handles a request of another instance for an item that is not held yet.
 // Demanded items are fetched first.
 func (p *Planner) Demand(digest gooseberrypass.Digest) {
--- a/fetcher/version.go
+++ b/fetcher/version.go
@@ -20,6 +20,7 @@
 	Held     int                      // number of verified chunks
 	Manifest *gooseberrypass.Manifest // nil until it is held
 	Total    int                      // number of chunks, 0 until the manifest is held
+	Waiting  bool                     // not fetched, as more urgent versions use the chunk memory
 }
 
 // Complete reports whether the version is complete: every chunk is verified and held.
@@ -39,7 +40,7 @@
 }
 
 func (v *version) progress() Progress {
-	p := Progress{Err: cmp.Or(v.err, v.memoryErr), Manifest: v.manifest}
+	p := Progress{Err: cmp.Or(v.err, v.memoryErr), Manifest: v.manifest, Waiting: v.waiting()}
 	if v.manifest != nil {
 		p.Held, p.Total = v.total-v.missing, v.total
 	}
@@ -51,6 +52,10 @@
 	return p
 }
 
+// waiting reports whether the version would fit in chunk memory, but not beside the more
+// urgent versions.
+func (v *version) waiting() bool { return !v.active && v.memoryErr == "" }
+
 // memory returns the bytes of chunk memory that the version needs: alone, and in
 // addition to the items in counted.
 func (v *version) memory(counted map[gooseberrypass.Digest]struct{}) (int64, int64) {
--- /dev/null
+++ b/fetcher/waiting_test.go
@@ -0,0 +1,74 @@
+package fetcher_test
+
+import (
+	"io"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/cacher"
+	"github.com/gooseberrypass/gooseberrypass/fetcher"
+)
+
+// oneChunkVersion returns the manifest and the chunk of a version.
+func oneChunkVersion(t *testing.T, number int) (*gooseberrypass.Manifest, []byte) {
+	t.Helper()
+	body := []byte(strconv.Itoa(number) + " weights of 4 KiB")
+	body = append(body, make([]byte, 4<<10-len(body))...)
+	m, err := gooseberrypass.NewManifest("m", strconv.Itoa(number), gooseberrypass.Digest{}, []gooseberrypass.Chunk{
+		{Digest: gooseberrypass.DigestOf(body), Size: int64(len(body))},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m, body
+}
+
+// A version that waits for chunk memory looked like one whose sources are slow.
+func TestVersionThatWaitsForMemoryIsReported(t *testing.T) {
+	c := cacher.New(6 << 10) // one version
+	reg := prometheus.NewRegistry()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f, err := fetcher.New(gooseberrypass.ListedInstance{ID: "self"}, c, fetcher.NewReader(nil, nil, c, nil, nil), 1, fetcher.Settings{}, reg, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wants []fetcher.Want
+	for _, number := range []int{1, 2} {
+		m, _ := oneChunkVersion(t, number)
+		if err := c.Put(m.Digest(), m.Encoded()); err != nil {
+			t.Fatal(err)
+		}
+		wants = append(wants, fetcher.Want{Digest: m.Digest(), OriginName: "m", Version: m.Version()})
+	}
+	for i, want := range []bool{true, false} {
+		f.SetWants(time.Unix(1_800_000_000, 0), wants[i:])
+		p := f.Progress(wants[1].Digest)
+		if p.Waiting != want || p.Err != "" {
+			t.Errorf("got waiting %v and error %q for the second version beside %d more urgent ones, want waiting %v and no error", p.Waiting, p.Err, 1-i, want)
+		}
+		if got := gauge(t, reg, "gooseberrypass_versions_waiting_for_memory"); got != float64(1-i) {
+			t.Errorf("got %v waiting versions in the metric, want %d", got, 1-i)
+		}
+	}
+}
+
+func gauge(t *testing.T, reg *prometheus.Registry, name string) float64 {
+	t.Helper()
+	families, err := reg.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() == name {
+			return family.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	t.Fatalf("metric %s is missing", name)
+	return 0
+}
--- a/stager/job.go
+++ b/stager/job.go
@@ -117,6 +117,7 @@
 	p := s.deps.Fetcher.Progress(j.manifest.Digest())
 	s.deps.Log.WithFields(logrus.Fields{
 		fieldVersion: j.version, "held": p.Held, "chunks": p.Total, fieldSince: now.Sub(j.namedAt).Milliseconds(), "problem": p.Err,
+		"waits_for_memory": p.Waiting,
 	}).Info("fetching version")
 }
 
