Pass the shorter list of versions to the fetcher when an older one is loaded

Cause: chunk memory holds two versions, so that the third one waits while the older two are being loaded. The jobs of loaded versions were dropped without a word to the fetcher, which kept their chunks pinned; nothing gave it another list until the next version was named. Each place that changed the jobs had to remember to pass the list on, and one of three did not.

Change: the list follows from the jobs in step, which every event that changes a job ends with, and is passed on whenever it differs from the last one. So every reason for which a version leaves or joins the list counts, now and later: loaded, verified, skipped, manifest read, staged chunks read back.

Ruled out: only calling updateWants in handleReport after dropLoaded; it mends this order of events and leaves the next such place open.

--- a/stager/job.go
+++ b/stager/job.go
@@ -63,17 +63,16 @@
 }
 
 // dropObsolete drops an older version that would be out of use again as soon as it
-// was loaded, and reports whether it did.
-func (s *Stager) dropObsolete(now time.Time) bool {
+// was loaded.
+func (s *Stager) dropObsolete(now time.Time) {
 	if first := s.jobs; len(first) < 2 || first[0].ordered || first[0].ordering || !first[0].stopSentAt.IsZero() {
-		return false
+		return
 	}
 	if s.jobs[1].namedAt.Add(s.settings.PreviousUsable).Sub(now) >= s.settings.MinUse {
-		return false
+		return
 	}
 	s.deps.Log.WithFields(logrus.Fields{fieldVersion: s.jobs[0].version, "newer": s.jobs[1].version}).Info("version skipped")
 	s.jobs = s.jobs[1:]
-	return true
 }
 
 // jobOf returns the job of a version, nil if there is none.
@@ -92,7 +91,8 @@
 }
 
 // updateWants passes the versions whose chunks are known to the fetcher, the oldest
-// first.
+// first, if they have changed. A version that is no longer among them releases its chunk
+// memory for the next one.
 func (s *Stager) updateWants(now time.Time) []gooseberrypass.Effect {
 	wants := make([]fetcher.Want, 0, len(s.jobs))
 	for _, j := range s.jobs {
@@ -102,6 +102,10 @@
 			})
 		}
 	}
+	if slices.Equal(wants, s.wants) {
+		return nil
+	}
+	s.wants = wants
 	return s.deps.Fetcher.SetWants(now, wants)
 }
 
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -94,6 +94,7 @@
 	settings     Settings
 	status       balancer.EndpointStatus // last one sent to entries
 	suspicion    suspicion               // of a load that is not known to be sound
+	wants        []fetcher.Want          // versions last passed to the fetcher
 	writing      bool                    // a step that stages, orders or verifies is in progress
 }
 
@@ -161,7 +162,7 @@
 	}).Info("version wanted")
 	s.addJob(&job{dueAt: s.dueTime(target), namedAt: target.Since, version: target.Version})
 	s.notify(now, s.loading())
-	return append(s.updateWants(now), s.step(now)...)
+	return s.step(now)
 }
 
 // hash returns a hash of words that is the same in every process.
@@ -188,9 +189,8 @@
 		s.polling, s.polledAt = true, now
 		effects = append(effects, reportEffect{engine: s.engine})
 	}
-	if s.dropObsolete(now) {
-		effects = append(effects, s.updateWants(now)...)
-	}
+	s.dropObsolete(now)
+	effects = append(effects, s.updateWants(now)...)
 	for i, j := range slices.Clone(s.jobs) {
 		if i == 0 && !s.loaded(j) {
 			s.logProgress(now, j)
@@ -315,7 +315,7 @@
 	}
 	j.inFlight, j.restored = false, true
 	s.deps.Log.WithFields(logrus.Fields{fieldVersion: j.version, "kept": e.kept}).Info("staged chunks reused")
-	return append(s.updateWants(now), s.step(now)...)
+	return s.step(now)
 }
 
 func (s *Stager) handleStaged(now time.Time, e stageDone) {
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -239,8 +239,6 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	c := cacher.New(1 << 20)
 	f := &fixture{
 		clock:     clockwork.NewFakeClockAt(time.Unix(1000, 0)),
@@ -250,24 +248,34 @@
 	for i := range chunkCount {
 		f.engine.stage[i] = chunkBody(1, i)
 	}
-	f.stager = stager.New(stager.Dependencies{
-		Chunks: c, Clock: f.clock, Engine: f.engine, Fetcher: f.pool, Log: log, Manifests: f.manifests, Origin: f.origin,
-		Self: materializer.Process{Endpoint: "a", ID: "self", Role: gooseberrypass.RoleAgent, Service: "s"}, Notifier: f.recorder,
-	}, stager.Settings{
+	f.stager = f.newStager(c, f.pool, f.origin, stager.Settings{
 		DrainLead: 300 * time.Millisecond, StopLead: 200 * time.Millisecond, LoadDelay: 3 * time.Second, PollInterval: 100 * time.Millisecond, RetryDelay: 100 * time.Millisecond,
 		VerifyAge: 2 * time.Second, MinUse: 1500 * time.Millisecond, SkipGap: 2 * time.Second, LoadSpread: time.Second, PreviousUsable: bound - time.Second,
 	})
 	return f
 }
 
+// newStager returns a stager beside the engine.
+func (f *fixture) newStager(chunks *cacher.Cacher, fetches stager.Fetcher, from gooseberrypass.Origin, settings stager.Settings) *stager.Stager {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return stager.New(stager.Dependencies{
+		Chunks: chunks, Clock: f.clock, Engine: f.engine, Fetcher: fetches, Log: log, Manifests: f.manifests, Origin: from,
+		Self: materializer.Process{Endpoint: "a", ID: "self", Role: gooseberrypass.RoleAgent, Service: "s"}, Notifier: f.recorder,
+	}, settings)
+}
+
 // nameVersions publishes a deployment and the versions that the operator named.
-func (f *fixture) nameVersions(targets ...materializer.Target) {
-	f.handle(materializer.Changed{Snapshot: &materializer.Snapshot{
+func (f *fixture) nameVersions(targets ...materializer.Target) { f.handle(changed(targets...)) }
+
+// changed returns the event that a deployment and named versions were read.
+func changed(targets ...materializer.Target) materializer.Changed {
+	return materializer.Changed{Snapshot: &materializer.Snapshot{
 		Deployment: gooseberrypass.NewDeployment(1, nil, []gooseberrypass.ServiceSpec{
 			{Engine: &gooseberrypass.EngineSpec{Chunks: chunkCount, ChunkSize: chunkSize, Model: "m"}, ID: "s"},
 		}, nil, gooseberrypass.CallerLimits{}),
 		Targets: map[string]materializer.Targets{"m": targets},
-	}})
+	}}
 }
 
 // handle passes an event to the stager and runs the resulting effects.
