Count the chunks of a version anew when it gets chunk memory

Given memory by a higher limit, without a new list, it counted as complete. The engine would be told to load chunks that nobody fetches.

Seen in TestVersionIsFetchedAnewAfterItWaitedForMemory alone, which fails before: "got {Held:1 Total:1 Waiting:false}, want a version that is fetched and lacks its chunk". It takes an operator who raises chunk-memory while a model waits that the instance has had before. A new list of versions always counted anew.

Activate recounts a version that waited and is active now.

--- a/fetcher/planner.go
+++ b/fetcher/planner.go
@@ -150,7 +150,7 @@
 // newVersion returns the state of a wanted version. It takes items from old where
 // it can.
 func (p *Planner) newVersion(w Want, old map[gooseberrypass.Digest]*item) *version {
-	v := &version{want: w}
+	v := &version{active: true, want: w}
 	v.items = []*item{p.addItem(Item{
 		Digest: w.Digest, Manifest: true, Model: w.OriginName,
 		Size: gooseberrypass.MaxManifestSize, Version: w.Version,
@@ -216,12 +216,16 @@
 	counted := map[gooseberrypass.Digest]struct{}{}
 	var bytes int64
 	for _, v := range p.versions {
+		waited := !v.active
 		v.active, v.memoryErr = true, ""
 		if v.manifest == nil {
 			continue
 		}
 		alone, beside := v.memory(counted)
 		v.active = bytes+beside <= p.local.Limit()
+		if waited && v.active {
+			v.recount(p.local)
+		}
 		if alone > p.local.Limit() {
 			v.memoryErr = fmt.Sprintf("the version needs %d bytes of chunk memory, the limit is %d", alone, p.local.Limit())
 		}
--- a/fetcher/waiting_test.go
+++ b/fetcher/waiting_test.go
@@ -12,6 +12,7 @@
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/cacher"
 	"github.com/gooseberrypass/gooseberrypass/fetcher"
+	"github.com/gooseberrypass/gooseberrypass/ranker"
 )
 
 // oneChunkVersion returns the manifest and the chunk of a version.
@@ -72,3 +73,41 @@
 	t.Fatalf("metric %s is missing", name)
 	return 0
 }
+
+// A version that got chunk memory by a higher limit counted as complete with chunks that had
+// been evicted while it waited.
+func TestVersionIsFetchedAnewAfterItWaitedForMemory(t *testing.T) {
+	c := cacher.New(6 << 10) // one version
+	p := fetcher.NewPlanner("self", c, false, 1, fetcher.Settings{})
+	p.SetRanking(ranker.New([]gooseberrypass.ListedInstance{{ID: "self"}}, "", 2))
+	first, firstBody := oneChunkVersion(t, 1)
+	second, secondBody := oneChunkVersion(t, 2)
+	for _, body := range [][]byte{first.Encoded(), second.Encoded(), secondBody} {
+		if err := c.Put(gooseberrypass.DigestOf(body), body); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.SetWants([]fetcher.Want{{Digest: first.Digest()}, {Digest: second.Digest()}})
+	pins, _ := p.Pins()
+	c.Pin(pins)
+	if err := c.Put(gooseberrypass.DigestOf(firstBody), firstBody); err != nil {
+		t.Fatal(err)
+	}
+	c.SetLimit(16 << 10)
+	p.Activate()
+	if c.Has(second.Chunk(0).Digest) {
+		t.Fatal("the chunk of the waiting version was not evicted")
+	}
+	if got := p.Progress(second.Digest()); got.Complete() || got.Waiting {
+		t.Errorf("got %+v, want a version that is fetched and lacks its chunk", got)
+	}
+	now := time.Unix(1_800_000_000, 0)
+	want := second.Chunk(0).Digest
+	starts, _ := p.Plan(now)
+	for _, s := range starts {
+		if s.Item.Digest == want {
+			return
+		}
+	}
+	t.Errorf("got fetches %v, want one of chunk %s", starts, want)
+}
