Serve no load of an earlier process's order before its chunks are verified

Cause: what an agent knows of an order that has not been answered is in its memory alone. The next process staged the chunks of a newer version, then the engine accepted the order of the older one and took what was staged. The new process saw a version in the report and put the engine into service.

Change: a process counts the orders that the engine accepts. One that it has not given makes the engine count as loading while it is executed, and its load suspect. If this process has staged nothing meanwhile, what the engine took is still there: it reads the manifest, verifies the staged chunks, and serves. Otherwise, or if the manifest cannot be had, the engine stays out of service until it loads another version. So that a new process seldom has to stage, chunks that were read back whole count as staged; the order verifies them in any case.

Suspicions are kept by version now, as the loaded version and an order for the next one may both be uncertain; an unanswered order used to replace the suspicion of the load.

Ruled out: writing orders to the store before they are given (calls of every agent for every version); waiting with the stage until an order of an earlier process must have been accepted or lost, as nothing bounds that time.

--- a/stager/job.go
+++ b/stager/job.go
@@ -150,10 +150,10 @@
 	switch {
 	case s.loaded(j):
 		return s.nextVerification(j) // the chunks are kept for agents that still fetch them
-	case !s.fetched(j):
+	case !s.fetched(j) || s.takeover.foreign:
 		return nil
 	case !j.staged:
-		s.writing = true
+		s.writing, s.takeover.wrote = true, true
 		return s.stageEffect(j)
 	case s.report.Busy || s.inService() && !s.drained(now, j):
 		return nil
--- a/stager/order.go
+++ b/stager/order.go
@@ -76,6 +76,7 @@
 func (s *Stager) handleStarted(now time.Time, e startDone) {
 	s.writing = false
 	s.polledAt = time.Time{}
+	s.takeover.accountFor(e)
 	j := s.jobOf(e.version)
 	if j == nil {
 		return
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -93,14 +93,15 @@
 	reported     bool                        // the last read of the report succeeded
 	settings     Settings
 	status       balancer.EndpointStatus // last one sent to entries
-	suspicion    suspicion               // of a load that is not known to be sound
+	suspicions   map[int]suspicion       // of loads that are not known to be sound, by version
+	takeover     takeover                // what is known of orders of earlier processes
 	wants        []fetcher.Want          // versions last passed to the fetcher
 	writing      bool                    // a step that stages, orders or verifies is in progress
 }
 
 // New returns a stager.
 func New(d Dependencies, settings Settings) *Stager {
-	return &Stager{deps: d, engine: newGate(d.Clock, d.Engine, d.Log), status: balancer.EndpointStatus{Address: d.Self.Endpoint}, settings: settings}
+	return &Stager{deps: d, engine: newGate(d.Clock, d.Engine, d.Log), status: balancer.EndpointStatus{Address: d.Self.Endpoint}, settings: settings, suspicions: map[int]suspicion{}}
 }
 
 // Handle implements gooseberrypass.Controller.
@@ -214,15 +215,18 @@
 	return s.firstEventAt
 }
 
-func (s *Stager) loaded(j *job) bool { return s.report.Models[s.model.Model] >= j.version }
+// loadedVersion returns the version of the model that the engine has loaded, 0 for none.
+func (s *Stager) loadedVersion() int { return s.report.Models[s.model.Model] }
+
+func (s *Stager) loaded(j *job) bool { return s.loadedVersion() >= j.version }
 
 // inService reports whether the engine serves a version of the model.
-func (s *Stager) inService() bool { return s.report.Models[s.model.Model] > 0 }
+func (s *Stager) inService() bool { return s.loadedVersion() > 0 }
 
 // loading reports whether the engine accepts no requests, will accept none in a moment, or
 // must get none as its load is not known to be sound.
 func (s *Stager) loading() bool {
-	return s.suspected() || slices.ContainsFunc(s.jobs, func(j *job) bool {
+	return s.suspected() || s.takeover.foreign || slices.ContainsFunc(s.jobs, func(j *job) bool {
 		return j.ordering || (j.ordered || !j.stopSentAt.IsZero()) && !s.loaded(j)
 	})
 }
@@ -250,7 +254,8 @@
 	}
 	old, known := s.report, s.reported
 	s.report, s.reported = e.report, true
-	s.settleSuspicion(now)
+	s.settleSuspicions(now)
+	s.detectForeignOrder()
 	if known && old.StartMillis != e.report.StartMillis || !known {
 		s.resetJobs()
 	}
@@ -275,7 +280,10 @@
 // invalidates.
 func (s *Stager) resetJobs() {
 	s.deps.Log.WithField("born", s.report.StartMillis).Info("engine started or reachable again")
-	s.suspicion.confirmed = false // but an order to the earlier start may still be accepted
+	for version, sus := range s.suspicions {
+		sus.confirmed = false // but an order to the earlier start may still be accepted
+		s.suspicions[version] = sus
+	}
 	for _, j := range s.jobs {
 		j.ordered, j.drainSentAt, j.staged, j.stopSentAt = false, time.Time{}, false, time.Time{}
 	}
@@ -293,7 +301,11 @@
 		if slices.Contains(e.peers, j.manifestPeer) {
 			j.manifestPeer = ""
 		}
-		s.deps.Log.WithError(e.err).WithField(fieldVersion, j.version).Warn("reading manifest failed")
+		log := s.deps.Log.WithField(fieldVersion, j.version)
+		log.WithError(e.err).Warn("reading manifest failed")
+		if j.manifestFailures >= maxManifestFailures && !s.settled(j) {
+			s.confirm(j.version, log)
+		}
 		return nil
 	}
 	if err := s.deps.Chunks.Put(e.manifest.Digest(), e.manifest.Encoded()); err != nil {
@@ -313,7 +325,7 @@
 	if j == nil {
 		return nil
 	}
-	j.inFlight, j.restored = false, true
+	j.inFlight, j.restored, j.staged = false, true, e.kept == j.manifest.Len()
 	s.deps.Log.WithFields(logrus.Fields{fieldVersion: j.version, "kept": e.kept}).Info("staged chunks reused")
 	return s.step(now)
 }
--- a/stager/verify.go
+++ b/stager/verify.go
@@ -16,12 +16,11 @@
 const maxReaders = 8
 
 // A suspicion is the state of a load whose chunks may have been corrupt when the engine took
-// them, as the order was accepted long after they were verified.
+// them, as the order was accepted long after they were verified, or was not given by this process.
 type suspicion struct {
 	confirmed  bool      // a chunk is corrupt: it may have been so before
 	repaired   bool      // a chunk was staged anew after the order: the load may have taken the corrupt one
-	verifiedAt time.Time // begin of the verification before the order
-	version    int       // 0 for no suspicion
+	verifiedAt time.Time // begin of the verification before the order, zero if another process gave it
 }
 
 // verified is the event that the chunks of a load were read back after the order.
@@ -80,52 +79,55 @@
 // judgeOrder suspects the load of an order unless the engine has accepted it shortly after its
 // chunks were verified. An order without a response may still be accepted.
 func (s *Stager) judgeOrder(j *job, e startDone) {
-	if s.suspicion.version == j.version {
+	sus, suspected := s.suspicions[j.version]
+	if suspected {
 		// The engine accepts an order only if it has accepted none since the report before it.
-		s.suspicion.repaired = e.result != gooseberrypass.StartAccepted && (s.suspicion.repaired || e.repaired > 0)
+		sus.repaired = e.result != gooseberrypass.StartAccepted && (sus.repaired || e.repaired > 0)
+		s.suspicions[j.version] = sus
 	}
 	if e.result == gooseberrypass.StartRefused {
 		return
 	}
 	age := elapsed(e.verifiedAt, s.deps.Clock.Now())
 	if e.result == gooseberrypass.StartAccepted && age <= s.settings.VerifyAge {
-		s.suspicion = suspicion{}
+		delete(s.suspicions, j.version)
 		return
 	}
-	if s.suspicion.version == j.version {
+	if suspected {
 		return // the earlier order may be the one that was accepted
 	}
-	s.suspicion = suspicion{verifiedAt: e.verifiedAt, version: j.version}
+	s.suspicions[j.version] = suspicion{verifiedAt: e.verifiedAt}
 	s.deps.Log.WithFields(logrus.Fields{fieldVersion: j.version, fieldVerified: age.Milliseconds()}).Info("load must be verified")
 }
 
-// settleSuspicion drops a suspicion that the report shows to be groundless: the engine loads
+// settleSuspicions drops the suspicions that the report shows to be groundless: the engine loads
 // something else, or had accepted the order in time.
-func (s *Stager) settleSuspicion(now time.Time) {
-	sus := s.suspicion
-	if sus.version == 0 || sus.confirmed {
-		return
-	}
-	if loaded := s.report.Models[s.model.Model]; loaded > sus.version {
-		s.suspicion = suspicion{}
-	} else if (loaded == sus.version || s.report.Busy) && elapsed(sus.verifiedAt, now) <= s.settings.VerifyAge {
-		s.suspicion = suspicion{}
+func (s *Stager) settleSuspicions(now time.Time) {
+	loaded := s.loadedVersion()
+	for version, sus := range s.suspicions {
+		if loaded > version {
+			delete(s.suspicions, version)
+		} else if !sus.confirmed && (loaded == version || s.report.Busy) && elapsed(sus.verifiedAt, now) <= s.settings.VerifyAge {
+			delete(s.suspicions, version)
+		}
 	}
 }
 
 // suspected reports whether the engine has loaded a version that must not be served.
 func (s *Stager) suspected() bool {
-	return s.suspicion.version > 0 && s.report.Models[s.model.Model] == s.suspicion.version
+	_, ok := s.suspicions[s.loadedVersion()]
+	return ok
 }
 
 // settled reports whether nothing is left to be done for a loaded version.
 func (s *Stager) settled(j *job) bool {
-	return !j.ordering && (s.suspicion.version != j.version || s.suspicion.confirmed)
+	sus, suspected := s.suspicions[j.version]
+	return !j.ordering && (!suspected || sus.confirmed)
 }
 
 // nextVerification returns the effect that verifies a suspected load, nil if none is due.
 func (s *Stager) nextVerification(j *job) gooseberrypass.Effect {
-	if s.settled(j) || j.ordering || !s.suspected() {
+	if s.settled(j) || j.ordering || s.loadedVersion() != j.version {
 		return nil
 	}
 	s.writing = true
@@ -141,18 +143,25 @@
 		}
 	}
 	log := s.deps.Log.WithFields(logrus.Fields{fieldVersion: e.version, "wrong": e.wrong})
-	if s.suspicion.version != e.version {
-		return // the engine has started anew
-	}
+	sus, suspected := s.suspicions[e.version]
 	switch {
+	case !suspected:
+		return // the engine has started anew
 	case e.err != nil:
 		log.WithError(e.err).Warn("verifying the load failed")
-	case e.wrong > 0 || s.suspicion.repaired:
-		s.suspicion.confirmed = true
-		log.Error("chunks of the load are corrupt, engine is kept out of service until it starts anew or loads another version")
+	case e.wrong > 0 || sus.repaired:
+		s.confirm(e.version, log)
 	default:
-		s.suspicion = suspicion{}
+		delete(s.suspicions, e.version)
 		log.Info("load verified")
 	}
 	s.notify(now, s.loading())
 }
+
+// confirm keeps the engine out of service with a version that may be corrupt.
+func (s *Stager) confirm(version int, log logrus.FieldLogger) {
+	sus := s.suspicions[version]
+	sus.confirmed = true
+	s.suspicions[version] = sus
+	log.Error("chunks of the load are corrupt, engine is kept out of service until it starts anew or loads another version")
+}
