Load the next version at once on an engine that is kept out of service

The turns spread the loads so that few engines leave service at once; this one has left it.

TestEngineOutOfServiceLoadsTheNextVersionAtOnce fails before: "got version 0 in service (corrupt true) a second after it was named, want 3".

--- a/stager/job.go
+++ b/stager/job.go
@@ -180,9 +180,9 @@
 // drained reports whether entries have stopped sending requests to an engine in
 // service. It tells them to stop when the version is due, and some time before that
 // to send only requests that end by then: a load begins when the last stream has
-// ended.
+// ended. An engine whose load is suspected gets no requests and need not wait until then.
 func (s *Stager) drained(now time.Time, j *job) bool {
-	if now.Before(j.dueAt) {
+	if now.Before(j.dueAt) && !s.suspected() {
 		if j.drainSentAt.IsZero() && !now.Before(j.dueAt.Add(-s.settings.DrainLead)) {
 			j.drainSentAt = now
 			s.notify(now, s.loading())
--- a/stager/takeover_test.go
+++ b/stager/takeover_test.go
@@ -118,3 +118,23 @@
 		}
 	}
 }
+
+// An engine that was kept out of service waited for its turn to load the next version, as if it
+// had callers to lose.
+func TestEngineOutOfServiceLoadsTheNextVersionAtOnce(t *testing.T) {
+	m := newLoadModel(t, true)
+	m.engine.hold = func() {
+		m.engine.hold = nil
+		m.rot(1)
+		m.stop(4 * time.Second)
+	}
+	first := materializer.Target{Since: m.now, Version: 2}
+	m.nameVersions(first)
+	if m.play(2 * bound); m.served() != 0 {
+		t.Fatalf("got version %d in service, want none", m.served())
+	}
+	m.nameVersions(first, materializer.Target{Since: m.now, Version: 3})
+	if m.play(time.Second); m.served() != 3 || m.tainted {
+		t.Errorf("got version %d in service (corrupt %t) a second after it was named, want 3", m.served(), m.tainted)
+	}
+}
