Count the memory of heads with many fields before they are parsed

Cause: a connection counts with 48 KiB, a head of 16 KiB among them, and only bodies are reserved. A field takes an entry of the map of headers whatever its length: net/http holds 241 KB for a head of 15,900 bytes in 2,266 fields, 49 KB for one in 396 (measured on x86-64, one process).

Change: what arrives of a head is counted in bytes and fields, and reserved from the memory for bodies before it is parsed, as far as it exceeds what belongs to a connection anyway; a usual head reserves nothing. A head that gets no memory is refused with 503 and Retry-After, as it was not read. The body shares the reservation of its head, so that a caller who stops within its body gives up both.

Ruled out: a limit of the number of fields. The operator's limit is in bytes, and a single request within it must be served. Fewer connections: they would be shut out too when heads are usual.

Not covered: up to 4 KB of a head that arrive behind a body in the same read.

--- a/answerer/bodies.go
+++ b/answerer/bodies.go
@@ -34,7 +34,7 @@
 	}
 	control := http.NewResponseController(w)
 	endReads := func() { _ = control.SetReadDeadline(time.Now()) } // not supported by readers without a connection
-	memory := b.memory.Open(endReads)
+	memory := b.memory.OpenBody(r.Context(), endReads)
 	defer memory.Close()
 	body, err := readBody(r.Context(), r, memory, b.limit)
 	if err != nil {
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/gooseberrypass/gooseberrypass/reserver"
 )
 
 // The limits of the input that is discarded before a connection closes.
@@ -18,16 +20,20 @@
 // unread input resets the connection, and the peer may lose the last answer.
 type conn struct {
 	net.Conn
-	busy      atomic.Bool // a request is being handled
-	discard   atomic.Bool
-	headAt    atomic.Pointer[time.Time] // when the first byte of the head arrived, nil for none
-	headBytes atomic.Int64              // bytes that have arrived of the head
-	headMu    sync.Mutex                // held while busy is set, and while the deadline of a head is set
-	limits    *Limits                   // nil for none
+	busy         atomic.Bool // a request is being handled
+	discard      atomic.Bool
+	headAt       atomic.Pointer[time.Time]            // when the first byte of the head arrived, nil for none
+	headBytes    atomic.Int64                         // bytes that have arrived of the head
+	headFields   atomic.Int64                         // lines that have arrived of the head
+	headMemory   atomic.Pointer[reserver.Reservation] // memory of the head beyond headAllowance, nil for none
+	headMu       sync.Mutex                           // held while busy is set, and while the deadline of a head is set
+	headReserved atomic.Int64                         // bytes of headMemory
+	limits       *Limits                              // nil for none
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.releaseHead()
 	if c.discard.Swap(false) && c.CloseWrite() == nil && c.SetReadDeadline(time.Now().Add(discardTimeout)) == nil {
 		_, _ = io.CopyN(io.Discard, c.Conn, discardBytes) // the peer may send anything or break off
 	}
--- a/listener/limits.go
+++ b/listener/limits.go
@@ -3,17 +3,19 @@
 import (
 	"io"
 	"net"
-	"os"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass/reserver"
 )
 
 // Reasons for which connections of callers are closed or turned away.
 const (
 	ReasonConnEvicted  = "connection_evicted"
 	ReasonConnRefused  = "connection_refused"
+	ReasonHeadMemory   = "head_memory"
 	ReasonHeadTimeout  = "head_timeout"
 	ReasonHeadTooLarge = "head_too_large"
 )
@@ -39,13 +41,15 @@
 	Head     func() HeadLimits   // limits in force
 	Logger   logrus.FieldLogger  // of changes of state
 	MaxConns int                 // open connections
+	Memory   *reserver.Budget    // for heads with many fields, nil for no bound
 	OnFull   func() bool         // makes a busy connection end, returns false if it cannot
 	Refused  func(reason string) // counts connections that are closed or turned away
 }
 
 var errHeadTooLarge = errors.New("head of the request is too large")
 
-// Read implements net.Conn. It limits the time and the size of the head of a request.
+// Read implements net.Conn. It limits the time, the size and the memory of the head of a
+// request.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.limits == nil || c.busy.Load() {
 		return c.Conn.Read(p)
@@ -59,9 +63,15 @@
 			now := time.Now()
 			c.headAt.Store(&now)
 		}
-		c.headBytes.Add(int64(n))
+		c.countHead(p[:n])
+		if c.reserveHead() != nil {
+			return 0, c.refuseHead()
+		}
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.headAt.Load() != nil && !c.busy.Load() {
+	switch {
+	case c.headTimedOut(err) && c.headGivenUp():
+		return 0, c.refuseHead()
+	case c.headTimedOut(err):
 		c.limits.Refused(ReasonHeadTimeout)
 	}
 	return n, err
@@ -107,6 +117,8 @@
 func (c *conn) end() {
 	c.headAt.Store(nil)
 	c.headBytes.Store(0)
+	c.headFields.Store(0)
+	c.releaseHead()
 	c.busy.Store(false)
 }
 
@@ -120,8 +132,14 @@
 	_ = tcp.SetWriteBuffer(connBuffer) // as above
 }
 
-// turnAway refuses a connection. The answer fits in the empty send buffer.
+// turnAway refuses a connection.
 func turnAway(c net.Conn) {
-	_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: 1\r\n\r\n")
+	writeUnavailable(c)
 	_ = c.Close()
 }
+
+// writeUnavailable refuses a request of which nothing was read. The answer fits in the empty
+// send buffer.
+func writeUnavailable(c net.Conn) {
+	_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: 1\r\n\r\n") // fails only on a closed connection
+}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -78,6 +78,15 @@
 		if !s.conns.claim(c) {
 			panic(http.ErrAbortHandler)
 		}
+		ctx, ok := c.withHeadMemory(r.Context())
+		if !ok {
+			c.limits.Refused(ReasonHeadMemory)
+			refuse(w)
+			return
+		}
+		if ctx != r.Context() {
+			r = r.WithContext(ctx)
+		}
 		next.ServeHTTP(w, r)
 		if s.conns.isClosing() || w.Header().Get("Connection") == "close" {
 			c.discard.Store(true)
@@ -85,6 +94,13 @@
 	})
 }
 
+// refuse refuses a request that was not handled and closes its connection.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // Address returns the bound address.
 func (s *Server) Address() string { return s.lis.Addr().String() }
 
--- a/reserver/budget.go
+++ b/reserver/budget.go
@@ -123,6 +123,27 @@
 	return r
 }
 
+// contextKey is the key of the reservation of a request in its context.
+type contextKey struct{}
+
+// NewContext returns a context for a request whose head holds memory.
+func NewContext(ctx context.Context, head *Reservation) context.Context {
+	return context.WithValue(ctx, contextKey{}, head)
+}
+
+// OpenBody is Open for the body of a request. The body shares the reservation of its head, if
+// there is one, so that both are given up together.
+func (b *Budget) OpenBody(ctx context.Context, giveUp func()) *Reservation {
+	head, ok := ctx.Value(contextKey{}).(*Reservation)
+	if !ok || head.budget != b {
+		return b.Open(giveUp)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	head.entry.complete, head.entry.giveUp, head.entry.progressAt = false, giveUp, b.clock.Now()
+	return head
+}
+
 // Usage returns what the memory is used for.
 func (b *Budget) Usage() Usage {
 	b.mu.Lock()
