Count a chunk once that is stored as the list of versions changes

Cause: a fetch stores its chunk before its event is handled. A list of versions that comes in between counts the chunk as held, and the event then counted it again. The version looked complete while its last chunk was missing, was staged when that had just arrived, and then held one chunk more than it has, so that it was never complete again.

Change: an event for a chunk that is counted already does not count it. A version that gets chunk memory recounts all versions, as they may share chunks.

--- a/fetcher/planner.go
+++ b/fetcher/planner.go
@@ -173,7 +173,7 @@
 		v.err = err.Error()
 		return
 	}
-	v.items, v.first = v.items[:1], 0
+	v.items = v.items[:1]
 	seen := make(map[gooseberrypass.Digest]struct{}, v.manifest.Len())
 	for i := range v.manifest.Len() {
 		chunk := v.manifest.Chunk(i)
@@ -186,11 +186,9 @@
 			Size: chunk.Size, Version: v.want.Version,
 		}, v.want.Digest, old)
 		v.items = append(v.items, it)
-		if !it.held {
-			v.missing++
-		}
 	}
 	v.total = len(seen)
+	v.countMissing()
 }
 
 // addItem returns the item with the digest of i. It takes it from p.items or old
@@ -224,7 +222,7 @@
 		alone, beside := v.memory(counted)
 		v.active = bytes+beside <= p.local.Limit()
 		if waited && v.active {
-			v.recount(p.local)
+			p.recount(v)
 		}
 		if alone > p.local.Limit() {
 			v.memoryErr = fmt.Sprintf("the version needs %d bytes of chunk memory, the limit is %d", alone, p.local.Limit())
@@ -239,6 +237,17 @@
 	}
 }
 
+// recount updates which items of a version are held. The chunks of a version that waits for
+// chunk memory are not pinned and may have been evicted. Other versions may share them.
+func (p *Planner) recount(v *version) {
+	for _, it := range v.items {
+		it.held = p.local.Has(it.Digest)
+	}
+	for _, other := range p.versions {
+		other.countMissing()
+	}
+}
+
 // Pins returns the digests to pin, and whether they have changed since the last
 // call. Pinned items are kept once they are held, and peers that request one before
 // may wait for it. Callers must not modify the map.
--- a/fetcher/results.go
+++ b/fetcher/results.go
@@ -41,11 +41,12 @@
 	p.itemTimes.observe(now.Sub(it.waitingSince))
 	p.sourceBackoffs[t.fetch.Kind] = sourceBackoff{}
 	p.peerBackoffs.clear(t.fetch.Peer.ID)
+	counted := it.held // as it was stored when the wanted versions or the limit changed
 	it.held, it.err, it.skipUntil = true, "", nil
 	if it.yielded {
 		it.yielded, p.pins = false, nil
 	}
-	if p.items[it.Digest] != it {
+	if counted || p.items[it.Digest] != it {
 		return
 	}
 	for _, v := range p.versions {
--- a/fetcher/version.go
+++ b/fetcher/version.go
@@ -70,12 +70,10 @@
 	return alone, beside
 }
 
-// recount updates which items are held. The chunks of a version that waits for chunk memory
-// are not pinned and may have been evicted.
-func (v *version) recount(local LocalChunks) {
+// countMissing counts the chunks that are not held.
+func (v *version) countMissing() {
 	v.first, v.missing = 0, 0
 	for _, it := range v.items {
-		it.held = local.Has(it.Digest)
 		if !it.held && !it.Manifest {
 			v.missing++
 		}
