--- a/listener/headmemory_test.go
+++ b/listener/headmemory_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -14,7 +12,6 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass/listener"
 	"github.com/gooseberrypass/gooseberrypass/reserver"
@@ -36,31 +33,15 @@
 	return b.String() + rest + "\r\n"
 }
 
-// startWithMemory serves handler with a bound of the memory until the test ends.
+// startWithMemory serves the handler that wrap returns with a bound of the memory.
 func startWithMemory(t *testing.T, wrap func(*reserver.Budget) http.Handler) *listener.Server {
 	t.Helper()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	budget := reserver.New(clockwork.NewRealClock(), reserver.Settings{
 		Small: headsMemory / 4, SmallBody: 64 << 10, Stall: 20 * time.Millisecond, Total: headsMemory, Wait: 100 * time.Millisecond,
 	}, nil)
-	l, err := listener.ListenLimited(t.Context(), "127.0.0.1:0", wrap(budget), listener.Limits{
-		Head: func() listener.HeadLimits { return listener.HeadLimits{} }, Logger: logger, MaxConns: 100, Memory: budget,
-		OnFull: budget.GiveUpStalled, Refused: func(string) {},
+	return startWithLimits(t, wrap(budget), listener.Limits{
+		Head: func() listener.HeadLimits { return listener.HeadLimits{} }, MaxConns: 100, Memory: budget, OnFull: budget.GiveUpStalled, Refused: func(string) {},
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- l.Run(ctx, testGrace) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-done; err != nil {
-			t.Errorf("Run: got error %v, want none", err)
-		}
-	})
-	return l
 }
 
 // Callers with legal heads of many short fields took a process over its memory: only bodies
--- a/listener/limits_test.go
+++ b/listener/limits_test.go
@@ -17,13 +17,20 @@
 // startLimited serves handler with limits until the test ends. The channel receives the
 // reasons for which connections are closed.
 func startLimited(t *testing.T, handler http.Handler, conns int, head listener.HeadLimits, onFull func() bool) (*listener.Server, <-chan string) {
+	t.Helper()
+	reasons := make(chan string, 10)
+	return startWithLimits(t, handler, listener.Limits{
+		Head: func() listener.HeadLimits { return head }, MaxConns: conns, OnFull: onFull, Refused: func(reason string) { reasons <- reason },
+	}), reasons
+}
+
+// startWithLimits serves handler with limits, without a log, until the test ends.
+func startWithLimits(t *testing.T, handler http.Handler, limits listener.Limits) *listener.Server {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	reasons := make(chan string, 10)
-	l, err := listener.ListenLimited(t.Context(), "127.0.0.1:0", handler, listener.Limits{
-		Head: func() listener.HeadLimits { return head }, Logger: logger, MaxConns: conns, OnFull: onFull, Refused: func(reason string) { reasons <- reason },
-	})
+	limits.Logger = logger
+	l, err := listener.ListenLimited(t.Context(), "127.0.0.1:0", handler, limits)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,7 +43,7 @@
 			t.Errorf("Run: got error %v, want none", err)
 		}
 	})
-	return l, reasons
+	return l
 }
 
 // Connections that send nothing or a part of a head must not shut out ordinary callers.
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -228,6 +228,7 @@
 type fixture struct {
 	clock     *clockwork.FakeClock
 	engine    *engine
+	fetcher   gooseberrypass.Controller        // handles each event before the stager, may be nil
 	intercept func(gooseberrypass.Effect) bool // takes over an effect, may be nil
 	manifests *stager.Manifests
 	now       time.Time
@@ -270,21 +271,25 @@
 }
 
 // nameVersions publishes a deployment and the versions that the operator named.
-func (f *fixture) nameVersions(targets ...materializer.Target) { f.handle(changed(targets...)) }
-
-// changed returns the event that a deployment and named versions were read.
-func changed(targets ...materializer.Target) materializer.Changed {
-	return materializer.Changed{Snapshot: &materializer.Snapshot{
+func (f *fixture) nameVersions(targets ...materializer.Target) {
+	f.handle(materializer.Changed{Snapshot: &materializer.Snapshot{
 		Deployment: gooseberrypass.NewDeployment(1, nil, []gooseberrypass.ServiceSpec{
 			{Engine: &gooseberrypass.EngineSpec{Chunks: chunkCount, ChunkSize: chunkSize, Model: "m"}, ID: "s"},
 		}, nil, gooseberrypass.CallerLimits{}),
 		Targets: map[string]materializer.Targets{"m": targets},
-	}}
+	}})
 }
 
-// handle passes an event to the stager and runs the resulting effects.
+// handle passes an event to the controllers and runs the resulting effects.
 func (f *fixture) handle(event gooseberrypass.Event) {
-	for _, effect := range f.stager.Handle(f.now, event) {
+	if f.fetcher != nil {
+		f.run(f.fetcher.Handle(f.now, event))
+	}
+	f.run(f.stager.Handle(f.now, event))
+}
+
+func (f *fixture) run(effects []gooseberrypass.Effect) {
+	for _, effect := range effects {
 		if f.intercept != nil && f.intercept(effect) {
 			continue
 		}
--- a/stager/versionrows_test.go
+++ b/stager/versionrows_test.go
@@ -56,7 +56,6 @@
 // an engine and an origin.
 type rowModel struct {
 	*fixture
-	fetcher *fetcher.Fetcher
 	origin  *rangeOrigin
 	t       *testing.T
 	targets []materializer.Target
@@ -66,6 +65,7 @@
 func newRowModel(t *testing.T, turn time.Duration) *rowModel {
 	t.Helper()
 	m := &rowModel{fixture: newFixture(t), origin: &rangeOrigin{newest: 1}, t: t, turn: turn}
+	m.intercept = func(e gooseberrypass.Effect) bool { return e.EffectName() == "watch-demand" } // waits for other agents
 	m.startAgent()
 	return m
 }
@@ -81,7 +81,7 @@
 	log.SetOutput(io.Discard)
 	self := gooseberrypass.ListedInstance{ID: "self", Pool: "s", Role: gooseberrypass.RoleAgent, State: gooseberrypass.ListedLive}
 	c := cacher.New(0)
-	m.fetcher, err = fetcher.New(self, c, fetcher.NewReader(nil, clockwork.NewRealClock(), c, m.origin, nil), 1, fetcher.Settings{
+	f, err := fetcher.New(self, c, fetcher.NewReader(nil, clockwork.NewRealClock(), c, m.origin, nil), 1, fetcher.Settings{
 		MismatchBackoffBase: 100 * time.Millisecond, SourceBackoffBase: 100 * time.Millisecond, SourceBackoffMax: 250 * time.Millisecond,
 	}, prometheus.NewRegistry(), log)
 	if err != nil {
@@ -89,33 +89,11 @@
 	}
 	memory := map[string]any{"chunk-memory": 2 * int64(len(encoded)+2+chunkCount*chunkSize), "origin-budget": 8.0}
 	config := gooseberrypass.NewConfig(0, emptyResolver{}, []gooseberrypass.Section{gooseberrypass.NewSection(gooseberrypass.KindSystem, "", nil, memory)})
-	m.fetcher.Handle(m.now, gooseberrypass.ConfigAccepted{Config: config})
-	m.fetcher.Handle(m.now, gooseberrypass.MembersChanged{Members: []gooseberrypass.Member{{Listed: self}}})
+	f.Handle(m.now, gooseberrypass.ConfigAccepted{Config: config})
+	f.Handle(m.now, gooseberrypass.MembersChanged{Members: []gooseberrypass.Member{{Listed: self}}})
 	settings := fixtureSettings()
 	settings.LoadDelay, settings.LoadSpread, settings.SkipGap = m.turn, 0, 2500*time.Millisecond
-	m.stager = m.newStager(c, m.fetcher, m.origin, settings)
-}
-
-func (m *rowModel) handle(event gooseberrypass.Event) {
-	for _, c := range []gooseberrypass.Controller{m.fetcher, m.stager} {
-		for _, effect := range c.Handle(m.now, event) {
-			if effect.EffectName() == "watch-demand" {
-				continue // waits for other agents
-			}
-			if next := effect.Run(context.Background()); next != nil {
-				m.handle(next)
-			}
-		}
-	}
-}
-
-func (m *rowModel) advance(d time.Duration) {
-	const tick = 100 * time.Millisecond
-	for end := m.now.Add(d); m.now.Before(end); {
-		m.now = m.now.Add(tick)
-		m.clock.Advance(tick)
-		m.handle(gooseberrypass.Tick{})
-	}
+	m.fetcher, m.stager = f, m.newStager(c, f, m.origin, settings)
 }
 
 // nameNext names the next version.
@@ -126,7 +104,7 @@
 }
 
 // announce tells the agent of the deployment and the named versions.
-func (m *rowModel) announce() { m.handle(changed(m.targets...)) }
+func (m *rowModel) announce() { m.nameVersions(m.targets...) }
 
 // The agent of an engine that loaded the older versions never fetched the last one: the loaded
 // ones kept the chunk memory.
