--- a/review/platform/third/main.go
+++ b/review/platform/third/main.go
@@ -21,7 +21,6 @@
 	cases := map[string]func(*play) error{
 		"blame":   playBlame,
 		"endless": playEndless,
-		"flood":   playFlood,
 		"foreign": playForeign,
 		"lost":    playLostAnswer,
 		"slow":    playSlowPost,
--- a/review/platform/third/play.go
+++ b/review/platform/third/play.go
@@ -153,6 +153,8 @@
 	return now, peak
 }
 
+func mib(n int) float64 { return float64(n) / (1 << 20) }
+
 // close ends the processes.
 func (p *play) close() {
 	for _, x := range p.procs {
