End the processes of the third review's stand-in when it is ended

A signal to the stand-in, or 118 s, ends all processes that it started; before, a play that was ended from outside left a gateway and a sidecar behind.

--- a/review/platform/third/main.go
+++ b/review/platform/third/main.go
@@ -8,6 +8,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // The exit statuses of a case.
@@ -17,6 +20,9 @@
 	exitNotRun = 2
 )
 
+// longestPlay is the time after which a play is ended.
+const longestPlay = 118 * time.Second
+
 func main() {
 	cases := map[string]func(*play) error{
 		"blame":   playBlame,
@@ -30,6 +36,17 @@
 		os.Exit(exitNotRun)
 	}
 	p, err := newPlay(os.Args[2], os.Getenv("TROUBLE") != "0")
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() { // also when the play is ended from outside, no process of it remains
+		select {
+		case <-stopped:
+		case <-time.After(longestPlay):
+		}
+		p.note("the play is ended before its time")
+		p.close()
+		os.Exit(exitNotRun)
+	}()
 	if err == nil {
 		err = cases[os.Args[1]](p)
 	}
--- a/review/platform/third/play.go
+++ b/review/platform/third/play.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -90,8 +91,13 @@
 	if err := os.WriteFile(proc.settings, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
+	if err := proc.run(); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.procs = append(p.procs, proc)
-	return proc, proc.run()
+	return proc, nil
 }
 
 func (x *process) run() error {
@@ -157,7 +163,10 @@
 
 // close ends the processes.
 func (p *play) close() {
-	for _, x := range p.procs {
+	p.mu.Lock()
+	procs := slices.Clone(p.procs)
+	p.mu.Unlock()
+	for _, x := range procs {
 		if x.cmd != nil && !x.ended() {
 			_ = x.cmd.Process.Kill()
 			<-x.done
