Log what a process learns of versions, and from where

The log of an entry told of versions only where another process corrected it: not what a first read found with an assumed age, nor what came with a pull. A line for each bound that becomes known or earlier tells the age, whether it was observed, and the source; gooseberrypass_bound_age_seconds has the ages now.

--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -201,6 +201,15 @@
 
 // Handle implements gooseberrypass.Controller.
 func (m *Materializer) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
+	before := m.Snapshot()
+	effects := m.handle(now, event)
+	if e, ok := event.(gooseberrypass.TopicChanged); ok {
+		m.logBounds(now, before, e)
+	}
+	return effects
+}
+
+func (m *Materializer) handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
 	changed := false
 	switch e := event.(type) {
 	case gooseberrypass.TopicChanged:
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -63,6 +63,9 @@
 		}
 	}
 	m.materializer = materializer.New(platform.Decoder{}, settings.materializerSettings(), m.logger, g.balancer)
+	if err := m.materializer.RegisterMetrics(m.registry, m.clock); err != nil {
+		return nil, err
+	}
 	m.metricsMux.Handle("GET "+StatusPath, NewStatusHandler(self, m.materializer, g.balancer, m.logger))
 	repl := m.newReplicator(g.balancer, g.scheduler, g.history)
 	if m.registrar, err = m.newRegistrar(); err != nil {
