Count the assumed age of a version from the start of the process

An entry that starts does not know when the version was named that it finds, and assumes that its bound ends when the entry is held to the bounds again. The age counted from the first read of the store. One that came late, as the store was asked twice or a large configuration took long, moved the bound by its delay, and requests began on the older version in that time.

It counts from the first event of the control loop now, which is at most a tick after the start, and so does not depend on the read.

--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -50,7 +50,7 @@
 
 // Settings configure a Materializer.
 type Settings struct {
-	AssumedAge time.Duration // assumed age of versions that were named before the process started
+	AssumedAge time.Duration // assumed age, at the start of the process, of versions that were named before it
 	Exemption  time.Duration // time after an outage of its reads for which the process is exempt from the bounds
 	Lease      time.Duration // time after which the log drops the record of an endpoint that no longer renews it
 	MaxListAge time.Duration // age of the last read of the endpoint list up to which a process counts as able to read
@@ -81,6 +81,7 @@
 	retained    map[string]time.Time // endpoints removed during an outage and the end of their retention, by key
 	settings    Settings
 	snapshot    atomic.Pointer[Snapshot]
+	startedAt   time.Time // first event
 	topics      map[gooseberrypass.Topic]*topicRecords
 }
 
@@ -201,6 +202,9 @@
 
 // Handle implements gooseberrypass.Controller.
 func (m *Materializer) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
+	if m.startedAt.IsZero() {
+		m.startedAt = now
+	}
 	before := m.Snapshot()
 	effects := m.handle(now, event)
 	if e, ok := event.(gooseberrypass.TopicChanged); ok {
--- a/materializer/records.go
+++ b/materializer/records.go
@@ -102,7 +102,7 @@
 		delete(t.outranked, r.Key)
 		t.records[r.Key] = r
 		if !known || !isRepeated(held, r) {
-			t.knownSince[r.Key] = now.Add(-m.recordAge(e, i))
+			t.knownSince[r.Key] = now.Add(-m.recordAge(now, e, i))
 			t.observed[r.Key] = e.Ages == nil && !e.FirstRead
 		}
 		changed = m.applyRecord(now, e.Topic, r, m.retention(now, e, r.Key)) || changed
@@ -262,17 +262,22 @@
 	return restores, restores > 0 && (!known || held.Offset.Restores() < restores)
 }
 
-// recordAge returns the time for which a record has been known. The age of the
-// record of a version that was there when the process started is unknown, so AssumedAge is
-// used. For other records that would be too early: the time for which an endpoint stays cold
+// recordAge returns the time for which a record has been known. When the record of a version
+// was written that was there when the process started is unknown, so it counts from
+// assumedSince. For other records that would be too early: the time for which an endpoint stays cold
 // counts from then on, here and at processes that pull the record.
-func (m *Materializer) recordAge(e gooseberrypass.TopicChanged, i int) time.Duration {
+func (m *Materializer) recordAge(now time.Time, e gooseberrypass.TopicChanged, i int) time.Duration {
 	switch {
 	case i < len(e.Ages):
 		return e.Ages[i]
 	case e.FirstRead && e.Topic == gooseberrypass.TopicOperator && !m.isEvacuation(e.Topic, e.Batch.Records[i]):
-		return m.settings.AssumedAge
+		return now.Sub(m.assumedSince())
 	default:
 		return 0
 	}
 }
+
+// assumedSince returns the time from which the bound of a version counts that may have been
+// named at any time before the process started. It follows from the start and not from the
+// read, which may come late: the start is when the exemption from the bounds begins to end.
+func (m *Materializer) assumedSince() time.Time { return m.startedAt.Add(-m.settings.AssumedAge) }
