Require the version before the one that a restarted entry has heard of

An entry that starts finds the newest version alone in the store. If it reads it first, it assumes that its bound is about to end, and that covers any version before. If it hears of it from another process first, with the time at which that one saw it being named, the read changed nothing: the entry used the engines of any older version until the newest one's bound, unless somebody told it of the versions between. Messages carry only versions that the sender saw being named, so nobody does once those that saw it have restarted too.

The order of the first events decided, a few milliseconds apart: message or read. Now the version before the oldest one that the entry heard of counts as one that may have been named at any time before the start, until a process tells when it was. It is not passed on.

Its peer without word of the older version has records to pull now, as it did not before; orders that differ in events that are left out are played once.

Ruled out: to let the assumed age of the read count for the newest version in every order. The entry would refuse requests that engines of the version before may still serve.

--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -68,6 +68,7 @@
 // topics.
 type Materializer struct {
 	agentOffset gooseberrypass.Offset // after the last operator record that agents act on
+	blind       bool                  // the last event about the operator's topic came before any read or pull of it
 	cached      cachedDeployment
 	decoder     Decoder
 	endpoints   map[string]gooseberrypass.Endpoint // by key
@@ -124,12 +125,14 @@
 }
 
 // AgedTargets returns all wanted versions that this process knows, with the time since
-// each was named. It must be called on the control goroutine.
+// each was named, without those that it merely presumes. It must be called on the control goroutine.
 func (m *Materializer) AgedTargets(now time.Time) []gooseberrypass.AgedTarget {
 	var aged []gooseberrypass.AgedTarget
 	for model, targets := range m.Snapshot().Targets {
 		for _, t := range targets {
-			aged = append(aged, t.aged(now, model))
+			if !t.Presumed {
+				aged = append(aged, t.aged(now, model))
+			}
 		}
 	}
 	return aged
@@ -354,6 +357,11 @@
 	for _, key := range slices.Sorted(maps.Keys(t.records)) {
 		m.decodeOperatorRecord(now, snapshot, t, t.records[key])
 	}
+	if m.blind {
+		for model, targets := range snapshot.Targets {
+			snapshot.Targets[model] = targets.withPredecessor(m.assumedSince())
+		}
+	}
 	for _, key := range slices.Sorted(maps.Keys(m.endpoints)) {
 		snapshot.Endpoints = append(snapshot.Endpoints, m.endpoints[key])
 	}
--- a/materializer/records.go
+++ b/materializer/records.go
@@ -13,6 +13,7 @@
 // A topicRecords holds the records of one topic.
 type topicRecords struct {
 	complete     gooseberrypass.Offset                 // offset from which on every record is known, deletions included
+	known        bool                                  // the topic was read, or pulled from another process
 	knownSince   map[string]time.Time                  // when any process first knew the record, by key
 	next         gooseberrypass.Offset                 // offset after the last known record
 	observed     map[string]bool                       // whether this process saw the record being written, by key
@@ -54,6 +55,10 @@
 // whether the snapshot changes.
 func (m *Materializer) merge(now time.Time, e gooseberrypass.TopicChanged) bool {
 	t := m.topic(e.Topic)
+	if e.Topic == gooseberrypass.TopicOperator {
+		m.blind = !t.known
+	}
+	t.known = t.known || e.Ages == nil || e.Batch.Next > 0
 	changed := false
 	if e.Batch.Next.Restores() >= t.next.Restores() {
 		m.recordRestore(now, e, t)
--- a/materializer/restartversions_test.go
+++ b/materializer/restartversions_test.go
@@ -55,6 +55,7 @@
 	late.read(named, l)
 	none := startVersionReader(named)
 	none.takeTargets(named, witness.m.AgedTargets(named)[1:])
+	none.read(named, l)
 	return map[string]*versionReader{"saw it being named": witness, "found it at its start": late, "does not know it": none}
 }
 
@@ -68,6 +69,9 @@
 			l := &versionLog{}
 			peer, r := peers(l)[knows], startVersionReader(start)
 			events := order[:slices.Index(order, "nothing")] // any of them may be missing
+			if !slices.IsSorted(order[len(events)+1:]) {
+				return // the order of those that are missing makes no difference
+			}
 			for i, event := range events {
 				now := start.Add(time.Duration(i+1) * 10 * time.Millisecond)
 				switch event {
@@ -112,3 +116,19 @@
 	r.pull(later, other)
 	r.wantRequired(t, startTime.Add(stableWindow), 2)
 }
+
+// A presumed version is a guess: were it kept or passed on, entries would refuse requests whose
+// engines may still be used.
+func TestPresumedVersionGivesWayToTheTimeOfItsNaming(t *testing.T) {
+	l := &versionLog{}
+	known, now := peers(l), startTime.Add(restart)
+	r := startVersionReader(now)
+	r.takeTargets(now, known["does not know it"].m.AgedTargets(now))
+	if got := r.m.AgedTargets(now); len(got) != 1 || got[0].Version != 3 {
+		t.Errorf("versions passed on: got %+v, want version 3 alone", got)
+	}
+	r.takeTargets(now, known["saw it being named"].m.AgedTargets(now))
+	if got := r.m.Snapshot().Targets["m"]; len(got) != 2 || got[0].Version != 2 || !got[0].Since.Equal(startTime) {
+		t.Errorf("got %+v, want version 2 to count from %s", got, startTime)
+	}
+}
--- a/materializer/target.go
+++ b/materializer/target.go
@@ -10,6 +10,7 @@
 // A Target is a version of a model that the operator wants loaded.
 type Target struct {
 	ObservedAt time.Time // when a process first saw the version being named, as far as known; zero if none did
+	Presumed   bool      // no process has told of the version; it is that before the oldest known one
 	Since      time.Time // when the bound of the version starts: at ObservedAt, or at an earlier assumed time
 	Version    int
 }
@@ -75,6 +76,19 @@
 	return slices.BinarySearchFunc(t, version, func(t Target, version int) int { return t.Version - version })
 }
 
+// firstVersion is the version of an engine before any is named.
+const firstVersion = 1
+
+// withPredecessor returns the targets with the version before the oldest one, whose bound counts
+// from since, if it is not covered by that of the oldest one. A process that started after both
+// were named may hear of the newer one alone.
+func (t Targets) withPredecessor(since time.Time) Targets {
+	if len(t) == 0 || len(t) == maxTargets || t[0].Version <= firstVersion+1 || !t[0].Since.After(since) {
+		return t
+	}
+	return slices.Insert(slices.Clone(t), 0, Target{Presumed: true, Since: since, Version: t[0].Version - 1})
+}
+
 // withReported returns the targets with a target that another process knows. Of two
 // times at which a version was seen being named, the earlier one counts, since a process
 // may read a record late. A time that the other process assumed does not replace any.
@@ -85,6 +99,10 @@
 	}
 	if found {
 		merged := slices.Clone(t)
+		if t[i].Presumed {
+			merged[i] = target
+			return merged
+		}
 		merged[i].ObservedAt = target.ObservedAt
 		if target.Since.Before(merged[i].Since) {
 			merged[i].Since = target.Since
