Let no process count from the age that a later one assumed

A process that the store turns away takes the operator's records from another one, with the ages that it knows. If that one has started later, its assumed age is lower by as much, and the bound later than this process's exemption lasts.

--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -359,7 +359,7 @@
 	}
 	if m.blind {
 		for model, targets := range snapshot.Targets {
-			snapshot.Targets[model] = targets.withPredecessor(m.assumedSince())
+			snapshot.Targets[model] = targets.withAssumptions(m.assumedSince())
 		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(m.endpoints)) {
--- a/materializer/target.go
+++ b/materializer/target.go
@@ -79,14 +79,20 @@
 // firstVersion is the version of an engine before any is named.
 const firstVersion = 1
 
-// withPredecessor returns the targets with the version before the oldest one, whose bound counts
-// from since, if it is not covered by that of the oldest one. A process that started after both
-// were named may hear of the newer one alone.
-func (t Targets) withPredecessor(since time.Time) Targets {
-	if len(t) == 0 || len(t) == maxTargets || t[0].Version <= firstVersion+1 || !t[0].Since.After(since) {
-		return t
+// withAssumptions returns the targets of a process to which any version may have been named at
+// any time from since on, as it started then and knows of them from another one. That one may have
+// started later and assumed a later time, and may not know the version before the oldest one.
+func (t Targets) withAssumptions(since time.Time) Targets {
+	assumed := slices.Clone(t)
+	for i := range assumed {
+		if assumed[i].ObservedAt.IsZero() && assumed[i].Since.After(since) {
+			assumed[i].Since = since
+		}
+	}
+	if len(t) == 0 || len(t) == maxTargets || t[0].Version <= firstVersion+1 || !assumed[0].Since.After(since) {
+		return assumed
 	}
-	return slices.Insert(slices.Clone(t), 0, Target{Presumed: true, Since: since, Version: t[0].Version - 1})
+	return slices.Insert(assumed, 0, Target{Presumed: true, Since: since, Version: t[0].Version - 1})
 }
 
 // withReported returns the targets with a target that another process knows. Of two
