Expect each version that was named, not only the newest

With two versions named within a bound, a request to an engine that is believed to have the first one named no version until that one was required. If the engine had crashed meanwhile and been loaded with an older version, it ran the request, and the latest begin was that of the second version.

TestVersionInBetweenIsExpectedBeforeItIsRequired failed before.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -376,8 +376,8 @@
 	if q.Model != "" {
 		t.version = b.loadedVersion(best, q.Model)
 	}
-	newest, wanted := b.snapshot.Targets[q.Model].Newest()
-	if t.expectedVersion == 0 && (counts.required > 0 || wanted && t.version >= newest.Version) {
+	oldest, wanted := b.snapshot.Targets[q.Model].Oldest()
+	if t.expectedVersion == 0 && (counts.required > 0 || wanted && t.version >= oldest.Version) {
 		t.expectedVersion = t.version
 	}
 	best.takeFromLimits(now)
--- a/materializer/target.go
+++ b/materializer/target.go
@@ -48,6 +48,14 @@
 	return t[len(t)-1], true
 }
 
+// Oldest returns the oldest wanted version that is known. It reports whether there is one.
+func (t Targets) Oldest() (Target, bool) {
+	if len(t) == 0 {
+		return Target{}, false
+	}
+	return t[0], true
+}
+
 // Required returns the newest version that has been wanted for at least age, 0 if
 // there is none.
 func (t Targets) Required(now time.Time, age time.Duration) int {
