Register again after a late deregistration by the process before

A process that stops as planned removes its registration at its end. If that reaches the store after the process that took its place has registered, the record is gone, and others send that process no messages: it has loads, limits and the times of versions from pulls alone, for the rest of its life. A process whose registration is removed while it runs registers again now.

TestProcessRegistersAgainAfterALateDeregistration failed before.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,15 +28,16 @@
 
 // A Registrar is the controller that keeps a process registered.
 type Registrar struct {
-	body    []byte
-	clock   gooseberrypass.Clock
-	handled uint64 // restore after which the process was last told to register again
-	key     string
-	log     gooseberrypass.KeyedLog
-	logger  logrus.FieldLogger
-	lost    chan struct{}
-	records Records
-	rng     *rand.Rand
+	body       []byte
+	clock      gooseberrypass.Clock
+	handled    uint64 // restore after which the process was last told to register again
+	key        string
+	log        gooseberrypass.KeyedLog
+	logger     logrus.FieldLogger
+	lost       chan struct{}
+	records    Records
+	registered atomic.Bool
+	rng        *rand.Rand
 }
 
 // New returns a registrar of the process whose record has a key and a body.
@@ -46,19 +49,32 @@
 
 // Handle implements gooseberrypass.Controller.
 func (r *Registrar) Handle(_ time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
-	if e, ok := event.(gooseberrypass.TopicChanged); !ok || e.Topic != gooseberrypass.TopicProcesses {
+	e, ok := event.(gooseberrypass.TopicChanged)
+	if !ok || e.Topic != gooseberrypass.TopicProcesses {
 		return nil
 	}
-	restores, lost := r.records.Lost(gooseberrypass.TopicProcesses, r.key)
-	if !lost || restores <= r.handled {
-		return nil
+	if restores, lost := r.records.Lost(gooseberrypass.TopicProcesses, r.key); lost && restores > r.handled {
+		r.handled = restores
+		r.registerAgain()
+	}
+	if r.registered.Load() && slices.ContainsFunc(e.Batch.Records, r.deregisters) {
+		r.logger.Info("process was deregistered by the process before, registering again")
+		r.registerAgain()
 	}
-	r.handled = restores
+	return nil
+}
+
+// deregisters reports whether a record removes the registration. Only the process that had the
+// key before writes one while this one runs.
+func (r *Registrar) deregisters(record gooseberrypass.KeyedRecord) bool {
+	return record.Key == r.key && record.Value == nil
+}
+
+func (r *Registrar) registerAgain() {
 	select {
 	case r.lost <- struct{}{}:
 	default: // the process is about to register
 	}
-	return nil
 }
 
 // Run registers the process, again when the log has lost the registration, and
@@ -86,6 +102,7 @@
 	for delay := retryDelay; ctx.Err() == nil; delay = min(2*delay, retryDelayMost) {
 		err := r.log.Put(ctx, gooseberrypass.TopicProcesses, r.key, r.body)
 		if err == nil {
+			r.registered.Store(true)
 			r.logger.Info("process registered")
 			return
 		}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -129,3 +129,24 @@
 		t.Errorf("got %d calls, want %d", got, want)
 	}
 }
+
+// The deregistration of the process before may reach the log after the registration of the
+// one that took its place. Other processes then sent it nothing for the rest of its life.
+func TestProcessRegistersAgainAfterALateDeregistration(t *testing.T) {
+	f := newFixture(t, 0)
+	f.awaitPuts(1)
+	f.registrar.Handle(f.clock.Now(), gooseberrypass.TopicChanged{
+		Batch: gooseberrypass.KeyedBatch{Next: 2, Records: []gooseberrypass.KeyedRecord{{Key: "key", Offset: 1}}}, Topic: gooseberrypass.TopicProcesses,
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if err := f.clock.BlockUntilContext(ctx, 1); err != nil {
+		t.Fatal("the process does not register again")
+	}
+	f.clock.Advance(2 * time.Second)
+	f.awaitPuts(2)
+	f.stop()
+	if got, want := f.log.puts[1], "key=body"; got != want {
+		t.Errorf("second call: got %q, want %q", got, want)
+	}
+}
