Tell versions that were seen being named from those that were found later

- A read that brings two versions of a model showed the newer one alone.
Each record of a batch counts now.
- A read counted as seeing the naming, also if the process had stood still since the answer before, or if the log had trimmed records and returned the newest of each key.
Others took that late time for the true one.
A follower tells now when the log last answered (checks beside a long poll count, a failed read makes it unknown); after more than 2 s, or in a read of every key, a version counts from then, is not passed on as observed, and one that may have been skipped is presumed.
- Own reads of a version that was first heard of unobserved did not make the process a witness.

So no late time is passed on as observed any more, and an observed time may replace an assumed one, also if it is later. As an assumed age may be replaced, the version before the oldest known one is presumed whenever a process found versions at its start.

Failed before: TestVersionReplacedWithinAReadKeepsItsBound, TestVersionThatWasReadLateCountsFromTheReadBefore and TestObservedTimeReplacesAnAssumedOne.

Ruled out: to count from the last answer after an outage of the store too. The rule's time does not run meanwhile, and entries would refuse requests for as long as the outage was.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -28,16 +28,17 @@
 
 // A Follower reads one topic and posts its changes.
 type Follower struct {
-	clock    gooseberrypass.Clock
-	failures int // failed reads in a row
-	log      gooseberrypass.KeyedLog
-	logger   logrus.FieldLogger
-	next     gooseberrypass.Offset // offset of the next read
-	post     func(gooseberrypass.Event)
-	reads    *prometheus.CounterVec
-	settings Settings
-	started  bool // a read has succeeded
-	topic    gooseberrypass.Topic
+	answeredAt time.Time // last answer of the log, zero if a read has failed or another process has read since
+	clock      gooseberrypass.Clock
+	failures   int // failed reads in a row
+	log        gooseberrypass.KeyedLog
+	logger     logrus.FieldLogger
+	next       gooseberrypass.Offset // offset of the next read
+	post       func(gooseberrypass.Event)
+	reads      *prometheus.CounterVec
+	settings   Settings
+	started    bool // a read has succeeded
+	topic      gooseberrypass.Topic
 }
 
 // NewReadCounter returns the counter of reads that all followers of a process share.
@@ -124,7 +125,7 @@
 // standBy waits while another process reads the topic and passes on the records.
 func (f *Follower) standBy(ctx context.Context) {
 	f.logger.WithFields(offsetFields(f.nextOffset())).Info("topic is read by another process")
-	f.failures = 0
+	f.failures, f.answeredAt = 0, time.Time{}
 	f.post(gooseberrypass.TopicRead{Topic: f.topic})
 	for ctx.Err() == nil && !f.settings.ShouldRead() {
 		f.sleep(ctx, standbyPoll)
@@ -157,9 +158,9 @@
 	}
 	f.settings.Restores.observe(batch.Next.Restores())
 	if len(batch.Records) > 0 || batch.Complete {
-		f.post(gooseberrypass.TopicChanged{Batch: batch, FirstRead: !f.started, Topic: f.topic})
+		f.post(gooseberrypass.TopicChanged{Batch: batch, FirstRead: !f.started, ReadFrom: f.answeredAt, Topic: f.topic})
 	}
-	f.next, f.started = batch.Next, true
+	f.answeredAt, f.next, f.started = f.clock.Now(), batch.Next, true
 	f.post(gooseberrypass.TopicRead{Topic: f.topic})
 	return nil
 }
@@ -221,6 +222,7 @@
 // recordFailure logs the first of several failed reads and posts the error.
 func (f *Follower) recordFailure(started time.Time, err error) {
 	f.reads.WithLabelValues(string(f.topic), "failed").Inc()
+	f.answeredAt = time.Time{}
 	f.failures++
 	if f.failures == 1 {
 		f.logger.WithError(err).WithFields(offsetFields(f.next)).Warn("reading the topic failed")
--- a/follower/poll.go
+++ b/follower/poll.go
@@ -49,7 +49,10 @@
 				return r.batch, r.err
 			}
 			if r.err != nil {
+				f.answeredAt = time.Time{}
 				f.reads.WithLabelValues(string(f.topic), "check failed").Inc()
+			} else {
+				f.answeredAt = f.clock.Now()
 			}
 			timer.Reset(max(f.settings.CheckPeriod-f.clock.Since(checkedAt), 0))
 		}
--- a/follower/poll_test.go
+++ b/follower/poll_test.go
@@ -119,6 +119,12 @@
 
 // followSilent runs a follower of l until ctx is done.
 func followSilent(ctx context.Context, t *testing.T, clock gooseberrypass.Clock, l *silentLog) <-chan error {
+	t.Helper()
+	return followSilentTo(ctx, t, clock, l, func(gooseberrypass.Event) {})
+}
+
+// followSilentTo follows the topic and posts its events to post.
+func followSilentTo(ctx context.Context, t *testing.T, clock gooseberrypass.Clock, l *silentLog, post func(gooseberrypass.Event)) <-chan error {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -126,7 +132,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := follower.New(clock, l, "t", follower.Settings{CheckPeriod: checkPeriod, LongPoll: longPoll}, func(gooseberrypass.Event) {}, counts, logger)
+	f := follower.New(clock, l, "t", follower.Settings{CheckPeriod: checkPeriod, LongPoll: longPoll}, post, counts, logger)
 	done := make(chan error, 1)
 	go func() { done <- f.Run(ctx) }()
 	return done
@@ -154,3 +160,56 @@
 		t.Errorf("got %d further polls, want none", got)
 	}
 }
+
+// A process that stood still cannot tell a record that was written when it read it from one
+// that is seconds old, unless a read tells when the log answered before.
+func TestReadTellsTheLastAnswerBeforeIt(t *testing.T) {
+	records := read{batch: batch(5, false, "b")}
+	for _, tt := range []struct {
+		name   string
+		checks []read
+		want   time.Duration // since the start, -1 for unknown
+	}{
+		{name: "records at the first check", checks: []read{records}, want: 0},
+		{name: "records at the third check", checks: []read{{batch: batch(3, false)}, {batch: batch(3, false)}, records}, want: 2 * checkPeriod},
+		{name: "the log was unavailable", checks: []read{{err: errors.New("unavailable")}, records}, want: -1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), testLimit)
+			defer cancel()
+			clock := clockwork.NewFakeClock()
+			start := clock.Now()
+			l := &silentLog{checks: make(chan read, len(tt.checks)), clock: clock, polls: make(chan gooseberrypass.Offset, 1)}
+			for _, r := range tt.checks {
+				l.checks <- r
+			}
+			changes := make(chan gooseberrypass.TopicChanged, 2)
+			done := followSilentTo(ctx, t, clock, l, func(e gooseberrypass.Event) {
+				if e, ok := e.(gooseberrypass.TopicChanged); ok {
+					changes <- e
+				}
+			})
+			<-l.polls
+			for range tt.checks {
+				if err := clock.BlockUntilContext(ctx, 1); err != nil {
+					t.Fatal("no check")
+				}
+				clock.Advance(checkPeriod)
+			}
+			if first := <-changes; !first.ReadFrom.IsZero() {
+				t.Errorf("first read: got a read before it at %s, want none", first.ReadFrom)
+			}
+			got, want := (<-changes).ReadFrom, time.Time{}
+			if tt.want >= 0 {
+				want = start.Add(tt.want)
+			}
+			if !got.Equal(want) {
+				t.Errorf("got %s, want %s", got, want)
+			}
+			cancel()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -77,8 +77,11 @@
 	logger      logrus.FieldLogger
 	renewed     []gooseberrypass.Endpoint                                      // endpoints whose records were renewed since the last event about them
 	offsets     atomic.Pointer[map[gooseberrypass.Topic]gooseberrypass.Offset] // next offset of each topic
+	named       []gooseberrypass.AgedTarget                                    // versions in records that were read or pulled since the last snapshot
+	past        map[string]bool                                                // models of which versions were named before the process knew the operator's topic
 	reported    []gooseberrypass.AgedTarget                                    // versions that another process knows, to be added at the next snapshot
 	outage      outage
+	overdueFrom time.Time            // start of the time in which versions may have been named that the last read did not show, zero for none
 	retained    map[string]time.Time // endpoints removed during an outage and the end of their retention, by key
 	settings    Settings
 	snapshot    atomic.Pointer[Snapshot]
@@ -95,6 +98,7 @@
 		retained:  map[string]time.Time{},
 		logger:    logger,
 		listeners: listeners,
+		past:      map[string]bool{},
 		settings:  settings,
 		topics:    map[gooseberrypass.Topic]*topicRecords{},
 	}
@@ -124,41 +128,6 @@
 	return m.NextOffset(topic)
 }
 
-// AgedTargets returns all wanted versions that this process knows, with the time since
-// each was named, without those that it merely presumes. It must be called on the control goroutine.
-func (m *Materializer) AgedTargets(now time.Time) []gooseberrypass.AgedTarget {
-	var aged []gooseberrypass.AgedTarget
-	for model, targets := range m.Snapshot().Targets {
-		for _, t := range targets {
-			if !t.Presumed {
-				aged = append(aged, t.aged(now, model))
-			}
-		}
-	}
-	return aged
-}
-
-// minCorrection is the smallest difference for which the time of a version is corrected:
-// messages take between a fraction of a millisecond and a few.
-const minCorrection = 10 * time.Millisecond
-
-// NewTargets returns those of the versions that another process knows which this one
-// does not know, or counts from a later time. It must be called on the control goroutine.
-func (m *Materializer) NewTargets(now time.Time, reported []gooseberrypass.AgedTarget) []gooseberrypass.AgedTarget {
-	var news []gooseberrypass.AgedTarget
-	for _, a := range reported {
-		known := m.Snapshot().Targets[a.Model]
-		i, found := known.find(a.Version)
-		if !found && i == 0 && len(known) == maxTargets {
-			continue // older than those that are kept
-		}
-		if !found || newTarget(now, a).improves(known[i], minCorrection) {
-			news = append(news, a)
-		}
-	}
-	return news
-}
-
 // Retained reports whether an endpoint is retained although its record was removed
 // during an outage, and for how much longer. It must be called on the control goroutine.
 func (m *Materializer) Retained(now time.Time, key string) (time.Duration, bool) {
@@ -349,19 +318,12 @@
 	snapshot := &Snapshot{
 		Deployment: old.Deployment, Evacuated: map[gooseberrypass.FailureDomain]struct{}{}, Released: map[gooseberrypass.FailureDomain]time.Time{}, Targets: maps.Clone(old.Targets),
 	}
-	for _, a := range m.reported {
-		snapshot.Targets[a.Model] = snapshot.Targets[a.Model].withReported(newTarget(now, a))
-	}
-	m.reported, m.renewed = nil, nil
+	m.updateTargets(now, snapshot)
+	m.renewed = nil
 	t := m.topic(gooseberrypass.TopicOperator)
 	for _, key := range slices.Sorted(maps.Keys(t.records)) {
 		m.decodeOperatorRecord(now, snapshot, t, t.records[key])
 	}
-	if m.blind {
-		for model, targets := range snapshot.Targets {
-			snapshot.Targets[model] = targets.withAssumptions(m.assumedSince())
-		}
-	}
 	for _, key := range slices.Sorted(maps.Keys(m.endpoints)) {
 		snapshot.Endpoints = append(snapshot.Endpoints, m.endpoints[key])
 	}
@@ -374,8 +336,7 @@
 	return effects
 }
 
-// decodeOperatorRecord adds the deployment, target or evacuation of an operator record to a
-// snapshot.
+// decodeOperatorRecord adds the deployment or evacuation of an operator record to a snapshot.
 func (m *Materializer) decodeOperatorRecord(now time.Time, snapshot *Snapshot, t *topicRecords, r gooseberrypass.KeyedRecord) {
 	const topic = gooseberrypass.TopicOperator
 	if domain, ok := m.decoder.Evacuation(r); ok {
@@ -385,7 +346,7 @@
 	if m.ignored.has(topic, r) {
 		return
 	}
-	target, ok, err := m.decoder.Target(r)
+	_, ok, err := m.decoder.Target(r)
 	if err != nil {
 		m.ignored.add(now, topic, r, err)
 		return
@@ -393,7 +354,6 @@
 	if ok {
 		m.ignored.end(topic, r.Key)
 		m.agentOffset = max(m.agentOffset, r.Offset+1)
-		snapshot.Targets[target.Model] = snapshot.Targets[target.Model].withNewer(t.target(r.Key, target.Version))
 		return
 	}
 	if m.cached.record.Value != nil && m.cached.record.Key == r.Key && m.cached.record.Offset == r.Offset {
--- a/materializer/records.go
+++ b/materializer/records.go
@@ -16,7 +16,6 @@
 	known        bool                                  // the topic was read, or pulled from another process
 	knownSince   map[string]time.Time                  // when any process first knew the record, by key
 	next         gooseberrypass.Offset                 // offset after the last known record
-	observed     map[string]bool                       // whether this process saw the record being written, by key
 	outranked    map[string]outrankedRecord            // records of a restored log that are older than the known ones, by key
 	pulled       bool                                  // every record of another process has been received
 	records      map[string]gooseberrypass.KeyedRecord // by key; a nil value is a tombstone
@@ -30,21 +29,12 @@
 	since  time.Time
 }
 
-// target returns the target of the version that the record of a key names.
-func (t *topicRecords) target(key string, version int) Target {
-	target := Target{Since: t.knownSince[key], Version: version}
-	if t.observed[key] {
-		target.ObservedAt = target.Since
-	}
-	return target
-}
-
 // topic returns the records of a topic, and creates them for a new topic.
 func (m *Materializer) topic(topic gooseberrypass.Topic) *topicRecords {
 	t, ok := m.topics[topic]
 	if !ok {
 		t = &topicRecords{
-			knownSince: map[string]time.Time{}, observed: map[string]bool{}, outranked: map[string]outrankedRecord{}, records: map[string]gooseberrypass.KeyedRecord{},
+			knownSince: map[string]time.Time{}, outranked: map[string]outrankedRecord{}, records: map[string]gooseberrypass.KeyedRecord{},
 		}
 		m.topics[topic] = t
 	}
@@ -57,6 +47,9 @@
 	t := m.topic(e.Topic)
 	if e.Topic == gooseberrypass.TopicOperator {
 		m.blind = !t.known
+		if e.Batch.Complete && isOverdue(now, e) {
+			m.overdueFrom = e.ReadFrom
+		}
 	}
 	t.known = t.known || e.Ages == nil || e.Batch.Next > 0
 	changed := false
@@ -108,7 +101,7 @@
 		t.records[r.Key] = r
 		if !known || !isRepeated(held, r) {
 			t.knownSince[r.Key] = now.Add(-m.recordAge(now, e, i))
-			t.observed[r.Key] = e.Ages == nil && !e.FirstRead
+			m.addNamed(now, e, r, t.knownSince[r.Key])
 		}
 		changed = m.applyRecord(now, e.Topic, r, m.retention(now, e, r.Key)) || changed
 	}
@@ -269,20 +262,19 @@
 
 // recordAge returns the time for which a record has been known. When the record of a version
 // was written that was there when the process started is unknown, so it counts from
-// assumedSince. For other records that would be too early: the time for which an endpoint stays cold
+// assumedSince; one that may have been written since the last answer of the log counts from that.
+// For other records that would be too early: the time for which an endpoint stays cold
 // counts from then on, here and at processes that pull the record.
 func (m *Materializer) recordAge(now time.Time, e gooseberrypass.TopicChanged, i int) time.Duration {
+	isVersion := e.Topic == gooseberrypass.TopicOperator && !m.isEvacuation(e.Topic, e.Batch.Records[i])
 	switch {
 	case i < len(e.Ages):
 		return e.Ages[i]
-	case e.FirstRead && e.Topic == gooseberrypass.TopicOperator && !m.isEvacuation(e.Topic, e.Batch.Records[i]):
+	case isVersion && e.FirstRead:
 		return now.Sub(m.assumedSince())
+	case isVersion && isOverdue(now, e):
+		return now.Sub(e.ReadFrom)
 	default:
 		return 0
 	}
 }
-
-// assumedSince returns the time from which the bound of a version counts that may have been
-// named at any time before the process started. It follows from the start and not from the
-// read, which may come late: the start is when the exemption from the bounds begins to end.
-func (m *Materializer) assumedSince() time.Time { return m.startedAt.Add(-m.settings.AssumedAge) }
--- a/materializer/restartversions_test.go
+++ b/materializer/restartversions_test.go
@@ -46,9 +46,10 @@
 func peers(l *versionLog) map[string]*versionReader {
 	named := startTime.Add(secondNamed)
 	witness, late := startVersionReader(startTime.Add(-time.Minute)), startVersionReader(startTime.Add(time.Second))
-	witness.read(startTime.Add(-time.Minute), l)
+	witness.read(startTime.Add(-time.Second), l)
 	l.name("2")
 	witness.read(startTime, l)
+	witness.read(startTime.Add(time.Second), l)
 	late.read(startTime.Add(time.Second), l) // finds the first version
 	l.name("3")
 	witness.read(named, l)
@@ -132,3 +133,63 @@
 		t.Errorf("got %+v, want version 2 to count from %s", got, startTime)
 	}
 }
+
+// A read that brings two versions of a model showed the newer one alone, and the older one kept
+// no bound.
+func TestVersionReplacedWithinAReadKeepsItsBound(t *testing.T) {
+	l := &versionLog{}
+	r := startVersionReader(startTime)
+	r.read(startTime, l)
+	l.name("2")
+	l.name("3")
+	r.read(startTime.Add(time.Second), l)
+	if targets := r.m.Snapshot().Targets["m"]; len(targets) != 2 || targets[0].Version != 2 {
+		t.Errorf("got %+v, want versions 2 and 3", targets)
+	}
+}
+
+// A process that stood still, or to which the log had trimmed records, counted a version as named when it
+// read it, told others so, and had no word of one before it.
+func TestVersionThatWasReadLateCountsFromTheReadBefore(t *testing.T) {
+	const gap = 4 * time.Second
+	for _, trimmed := range []bool{false, true} {
+		l := &versionLog{}
+		r := startVersionReader(startTime)
+		r.read(startTime, l)
+		l.name("2")
+		if trimmed {
+			l.name("3")
+			l.trimmed = len(l.records)
+		}
+		r.read(startTime.Add(gap), l)
+		r.wantRequired(t, startTime.Add(versionBound), 2)
+		for _, a := range r.m.AgedTargets(startTime.Add(gap)) {
+			if a.Observed {
+				t.Errorf("trimmed %v: got %+v, want no time that others would count from", trimmed, a)
+			}
+		}
+		others := []gooseberrypass.AgedTarget{{Age: time.Second, Model: "m", Observed: true, Version: len(l.records) + 1}}
+		r.takeTargets(startTime.Add(gap), others)
+		if newest, _ := r.m.Snapshot().Targets["m"].Newest(); !newest.Since.Equal(startTime.Add(gap - time.Second)) {
+			t.Errorf("trimmed %v: got %+v, want the time that another process saw", trimmed, newest)
+		}
+		if trimmed {
+			r.wantRequired(t, startTime.Add(versionBound), 2)
+		}
+	}
+}
+
+// An entry that restarted within a bound after a naming kept the age that it had assumed, although
+// others knew the true one, and refused requests until engines had loaded the version.
+func TestObservedTimeReplacesAnAssumedOne(t *testing.T) {
+	l := &versionLog{}
+	witness, start := peers(l)["saw it being named"], startTime.Add(restart)
+	r := startVersionReader(start)
+	r.read(start, l)
+	r.takeTargets(start, witness.m.AgedTargets(start))
+	due := startTime.Add(secondNamed).Add(versionBound)
+	if got, want := r.m.Snapshot().Targets["m"].Required(due.Add(-time.Millisecond), versionBound), 2; got != want {
+		t.Errorf("required before the bound of version 3: got %d, want %d", got, want)
+	}
+	r.wantRequired(t, due, 3)
+}
--- a/materializer/target.go
+++ b/materializer/target.go
@@ -10,8 +10,8 @@
 // A Target is a version of a model that the operator wants loaded.
 type Target struct {
 	ObservedAt time.Time // when a process first saw the version being named, as far as known; zero if none did
-	Presumed   bool      // no process has told of the version; it is that before the oldest known one
-	Since      time.Time // when the bound of the version starts: at ObservedAt, or at an earlier assumed time
+	Presumed   bool      // the version is not known to have been named, but may have been before a newer one
+	Since      time.Time // when the bound of the version starts: at ObservedAt, or at an assumed time if that is zero
 	Version    int
 }
 
@@ -70,15 +70,6 @@
 // maxTargets bounds the versions kept of one model.
 const maxTargets = 16
 
-// withNewer returns the targets with target appended. A target that is not newer
-// is ignored.
-func (t Targets) withNewer(target Target) Targets {
-	if newest, ok := t.Newest(); ok && newest.Version >= target.Version {
-		return t
-	}
-	return append(t[max(0, len(t)+1-maxTargets):len(t):len(t)], target)
-}
-
 // find returns the position of a version and whether it is known.
 func (t Targets) find(version int) (int, bool) {
 	return slices.BinarySearchFunc(t, version, func(t Target, version int) int { return t.Version - version })
@@ -87,25 +78,44 @@
 // firstVersion is the version of an engine before any is named.
 const firstVersion = 1
 
-// withAssumptions returns the targets of a process to which any version may have been named at
-// any time from since on, as it started then and knows of them from another one. That one may have
-// started later and assumed a later time, and may not know the version before the oldest one.
-func (t Targets) withAssumptions(since time.Time) Targets {
+// withPredecessor returns the targets with the version before the oldest one, unless that one
+// counts from since or earlier. A process that started after several versions were named may
+// know the newest ones alone, and those before may have been named at any time until then.
+func (t Targets) withPredecessor(since time.Time) Targets {
+	if len(t) == 0 || len(t) == maxTargets || t[0].Version <= firstVersion+1 || !t[0].Since.After(since) {
+		return t
+	}
+	return slices.Insert(slices.Clone(t), 0, Target{Presumed: true, Since: since, Version: t[0].Version - 1})
+}
+
+// withSkipped returns the targets with the version before the newest one, if it is neither known
+// nor older than before, the newest version that was known earlier. It may have been named and
+// replaced at any time from since on.
+func (t Targets) withSkipped(before Targets, since time.Time) Targets {
+	newest, _ := t.Newest()
+	known, _ := before.Newest()
+	i, found := t.find(newest.Version - 1)
+	if found || newest.Version-1 <= max(firstVersion, known.Version) {
+		return t
+	}
+	return slices.Insert(slices.Clone(t), i, Target{Presumed: true, Since: since, Version: newest.Version - 1})
+}
+
+// assumedFrom returns the targets in which no assumed time is later than since. Another process
+// that has started later than this one assumes a later time.
+func (t Targets) assumedFrom(since time.Time) Targets {
 	assumed := slices.Clone(t)
 	for i := range assumed {
 		if assumed[i].ObservedAt.IsZero() && assumed[i].Since.After(since) {
 			assumed[i].Since = since
 		}
 	}
-	if len(t) == 0 || len(t) == maxTargets || t[0].Version <= firstVersion+1 || !assumed[0].Since.After(since) {
-		return assumed
-	}
-	return slices.Insert(assumed, 0, Target{Presumed: true, Since: since, Version: t[0].Version - 1})
+	return assumed
 }
 
-// withReported returns the targets with a target that another process knows. Of two
-// times at which a version was seen being named, the earlier one counts, since a process
-// may read a record late. A time that the other process assumed does not replace any.
+// withReported returns the targets with a target that this process has read or another one
+// knows. Of two times at which a version was seen being named, the earlier one counts, since a
+// process may read a record late. Either replaces an assumed time, and an assumed time none.
 func (t Targets) withReported(target Target) Targets {
 	i, found := t.find(target.Version)
 	if found && !target.improves(t[i], 0) {
@@ -113,14 +123,7 @@
 	}
 	if found {
 		merged := slices.Clone(t)
-		if t[i].Presumed {
-			merged[i] = target
-			return merged
-		}
-		merged[i].ObservedAt = target.ObservedAt
-		if target.Since.Before(merged[i].Since) {
-			merged[i].Since = target.Since
-		}
+		merged[i] = target
 		return merged
 	}
 	merged := slices.Insert(slices.Clone(t), i, target)
--- a/materializer/versions_test.go
+++ b/materializer/versions_test.go
@@ -31,6 +31,7 @@
 // each version being named.
 type versionReader struct {
 	m       *materializer.Materializer
+	readAt  time.Time // last read
 	saw     map[int]time.Time
 	started bool // the first read is done
 }
@@ -53,7 +54,7 @@
 
 // read reads the log as package follower does.
 func (r *versionReader) read(now time.Time, l *versionLog) {
-	e := gooseberrypass.TopicChanged{Batch: gooseberrypass.KeyedBatch{Next: gooseberrypass.Offset(len(l.records))}, FirstRead: !r.started, Topic: gooseberrypass.TopicOperator}
+	e := gooseberrypass.TopicChanged{Batch: gooseberrypass.KeyedBatch{Next: gooseberrypass.Offset(len(l.records))}, FirstRead: !r.started, ReadFrom: r.readAt, Topic: gooseberrypass.TopicOperator}
 	from := r.next()
 	if r.started && int(from) >= l.trimmed {
 		e.Batch.Records = l.records[from:]
@@ -65,7 +66,7 @@
 			r.see(version, now)
 		}
 	}
-	r.started = true
+	r.readAt, r.started = now, true
 	r.m.Handle(now, e)
 }
 
--- a/topic.go
+++ b/topic.go
@@ -78,6 +78,7 @@
 	Ages      []time.Duration // time since each record first became known to any process; nil if this process read them from the log
 	Batch     KeyedBatch
 	FirstRead bool                     // first read of this process, whose records may be of any age
+	ReadFrom  time.Time                // last answer of the log before this read, after which its records were written; zero if unknown
 	Retained  map[string]time.Duration // keys that another process keeps although their records expired during an outage, with the rest of their retention
 	Targets   []AgedTarget             // versions that another process knows; the log keeps only the record of the newest
 	Topic     Topic
