--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -262,10 +262,15 @@
 
 // newStager returns a stager beside the engine.
 func (f *fixture) newStager(chunks *cacher.Cacher, fetches stager.Fetcher, from gooseberrypass.Origin, settings stager.Settings) *stager.Stager {
+	return f.newStagerBeside(f.engine, chunks, fetches, from, settings)
+}
+
+// newStagerBeside returns a stager beside an engine that stands in for the fixture's.
+func (f *fixture) newStagerBeside(beside gooseberrypass.AdvisedEngine, chunks *cacher.Cacher, fetches stager.Fetcher, from gooseberrypass.Origin, settings stager.Settings) *stager.Stager {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return stager.New(stager.Dependencies{
-		Chunks: chunks, Clock: f.clock, Engine: f.engine, Fetcher: fetches, Log: log, Manifests: f.manifests, Origin: from,
+		Chunks: chunks, Clock: f.clock, Engine: beside, Fetcher: fetches, Log: log, Manifests: f.manifests, Origin: from,
 		Self: materializer.Process{Endpoint: "a", ID: "self", Role: gooseberrypass.RoleAgent, Service: "s"}, Notifier: f.recorder,
 	}, settings)
 }
