Read no more of an answer than it may have

Each read of an answer names its limit now.

NewOrigin and ReadStaged get the sizes, so calls in tests have one argument more.

Ruled out: an error in place of a chunk that is too long. It would end the verification, and the chunk would not be staged anew. Left as they are: pages and reads of the store, up to 8 MiB, as single records may have 2 MiB and the protocol does not say where a page ends; pulls, up to 16 MiB; chunks above 8 MiB, which could not be read back before either.

--- a/manifest.go
+++ b/manifest.go
@@ -11,8 +11,20 @@
 	MaxChunkSize    = 64 << 20 // bytes
 	MaxManifestSize = 16 << 20 // bytes, encoded
 	MaxChunks       = 1 << 17
+
+	maxManifestHead = 4 << 10 // bytes, of a manifest without chunks
+	maxEncodedChunk = 256     // bytes, with the names of its fields
 )
 
+// ManifestLimit returns the most bytes that an encoded manifest takes, which are
+// MaxManifestSize if the number of its chunks is not known, 0.
+func ManifestLimit(chunks int) int64 {
+	if chunks <= 0 || chunks > MaxChunks {
+		return MaxManifestSize
+	}
+	return min(maxManifestHead+int64(chunks)*maxEncodedChunk, MaxManifestSize)
+}
+
 // ErrBadManifest is wrapped by the errors for invalid manifests.
 var ErrBadManifest = errors.New("invalid manifest")
 
--- a/manifest_test.go
+++ b/manifest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"github.com/gooseberrypass/gooseberrypass"
@@ -47,3 +48,26 @@
 		})
 	}
 }
+
+// A limit below what a manifest takes would keep agents from every version.
+func TestManifestsFitIntoTheirLimit(t *testing.T) {
+	long := strings.Repeat("\x01", 255) // takes six times as much once it is encoded
+	for _, n := range []int{1, 4, 1000, gooseberrypass.MaxChunks} {
+		chunks := make([]gooseberrypass.Chunk, n)
+		for i := range chunks {
+			chunks[i] = gooseberrypass.Chunk{Digest: gooseberrypass.DigestOf([]byte{byte(i)}), Size: gooseberrypass.MaxChunkSize}
+		}
+		m, err := gooseberrypass.NewManifest(long, long, gooseberrypass.DigestOf(nil), chunks)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, limit := int64(len(m.Encoded())), gooseberrypass.ManifestLimit(n); got > limit {
+			t.Errorf("%d chunks: got %d bytes, want at most %d", n, got, limit)
+		}
+	}
+	for _, n := range []int{-1, 0, gooseberrypass.MaxChunks + 1} {
+		if got, want := gooseberrypass.ManifestLimit(n), int64(gooseberrypass.MaxManifestSize); got != want {
+			t.Errorf("%d chunks: got a limit of %d bytes, want %d", n, got, want)
+		}
+	}
+}
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -67,7 +67,7 @@
 		return nil, err
 	}
 	s.chunks.SetMaxUploads(checker.Get[int](settings.values, sectionWeights, "uploads"))
-	origin := platform.NewOrigin(newOriginClient(), s.originAddress, s.chunkSize)
+	origin := platform.NewOrigin(newOriginClient(), s.originAddress, s.layout)
 	reader := fetcher.NewReader(m.client, m.clock, c, origin, nil)
 	reader.SetHeaderTimeout(peerHeaderMargin)
 	manifests := stager.NewManifests(m.client)
@@ -123,12 +123,13 @@
 	return *spec.Engine, true
 }
 
-// chunkSize returns the bytes of a chunk of the model, 0 if they are not known.
-func (s *Sidecar) chunkSize(model string) int64 {
+// layout returns the number of chunks of the model and their size in bytes, 0 if they are
+// not known.
+func (s *Sidecar) layout(model string) (int, int64) {
 	if e, ok := s.engine(); ok && e.Model == model {
-		return e.ChunkSize
+		return e.Chunks, e.ChunkSize
 	}
-	return 0
+	return 0, 0
 }
 
 // listedInstance converts a process to the form that the fetcher uses. The agents of
--- a/stagedengine.go
+++ b/stagedengine.go
@@ -49,8 +49,9 @@
 	// Stage writes a chunk of a model, replacing any chunk with the same index. The
 	// engine does not verify it.
 	Stage(ctx context.Context, model string, index int, body []byte) error
-	// ReadStaged reads back a staged chunk, or returns ErrChunkNotHeld.
-	ReadStaged(ctx context.Context, model string, index int) ([]byte, error)
+	// ReadStaged reads back a staged chunk of size bytes, or returns ErrChunkNotHeld. Of a
+	// longer one it returns at most one byte more, so that it does not pass as the chunk.
+	ReadStaged(ctx context.Context, model string, index int, size int64) ([]byte, error)
 	// StartLoad orders the engine to load the staged chunks and does not wait for it.
 	StartLoad(ctx context.Context, order StartOrder) (StartResult, error)
 }
--- a/stager/advisory_test.go
+++ b/stager/advisory_test.go
@@ -64,11 +64,11 @@
 	return a.engine.Stage(ctx, model, index, body)
 }
 
-func (a *advisedEngine) ReadStaged(ctx context.Context, model string, index int) ([]byte, error) {
+func (a *advisedEngine) ReadStaged(ctx context.Context, model string, index int, size int64) ([]byte, error) {
 	if err := a.answer(); err != nil {
 		return nil, err
 	}
-	return a.engine.ReadStaged(ctx, model, index)
+	return a.engine.ReadStaged(ctx, model, index, size)
 }
 
 func (a *advisedEngine) StartLoad(ctx context.Context, order gooseberrypass.StartOrder) (gooseberrypass.StartResult, error) {
--- a/stager/effects.go
+++ b/stager/effects.go
@@ -48,6 +48,7 @@
 func (manifestRead) EventName() string { return "manifest-read" }
 
 type manifestEffect struct {
+	chunks    int // of the model, 0 if not known
 	manifests *Manifests
 	model     string
 	origin    gooseberrypass.Origin
@@ -70,7 +71,7 @@
 	}
 	var lastErr error
 	for _, address := range e.peers {
-		m, err := e.manifests.read(ctx, address, e.model, e.version)
+		m, err := e.manifests.read(ctx, address, e.model, e.version, gooseberrypass.ManifestLimit(e.chunks))
 		if err == nil {
 			return m, nil
 		}
@@ -129,7 +130,7 @@
 		if i < 0 || i >= e.manifest.Len() || mismatches > 1 {
 			break
 		}
-		body, err := e.engine.ReadStaged(ctx, e.model, i)
+		body, err := e.engine.ReadStaged(ctx, e.model, i, e.manifest.Chunk(i).Size)
 		if err != nil || e.chunks.Put(e.manifest.Chunk(i).Digest, body) != nil {
 			mismatches++
 			continue
--- a/stager/gate.go
+++ b/stager/gate.go
@@ -144,11 +144,11 @@
 }
 
 // ReadStaged implements gooseberrypass.StagedEngine.
-func (g *gate) ReadStaged(ctx context.Context, model string, index int) ([]byte, error) {
+func (g *gate) ReadStaged(ctx context.Context, model string, index int, size int64) ([]byte, error) {
 	var body []byte
 	err := g.call(func(e gooseberrypass.StagedEngine) error {
 		var err error
-		body, err = e.ReadStaged(ctx, model, index)
+		body, err = e.ReadStaged(ctx, model, index, size)
 		return err
 	})
 	return body, err
--- a/stager/job.go
+++ b/stager/job.go
@@ -131,7 +131,7 @@
 	switch {
 	case j.manifest == nil:
 		return manifestEffect{
-			manifests: s.deps.Manifests, model: s.model.Model, origin: s.deps.Origin, peers: s.manifestPeers(j), version: j.version,
+			chunks: s.model.Chunks, manifests: s.deps.Manifests, model: s.model.Model, origin: s.deps.Origin, peers: s.manifestPeers(j), version: j.version,
 		}
 	case !j.restored:
 		return s.nextRestore(now, j)
--- a/stager/manifests.go
+++ b/stager/manifests.go
@@ -89,8 +89,8 @@
 	_, _ = w.Write(encoded) // an error means that the client disconnected
 }
 
-// read reads a manifest from another agent.
-func (m *Manifests) read(ctx context.Context, address, model string, version int) (*gooseberrypass.Manifest, error) {
+// read reads a manifest of at most limit bytes from another agent.
+func (m *Manifests) read(ctx context.Context, address, model string, version int, limit int64) (*gooseberrypass.Manifest, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	target := fmt.Sprintf("http://%s/manifests/%s/%d", address, url.PathEscape(model), version)
@@ -106,7 +106,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("request manifest from another agent: answered %s", resp.Status)
 	}
-	encoded, err := io.ReadAll(io.LimitReader(resp.Body, gooseberrypass.MaxManifestSize))
+	encoded, err := io.ReadAll(io.LimitReader(resp.Body, limit))
 	if err != nil {
 		return nil, errors.Wrap(err, "read manifest")
 	}
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -109,7 +109,7 @@
 	return nil
 }
 
-func (e *engine) ReadStaged(ctx context.Context, _ string, index int) ([]byte, error) {
+func (e *engine) ReadStaged(ctx context.Context, _ string, index int, _ int64) ([]byte, error) {
 	e.await(ctx)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/stager/verify.go
+++ b/stager/verify.go
@@ -15,6 +15,9 @@
 // maxReaders is the number of staged chunks that are read at once when it must go fast.
 const maxReaders = 8
 
+// maxReadSize is the most bytes that are held of the staged chunks that are read at once.
+const maxReadSize = 8 << 20
+
 // A suspicion is the state of a load whose chunks may have been corrupt when the engine took
 // them, as the order was accepted long after they were verified, or was not given by this process.
 type suspicion struct {
@@ -54,13 +57,13 @@
 	var mu sync.Mutex
 	var wrong []int
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(readers)
+	group.SetLimit(min(readers, e.readersWithinMemory()))
 	for i := range e.manifest.Len() {
 		group.Go(func() error {
 			if ctx.Err() != nil {
 				return nil // another read has failed
 			}
-			body, err := e.engine.ReadStaged(ctx, e.model, i)
+			body, err := e.engine.ReadStaged(ctx, e.model, i, e.manifest.Chunk(i).Size)
 			switch {
 			case err != nil && !errors.Is(err, gooseberrypass.ErrChunkNotHeld):
 				return errors.Wrapf(err, "read back chunk %d", i)
@@ -76,6 +79,15 @@
 	return wrong, group.Wait()
 }
 
+// readersWithinMemory returns how many chunks may be read at once within maxReadSize, at least 1.
+func (e stageEffect) readersWithinMemory() int {
+	var largest int64
+	for i := range e.manifest.Len() {
+		largest = max(largest, e.manifest.Chunk(i).Size)
+	}
+	return int(max(maxReadSize/(largest+1), 1))
+}
+
 // judgeOrder suspects the load of an order unless the engine has accepted it shortly after its
 // chunks were verified. An order without a response may still be accepted.
 func (s *Stager) judgeOrder(j *job, e startDone) {
