Hold back a request's last byte until the others have arrived, if asked to

A request that is sent cannot be called back: its withdrawal comes behind it on the same link.

Nobody asks for it yet. Ruled out: Expect: 100-continue, which endpoints need not know; the round trip time of TCP_INFO, which kept its first value on connections that were used again.

--- a/proxy.go
+++ b/proxy.go
@@ -62,8 +62,12 @@
 	LastEvent       int       // index of the last event delivered to the caller, -1 for none
 	MaxIdleConns    int       // largest number of idle connections to the endpoint, 0 for the default
 	Priority        int       // 0 is the highest
-	Request         *ProxyRequest
-	TimeLeft        time.Duration // time limit of the endpoint
+	// Release, unless nil, holds back the request's last byte until the endpoint's machine has
+	// acknowledged the others. It is called with the time that this has taken so far, repeatedly
+	// until it has. If it returns false, the last byte is not sent and the request does not run.
+	Release  func(took time.Duration) bool
+	Request  *ProxyRequest
+	TimeLeft time.Duration // time limit of the endpoint
 }
 
 // A Reply is the response of an endpoint. Body returns io.EOF only after the complete
