--- a/forwarder/fakes_test.go
+++ b/forwarder/fakes_test.go
@@ -33,6 +33,7 @@
 	body     string
 	cut      bool          // the connection breaks after the body
 	delay    time.Duration // time until the answer
+	onWay    time.Duration // time until the request, or its last byte, arrives
 	header   http.Header   // of the answer
 	hang     bool          // no answer until the attempt is withdrawn
 	reader   io.Reader     // replaces body, if not nil
@@ -53,12 +54,38 @@
 
 	mu   sync.Mutex // held while sent changes: two attempts may go on side by side
 	sent []gooseberrypass.Dispatch
+	ran  []run
+}
+
+// A run is a request that an endpoint has begun.
+type run struct {
+	at       time.Time
+	endpoint gooseberrypass.ID
 }
 
 type brokenReader struct{}
 
 func (brokenReader) Read([]byte) (int, error) { return 0, errReset }
 
+// travel lets a request travel to its endpoint, and reports whether it was released. Once sent
+// it runs: its withdrawal comes behind it on the same link.
+func (t *scriptedTransport) travel(ctx context.Context, d gooseberrypass.Dispatch, onWay time.Duration) bool {
+	if d.Release != nil {
+		if !d.Release(0) {
+			return false
+		}
+		t.clock.Advance(onWay)
+		if ctx.Err() != nil || !d.Release(onWay) {
+			return false
+		}
+	}
+	t.clock.Advance(onWay)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ran = append(t.ran, run{at: t.clock.Now(), endpoint: d.Endpoint.ID})
+	return true
+}
+
 func (t *scriptedTransport) Send(ctx context.Context, d gooseberrypass.Dispatch) (*gooseberrypass.Reply, error) {
 	t.mu.Lock()
 	t.sent = append(t.sent, d)
@@ -68,6 +95,9 @@
 		t.onSend(d)
 	}
 	a := t.reactions[min(n-1, len(t.reactions)-1)]
+	if !t.travel(ctx, d, a.onWay) {
+		return nil, &gooseberrypass.DispatchError{Err: errReset}
+	}
 	t.clock.Advance(a.delay)
 	switch {
 	case a.refused:
