Hold back the last byte of requests near the bound of their engine's version

A request to an engine behind a link that has just been squeezed is on its way for up to 2.3 s, arrives after the version's bound and begins on it; its withdrawal, sent before the bound, comes behind it. So within half of the bound before the end of an engine's version the entry sends a request without its last byte, waits until the engine's machine has acknowledged the rest, and sends the last byte only if it may arrive (twice the time that the rest took) with VersionMargin less VersionCutoff left for the wait at the engine. Otherwise, or if it is withdrawn on its way, the request has not run and never will, so that it may go elsewhere or be refused with that promise, where callers got 502 before.

Cost where delivery is as usual: one round trip for requests to engines of an older version in that time.

Not covered: a link that is squeezed after the begin has arrived and before the last byte has, and processes that learn of a version late.

--- a/balancer/choice.go
+++ b/balancer/choice.go
@@ -130,10 +130,10 @@
 	return b.snapshot.Targets[model].Required(now, b.settings.VersionTimeout-b.settings.VersionMargin)
 }
 
-// mustBegin returns when the last request may begin on a version of a model, zero if
+// versionEnd returns when the last request may begin on a version of a model, zero if
 // no newer version is wanted. The bound of the newest version may start before that of
 // one in between, whose record was read late.
-func (b *Balancer) mustBegin(model string, version int) time.Time {
+func (b *Balancer) versionEnd(model string, version int) time.Time {
 	var earliest time.Time
 	for _, t := range b.snapshot.Targets[model] {
 		if t.Version > version && (earliest.IsZero() || t.Since.Before(earliest)) {
@@ -143,7 +143,17 @@
 	if earliest.IsZero() {
 		return earliest
 	}
-	return earliest.Add(b.settings.VersionTimeout - b.settings.VersionCutoff)
+	return earliest.Add(b.settings.VersionTimeout)
+}
+
+// mustBegin returns when a request that has not begun on a version of a model is withdrawn,
+// zero if no newer version is wanted.
+func (b *Balancer) mustBegin(model string, version int) time.Time {
+	end := b.versionEnd(model, version)
+	if end.IsZero() {
+		return end
+	}
+	return end.Add(-b.settings.VersionCutoff)
 }
 
 // eligibility returns the state that excludes an endpoint whatever its load is,
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -40,7 +40,8 @@
 	silentAt   time.Time // end of the time within which the endpoint should send something
 	ticket     *balancer.Ticket
 	timeLeft   time.Duration
-	version    int // version of that part
+	tooLate    bool // it would have reached the endpoint after its version went out of use
+	version    int  // version of that part
 }
 
 // A readResult is an event of a stream, or its end.
@@ -96,7 +97,7 @@
 	f := r.forwarder
 	reply, err := f.transport.Send(a.ctx, gooseberrypass.Dispatch{
 		Account: r.account, Endpoint: a.ticket.Endpoint(), ExpectedVersion: a.ticket.ExpectedVersion(), FirstSent: a.firstSent, LastEvent: a.lastEvent, MaxIdleConns: r.maxIdleConns(),
-		Priority: r.priority, Request: r.proxyRequest, TimeLeft: a.timeLeft,
+		Priority: r.priority, Release: a.release(), Request: r.proxyRequest, TimeLeft: a.timeLeft,
 	})
 	if err != nil {
 		return a.connectionFailure(err)
@@ -123,6 +124,19 @@
 	return a.readBody()
 }
 
+// release returns the function that decides whether the rest of the request is sent once its
+// begin has arrived, nil if it need not wait for that.
+func (a *attempt) release() func(took time.Duration) bool {
+	mayArrive := a.ticket.Release()
+	if mayArrive == nil {
+		return nil
+	}
+	return func(took time.Duration) bool {
+		a.tooLate = !mayArrive(took)
+		return !a.tooLate
+	}
+}
+
 // maxEventsAhead bounds the events without an index before the first one with an index, as long
 // as they are held back.
 const maxEventsAhead = 64
@@ -235,6 +249,9 @@
 		f.err.Reason = gooseberrypass.ReasonNotLoaded
 		f.err.Detail = cause.Error()
 		f.result = balancer.ResultInconclusive
+	case a.tooLate:
+		f.err.Reason = gooseberrypass.ReasonNotLoaded
+		f.result = balancer.ResultInconclusive
 	case errors.Is(cause, context.DeadlineExceeded):
 		f.err.Reason = gooseberrypass.ReasonDeadline
 		f.err.Detail = "no answer in time (" + cause.Error() + "): " + err.Error()
