--- /dev/null
+++ b/follower/answers_test.go
@@ -0,0 +1,106 @@
+package follower_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/follower"
+)
+
+// A frozenLog answers the first short read at once, but the process gets that answer after gap.
+// Further short reads return a record.
+type frozenLog struct {
+	silentLog
+	gap   time.Duration
+	reads int
+	short chan struct{}
+}
+
+func (l *frozenLog) Tail(ctx context.Context, topic gooseberrypass.Topic, from gooseberrypass.Offset, wait time.Duration) (gooseberrypass.KeyedBatch, error) {
+	if wait > 0 {
+		return l.silentLog.Tail(ctx, topic, from, wait)
+	}
+	l.reads++
+	if l.reads > 1 {
+		return batch(5, false, "b"), nil
+	}
+	timer := l.clock.NewTimer(l.gap)
+	l.short <- struct{}{}
+	<-timer.Chan()
+	return batch(from, false), nil
+}
+
+// A process stood still while the answer to a check was on its way. It counted the time at which
+// it took that answer as the time at which the log had answered, and a record that was written
+// meanwhile as new.
+func TestAnswerThatWaitedIsNoLateAnswer(t *testing.T) {
+	const gap = 4 * time.Second
+	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
+	defer cancel()
+	clock := clockwork.NewFakeClock()
+	start := clock.Now()
+	l := &frozenLog{silentLog: silentLog{clock: clock, polls: make(chan gooseberrypass.Offset, 1)}, gap: gap, short: make(chan struct{}, 1)}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	counts, err := follower.NewReadCounter(prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	changes := make(chan gooseberrypass.TopicChanged, 2)
+	f := follower.New(clock, l, "t", follower.Settings{CheckPeriod: checkPeriod, LongPoll: longPoll}, func(e gooseberrypass.Event) {
+		if e, ok := e.(gooseberrypass.TopicChanged); ok {
+			changes <- e
+		}
+	}, counts, logger)
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	<-l.polls
+	if err := clock.BlockUntilContext(ctx, 1); err != nil {
+		t.Fatal("no check")
+	}
+	clock.Advance(checkPeriod)
+	<-l.short
+	clock.Advance(gap)
+	<-changes // the first read
+	select {
+	case got := <-changes:
+		if want := start.Add(checkPeriod); got.ReadFrom.After(want) {
+			t.Errorf("got %s after the start, want at most %s: the log had answered by then", got.ReadFrom.Sub(start), checkPeriod)
+		}
+	case <-ctx.Done():
+		t.Error("no records")
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// A process that takes over reading counted a record as written when it read it, and told others
+// so. The reader before may have been silent or without answers for over a second.
+func TestFirstReadAfterStandbyTellsAnAnswerBefore(t *testing.T) {
+	checks := 0
+	settings := follower.Settings{
+		NextOffset: func() gooseberrypass.Offset { return 8 },
+		ShouldRead: func() bool { checks++; return checks > 2 },
+	}
+	_, events := followWith(t, settings, read{batch: batch(3, true, "a")}, read{batch: batch(9, false, "b")})
+	n := 0
+	for _, e := range events {
+		if e, ok := e.(gooseberrypass.TopicChanged); ok {
+			if n++; n == 2 && e.ReadFrom.IsZero() {
+				t.Error("got no time of an answer before, want one")
+			}
+		}
+	}
+	if n != 2 {
+		t.Errorf("got %d changes, want 2", n)
+	}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -16,6 +16,7 @@
 // Settings tune a Follower.
 type Settings struct {
 	CheckPeriod time.Duration                // delay between the short reads beside a long poll, whose answer may be lost; 0 for none
+	Handover    time.Duration                // time for which the process that read the topic before may have had no answers once this one reads again
 	LongPoll    time.Duration                // long-poll wait: how long the log may hold a read without records
 	NextOffset  func() gooseberrypass.Offset // returns the offset after the last record received from any source; nil if the log is the only source
 	Once        bool                         // stop after the first successful read; other processes announce later changes
@@ -28,7 +29,7 @@
 
 // A Follower reads one topic and posts its changes.
 type Follower struct {
-	answeredAt time.Time // last answer of the log, zero if a read has failed or another process has read since
+	answeredAt time.Time // last answer of the log to this process or the one that read before, zero before the first one and after a failed read
 	clock      gooseberrypass.Clock
 	failures   int // failed reads in a row
 	log        gooseberrypass.KeyedLog
@@ -125,12 +126,12 @@
 // standBy waits while another process reads the topic and passes on the records.
 func (f *Follower) standBy(ctx context.Context) {
 	f.logger.WithFields(offsetFields(f.nextOffset())).Info("topic is read by another process")
-	f.failures, f.answeredAt = 0, time.Time{}
+	f.failures = 0
 	f.post(gooseberrypass.TopicRead{Topic: f.topic})
 	for ctx.Err() == nil && !f.settings.ShouldRead() {
 		f.sleep(ctx, standbyPoll)
 	}
-	f.next = f.nextOffset()
+	f.answeredAt, f.next = f.clock.Now().Add(-f.settings.Handover), f.nextOffset()
 	f.logger.WithFields(offsetFields(f.next)).Info("reading the topic again")
 }
 
@@ -156,11 +157,12 @@
 		f.failures = 0
 		f.logger.WithFields(offsetFields(batch.Next)).Info("reads of the topic succeed again")
 	}
+	answeredAt := f.clock.Now()
 	f.settings.Restores.observe(batch.Next.Restores())
 	if len(batch.Records) > 0 || batch.Complete {
 		f.post(gooseberrypass.TopicChanged{Batch: batch, FirstRead: !f.started, ReadFrom: f.answeredAt, Topic: f.topic})
 	}
-	f.answeredAt, f.next, f.started = f.clock.Now(), batch.Next, true
+	f.answeredAt, f.next, f.started = answeredAt, batch.Next, true
 	f.post(gooseberrypass.TopicRead{Topic: f.topic})
 	return nil
 }
--- a/follower/poll.go
+++ b/follower/poll.go
@@ -52,7 +52,7 @@
 				f.answeredAt = time.Time{}
 				f.reads.WithLabelValues(string(f.topic), "check failed").Inc()
 			} else {
-				f.answeredAt = f.clock.Now()
+				f.answeredAt = checkedAt // the answer may have waited
 			}
 			timer.Reset(max(f.settings.CheckPeriod-f.clock.Since(checkedAt), 0))
 		}
--- a/materializer/bounds.go
+++ b/materializer/bounds.go
@@ -33,6 +33,9 @@
 // logBounds logs the versions whose bounds have become known or changed since an earlier
 // snapshot.
 func (m *Materializer) logBounds(now time.Time, before *Snapshot, e gooseberrypass.TopicChanged) {
+	if m.Snapshot() == before {
+		return
+	}
 	for model, targets := range m.Snapshot().Targets {
 		for _, t := range targets {
 			known := before.Targets[model]
@@ -87,21 +90,19 @@
 		snapshot.Targets[a.Model] = snapshot.Targets[a.Model].withReported(newTarget(now, a))
 	}
 	m.reported, m.named = nil, nil
-	before := m.Snapshot().Targets
 	for model, targets := range snapshot.Targets {
 		if !m.overdueFrom.IsZero() {
-			targets = targets.withSkipped(before[model], m.overdueFrom)
+			targets = targets.withSkipped(m.overdueFrom)
 		}
 		if m.blind {
-			m.past[model] = true
+			m.namedBefore[model] = true
 			targets = targets.assumedFrom(m.assumedSince())
 		}
-		if m.past[model] {
-			targets = targets.withPredecessor(m.assumedSince())
+		if m.namedBefore[model] {
+			targets = targets.withPredecessor(m.assumedSince(), m.readFirstAt)
 		}
 		snapshot.Targets[model] = targets
 	}
-	m.overdueFrom = time.Time{}
 }
 
 // addNamed adds the version that a record of the operator's topic names. Another version of the
@@ -114,6 +115,10 @@
 	if err != nil || !ok {
 		return // publish logs records that cannot be used
 	}
+	known := m.Snapshot().Targets[target.Model]
+	if i, found := known.find(target.Version); found && i < len(known)-1 {
+		return // named before a newer version
+	}
 	m.named = append(m.named, gooseberrypass.AgedTarget{
 		Age: now.Sub(since), Model: target.Model, Observed: e.Ages == nil && !e.FirstRead && !isOverdue(now, e), Version: target.Version,
 	})
@@ -121,7 +126,7 @@
 
 // maxReadGap is the time between two answers of the log up to which a record of the second one
 // counts as written when it was read. A process that follows a topic has an answer each second.
-const maxReadGap = 2 * time.Second
+const maxReadGap = 1500 * time.Millisecond
 
 // isOverdue reports whether the records of a read may have been written much earlier: the process
 // stood still, or the log had trimmed records so that it returned the newest of each key.
--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -75,10 +75,11 @@
 	ignored     *ignoredRecords
 	listeners   []gooseberrypass.Controller
 	logger      logrus.FieldLogger
+	readFirstAt time.Time                                                      // first read of the operator's topic, zero before
 	renewed     []gooseberrypass.Endpoint                                      // endpoints whose records were renewed since the last event about them
 	offsets     atomic.Pointer[map[gooseberrypass.Topic]gooseberrypass.Offset] // next offset of each topic
 	named       []gooseberrypass.AgedTarget                                    // versions in records that were read or pulled since the last snapshot
-	past        map[string]bool                                                // models of which versions were named before the process knew the operator's topic
+	namedBefore map[string]bool                                                // models of which versions were named before the process knew the operator's topic
 	reported    []gooseberrypass.AgedTarget                                    // versions that another process knows, to be added at the next snapshot
 	outage      outage
 	overdueFrom time.Time            // start of the time in which versions may have been named that the last read did not show, zero for none
@@ -92,15 +93,15 @@
 // New returns a materializer that passes Changed events to listeners.
 func New(decoder Decoder, settings Settings, logger logrus.FieldLogger, listeners ...gooseberrypass.Controller) *Materializer {
 	m := &Materializer{
-		decoder:   decoder,
-		endpoints: map[string]gooseberrypass.Endpoint{},
-		ignored:   newIgnoredRecords(logger),
-		retained:  map[string]time.Time{},
-		logger:    logger,
-		listeners: listeners,
-		past:      map[string]bool{},
-		settings:  settings,
-		topics:    map[gooseberrypass.Topic]*topicRecords{},
+		decoder:     decoder,
+		endpoints:   map[string]gooseberrypass.Endpoint{},
+		ignored:     newIgnoredRecords(logger),
+		retained:    map[string]time.Time{},
+		logger:      logger,
+		listeners:   listeners,
+		namedBefore: map[string]bool{},
+		settings:    settings,
+		topics:      map[gooseberrypass.Topic]*topicRecords{},
 	}
 	m.snapshot.Store(&Snapshot{Targets: map[string]Targets{}})
 	m.offsets.Store(&map[gooseberrypass.Topic]gooseberrypass.Offset{})
--- a/materializer/records.go
+++ b/materializer/records.go
@@ -46,7 +46,11 @@
 func (m *Materializer) merge(now time.Time, e gooseberrypass.TopicChanged) bool {
 	t := m.topic(e.Topic)
 	if e.Topic == gooseberrypass.TopicOperator {
-		m.blind = !t.known
+		m.blind = !t.known || e.FirstRead
+		m.overdueFrom = time.Time{}
+		if e.FirstRead {
+			m.readFirstAt = now
+		}
 		if e.Batch.Complete && isOverdue(now, e) {
 			m.overdueFrom = e.ReadFrom
 		}
@@ -101,7 +105,9 @@
 		t.records[r.Key] = r
 		if !known || !isRepeated(held, r) {
 			t.knownSince[r.Key] = now.Add(-m.recordAge(now, e, i))
-			m.addNamed(now, e, r, t.knownSince[r.Key])
+			if !known || !bytes.Equal(held.Value, r.Value) {
+				m.addNamed(now, e, r, t.knownSince[r.Key])
+			}
 		}
 		changed = m.applyRecord(now, e.Topic, r, m.retention(now, e, r.Key)) || changed
 	}
--- a/materializer/target.go
+++ b/materializer/target.go
@@ -78,27 +78,36 @@
 // firstVersion is the version of an engine before any is named.
 const firstVersion = 1
 
-// withPredecessor returns the targets with the version before the oldest one, unless that one
-// counts from since or earlier. A process that started after several versions were named may
-// know the newest ones alone, and those before may have been named at any time until then.
-func (t Targets) withPredecessor(since time.Time) Targets {
-	if len(t) == 0 || len(t) == maxTargets || t[0].Version <= firstVersion+1 || !t[0].Since.After(since) {
+// withPredecessor returns the targets with the version before the first one that counts from later
+// than since, unless that is known. A process that started after several versions were named may
+// know the newest ones alone, and those before may have been named at any time until then. No
+// version that was named after until, the first read of the process, has one before it that the process
+// has not seen, if until is not zero.
+func (t Targets) withPredecessor(since, until time.Time) Targets {
+	i := slices.IndexFunc(t, func(t Target) bool { return t.Since.After(since) })
+	if i < 0 || !until.IsZero() && t[i].Since.After(until) {
 		return t
 	}
-	return slices.Insert(slices.Clone(t), 0, Target{Presumed: true, Since: since, Version: t[0].Version - 1})
+	return t.withPresumed(i, since)
 }
 
-// withSkipped returns the targets with the version before the newest one, if it is neither known
-// nor older than before, the newest version that was known earlier. It may have been named and
-// replaced at any time from since on.
-func (t Targets) withSkipped(before Targets, since time.Time) Targets {
-	newest, _ := t.Newest()
-	known, _ := before.Newest()
-	i, found := t.find(newest.Version - 1)
-	if found || newest.Version-1 <= max(firstVersion, known.Version) {
+// withSkipped returns the targets with the version before the newest one, if that counts from since or
+// later and its predecessor is unknown. That may have been named and replaced at any time from since on.
+func (t Targets) withSkipped(since time.Time) Targets {
+	if newest, ok := t.Newest(); !ok || newest.Since.Before(since) {
 		return t
 	}
-	return slices.Insert(slices.Clone(t), i, Target{Presumed: true, Since: since, Version: newest.Version - 1})
+	return t.withPresumed(len(t)-1, since)
+}
+
+// withPresumed returns the targets with the direct predecessor of that at position i, unless that is
+// known, or is the version of engines before any is named.
+func (t Targets) withPresumed(i int, since time.Time) Targets {
+	version := t[i].Version - 1
+	if version <= firstVersion || len(t) >= maxTargets || i > 0 && t[i-1].Version == version {
+		return t
+	}
+	return slices.Insert(slices.Clone(t), i, Target{Presumed: true, Since: since, Version: version})
 }
 
 // assumedFrom returns the targets in which no assumed time is later than since. Another process
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -57,7 +57,7 @@
 		r.handled = restores
 		r.registerAgain()
 	}
-	if r.registered.Load() && slices.ContainsFunc(e.Batch.Records, r.deregisters) {
+	if (e.Ages == nil || r.registered.Load()) && slices.ContainsFunc(e.Batch.Records, r.deregisters) {
 		r.logger.Info("process was deregistered by the process before, registering again")
 		r.registerAgain()
 	}
@@ -65,7 +65,7 @@
 }
 
 // deregisters reports whether a record removes the registration. Only the process that had the
-// key before writes one while this one runs.
+// key before writes one while this one runs. What another process passes on may be older.
 func (r *Registrar) deregisters(record gooseberrypass.KeyedRecord) bool {
 	return record.Key == r.key && record.Value == nil
 }
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m.follow(reads, gooseberrypass.TopicOperator, follower.Settings{NextOffset: m.nextOffset(gooseberrypass.TopicOperator), ShouldRead: repl.ReadsLog, LongPoll: longPoll, CheckPeriod: settings.topicCheckPeriod()})
+	m.follow(reads, gooseberrypass.TopicOperator, follower.Settings{NextOffset: m.nextOffset(gooseberrypass.TopicOperator), ShouldRead: repl.ReadsLog, Handover: maxListAge + readerTimeout, LongPoll: longPoll, CheckPeriod: settings.topicCheckPeriod()})
 	m.follow(reads, gooseberrypass.TopicProcesses, follower.Settings{NextOffset: m.nextOffset(gooseberrypass.TopicProcesses), Pause: processesReadPause, ShouldRead: repl.ReadsLog, LongPoll: longPoll, CheckPeriod: settings.topicCheckPeriod()})
 	m.follow(reads, gooseberrypass.TopicEndpoints, follower.Settings{NextOffset: m.nextOffset(gooseberrypass.TopicEndpoints), Pause: settings.forwardDuration("servers-pause"), ShouldRead: repl.ReadsLog})
 	return g, g.bind(ctx)
