--- a/listener/limits_test.go
+++ b/listener/limits_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -75,6 +76,21 @@
 	}
 }
 
+// Callers that come again at once pushed out those that had just connected, although a body
+// could be given up.
+func TestNewConnectionStaysIfABodyIsGivenUp(t *testing.T) {
+	l, _ := startLimited(t, http.HandlerFunc(echo), 1, listener.HeadLimits{}, func() bool { return true })
+	first := dial(t, l.Address())
+	awaitConnections(l, 1)
+	second := dial(t, l.Address())
+	for name, conn := range map[string]net.Conn{"next": second, "first": first} {
+		send(t, conn, plainRequest)
+		if body, _ := readAnswer(bufio.NewReader(conn)); body != "got " {
+			t.Errorf("%s connection: got %q, want an answer", name, body)
+		}
+	}
+}
+
 // awaitConnections returns once a server has n connections.
 func awaitConnections(l *listener.Server, n int) {
 	for l.Connections() < n {
