Give up bodies that need longest for the connections and memory of others

At the limit of connections a new one replaced one without a request, or made a body end that had got no 1 KiB for 250 ms; memory was taken from such bodies alone.

A body is late now if at its pace it will not end before its caller's deadline or the 30 s that a body may take, and slow if it needs a second or more. Late ones go first, the one that needs longest before others, then stalled ones as before, then slow ones. Nothing changes while there are connections and memory. A pace counts after 250 ms, so that a body that has just begun is not judged, and over the last 1 to 2 s, so that one that was fast does not keep its place by its average. Memory is taken from a late or slow body only for one that ends sooner, and from a slow one only for a small one. The same holds for chunked bodies, which are expected to need as long again, and for heads that hold memory; other heads that trickle were closed after 1 s already.

A connection that has just been opened was closed before a body was given up, so callers that come again at once pushed out others whose head was on its way. It is the last choice now, and not taken while others are about to leave: the next one gets 503 then, and its request was not read. Up to 50 connections may be about to leave beyond the limit. There was no bound before. If there are more, the one that has had its refusal for longest closes at once.

Without the bound, the early close, the 503 in place of a close, or the wait that does not count, a test fails each.

Not covered: answers that are read slowly hold connections until the deadline of their request, as before.

--- a/listener/bodydeadline.go
+++ b/listener/bodydeadline.go
@@ -6,17 +6,16 @@
 	"time"
 
 	"github.com/pkg/errors"
-)
 
-// bodyTimeout bounds the time to receive a request body.
-const bodyTimeout = 30 * time.Second
+	"github.com/gooseberrypass/gooseberrypass/reserver"
+)
 
 // limitBodyTime wraps next with a read deadline for the request body. The deadline
 // is removed at the end of the body, so that it does not cut off a long response.
 func limitBodyTime(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
-		if r.ContentLength == 0 || control.SetReadDeadline(time.Now().Add(bodyTimeout)) != nil {
+		if r.ContentLength == 0 || control.SetReadDeadline(time.Now().Add(reserver.BodyTimeout)) != nil {
 			next.ServeHTTP(w, r)
 			return
 		}
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -22,6 +22,7 @@
 	net.Conn
 	busy         atomic.Bool // a request is being handled
 	discard      atomic.Bool
+	discardAt    atomic.Pointer[time.Time]            // when input began to be discarded, nil for not
 	headAt       atomic.Pointer[time.Time]            // when the first byte of the head arrived, nil for none
 	headBytes    atomic.Int64                         // bytes that have arrived of the head
 	headFields   atomic.Int64                         // lines that have arrived of the head
@@ -34,7 +35,9 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.releaseHead()
-	if c.discard.Swap(false) && c.CloseWrite() == nil && c.SetReadDeadline(time.Now().Add(discardTimeout)) == nil {
+	now := time.Now()
+	if c.discard.Swap(false) && c.CloseWrite() == nil && c.SetReadDeadline(now.Add(discardTimeout)) == nil {
+		c.discardAt.Store(&now)
 		_, _ = io.CopyN(io.Discard, c.Conn, discardBytes) // the peer may send anything or break off
 	}
 	return c.Conn.Close()
--- a/listener/connections.go
+++ b/listener/connections.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/gooseberrypass/gooseberrypass/reserver"
 )
 
 // connKey is the context key of the connection of a request.
@@ -22,12 +24,14 @@
 // connections tracks the connections of a server. In a shutdown it closes those that
 // are idle, and never one whose request is handled.
 type connections struct {
-	changed chan struct{} // receives after a connection ended
-	closed  int           // connections in states that the server has closed
-	closing bool          // idle connections are closed
-	full    bool          // the limit of connections was reached
-	fullAt  time.Time     // when it was last reached
-	limits  *Limits       // nil for none
+	changed chan struct{}        // receives after a connection ended
+	closed  int                  // connections in states that the server has closed
+	closing bool                 // idle connections are closed
+	choices []reserver.ConnState // of conns
+	conns   []net.Conn           // buffer of choose
+	full    bool                 // the limit of connections was reached
+	fullAt  time.Time            // when it was last reached
+	limits  *Limits              // nil for none
 	mu      sync.Mutex
 	states  map[net.Conn]*connState
 }
--- a/listener/limits.go
+++ b/listener/limits.go
@@ -38,12 +38,13 @@
 
 // Limits protect a server from callers that nobody controls.
 type Limits struct {
-	Head     func() HeadLimits   // limits in force
-	Logger   logrus.FieldLogger  // of changes of state
-	MaxConns int                 // open connections
-	Memory   *reserver.Budget    // for heads with many fields, nil for no bound
-	OnFull   func() bool         // makes a busy connection end, returns false if it cannot
-	Refused  func(reason string) // counts connections that are closed or turned away
+	GiveUpLate func() bool         // makes a busy connection end whose request will not arrive in time, returns false if there is none; nil for none
+	Head       func() HeadLimits   // limits in force
+	Logger     logrus.FieldLogger  // of changes of state
+	MaxConns   int                 // open connections
+	Memory     *reserver.Budget    // for heads with many fields, nil for no bound
+	OnFull     func() bool         // makes a busy connection end, returns false if it cannot
+	Refused    func(reason string) // counts connections that are closed or turned away
 }
 
 var errHeadTooLarge = errors.New("head of the request is too large")
--- a/listener/limits_test.go
+++ b/listener/limits_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass/listener"
+	"github.com/gooseberrypass/gooseberrypass/reserver"
 )
 
 // startLimited serves handler with limits until the test ends. The channel receives the
@@ -91,6 +92,118 @@
 	}
 }
 
+// A connection whose body will not end in time makes room before one that is idle between
+// requests.
+func TestIdleConnectionStaysIfABodyIsLate(t *testing.T) {
+	l := startWithLimits(t, http.HandlerFunc(echo), listener.Limits{
+		GiveUpLate: func() bool { return true }, Head: func() listener.HeadLimits { return listener.HeadLimits{} }, MaxConns: 1,
+		OnFull: func() bool { return false }, Refused: func(string) {},
+	})
+	kept := dial(t, l.Address())
+	keptReader := bufio.NewReader(kept)
+	ask := func(conn net.Conn, r *bufio.Reader) {
+		t.Helper()
+		send(t, conn, plainRequest)
+		if body, _ := readAnswer(r); body != "got " {
+			t.Errorf("got %q, want an answer", body)
+		}
+	}
+	ask(kept, keptReader)
+	next := dial(t, l.Address())
+	ask(next, bufio.NewReader(next))
+	ask(kept, keptReader)
+}
+
+// Callers that come faster than those that were given up leave must not use up the file
+// descriptors.
+func TestConnectionsThatLeaveAreBounded(t *testing.T) {
+	const conns = 8
+	release := make(chan struct{})
+	entered := make(chan struct{}, 2*conns)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		entered <- struct{}{}
+		<-release
+		echo(w, r)
+	})
+	l, _ := startLimited(t, handler, conns, listener.HeadLimits{}, func() bool { return true })
+	defer close(release)
+	limit := conns + reserver.MaxLeaving(conns)
+	for range limit {
+		send(t, dial(t, l.Address()), plainRequest)
+		<-entered
+	}
+	checkTurnedAway(t, dial(t, l.Address()))
+	if got := l.Connections(); got != limit {
+		t.Errorf("got %d connections, want %d", got, limit)
+	}
+}
+
+// checkTurnedAway checks that a connection is refused without a request on it.
+func checkTurnedAway(t *testing.T, conn net.Conn) {
+	t.Helper()
+	if err := conn.SetReadDeadline(time.Now().Add(testGrace)); err != nil { // the test hangs otherwise
+		t.Fatal(err)
+	}
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("got %v, want a refusal", err)
+	}
+	_ = res.Body.Close()
+	if res.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got status %d, want %d", res.StatusCode, http.StatusServiceUnavailable)
+	}
+}
+
+// A connection that has just been opened was closed for the next one while others were about to
+// leave: an ordinary caller lost its request without an answer.
+func TestNewConnectionStaysWhileOthersLeave(t *testing.T) {
+	entered, release := make(chan struct{}, 1), make(chan struct{})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut {
+			entered <- struct{}{}
+			<-release
+		}
+		echo(w, r)
+	})
+	l, _ := startLimited(t, handler, 1, listener.HeadLimits{}, func() bool { return true })
+	defer close(release)
+	send(t, dial(t, l.Address()), "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+	<-entered
+	conn := dial(t, l.Address())
+	awaitConnections(l, 2)
+	checkTurnedAway(t, dial(t, l.Address()))
+	send(t, conn, plainRequest)
+	if body, _ := readAnswer(bufio.NewReader(conn)); body != "got " {
+		t.Errorf("new connection: got %q, want an answer", body)
+	}
+}
+
+// A caller that was refused and goes on sending makes room for the next one.
+func TestConnectionThatDoesNotLeaveMakesRoom(t *testing.T) {
+	refuse := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			echo(w, r)
+			return
+		}
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusRequestTimeout)
+	})
+	l, _ := startLimited(t, refuse, 1, listener.HeadLimits{}, func() bool { return true })
+	for range 20 { // each stays for 500 ms
+		conn := dial(t, l.Address())
+		send(t, conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\nx")
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = res.Body.Close()
+		if res.StatusCode != http.StatusRequestTimeout {
+			t.Fatalf("got status %d, want %d", res.StatusCode, http.StatusRequestTimeout)
+		}
+	}
+}
+
 // awaitConnections returns once a server has n connections.
 func awaitConnections(l *listener.Server, n int) {
 	for l.Connections() < n {
--- a/reserver/budget.go
+++ b/reserver/budget.go
@@ -18,9 +18,12 @@
 // ErrShort is returned when memory did not become available in time.
 var ErrShort = errors.New("no memory for the body")
 
-// ErrGivenUp is returned for a body that was given up, because it made no progress while
-// others needed its memory.
-var ErrGivenUp = errors.New("body made no progress and its memory was needed")
+// ErrGivenUp is returned for a body that was given up, because it made no progress or too little
+// while others needed its memory or its connection.
+var ErrGivenUp = errors.New("body arrived too slowly and its place was needed")
+
+// BodyTimeout bounds the time to receive the body of a request.
+const BodyTimeout = 30 * time.Second
 
 // ErrTooLarge is returned for a body above its limit.
 var ErrTooLarge = errors.New("body too large")
@@ -36,9 +39,10 @@
 type Settings struct {
 	Small     int64         // bytes of Total that only small bodies get
 	SmallBody int64         // most bytes that a small body holds, while its buffer grows too
-	Stall     time.Duration // time without progress after which a body may be given up
+	Stall     time.Duration // time without progress after which a body may be given up, and for which a pace is watched
+	Time      time.Duration // longest time of a body, 0 for no limit
 	Total     int64         // bytes for all bodies
-	Wait      time.Duration // longest wait for memory
+	Wait      time.Duration // longest wait for memory; a body that needs longer to its end is slow
 }
 
 // The shares and limits of SettingsFor.
@@ -57,7 +61,7 @@
 // SettingsFor returns the settings for a process that may use so much memory, in bytes.
 func SettingsFor(memory int64) Settings {
 	total := max(memory/memoryShare, minTotal)
-	return Settings{Small: total / smallShare, SmallBody: smallBody, Stall: stallTime, Total: total, Wait: waitTime}
+	return Settings{Small: total / smallShare, SmallBody: smallBody, Stall: stallTime, Time: BodyTimeout, Total: total, Wait: waitTime}
 }
 
 // Unlimited returns settings that limit nothing.
@@ -118,7 +122,8 @@
 func (b *Budget) Open(giveUp func()) *Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := &Reservation{budget: b, entry: entry{giveUp: giveUp, progressAt: b.clock.Now()}}
+	now := b.clock.Now()
+	r := &Reservation{budget: b, entry: entry{giveUp: giveUp, pace: newPace(now, b.settings.Time), progressAt: now}}
 	b.ledger.add(&r.entry)
 	return r
 }
@@ -140,7 +145,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	head.entry.complete, head.entry.giveUp, head.entry.progressAt = false, giveUp, b.clock.Now()
+	now := b.clock.Now()
+	head.entry.complete, head.entry.giveUp, head.entry.progressAt = false, giveUp, now
+	head.entry.pace = newPace(now, b.settings.Time)
 	return head
 }
 
@@ -151,13 +158,20 @@
 	return b.ledger.usage()
 }
 
-// GiveUpStalled gives up the body that has made no progress for longest. It returns false
-// if there is none that may be given up.
-func (b *Budget) GiveUpStalled() bool {
+// GiveUpLate gives up the body that needs longest of those that will not end in their time. It
+// returns false if there is none.
+func (b *Budget) GiveUpLate() bool { return b.giveUp(gradeLate) }
+
+// GiveUpStalled gives up a body that will not end in its time, is stalled or is slow. It returns
+// false if there is none.
+func (b *Budget) GiveUpStalled() bool { return b.giveUp(gradeSlow) }
+
+// giveUp gives up the worst body, if it has the grade least or a worse one.
+func (b *Budget) giveUp(least grade) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	victim := b.ledger.stalled(now, nil)
+	victim := b.ledger.choose(now, nil, least)
 	if victim == nil {
 		return false
 	}
@@ -224,6 +238,7 @@
 	case d.granted:
 		if r.entry.waiting {
 			r.entry.waiting, r.entry.progressAt = false, now
+			r.entry.pace.resume(now, now.Sub(r.entry.waitingAt))
 		}
 		b.observe(now, false)
 		return 0, nil, nil
@@ -233,7 +248,9 @@
 		b.observe(now, true)
 		return 0, nil, ErrShort
 	default:
-		r.entry.waiting = true
+		if !r.entry.waiting {
+			r.entry.waiting, r.entry.waitingAt = true, now
+		}
 		b.observe(now, d.gaveUp > 0)
 		w := &waiter{bytes: n, entry: &r.entry, ready: make(chan struct{})}
 		b.waiters = append(b.waiters, w)
@@ -259,6 +276,22 @@
 	b.wake()
 }
 
+// SetDeadline sets the time at which the caller no longer waits for its answer.
+func (r *Reservation) SetDeadline(t time.Time) {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	if due := &r.entry.pace.due; due.IsZero() || t.Before(*due) {
+		*due = t
+	}
+}
+
+// expect records the length of the body, -1 if it is unknown, and its limit.
+func (r *Reservation) expect(announced, limit int64) {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	r.entry.pace.announced, r.entry.pace.limit = announced, limit
+}
+
 // Progress records that n bytes of the body have arrived.
 func (r *Reservation) Progress(n int64) {
 	r.budget.mu.Lock()
--- a/reserver/ledger.go
+++ b/reserver/ledger.go
@@ -13,12 +13,29 @@
 	giveUp     func()
 	givenUp    bool
 	held       int64 // bytes reserved
+	pace       pace
 	progressAt time.Time
-	waiting    bool // for memory; the caller is not to blame for the lack of progress
+	waiting    bool      // for memory; the caller is not to blame for the lack of progress
+	waitingAt  time.Time // begin of the wait
 }
 
+// arrives reports whether the caller is still to send bytes of a body that can be given up.
+func (e *entry) arrives() bool { return e.giveUp != nil && !e.complete && !e.givenUp && !e.waiting }
+
+// A grade says how well a body does without the time and the memory spent on it so far.
+type grade int
+
+// The grades of bodies, in the order in which bodies are given up, the last one first.
+const (
+	gradeSound   grade = iota // not given up
+	gradeSlow                 // needs longer than others wait for its place
+	gradeStalled              // makes no progress
+	gradeLate                 // will not end in its time, so that nothing is lost with it
+)
+
 // progress records that n bytes have arrived.
 func (e *entry) progress(now time.Time, n int64) {
+	e.pace.arrive(now, n)
 	if e.arrived += n; e.arrived >= progressBytes {
 		e.arrived, e.progressAt = 0, now
 	}
@@ -87,9 +104,9 @@
 	return true
 }
 
-// reserve reserves n bytes for e, or gives up stalled bodies until what they hold suffices.
-// e waits until a body that was given up has given its memory back, or until others may be
-// given up, but not beyond until.
+// reserve reserves n bytes for e, or gives up bodies until what they hold suffices: those that
+// are stalled or late, and for a small body those that are slow. e waits until a body that was
+// given up has given its memory back, or until others may be given up, but not beyond until.
 func (l *ledger) reserve(now time.Time, e *entry, n int64, until time.Time) decision {
 	limit := l.limitFor(e, n)
 	if l.tryReserve(e, n, limit) {
@@ -98,9 +115,13 @@
 	if _, ok := l.entries[e]; !ok || e.held+n > limit {
 		return decision{}
 	}
+	least := gradeStalled
+	if e.held+n <= l.settings.SmallBody {
+		least = gradeSlow
+	}
 	d := decision{wait: until.Sub(now)}
 	for l.used-l.leaving+n > limit {
-		victim := l.stalled(now, e)
+		victim := l.choose(now, e, least)
 		if victim == nil {
 			d.wait = min(d.wait, l.settings.Stall)
 			break
@@ -111,20 +132,53 @@
 	return d
 }
 
-// stalled returns the incomplete body that has made no progress for longest, and for at least
-// Stall. It returns nil if there is none. A body that holds no memory is not chosen for except,
-// which needs memory.
-func (l *ledger) stalled(now time.Time, except *entry) *entry {
-	var oldest *entry
+// choose returns the body to give up, of those with the grade least or a worse one: the worst
+// one, of late or slow bodies the one that needs longest, and of stalled ones the one that has
+// made no progress for longest. It returns nil if there is none. If other needs memory, bodies
+// without memory are not chosen, nor slow and late ones that need no more time than other.
+func (l *ledger) choose(now time.Time, other *entry, least grade) *entry {
+	var worst *entry
+	var worstGrade grade
+	var worstLeft, otherLeft time.Duration
+	if other != nil {
+		otherLeft = other.pace.left(now, l.settings.Stall)
+	}
 	for e := range l.entries {
-		if e == except || e.giveUp == nil || e.complete || e.givenUp || e.waiting || except != nil && e.held == 0 || now.Sub(e.progressAt) < l.settings.Stall {
+		if e == other || !e.arrives() || other != nil && e.held == 0 {
+			continue
+		}
+		g, left := l.grade(now, e)
+		if g < least || g != gradeStalled && other != nil && left <= otherLeft {
 			continue
 		}
-		if oldest == nil || e.progressAt.Before(oldest.progressAt) {
-			oldest = e
+		if worst == nil || g > worstGrade || g == worstGrade && goesBefore(g, e, worst, left, worstLeft) {
+			worst, worstGrade, worstLeft = e, g, left
 		}
 	}
-	return oldest
+	return worst
+}
+
+// goesBefore reports whether a is given up rather than b, of bodies of the same grade.
+func goesBefore(g grade, a, b *entry, aLeft, bLeft time.Duration) bool {
+	if g != gradeStalled && aLeft != bLeft {
+		return aLeft > bLeft
+	}
+	return a.progressAt.Before(b.progressAt)
+}
+
+// grade returns the grade of an incomplete body and how much longer it is expected to need.
+func (l *ledger) grade(now time.Time, e *entry) (grade, time.Duration) {
+	left := e.pace.left(now, l.settings.Stall)
+	switch {
+	case e.pace.late(now, left):
+		return gradeLate, left
+	case now.Sub(e.progressAt) >= l.settings.Stall:
+		return gradeStalled, left
+	case left >= l.settings.Wait:
+		return gradeSlow, left
+	default:
+		return gradeSound, left
+	}
 }
 
 // giveUp gives a body up. Its memory counts as used until it is given back.
--- a/reserver/readbody.go
+++ b/reserver/readbody.go
@@ -17,6 +17,7 @@
 	if announced > limit {
 		return nil, ErrTooLarge
 	}
+	r.expect(announced, limit)
 	most := limit
 	if announced >= 0 {
 		most = announced
--- a/runner/callers.go
+++ b/runner/callers.go
@@ -75,5 +75,5 @@
 
 // limits returns the limits of the connections. head returns the limits of heads in force.
 func (g *callerGuard) limits(head func() listener.HeadLimits) listener.Limits {
-	return listener.Limits{Head: head, Logger: g.logger, MaxConns: g.maxConns, Memory: g.budget, OnFull: g.budget.GiveUpStalled, Refused: g.count}
+	return listener.Limits{GiveUpLate: g.budget.GiveUpLate, Head: head, Logger: g.logger, MaxConns: g.maxConns, Memory: g.budget, OnFull: g.budget.GiveUpStalled, Refused: g.count}
 }
