Keep manifests in the store, so that staged pieces outlast the origin

An agent knows the digests of the pieces in memory alone, and reads them from other agents or the origin. Without them it does not look at what is staged.

The digests of a version are now a record of the topic `manifests`, under 4.5 KB for 96 pieces. Agents take turns by a hash, 1 s, 4 s, 16 s ... after they have a manifest, six at most; one that finds no record, or an odd one, writes it, and whoever looks removes all but the two newest versions. An agent whose engine gets no requests until the manifest is known reads the store once the origin has failed twice, others once it has failed for 10 s. A record names the digest of the manifest that it stands for, and must have the layout that the deployment names. If the store comes back from an older copy the turns begin anew. A record above the store's limit is not sent.

Ruled out: a write by each agent that has a manifest; a message that it is written, for a few reads a version; one record a model, which a late write of an older version would replace. Tried and dropped: reads of the store after two failures of the origin in any state, five for nothing at each start, as the origin is up after the agents.

--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberrypass/gooseberrypass"
+	"github.com/gooseberrypass/gooseberrypass/archiver"
 	"github.com/gooseberrypass/gooseberrypass/balancer"
 	"github.com/gooseberrypass/gooseberrypass/cacher"
 	"github.com/gooseberrypass/gooseberrypass/checker"
@@ -71,13 +72,17 @@
 	reader := fetcher.NewReader(m.client, m.clock, c, origin, nil)
 	reader.SetHeaderTimeout(peerHeaderMargin)
 	manifests := stager.NewManifests(m.client)
+	archive, err := archiver.New(m.store, m.registry)
+	if err != nil {
+		return nil, err
+	}
 	f, err := fetcher.New(s.listedInstance(m.self), c, reader, m.seed, settings.fetcherSettings(), m.registry, m.logger)
 	if err != nil {
 		return nil, errors.Wrap(err, "fetcher")
 	}
 	notifier := &deferredNotifier{}
 	stg := stager.New(stager.Dependencies{
-		Chunks: c, Clock: m.clock, Engine: platform.NewEngine(m.client, m.self.Endpoint), Fetcher: f, Log: m.logger,
+		Archive: archive, Chunks: c, Clock: m.clock, Engine: platform.NewEngine(m.client, m.self.Endpoint), Fetcher: f, Log: m.logger,
 		Manifests: manifests, Origin: origin, Self: m.self, Notifier: notifier,
 	}, settings.stagerSettings())
 	adapter := &fetcherAdapter{fetcher: f, sidecar: s}
--- a/stager/effects.go
+++ b/stager/effects.go
@@ -38,9 +38,10 @@
 
 // manifestRead is the event that a read of a manifest succeeded or failed.
 type manifestRead struct {
-	peers    []string // addresses of the agents asked, empty for the origin
+	peers    []string // addresses of the agents asked, if any
 	err      error
 	manifest *gooseberrypass.Manifest
+	source   manifestSource
 	version  int
 }
 
@@ -48,11 +49,12 @@
 func (manifestRead) EventName() string { return "manifest-read" }
 
 type manifestEffect struct {
-	chunks    int // of the model, 0 if not known
+	archive   Archive
 	manifests *Manifests
-	model     string
+	model     gooseberrypass.EngineSpec
 	origin    gooseberrypass.Origin
-	peers     []string // addresses of the agents to ask instead of the origin, if any
+	peers     []string // addresses of the agents to ask, if they are the source
+	source    manifestSource
 	version   int
 }
 
@@ -62,16 +64,20 @@
 // Run implements gooseberrypass.Effect.
 func (e manifestEffect) Run(ctx context.Context) gooseberrypass.Event {
 	m, err := e.read(ctx)
-	return manifestRead{peers: e.peers, err: err, manifest: m, version: e.version}
+	return manifestRead{peers: e.peers, err: err, manifest: m, source: e.source, version: e.version}
 }
 
 func (e manifestEffect) read(ctx context.Context) (*gooseberrypass.Manifest, error) {
-	if len(e.peers) == 0 {
+	switch e.source {
+	case sourceOrigin:
 		return e.readOrigin(ctx)
+	case sourceArchive:
+		return e.readArchive(ctx)
+	default:
 	}
 	var lastErr error
 	for _, address := range e.peers {
-		m, err := e.manifests.read(ctx, address, e.model, e.version, gooseberrypass.ManifestLimit(e.chunks))
+		m, err := e.manifests.read(ctx, address, e.model.Model, e.version, gooseberrypass.ManifestLimit(e.model.Chunks))
 		if err == nil {
 			return m, nil
 		}
@@ -82,11 +88,11 @@
 
 func (e manifestEffect) readOrigin(ctx context.Context) (*gooseberrypass.Manifest, error) {
 	version := strconv.Itoa(e.version)
-	first, err := e.origin.Manifest(ctx, e.model, version)
+	first, err := e.origin.Manifest(ctx, e.model.Model, version)
 	if err != nil {
 		return nil, err
 	}
-	second, err := e.origin.Manifest(ctx, e.model, version)
+	second, err := e.origin.Manifest(ctx, e.model.Model, version)
 	if err != nil {
 		return nil, err
 	}
--- a/stager/job.go
+++ b/stager/job.go
@@ -16,6 +16,7 @@
 
 // A job is the deployment of one version to the engine.
 type job struct {
+	archiving        archiving
 	drainSentAt      time.Time // when entries were told to send only requests that end by dueAt, zero before
 	dueAt            time.Time // when an engine in service loads the version
 	failedAt         time.Time // when the last step failed
@@ -25,6 +26,7 @@
 	manifestFailures int       // failed reads of the manifest
 	manifestPeer     string    // address of an agent that offers the manifest, "" if none is known
 	namedAt          time.Time // when the operator named the version
+	manifestSources  manifestSources
 	ordered          bool      // the engine accepted the order to load it
 	ordering         bool      // the order is verified or given
 	restored         bool      // chunks staged before the job began were read back
@@ -130,9 +132,7 @@
 func (s *Stager) nextStep(now time.Time, j *job, first bool) gooseberrypass.Effect {
 	switch {
 	case j.manifest == nil:
-		return manifestEffect{
-			chunks: s.model.Chunks, manifests: s.deps.Manifests, model: s.model.Model, origin: s.deps.Origin, peers: s.manifestPeers(j), version: j.version,
-		}
+		return s.manifestEffect(now, j)
 	case !j.restored:
 		return s.nextRestore(now, j)
 	case s.engine.paused():
--- a/stager/manifests.go
+++ b/stager/manifests.go
@@ -127,29 +127,38 @@
 	}
 }
 
-// manifestPeers returns the addresses of the agents to ask for a manifest, none if
-// the origin is to be asked.
-func (s *Stager) manifestPeers(j *job) []string {
-	if j.manifestPeer != "" {
-		return []string{j.manifestPeer}
-	}
-	type ranked struct {
-		address string
-		score   uint64
-	}
+// A rankedPeer is another agent with its score for a manifest.
+type rankedPeer struct {
+	address string
+	score   uint64
+}
+
+// peersBefore returns the agents that rank before this one for the manifest of a version, in
+// no order.
+func (s *Stager) peersBefore(j *job) []rankedPeer {
 	score := func(id gooseberrypass.ID) uint64 { return hash(string(id), "manifest", strconv.Itoa(j.version)) }
 	ownScore := score(s.deps.Self.ID)
-	var before []ranked
+	var before []rankedPeer
 	for _, p := range s.peers {
 		if n := score(p.ID); n < ownScore && p.ID != s.deps.Self.ID {
-			before = append(before, ranked{address: p.Address, score: n})
+			before = append(before, rankedPeer{address: p.Address, score: n})
 		}
 	}
+	return before
+}
+
+// manifestPeers returns the addresses of the agents to ask for a manifest, none if
+// the origin is to be asked.
+func (s *Stager) manifestPeers(j *job) []string {
+	if j.manifestPeer != "" {
+		return []string{j.manifestPeer}
+	}
+	before := s.peersBefore(j)
 	// Each failed read lets one more agent in rank order read from the origin.
 	if len(before) < manifestReaders+j.manifestFailures {
 		return nil
 	}
-	slices.SortFunc(before, func(a, b ranked) int { return cmp.Compare(a.score, b.score) })
+	slices.SortFunc(before, func(a, b rankedPeer) int { return cmp.Compare(a.score, b.score) })
 	var peers []string
 	for _, r := range before[:manifestReaders] {
 		peers = append(peers, r.address)
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -23,6 +23,7 @@
 const (
 	fieldOrders   = "orders" // orders that the engine has accepted
 	fieldSince    = "since_named_ms"
+	fieldSource   = "source"      // of a manifest
 	fieldVerified = "verified_ms" // time since the begin of the last verification of the staged chunks
 	fieldVersion  = "version"
 )
@@ -69,6 +70,7 @@
 
 // Dependencies are the parts that a Stager needs.
 type Dependencies struct {
+	Archive   Archive
 	Chunks    Chunks
 	Clock     gooseberrypass.Clock
 	Engine    gooseberrypass.AdvisedEngine
@@ -92,6 +94,7 @@
 	polling      bool                        // a read of the report is in progress
 	report       gooseberrypass.EngineReport // last report
 	reported     bool                        // the last read of the report succeeded
+	restores     uint64                      // of the log, as far as known
 	settings     Settings
 	status       balancer.EndpointStatus // last one sent to entries
 	suspicions   map[int]suspicion       // of loads that are not known to be sound, by version
@@ -124,6 +127,14 @@
 		return s.handleManifest(now, e)
 	case chunksRestored:
 		return s.handleRestored(now, e)
+	case archiveRead:
+		return s.handleArchiveRead(now, e)
+	case archiveWritten:
+		s.handleArchiveWritten(now, e)
+		return nil
+	case gooseberrypass.TopicChanged:
+		s.observeRestores(now, e.Batch.Next.Restores())
+		return nil
 	case stageDone:
 		s.handleStaged(now, e)
 	case startDone:
@@ -147,6 +158,9 @@
 	s.peers = slices.DeleteFunc(slices.Clone(snapshot.Processes), func(p materializer.Process) bool {
 		return p.Role != gooseberrypass.RoleAgent || p.Service != s.deps.Self.Service
 	})
+	for _, j := range s.jobs {
+		j.archiving.ranked = false
+	}
 	spec, ok := snapshot.Deployment.Service(s.deps.Self.Service)
 	if !ok || spec.Engine == nil {
 		return nil
@@ -197,6 +211,9 @@
 		if i == 0 && !s.loaded(j) {
 			s.logProgress(now, j)
 		}
+		if effect := s.nextArchiving(now, j); effect != nil {
+			effects = append(effects, effect)
+		}
 		if j.inFlight || now.Sub(j.failedAt) < s.settings.RetryDelay {
 			continue
 		}
@@ -299,11 +316,12 @@
 	if e.err != nil {
 		j.failedAt = now
 		j.manifestFailures++
+		j.manifestSources.recordFailure(now, e.source)
 		if slices.Contains(e.peers, j.manifestPeer) {
 			j.manifestPeer = ""
 		}
 		log := s.deps.Log.WithField(fieldVersion, j.version)
-		log.WithError(e.err).Warn("reading manifest failed")
+		log.WithError(e.err).WithField(fieldSource, e.source).Warn("reading manifest failed")
 		if j.manifestFailures >= maxManifestFailures && !s.settled(j) {
 			s.confirm(j.version, log)
 		}
@@ -315,9 +333,10 @@
 		return nil
 	}
 	j.manifest = e.manifest
+	j.archiving = archiving{done: e.source == sourceArchive, since: now}
 	s.deps.Manifests.put(s.model.Model, j.version, e.manifest.Encoded())
 	s.deps.Notifier.OfferManifest(now, gooseberrypass.ModelTarget{Model: s.model.Model, Version: j.version})
-	s.deps.Log.WithFields(logrus.Fields{fieldVersion: j.version, "digest": e.manifest.Digest().Short(), "chunks": e.manifest.Len()}).Info("manifest read")
+	s.deps.Log.WithFields(logrus.Fields{fieldVersion: j.version, "digest": e.manifest.Digest().Short(), "chunks": e.manifest.Len(), fieldSource: e.source}).Info("manifest read")
 	return s.step(now)
 }
 
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -40,6 +40,8 @@
 // differ from each other.
 type origin struct {
 	corrupt int    // number of corrupt responses left
+	gone    bool   // no read succeeds
+	reads   int    // of manifests
 	onRead  func() // called by Manifest, may be nil
 }
 
@@ -47,6 +49,10 @@
 	if o.onRead != nil {
 		o.onRead()
 	}
+	o.reads++
+	if o.gone {
+		return nil, io.ErrUnexpectedEOF
+	}
 	n, _ := strconv.Atoi(version)
 	chunks := make([]gooseberrypass.Chunk, 0, chunkCount)
 	for i := range chunkCount {
@@ -226,6 +232,7 @@
 }
 
 type fixture struct {
+	archive   stager.Archive
 	clock     *clockwork.FakeClock
 	engine    *engine
 	fetcher   gooseberrypass.Controller        // handles each event before the stager, may be nil
@@ -234,6 +241,8 @@
 	now       time.Time
 	origin    *origin
 	pool      *pool
+	processes []materializer.Process // of the snapshot
+	self      materializer.Process
 	stager    *stager.Stager
 	recorder  *recorder
 }
@@ -242,6 +251,7 @@
 	t.Helper()
 	c := cacher.New(1 << 20)
 	f := &fixture{
+		archive: newArchive(t, &keyedLog{}), self: materializer.Process{Endpoint: "a", ID: "self", Role: gooseberrypass.RoleAgent, Service: "s"},
 		clock:     clockwork.NewFakeClockAt(time.Unix(1000, 0)),
 		engine:    &engine{report: gooseberrypass.EngineReport{StartMillis: 1, Models: map[string]int{"m": 1}}, stage: map[int][]byte{}},
 		manifests: stager.NewManifests(newClient()), now: time.Unix(1000, 0), origin: &origin{}, pool: &pool{chunks: c, holds: map[int]bool{}}, recorder: &recorder{},
@@ -270,8 +280,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return stager.New(stager.Dependencies{
-		Chunks: chunks, Clock: f.clock, Engine: beside, Fetcher: fetches, Log: log, Manifests: f.manifests, Origin: from,
-		Self: materializer.Process{Endpoint: "a", ID: "self", Role: gooseberrypass.RoleAgent, Service: "s"}, Notifier: f.recorder,
+		Archive: f.archive, Chunks: chunks, Clock: f.clock, Engine: beside, Fetcher: fetches, Log: log, Manifests: f.manifests, Origin: from,
+		Self: f.self, Notifier: f.recorder,
 	}, settings)
 }
 
@@ -281,7 +291,8 @@
 		Deployment: gooseberrypass.NewDeployment(1, nil, []gooseberrypass.ServiceSpec{
 			{Engine: &gooseberrypass.EngineSpec{Chunks: chunkCount, ChunkSize: chunkSize, Model: "m"}, ID: "s"},
 		}, nil, gooseberrypass.CallerLimits{}),
-		Targets: map[string]materializer.Targets{"m": targets},
+		Processes: f.processes,
+		Targets:   map[string]materializer.Targets{"m": targets},
 	}})
 }
 
--- a/topic.go
+++ b/topic.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // A Topic is the name of a keyed topic of the platform's log, which keeps the newest
@@ -13,10 +15,14 @@
 // The keyed topics.
 const (
 	TopicEndpoints Topic = "endpoints" // written by the endpoints
+	TopicManifests Topic = "manifests" // written by agents
 	TopicOperator  Topic = "operator"  // written by the platform's operator
 	TopicProcesses Topic = "processes" // written by the system's processes
 )
 
+// ErrRecordTooLarge is wrapped by the errors for records that a log takes at no time.
+var ErrRecordTooLarge = errors.New("record too large")
+
 // A KeyedRecord is the newest record of a key. Value is nil if the key was deleted.
 type KeyedRecord struct {
 	Key      string
