--- a/materializer/restartgaps_test.go
+++ b/materializer/restartgaps_test.go
@@ -9,22 +9,25 @@
 	"github.com/gooseberrypass/gooseberrypass"
 )
 
-// The record of a version that a process had found at its start was written again with the same
-// value. The process took that for the naming, and used the version before for another bound.
+// The record of a version that a process had found at its start was written again, with the same
+// value or another one that names the same version. The process took that for the naming, and used
+// the version before for another bound.
 func TestVersionWrittenAgainKeepsItsBound(t *testing.T) {
-	l := &versionLog{}
-	l.name("2")
-	r := startVersionReader(startTime)
-	r.read(startTime, l)
-	now := startTime
-	for range 60 {
-		now = now.Add(time.Second)
-		r.read(now, l)
+	for _, again := range []string{"2", "2 "} {
+		l := &versionLog{}
+		l.name("2")
+		r := startVersionReader(startTime)
+		r.read(startTime, l)
+		now := startTime
+		for range 60 {
+			now = now.Add(time.Second)
+			r.read(now, l)
+		}
+		r.wantRequired(t, now, 2)
+		l.name(again)
+		r.read(now.Add(time.Second), l)
+		r.wantRequired(t, now.Add(time.Second), 2)
 	}
-	r.wantRequired(t, now, 2)
-	l.name("2")
-	r.read(now.Add(time.Second), l)
-	r.wantRequired(t, now.Add(time.Second), 2)
 }
 
 // An operator went back to version 2, which the process had found at its start, within the bound
