Admit an adapter only on the base that its manifest names

An agent remembers the base for which it ordered an adapter. A state of the engine that was read before the load and came after the order's answer made it forget, and it took the base that is wanted for the adapter's: once the base was replaced, requests to the adapter ran on one that it was not made for. The manifest tells the base where it is known, as it is at the agent that gave the order.

TestAdapterIsNotAdmittedOnAnotherBase failed before in one of two cases.

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -386,7 +386,11 @@
 		return true
 	}
 	base, ok := l.bases[v.Digest]
-	if !ok {
+	switch {
+	case ok:
+	case t.manifest != nil && v.Digest == t.digest():
+		base = t.manifest.Base()
+	default:
 		base = t.base
 	}
 	required := gooseberrypass.LoadedVersion{Digest: base, Model: t.model.Base()}
