Count the ages of pulled records from the request

A process that is pulled from states the ages of records and versions when it writes its response, and the puller counted them from when it had the whole response. The time of the transfer was missing, also for all that the puller told. The rest of an endpoint's retention began anew by as much (DRAIN).

Ages count from the request now. That is a little early, by the time until the peer writes its response: at most the limit of a pull, a round trip as a rule. A bound that is early costs refusals, one that is late breaks it. Retention ends early by as much. The times for which endpoints stay cold and for which an ended evacuation counts come closer to the true ones. The longest age stays as it is when more is added.

Ruled out: to count from the head of the response, as it may be late by the time that the head took; to leave out the time of connecting, which needs a clock in the effect.

--- a/replicator/pull.go
+++ b/replicator/pull.go
@@ -215,11 +215,12 @@
 
 // A pull requests the records of a topic from offset from on from another process.
 type pull struct {
-	client  *http.Client
-	from    gooseberrypass.Offset
-	peer    string // address
-	timeout time.Duration
-	topic   gooseberrypass.Topic
+	client      *http.Client
+	from        gooseberrypass.Offset
+	peer        string // address
+	requestedAt time.Time
+	timeout     time.Duration
+	topic       gooseberrypass.Topic
 }
 
 // EffectName implements gooseberrypass.Effect.
@@ -230,7 +231,7 @@
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	d, err := p.read(ctx)
-	return pullDone{document: d, err: err, peer: p.peer, topic: p.topic}
+	return pullDone{document: d, err: err, peer: p.peer, requestedAt: p.requestedAt, topic: p.topic}
 }
 
 func (p pull) read(ctx context.Context) (document, error) {
@@ -253,10 +254,11 @@
 
 // pullDone is the event that a pull succeeded or failed.
 type pullDone struct {
-	document document
-	err      error
-	peer     string
-	topic    gooseberrypass.Topic
+	document    document
+	err         error
+	peer        string
+	requestedAt time.Time
+	topic       gooseberrypass.Topic
 }
 
 // EventName implements gooseberrypass.Event.
--- a/replicator/pulling.go
+++ b/replicator/pulling.go
@@ -9,9 +9,9 @@
 )
 
 // pull returns the effect that pulls the records of a topic from an offset on.
-func (r *Replicator) pull(topic gooseberrypass.Topic, peer string, from gooseberrypass.Offset) gooseberrypass.Effect {
+func (r *Replicator) pull(now time.Time, topic gooseberrypass.Topic, peer string, from gooseberrypass.Offset) gooseberrypass.Effect {
 	r.pulling[topic] = true
-	return pull{client: r.client, from: from, peer: peer, timeout: r.settings.PullTimeout, topic: topic}
+	return pull{client: r.client, from: from, peer: peer, requestedAt: now, timeout: r.settings.PullTimeout, topic: topic}
 }
 
 // shouldPull reports whether to pull records of a topic from a process that has
@@ -44,8 +44,9 @@
 }
 
 // finishPull passes the pulled records to all controllers, as if they had been read
-// from the log.
-func (r *Replicator) finishPull(e pullDone) []gooseberrypass.Effect {
+// from the log. Their ages count from the request: when the peer wrote its response is unknown, and a
+// bound may end early but not late.
+func (r *Replicator) finishPull(now time.Time, e pullDone) []gooseberrypass.Effect {
 	r.pulling[e.topic] = false
 	delete(r.behindSince, e.topic)
 	if e.err != nil {
@@ -56,7 +57,7 @@
 		r.logger.WithFields(logrus.Fields{"first": odd[0], "number": len(odd), fieldPeer: e.peer}).Warn("leaving out pulled versions that are out of range")
 	}
 	r.logger.WithFields(logrus.Fields{fieldPeer: e.peer, "topic": e.topic, "next": e.document.Next.Index(), "complete": e.document.Complete, "records": len(e.document.Records)}).Info("pulled records from another process")
-	return []gooseberrypass.Effect{redispatch{event: e.document.event(e.topic)}}
+	return []gooseberrypass.Effect{redispatch{event: e.document.event(e.topic).Later(now.Sub(e.requestedAt))}}
 }
 
 // follows reports whether this process needs the records of a topic.
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -172,7 +172,7 @@
 	case gossiper.Received:
 		return r.receive(now, e.Message)
 	case pullDone:
-		return r.finishPull(e)
+		return r.finishPull(now, e)
 	}
 	return nil
 }
@@ -318,12 +318,12 @@
 	}
 	for topic, next := range m.Next {
 		if r.follows(topic) && r.shouldPull(now, topic, next) {
-			effects = append(effects, r.pull(topic, m.Address, r.materializer.NextOffset(topic)))
+			effects = append(effects, r.pull(now, topic, m.Address, r.materializer.NextOffset(topic)))
 		}
 	}
 	for _, topic := range m.Outranked {
 		if r.follows(topic) && !r.pulling[topic] && r.materializer.MissedRestore(topic) {
-			effects = append(effects, r.pull(topic, m.Address, 0))
+			effects = append(effects, r.pull(now, topic, m.Address, 0))
 		}
 	}
 	return effects
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -99,9 +99,14 @@
 
 // newProcessVia returns a process that pulls through client.
 func newProcessVia(client *http.Client, region gooseberrypass.Region, id gooseberrypass.ID, role gooseberrypass.Role, l replicator.LoadExchange, settings replicator.Settings) *process {
+	return newProcessWithTopics(materializer.Settings{}, client, region, id, role, l, settings)
+}
+
+// newProcessWithTopics returns a process whose materializer has settings of its own.
+func newProcessWithTopics(topics materializer.Settings, client *http.Client, region gooseberrypass.Region, id gooseberrypass.ID, role gooseberrypass.Role, l replicator.LoadExchange, settings replicator.Settings) *process {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	p := &process{materializer: materializer.New(decoder{}, materializer.Settings{}, log), sender: &recordingSender{}}
+	p := &process{materializer: materializer.New(decoder{}, topics, log), sender: &recordingSender{}}
 	p.answerer = replicator.NewResponder(p.materializer)
 	backlogs, _ := l.(replicator.BacklogExchange)
 	p.replicator = replicator.New(replicator.Self{Address: string(id), ID: id, Region: region, Role: role}, p.materializer, p.sender, client, l, backlogs, noHistory{},
--- a/topic.go
+++ b/topic.go
@@ -73,6 +73,15 @@
 	Version  int
 }
 
+// Later returns the version as of a later time.
+func (a AgedTarget) Later(by time.Duration) AgedTarget {
+	a.Age = Older(a.Age, by)
+	return a
+}
+
+// Older returns an age a time later. The longest age stays as it is.
+func Older(age, by time.Duration) time.Duration { return max(age, age+by) }
+
 // A TopicChanged is the event that records of a keyed topic were read.
 type TopicChanged struct {
 	Ages      []time.Duration // time since each record first became known to any process; nil if this process read them from the log
@@ -87,6 +96,26 @@
 // EventName implements Event.
 func (TopicChanged) EventName() string { return "topic-changed" }
 
+// Later returns the event as of a later time, by which records and versions are older.
+func (e TopicChanged) Later(by time.Duration) Event {
+	ages, retained, targets := e.Ages, e.Retained, e.Targets
+	if ages != nil {
+		e.Ages = make([]time.Duration, 0, len(ages))
+	}
+	for _, age := range ages {
+		e.Ages = append(e.Ages, Older(age, by))
+	}
+	e.Retained = make(map[string]time.Duration, len(retained))
+	for key, rest := range retained {
+		e.Retained[key] = max(rest-by, 0)
+	}
+	e.Targets = make([]AgedTarget, 0, len(targets))
+	for _, t := range targets {
+		e.Targets = append(e.Targets, t.Later(by))
+	}
+	return e
+}
+
 // A TopicRead is the event that a read of a topic ended. Err is nil if it succeeded,
 // whether or not it returned records.
 type TopicRead struct {
