Let the ages of events grow while they wait for the control loop

Callers would have seen requests on an older version after its bound (VERSION) by the time for which a process was slow to handle a message, a pull or a read that told of the newer one.

Ages of versions and records hold when an event is posted, and the controllers count from when they handle it. The time in the queue of the control loop was missing. The loop keeps it now and brings events up to it that have ages (TimedEvent): topics that have changed and messages from other processes. An own read counts from its answer, also if it had waited for less than the time after which it counts from the answer before.

Not changed, as the other side is the safe one or it is no bound: the age of the last read of the endpoint list (a slow process would take the senders for ones that cannot read, and an outage for one of all), advisories (an endpoint that leaves would be forgotten sooner), times of own reads for the election of a reader and for outages, and the time of an own first read, which limits what is presumed.

Not covered: what waits in the socket before it is read, as the messages carry no time that both ends share, and a machine that is suspended, as the steady clock does not count that.

--- a/controller.go
+++ b/controller.go
@@ -12,6 +12,13 @@
 	EventName() string
 }
 
+// A TimedEvent is an Event whose ages hold when it is posted.
+type TimedEvent interface {
+	Event
+	// Later returns the event as of a later time.
+	Later(by time.Duration) Event
+}
+
 // An Effect is work that a Controller requests, such as I/O. It runs on its own
 // goroutine. If Run returns an event, that event is passed to the controllers.
 type Effect interface {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -52,6 +52,18 @@
 // EventName implements gooseberrypass.Event.
 func (Received) EventName() string { return "message-received" }
 
+// Later implements gooseberrypass.TimedEvent. ListAge and the ages of Advisories stay as they
+// were sent: a process that is slow to handle a message must not take the sender for one that
+// cannot read, nor forget sooner that an endpoint leaves.
+func (r Received) Later(by time.Duration) gooseberrypass.Event {
+	targets := r.Message.Targets
+	r.Message.Targets = make([]gooseberrypass.AgedTarget, 0, len(targets))
+	for _, t := range targets {
+		r.Message.Targets = append(r.Message.Targets, t.Later(by))
+	}
+	return r
+}
+
 // A Gossiper sends and receives messages on one UDP socket.
 type Gossiper struct {
 	conn   *net.UDPConn
@@ -129,3 +141,5 @@
 		g.counts.WithLabelValues("sent").Inc()
 	}
 }
+
+var _ gooseberrypass.TimedEvent = Received{}
--- a/looper/looper.go
+++ b/looper/looper.go
@@ -33,11 +33,25 @@
 	logger      logrus.FieldLogger
 	panics      *prometheus.CounterVec
 	period      time.Duration
-	queue       chan gooseberrypass.Event
+	queue       chan queuedEvent
 	stopped     chan struct{}
 	wg          sync.WaitGroup
 }
 
+// A queuedEvent is an event with the time at which it was posted.
+type queuedEvent struct {
+	event    gooseberrypass.Event
+	postedAt time.Time
+}
+
+// at returns the event as of a time at which it is handled.
+func (q queuedEvent) at(now time.Time) gooseberrypass.Event {
+	if e, ok := q.event.(gooseberrypass.TimedEvent); ok {
+		return e.Later(max(now.Sub(q.postedAt), 0))
+	}
+	return q.event
+}
+
 // New returns a loop that delivers every event to all controllers, and a Tick every
 // period.
 func New(
@@ -63,7 +77,7 @@
 			Help: "Panics of controllers and effects, by the event or effect.",
 		}, []string{"in"}),
 		period:  period,
-		queue:   make(chan gooseberrypass.Event, queueSize),
+		queue:   make(chan queuedEvent, queueSize),
 		stopped: make(chan struct{}),
 	}
 	for _, c := range []prometheus.Collector{l.effects, l.events, l.panics} {
@@ -84,11 +98,11 @@
 	l.controllers = append(l.controllers, controllers...)
 }
 
-// Post queues an event. It blocks while the queue is full. Events posted after the
-// loop has stopped are dropped.
+// Post queues an event. The ages of a TimedEvent grow while it waits. Post blocks while the queue
+// is full. Events posted after the loop has stopped are dropped.
 func (l *Loop) Post(event gooseberrypass.Event) {
 	select {
-	case l.queue <- event:
+	case l.queue <- queuedEvent{event: event, postedAt: l.clock.Now()}:
 	case <-l.stopped:
 	}
 }
@@ -103,18 +117,18 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case event := <-l.queue:
-			l.handle(ctx, event)
+		case queued := <-l.queue:
+			now := l.clock.Now()
+			l.handle(ctx, now, queued.at(now))
 		case <-ticker.Chan():
-			l.handle(ctx, gooseberrypass.Tick{})
+			l.handle(ctx, l.clock.Now(), gooseberrypass.Tick{})
 		}
 	}
 }
 
 // handle delivers an event to the controllers and starts their effects.
-func (l *Loop) handle(ctx context.Context, event gooseberrypass.Event) {
+func (l *Loop) handle(ctx context.Context, now time.Time, event gooseberrypass.Event) {
 	l.events.WithLabelValues(event.EventName()).Inc()
-	now := l.clock.Now()
 	for _, c := range l.controllers {
 		for _, effect := range l.handleWith(c, now, event) {
 			l.startEffect(ctx, effect)
--- a/materializer/records.go
+++ b/materializer/records.go
@@ -279,6 +279,6 @@
 	case isVersion && isOverdue(now, e):
 		return now.Sub(e.ReadFrom)
 	default:
-		return 0
+		return e.ReadAge
 	}
 }
--- a/topic.go
+++ b/topic.go
@@ -87,6 +87,7 @@
 	Ages      []time.Duration // time since each record first became known to any process; nil if this process read them from the log
 	Batch     KeyedBatch
 	FirstRead bool                     // first read of this process, whose records may be of any age
+	ReadAge   time.Duration            // time since this process read the records from the log, if Ages is nil
 	ReadFrom  time.Time                // last answer of the log before this read, after which its records were written; zero if unknown
 	Retained  map[string]time.Duration // keys that another process keeps although their records expired during an outage, with the rest of their retention
 	Targets   []AgedTarget             // versions that another process knows; the log keeps only the record of the newest
@@ -99,7 +100,9 @@
 // Later returns the event as of a later time, by which records and versions are older.
 func (e TopicChanged) Later(by time.Duration) Event {
 	ages, retained, targets := e.Ages, e.Retained, e.Targets
-	if ages != nil {
+	if ages == nil {
+		e.ReadAge += by
+	} else {
 		e.Ages = make([]time.Duration, 0, len(ages))
 	}
 	for _, age := range ages {
@@ -128,6 +131,6 @@
 func (TopicRead) EventName() string { return "topic-read" }
 
 var (
-	_ Event = TopicChanged{}
-	_ Event = TopicRead{}
+	_ Event      = TopicRead{}
+	_ TimedEvent = TopicChanged{}
 )
