Count told quarantines and crashes from the receipt of the message

An entry that was slow to handle a message would have refused sound requests with a part of prompts that engines answer, for a minute or more (LOST): a quarantine that another entry told, and the crashes for one, began when the message was handled, so that an answer that an engine had begun on the part between receipt and handling counted as one from before.

Evidence keeps the time for which it has waited since its receipt. Answers, quarantines and interruptions count from the receipt; the longest age of an interruption holds as of then. The crashes of single requests, which had the same fault, become older with the message.

Ruled out: to add the wait to each age. The age of an interruption is cut at the time for which it is told, and one that had waited for longer would come after later answers again.

--- a/attributor/exchange.go
+++ b/attributor/exchange.go
@@ -22,13 +22,20 @@
 )
 
 // Evidence is what an entry tells others of crashes. Ages are relative to the moment
-// of sending. Parts and requests are identified by hashes.
+// of sending, and the evidence may have waited since it was received. Parts and requests are identified by hashes.
 type Evidence struct {
 	Answers       []Answer
 	Counts        []Count // of parts under suspicion, shortly after a crash
 	Interruptions []Interruption
 	Quarantines   []Quarantine
-	Requests      []Total // by service, with Counts
+	Requests      []Total       // by service, with Counts
+	Waited        time.Duration // since the evidence was received; not sent
+}
+
+// Later returns the evidence as of a later time.
+func (e Evidence) Later(by time.Duration) Evidence {
+	e.Waited += by
+	return e
 }
 
 // A Count is the number of recent requests with a part.
@@ -186,15 +193,16 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
+	received := now.Add(-e.Waited)
 	a.addReport(now, from, e)
 	for _, t := range e.Answers {
-		a.recordAnswer(part(t.Part), now.Add(-t.Age))
+		a.recordAnswer(part(t.Part), received.Add(-t.Age))
 	}
 	for _, q := range e.Quarantines {
-		a.adoptQuarantine(q, now.Add(-q.Age))
+		a.adoptQuarantine(q, received.Add(-q.Age))
 	}
 	for _, i := range e.Interruptions {
-		a.addInterruption(a.received(now, from, i))
+		a.addInterruption(a.received(received, from, i))
 	}
 	a.judge(now)
 }
--- a/crash.go
+++ b/crash.go
@@ -11,3 +11,9 @@
 	Relapses int           // how often a connection broke although the request was known to crash endpoints
 	Request  uint64        // first eight bytes of the request's digest
 }
+
+// Later returns the crashes as of a later time.
+func (c RequestCrashes) Later(by time.Duration) RequestCrashes {
+	c.Age = Older(c.Age, by)
+	return c
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -56,7 +56,12 @@
 // were sent: a process that is slow to handle a message must not take the sender for one that
 // cannot read, nor forget sooner that an endpoint leaves.
 func (r Received) Later(by time.Duration) gooseberrypass.Event {
-	targets := r.Message.Targets
+	crashes, targets := r.Message.RequestCrashes, r.Message.Targets
+	r.Message.CrashEvidence = r.Message.CrashEvidence.Later(by)
+	r.Message.RequestCrashes = make([]gooseberrypass.RequestCrashes, 0, len(crashes))
+	for _, c := range crashes {
+		r.Message.RequestCrashes = append(r.Message.RequestCrashes, c.Later(by))
+	}
 	r.Message.Targets = make([]gooseberrypass.AgedTarget, 0, len(targets))
 	for _, t := range targets {
 		r.Message.Targets = append(r.Message.Targets, t.Later(by))
