Keep the versions of a message if another part of it panics

An entry would have missed a version, and used an older one past its bound (VERSION), for as long as messages made it panic over their loads, crashes or states: the control loop contains a panic, but what the controller would have done with the rest of the message was lost with it, versions and pulls included. Found by reading; no such panic is known.

The replicator contains a panic over the reply to an entry that starts, and over the parts that entries alone use, each by itself, and logs it. Versions and pulls are handled in any case, in the order of before.

Ruled out: to handle versions first, which is not enough, as a controller that panics returns no effects; to hand the other parts on as an event of their own, which costs one more event for each message.

Open: such a panic does not count in gooseberrypass_control_panics_total, and one over the loads still drops the advisories and the state in the same message.

Failed before: TestPanicOverLoadsDoesNotDropTheVersionsOfAMessage (neither the version nor the sender's configuration was known).

--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -307,9 +307,9 @@
 	if m.From == r.self.ID {
 		return nil
 	}
-	r.replyToStart(now, m)
+	r.contain(m.From, func() { r.replyToStart(now, m) })
 	if r.loads != nil {
-		r.receiveAtEntry(now, m)
+		r.contain(m.From, func() { r.receiveAtEntry(now, m) })
 	}
 	var effects []gooseberrypass.Effect
 	if news := r.materializer.NewTargets(now, m.Targets); len(news) > 0 {
