Presume a skipped version when as many as are kept are known

A process keeps the newest 16 versions of a model, without an end. From the sixteenth on it presumed none any more: one that stood still, or to which the log had trimmed records, and that had heard when the newest version was named, used the engines of the one before the skipped one until the newest one's bound.

The oldest version gives way to a presumed one, as it does to a named one. TestSkippedVersionIsPresumedAmongAllThatAreKept failed before (one of one case).

--- a/materializer/target.go
+++ b/materializer/target.go
@@ -104,10 +104,11 @@
 // known, or is the version of engines before any is named.
 func (t Targets) withPresumed(i int, since time.Time) Targets {
 	version := t[i].Version - 1
-	if version <= firstVersion || len(t) >= maxTargets || i > 0 && t[i-1].Version == version {
+	if version <= firstVersion || i > 0 && t[i-1].Version == version || i == 0 && len(t) >= maxTargets {
 		return t
 	}
-	return slices.Insert(slices.Clone(t), i, Target{Presumed: true, Since: since, Version: version})
+	presumed := slices.Insert(slices.Clone(t), i, Target{Presumed: true, Since: since, Version: version})
+	return presumed[max(0, len(presumed)-maxTargets):]
 }
 
 // assumedFrom returns the targets in which no assumed time is later than since. Another process
