Presume a version in each gap between those that were heard of

Only the first version from after the time assumed at a start had its predecessor presumed. An entry that restarted and was told when versions 2 and 4 were named, both within the assumed age, used version 2 past the bound of version 3.

Each gap has a presumed version now. It counts from the version before it, as versions rise, so that the entry refuses no engine earlier than that one's bound. Where numbers skip, the version before the gap goes out of use at its own bound at the earliest, which may be before that of the next one.

--- a/materializer/bounds.go
+++ b/materializer/bounds.go
@@ -99,7 +99,7 @@
 			targets = targets.assumedFrom(m.assumedSince())
 		}
 		if m.namedBefore[model] {
-			targets = targets.withPredecessor(m.assumedSince(), m.readFirstAt)
+			targets = targets.withPredecessors(m.assumedSince(), m.readFirstAt)
 		}
 		snapshot.Targets[model] = targets
 	}
--- a/materializer/neighbours_test.go
+++ b/materializer/neighbours_test.go
@@ -46,3 +46,16 @@
 	r.read(now.Add(4*time.Second), l)
 	r.wantRequired(t, now.Add(versionBound), 18)
 }
+
+// Only the first version from after the assumed time had its predecessor presumed: a second gap had no bound.
+func TestEachGapBetweenVersionsThatWereHeardOfIsCovered(t *testing.T) {
+	l := &versionLog{}
+	for _, v := range []string{"2", "3", "4"} {
+		l.name(v)
+	}
+	start := startTime.Add(3 * time.Second) // versions named 3, 2 and 1 s before
+	r := startVersionReader(start)
+	r.takeTargets(start.Add(10*time.Millisecond), []gooseberrypass.AgedTarget{observed(2, 3*time.Second), observed(4, time.Second)})
+	r.read(start.Add(20*time.Millisecond), l)
+	r.wantRequired(t, start.Add(-2*time.Second).Add(versionBound), 3)
+}
--- a/materializer/target.go
+++ b/materializer/target.go
@@ -78,17 +78,18 @@
 // firstVersion is the version of an engine before any is named.
 const firstVersion = 1
 
-// withPredecessor returns the targets with the version before the first one that counts from later
-// than since, unless that is known. A process that started after several versions were named may
-// know the newest ones alone, and those before may have been named at any time until then. No
-// version that was named after until, the first read of the process, has one before it that the process
-// has not seen, if until is not zero.
-func (t Targets) withPredecessor(since, until time.Time) Targets {
-	i := slices.IndexFunc(t, func(t Target) bool { return t.Since.After(since) })
-	if i < 0 || !until.IsZero() && t[i].Since.After(until) {
-		return t
+// withPredecessors returns the targets with the version before each that counts from later than since,
+// unless that is known. A process that started after several versions were named may lack some of them, which
+// may have been named at any time between their neighbours. No version that was named after until, from which
+// on the process sees each naming, has one before it that the process has not seen, if until is not zero.
+func (t Targets) withPredecessors(since, until time.Time) Targets {
+	for i := 0; i < len(t); i++ {
+		if t[i].Presumed || !t[i].Since.After(since) || !until.IsZero() && t[i].Since.After(until) {
+			continue
+		}
+		t = t.withPresumed(i, since)
 	}
-	return t.withPresumed(i, since)
+	return t
 }
 
 // withSkipped returns the targets with the version before the newest one, if that counts from since or
@@ -101,12 +102,15 @@
 }
 
 // withPresumed returns the targets with the direct predecessor of that at position i, unless that is
-// known, or is the version of engines before any is named.
+// known, or is the version of engines before any is named. It counts from since, or from the version before.
 func (t Targets) withPresumed(i int, since time.Time) Targets {
 	version := t[i].Version - 1
 	if version <= firstVersion || i > 0 && t[i-1].Version == version || i == 0 && len(t) >= maxTargets {
 		return t
 	}
+	if i > 0 && t[i-1].Since.After(since) {
+		since = t[i-1].Since
+	}
 	presumed := slices.Insert(slices.Clone(t), i, Target{Presumed: true, Since: since, Version: version})
 	return presumed[max(0, len(presumed)-maxTargets):]
 }
