Tell what an entry without an own read may have missed

The entry refused every engine at once, though it was told the true time. Likewise if it took over the reads within that hour.

Versions that are heard of before an own read count as ones with a possible predecessor, up to the first read or, if the entry has left the reads to another one for longer than a bound since its start, the first pull. Ruled out: to end the presumption at the first pull always; two versions may be named between it and the first read.

--- a/materializer/bounds.go
+++ b/materializer/bounds.go
@@ -94,12 +94,14 @@
 		if !m.overdueFrom.IsZero() {
 			targets = targets.withSkipped(m.overdueFrom)
 		}
-		if m.blind {
+		if m.blind || !m.topic(gooseberrypass.TopicOperator).isRead {
 			m.namedBefore[model] = true
+		}
+		if m.blind {
 			targets = targets.assumedFrom(m.assumedSince())
 		}
 		if m.namedBefore[model] {
-			targets = targets.withPredecessors(m.assumedSince(), m.readFirstAt)
+			targets = targets.withPredecessors(m.assumedSince(), m.followsFrom)
 		}
 		snapshot.Targets[model] = targets
 	}
@@ -139,6 +141,16 @@
 	return !e.ReadFrom.IsZero() && (e.Batch.Complete || now.Sub(e.ReadFrom) > maxReadGap)
 }
 
+// recordKnown records from when on the process sees each naming: from its first read, or from its first pull
+// if it has left the reads to another one for so long that each version named before its start has reached its bound.
+func (m *Materializer) recordKnown(now time.Time, e gooseberrypass.TopicChanged, t *topicRecords) {
+	t.isRead = t.isRead || e.Ages == nil
+	early := e.ReadFrom.IsZero() || now.Sub(m.startedAt) <= m.settings.AssumedAge+m.settings.Exemption
+	if e.FirstRead && early || m.followsFrom.IsZero() && (e.Ages == nil || e.Batch.Next > 0) {
+		m.followsFrom = now
+	}
+}
+
 // assumedSince returns the time from which the bound of a version counts that may have been
 // named at any time before the process started. It follows from the start and not from the
 // read, which may come late: the start is when the exemption from the bounds begins to end.
--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -75,7 +75,7 @@
 	ignored     *ignoredRecords
 	listeners   []gooseberrypass.Controller
 	logger      logrus.FieldLogger
-	readFirstAt time.Time                                                      // first read of the operator's topic, zero before
+	followsFrom time.Time                                                      // time from which the process sees each naming, zero before
 	renewed     []gooseberrypass.Endpoint                                      // endpoints whose records were renewed since the last event about them
 	offsets     atomic.Pointer[map[gooseberrypass.Topic]gooseberrypass.Offset] // next offset of each topic
 	named       []gooseberrypass.AgedTarget                                    // versions in records that were read or pulled since the last snapshot
--- a/materializer/records.go
+++ b/materializer/records.go
@@ -13,6 +13,7 @@
 // A topicRecords holds the records of one topic.
 type topicRecords struct {
 	complete     gooseberrypass.Offset                 // offset from which on every record is known, deletions included
+	isRead       bool                                  // this process has read the topic
 	known        bool                                  // the topic was read, or pulled from another process
 	knownSince   map[string]time.Time                  // when any process first knew the record, by key
 	next         gooseberrypass.Offset                 // offset after the last known record
@@ -48,9 +49,7 @@
 	if e.Topic == gooseberrypass.TopicOperator {
 		m.blind = !t.known || e.FirstRead
 		m.overdueFrom = time.Time{}
-		if e.FirstRead {
-			m.readFirstAt = now
-		}
+		m.recordKnown(now, e, t)
 		if e.Batch.Complete && isOverdue(now, e) {
 			m.overdueFrom = e.ReadFrom
 		}
