Count a standstill on standby as time without answers

An entry that leaves the reads to another one and takes them over counts what it reads from the time for which that one may have had no answers, 1.55 s. If the entry itself stood still meanwhile and the other one ended, its first read brought a version that was named at any time of the standstill: it used the version before by as much too long (2.45 s after 4 s).

The time counts from the last check before the standstill, also if the entry takes over a little later: messages that waited keep the other one alive in its eyes. TestStandstillOnStandbyIsNoTimeWithAnswers failed before (one of one case).

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -74,6 +74,9 @@
 // to read.
 const standbyPoll = 100 * time.Millisecond
 
+// maxStandbyGap is the time between two such checks from which on the process stood still.
+const maxStandbyGap = 5 * standbyPoll
+
 // Run reads the topic until ctx is done.
 func (f *Follower) Run(ctx context.Context) error {
 	f.sleep(ctx, f.settings.StartDelay)
@@ -128,10 +131,19 @@
 	f.logger.WithFields(offsetFields(f.nextOffset())).Info("topic is read by another process")
 	f.failures = 0
 	f.post(gooseberrypass.TopicRead{Topic: f.topic})
+	var stoodStillAt, resumedAt time.Time // begin and end of the last standstill of this process
 	for ctx.Err() == nil && !f.settings.ShouldRead() {
+		checkedAt := f.clock.Now()
 		f.sleep(ctx, standbyPoll)
+		if now := f.clock.Now(); now.Sub(checkedAt) > maxStandbyGap {
+			stoodStillAt, resumedAt = checkedAt, now
+		}
+	}
+	heardAt := f.clock.Now()
+	if heardAt.Sub(resumedAt) <= f.settings.Handover {
+		heardAt = stoodStillAt // messages that waited meanwhile do not show that the other process still reads
 	}
-	f.answeredAt, f.next = f.clock.Now().Add(-f.settings.Handover), f.nextOffset()
+	f.answeredAt, f.next = heardAt.Add(-f.settings.Handover), f.nextOffset()
 	f.logger.WithFields(offsetFields(f.next)).Info("reading the topic again")
 }
 
