Keep the time of the last answer if a read times out

A read that fails makes the time of the last answer unknown, and the next one counts as seeing each naming. A check that is on its way when the process stands still times out at its end: a version that was named meanwhile counted from then and was passed on as observed, and others replaced what they had assumed by it.

A read that failed after 1.5 s or more says nothing of the log, so that the time of the last answer, or the begin of that read, stays. Fast failures count as before, as the log is unavailable then. TestCheckThatTimedOutInAStandstillKeepsTheTimeOfTheLastAnswer failed before (one of one case). Ruled out: to keep the time after fast failures too (TestReadTellsTheLastAnswerBeforeIt).

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -29,7 +29,7 @@
 
 // A Follower reads one topic and posts its changes.
 type Follower struct {
-	answeredAt time.Time // last answer of the log to this process or the one that read before, zero before the first one and after a failed read
+	answeredAt time.Time // last answer of the log to this process or the one that read before, or begin of a later read that took long and failed; zero before the first answer and while the log is unavailable
 	clock      gooseberrypass.Clock
 	failures   int // failed reads in a row
 	log        gooseberrypass.KeyedLog
@@ -236,10 +236,25 @@
 // recordFailure logs the first of several failed reads and posts the error.
 func (f *Follower) recordFailure(started time.Time, err error) {
 	f.reads.WithLabelValues(string(f.topic), "failed").Inc()
-	f.answeredAt = time.Time{}
+	f.recordUnanswered(started)
 	f.failures++
 	if f.failures == 1 {
 		f.logger.WithError(err).WithFields(offsetFields(f.next)).Warn("reading the topic failed")
 	}
 	f.post(gooseberrypass.TopicRead{Err: err, Started: started, Topic: f.topic})
 }
+
+// maxReadTime is the time from which on a failed read says nothing of the log: this process may have stood
+// still meanwhile, so that the log may have written records since the read began.
+const maxReadTime = 1500 * time.Millisecond
+
+// recordUnanswered records a failed read. While the log is unavailable no record is written, and the time of
+// its last answer does not matter.
+func (f *Follower) recordUnanswered(began time.Time) {
+	switch {
+	case !f.started || f.clock.Since(began) < maxReadTime:
+		f.answeredAt = time.Time{}
+	case began.After(f.answeredAt):
+		f.answeredAt = began
+	}
+}
--- a/follower/poll.go
+++ b/follower/poll.go
@@ -49,7 +49,7 @@
 				return r.batch, r.err
 			}
 			if r.err != nil {
-				f.answeredAt = time.Time{}
+				f.recordUnanswered(checkedAt)
 				f.reads.WithLabelValues(string(f.topic), "check failed").Inc()
 			} else {
 				f.answeredAt = checkedAt // the answer may have waited
--- a/follower/standstill_test.go
+++ b/follower/standstill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync/atomic"
 	"testing"
@@ -45,6 +46,54 @@
 	return changes
 }
 
+// A timedOutLog has no answer to the first check, and a record at the second.
+type timedOutLog struct {
+	silentLog
+	reads int
+	short chan struct{}
+}
+
+func (l *timedOutLog) Tail(ctx context.Context, topic gooseberrypass.Topic, from gooseberrypass.Offset, wait time.Duration) (gooseberrypass.KeyedBatch, error) {
+	if wait > 0 {
+		return l.silentLog.Tail(ctx, topic, from, wait)
+	}
+	l.reads++
+	if l.reads > 1 {
+		return batch(5, false, "b"), nil
+	}
+	timer := l.clock.NewTimer(standstill)
+	l.short <- struct{}{}
+	<-timer.Chan()
+	return gooseberrypass.KeyedBatch{}, errors.New("timed out")
+}
+
+// A process stood still while a check was on its way, which timed out. It forgot when the log had last
+// answered, and counted a record that was written meanwhile as new.
+func TestCheckThatTimedOutInAStandstillKeepsTheTimeOfTheLastAnswer(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
+	defer cancel()
+	clock := clockwork.NewFakeClock()
+	start := clock.Now()
+	l := &timedOutLog{silentLog: silentLog{clock: clock, polls: make(chan gooseberrypass.Offset, 1)}, short: make(chan struct{}, 1)}
+	changes := startFollower(ctx, t, clock, l, follower.Settings{CheckPeriod: checkPeriod, LongPoll: longPoll})
+	<-l.polls
+	if err := clock.BlockUntilContext(ctx, 1); err != nil {
+		t.Fatal("no check")
+	}
+	clock.Advance(checkPeriod)
+	<-l.short
+	clock.Advance(standstill)
+	<-changes // the first read
+	select {
+	case got := <-changes:
+		if want := start.Add(checkPeriod); got.ReadFrom.IsZero() || got.ReadFrom.After(want) {
+			t.Errorf("got %s, want a time up to %s: no answer came since", got.ReadFrom, want)
+		}
+	case <-ctx.Done():
+		t.Error("no records")
+	}
+}
+
 // A process that left the reads to another one stood still, and that one ended meanwhile. It counted a
 // record that was written meanwhile from shortly before its end of the standstill.
 func TestStandstillOnStandbyIsNoTimeWithAnswers(t *testing.T) {
