Count the wait of a message in the queue once

What was received during a standstill or shortly after it counts from the begin of that to the receipt.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -47,6 +47,7 @@
 // Received is the event that a message was received.
 type Received struct {
 	Message Message
+	Waited  time.Duration // time since the receipt, by which the ages in Message have grown
 }
 
 // EventName implements gooseberrypass.Event.
@@ -57,6 +58,7 @@
 // cannot read, nor forget sooner that an endpoint leaves.
 func (r Received) Later(by time.Duration) gooseberrypass.Event {
 	crashes, targets := r.Message.RequestCrashes, r.Message.Targets
+	r.Waited += by
 	r.Message.CrashEvidence = r.Message.CrashEvidence.Later(by)
 	r.Message.RequestCrashes = make([]gooseberrypass.RequestCrashes, 0, len(crashes))
 	for _, c := range crashes {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -172,7 +172,7 @@
 	case gooseberrypass.TopicRead:
 		r.recordRead(now, e)
 	case gossiper.Received:
-		return r.receive(now, e.Message)
+		return r.receive(now, e)
 	case pullDone:
 		return r.finishPull(now, e)
 	}
@@ -305,7 +305,8 @@
 
 // receive handles a message and pulls the records that this process lacks from the
 // sender.
-func (r *Replicator) receive(now time.Time, m gossiper.Message) []gooseberrypass.Effect {
+func (r *Replicator) receive(now time.Time, e gossiper.Received) []gooseberrypass.Effect {
+	m := e.Message
 	if m.From == r.self.ID {
 		return nil
 	}
@@ -314,7 +315,7 @@
 		r.contain(m.From, func() { r.receiveAtEntry(now, m) })
 	}
 	var effects []gooseberrypass.Effect
-	if news := r.materializer.NewTargets(now, r.standstill.aged(now, m.Targets)); len(news) > 0 {
+	if news := r.materializer.NewTargets(now, r.standstill.aged(now.Add(-e.Waited), m.Targets)); len(news) > 0 {
 		r.logger.WithFields(logrus.Fields{fieldPeer: m.From, "versions": news}).Info("another process saw versions being named earlier")
 		effects = append(effects, redispatch{event: gooseberrypass.TopicChanged{Ages: []time.Duration{}, Targets: news, Topic: gooseberrypass.TopicOperator}})
 	}
--- a/replicator/standstill.go
+++ b/replicator/standstill.go
@@ -28,15 +28,15 @@
 	s.eventAt = now
 }
 
-// aged returns the versions of a message that arrives now. One that may have waited through a standstill
-// may have been sent when that began, and does not tell when a version was named.
-func (s *standstill) aged(now time.Time, reported []gooseberrypass.AgedTarget) []gooseberrypass.AgedTarget {
-	if s.endedAt.IsZero() || now.Sub(s.endedAt) >= drainTime {
+// aged returns the versions of a message that was received at a time. One that may have waited through
+// a standstill may have been sent when that began, and does not tell when a version was named.
+func (s *standstill) aged(receivedAt time.Time, reported []gooseberrypass.AgedTarget) []gooseberrypass.AgedTarget {
+	if s.endedAt.IsZero() || receivedAt.Sub(s.beganAt) <= maxEventGap || receivedAt.Sub(s.endedAt) >= drainTime {
 		return reported
 	}
 	aged := slices.Clone(reported)
 	for i := range aged {
-		aged[i].Age += now.Sub(s.beganAt)
+		aged[i] = aged[i].Later(receivedAt.Sub(s.beganAt))
 		aged[i].Observed = false
 	}
 	return aged
