--- a/follower/follower.go
+++ b/follower/follower.go
@@ -29,7 +29,7 @@
 
 // A Follower reads one topic and posts its changes.
 type Follower struct {
-	answeredAt time.Time // last answer of the log to this process or the one that read before, zero before the first one and after a failed read
+	answeredAt time.Time // last answer of the log to this process or the one that read before, or begin of a later read that took long and failed; zero before the first answer and while the log is unavailable
 	clock      gooseberrypass.Clock
 	failures   int // failed reads in a row
 	log        gooseberrypass.KeyedLog
@@ -74,6 +74,9 @@
 // to read.
 const standbyPoll = 100 * time.Millisecond
 
+// maxStandbyGap is the time between two such checks from which on the process stood still.
+const maxStandbyGap = 5 * standbyPoll
+
 // Run reads the topic until ctx is done.
 func (f *Follower) Run(ctx context.Context) error {
 	f.sleep(ctx, f.settings.StartDelay)
@@ -128,10 +131,19 @@
 	f.logger.WithFields(offsetFields(f.nextOffset())).Info("topic is read by another process")
 	f.failures = 0
 	f.post(gooseberrypass.TopicRead{Topic: f.topic})
+	var stoodStillAt, resumedAt time.Time // begin and end of the last standstill of this process
 	for ctx.Err() == nil && !f.settings.ShouldRead() {
+		checkedAt := f.clock.Now()
 		f.sleep(ctx, standbyPoll)
+		if now := f.clock.Now(); now.Sub(checkedAt) > maxStandbyGap {
+			stoodStillAt, resumedAt = checkedAt, now
+		}
 	}
-	f.answeredAt, f.next = f.clock.Now().Add(-f.settings.Handover), f.nextOffset()
+	heardAt := f.clock.Now()
+	if heardAt.Sub(resumedAt) <= f.settings.Handover {
+		heardAt = stoodStillAt // messages that waited meanwhile do not show that the other process still reads
+	}
+	f.answeredAt, f.next = heardAt.Add(-f.settings.Handover), f.nextOffset()
 	f.logger.WithFields(offsetFields(f.next)).Info("reading the topic again")
 }
 
@@ -224,10 +236,25 @@
 // recordFailure logs the first of several failed reads and posts the error.
 func (f *Follower) recordFailure(started time.Time, err error) {
 	f.reads.WithLabelValues(string(f.topic), "failed").Inc()
-	f.answeredAt = time.Time{}
+	f.recordUnanswered(started)
 	f.failures++
 	if f.failures == 1 {
 		f.logger.WithError(err).WithFields(offsetFields(f.next)).Warn("reading the topic failed")
 	}
 	f.post(gooseberrypass.TopicRead{Err: err, Started: started, Topic: f.topic})
 }
+
+// maxReadTime is the time from which on a failed read says nothing of the log: this process may have stood
+// still meanwhile, so that the log may have written records since the read began.
+const maxReadTime = 1500 * time.Millisecond
+
+// recordUnanswered records a failed read. While the log is unavailable no record is written, and the time of
+// its last answer does not matter.
+func (f *Follower) recordUnanswered(began time.Time) {
+	switch {
+	case !f.started || f.clock.Since(began) < maxReadTime:
+		f.answeredAt = time.Time{}
+	case began.After(f.answeredAt):
+		f.answeredAt = began
+	}
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -47,11 +47,30 @@
 // Received is the event that a message was received.
 type Received struct {
 	Message Message
+	Waited  time.Duration // time since the receipt, by which the ages in Message have grown
 }
 
 // EventName implements gooseberrypass.Event.
 func (Received) EventName() string { return "message-received" }
 
+// Later implements gooseberrypass.TimedEvent. ListAge and the ages of Advisories stay as they
+// were sent: a process that is slow to handle a message must not take the sender for one that
+// cannot read, nor forget sooner that an endpoint leaves.
+func (r Received) Later(by time.Duration) gooseberrypass.Event {
+	crashes, targets := r.Message.RequestCrashes, r.Message.Targets
+	r.Waited += by
+	r.Message.CrashEvidence = r.Message.CrashEvidence.Later(by)
+	r.Message.RequestCrashes = make([]gooseberrypass.RequestCrashes, 0, len(crashes))
+	for _, c := range crashes {
+		r.Message.RequestCrashes = append(r.Message.RequestCrashes, c.Later(by))
+	}
+	r.Message.Targets = make([]gooseberrypass.AgedTarget, 0, len(targets))
+	for _, t := range targets {
+		r.Message.Targets = append(r.Message.Targets, t.Later(by))
+	}
+	return r
+}
+
 // A Gossiper sends and receives messages on one UDP socket.
 type Gossiper struct {
 	conn   *net.UDPConn
@@ -129,3 +148,5 @@
 		g.counts.WithLabelValues("sent").Inc()
 	}
 }
+
+var _ gooseberrypass.TimedEvent = Received{}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -120,7 +120,8 @@
 	sentAllAt         time.Time // last message to all entries
 	sentAt            time.Time // last message to entries of the own region
 	settings          Settings
-	startedAt         time.Time                          // first read of the list of processes by an entry
+	startedAt         time.Time // first read of the list of processes by an entry
+	standstill        standstill
 	standby           atomic.Bool                        // another process reads the log
 	status            *balancer.EndpointStatus           // status of the own endpoint, nil in entries
 	statuses          map[string]balancer.EndpointStatus // last status of each endpoint, by address
@@ -156,6 +157,7 @@
 
 // Handle implements gooseberrypass.Controller.
 func (r *Replicator) Handle(now time.Time, event gooseberrypass.Event) []gooseberrypass.Effect {
+	r.standstill.record(now)
 	switch e := event.(type) {
 	case gooseberrypass.Tick:
 		r.electReader(now)
@@ -170,9 +172,9 @@
 	case gooseberrypass.TopicRead:
 		r.recordRead(now, e)
 	case gossiper.Received:
-		return r.receive(now, e.Message)
+		return r.receive(now, e)
 	case pullDone:
-		return r.finishPull(e)
+		return r.finishPull(now, e)
 	}
 	return nil
 }
@@ -303,27 +305,28 @@
 
 // receive handles a message and pulls the records that this process lacks from the
 // sender.
-func (r *Replicator) receive(now time.Time, m gossiper.Message) []gooseberrypass.Effect {
+func (r *Replicator) receive(now time.Time, e gossiper.Received) []gooseberrypass.Effect {
+	m := e.Message
 	if m.From == r.self.ID {
 		return nil
 	}
-	r.replyToStart(now, m)
+	r.contain(m.From, func() { r.replyToStart(now, m) })
 	if r.loads != nil {
-		r.receiveAtEntry(now, m)
+		r.contain(m.From, func() { r.receiveAtEntry(now, m) })
 	}
 	var effects []gooseberrypass.Effect
-	if news := r.materializer.NewTargets(now, m.Targets); len(news) > 0 {
+	if news := r.materializer.NewTargets(now, r.standstill.aged(now.Add(-e.Waited), m.Targets)); len(news) > 0 {
 		r.logger.WithFields(logrus.Fields{fieldPeer: m.From, "versions": news}).Info("another process saw versions being named earlier")
 		effects = append(effects, redispatch{event: gooseberrypass.TopicChanged{Ages: []time.Duration{}, Targets: news, Topic: gooseberrypass.TopicOperator}})
 	}
 	for topic, next := range m.Next {
 		if r.follows(topic) && r.shouldPull(now, topic, next) {
-			effects = append(effects, r.pull(topic, m.Address, r.materializer.NextOffset(topic)))
+			effects = append(effects, r.pull(now, topic, m.Address, r.materializer.NextOffset(topic)))
 		}
 	}
 	for _, topic := range m.Outranked {
 		if r.follows(topic) && !r.pulling[topic] && r.materializer.MissedRestore(topic) {
-			effects = append(effects, r.pull(topic, m.Address, 0))
+			effects = append(effects, r.pull(now, topic, m.Address, 0))
 		}
 	}
 	return effects
