Count versions in a late first read from the last answer

An entry that the store turns away at its start leaves the reads to another one. When that one ends, its own first read may bring a version that nobody has told it of. It counted that version from its start, so that an hour after the start the version was required at once, and the entry refused every engine until one had loaded it. Where another entry tells the true time, that replaces the assumed one with its next message; an entry that is alone has no such message.

The follower tells the last answer of the log before that read, and the records that were pulled reach up to it. From the time on at which each version that was named before the start has reached its bound, a first read with such an answer counts like any read after a standby: from that answer, with a version presumed before a gap. Earlier first reads, and those without an answer before, count from the start as before.

TestVersionInALateFirstReadCountsFromTheLastAnswer failed before (two of two cases). Ruled out: to use the answer before in any first read, as pulls shortly after a start may lack a version that is about to reach its bound.

--- a/materializer/bounds.go
+++ b/materializer/bounds.go
@@ -142,15 +142,22 @@
 }
 
 // recordKnown records from when on the process sees each naming: from its first read, or from its first pull
-// if it has left the reads to another one for so long that each version named before its start has reached its bound.
+// if it has left the reads to another one for long since.
 func (m *Materializer) recordKnown(now time.Time, e gooseberrypass.TopicChanged, t *topicRecords) {
 	t.isRead = t.isRead || e.Ages == nil
-	early := e.ReadFrom.IsZero() || now.Sub(m.startedAt) <= m.settings.AssumedAge+m.settings.Exemption
-	if e.FirstRead && early || m.followsFrom.IsZero() && (e.Ages == nil || e.Batch.Next > 0) {
+	if m.isOfAnyAge(now, e) || m.followsFrom.IsZero() && (e.Ages == nil || e.Batch.Next > 0) {
 		m.followsFrom = now
 	}
 }
 
+// isOfAnyAge reports whether the records of a read may have been written at any time before the process started.
+// A process that has left the reads to another one for so long that each version named before its start has
+// reached its bound lacks those alone that were written since the last answer of the log.
+func (m *Materializer) isOfAnyAge(now time.Time, e gooseberrypass.TopicChanged) bool {
+	early := e.ReadFrom.IsZero() || now.Sub(m.startedAt) <= m.settings.AssumedAge+m.settings.Exemption
+	return e.FirstRead && early
+}
+
 // assumedSince returns the time from which the bound of a version counts that may have been
 // named at any time before the process started. It follows from the start and not from the
 // read, which may come late: the start is when the exemption from the bounds begins to end.
--- a/materializer/records.go
+++ b/materializer/records.go
@@ -47,7 +47,7 @@
 func (m *Materializer) merge(now time.Time, e gooseberrypass.TopicChanged) bool {
 	t := m.topic(e.Topic)
 	if e.Topic == gooseberrypass.TopicOperator {
-		m.blind = !t.known || e.FirstRead
+		m.blind = !t.known || m.isOfAnyAge(now, e)
 		m.overdueFrom = time.Time{}
 		m.recordKnown(now, e, t)
 		if e.Batch.Complete && isOverdue(now, e) {
@@ -273,7 +273,7 @@
 	switch {
 	case i < len(e.Ages):
 		return e.Ages[i]
-	case isVersion && e.FirstRead:
+	case isVersion && m.isOfAnyAge(now, e):
 		return now.Sub(m.assumedSince())
 	case isVersion && isOverdue(now, e):
 		return now.Sub(e.ReadFrom)
