Read the archive before a load is given up

An agent that starts beside an engine whose order an earlier process gave verifies that load, and keeps the engine out of service for good if the manifest cannot be read three times. Reads from other agents counted, so that one before which five or more agents rank, all of them gone and still registered, asked nobody else: its sound engine got no requests until it started anew or the next version was named, although the archive had the manifest, and the origin too where that was up.

The archive is read once more before the load is given up, unless that has failed before. Loads without a manifest anywhere are given up one read later.

Ruled out: to count failures of the origin alone, as an agent of a high rank would ask others for long and hold up the next version meanwhile.

--- a/stager/sources.go
+++ b/stager/sources.go
@@ -71,6 +71,9 @@
 	}
 }
 
+// triedArchive reports whether a read of the archive has failed.
+func (m *manifestSources) triedArchive() bool { return m.archiveDelay > 0 }
+
 // waitsForManifest reports whether the engine gets no requests until a manifest is known: it has
 // loaded nothing, or what was not ordered by this process.
 func (s *Stager) waitsForManifest() bool {
@@ -80,7 +83,10 @@
 // manifestEffect returns the effect that reads the manifest of a version.
 func (s *Stager) manifestEffect(now time.Time, j *job) gooseberrypass.Effect {
 	source, peers := sourcePeers, s.manifestPeers(j)
-	if len(peers) == 0 {
+	switch {
+	case s.isLastRead(j):
+		source, peers = sourceArchive, nil
+	case len(peers) == 0:
 		source = j.manifestSources.next(now, s.reported && s.waitsForManifest())
 	}
 	return manifestEffect{
@@ -88,6 +94,12 @@
 	}
 }
 
+// isLastRead reports whether the next read of a manifest is the last one before the load that it would verify is
+// given up. Agents that are gone may have been asked alone until then.
+func (s *Stager) isLastRead(j *job) bool {
+	return j.manifestFailures >= maxManifestFailures && !s.settled(j) && !j.manifestSources.triedArchive()
+}
+
 // readArchive reads the manifest from the archive.
 func (e manifestEffect) readArchive(ctx context.Context) (*gooseberrypass.Manifest, error) {
 	m, err := e.archive.Manifest(ctx, e.model.Model, e.version)
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -322,7 +322,7 @@
 		}
 		log := s.deps.Log.WithField(fieldVersion, j.version)
 		log.WithError(e.err).WithField(fieldSource, e.source).Warn("reading manifest failed")
-		if j.manifestFailures >= maxManifestFailures && !s.settled(j) {
+		if j.manifestFailures >= maxManifestFailures && j.manifestSources.triedArchive() && !s.settled(j) {
 			s.confirm(j.version, log)
 		}
 		return nil
--- a/stager/takeover.go
+++ b/stager/takeover.go
@@ -8,8 +8,8 @@
 	"github.com/gooseberrypass/gooseberrypass"
 )
 
-// maxManifestFailures is how often the manifest of a load is read that another process ordered.
-// The load cannot be verified without it.
+// maxManifestFailures is how often the manifest of a load is read that another process ordered, before the archive
+// is read if that was not. The load cannot be verified without it.
 const maxManifestFailures = 3
 
 // takeover tells the orders of this process from those of an earlier process beside the same
