--- a/follower/answers_test.go
+++ b/follower/answers_test.go
@@ -2,27 +2,29 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/sirupsen/logrus"
 
 	"github.com/gooseberrypass/gooseberrypass"
 	"github.com/gooseberrypass/gooseberrypass/follower"
 )
 
-// A frozenLog answers the first short read at once, but the process gets that answer after gap.
+// A frozenLog answers the first short read at once or fails, which the process learns after gap.
 // Further short reads return a record.
 type frozenLog struct {
 	silentLog
+	err   error
 	gap   time.Duration
 	reads int
 	short chan struct{}
 }
 
+func newFrozenLog(clock *clockwork.FakeClock, gap time.Duration) *frozenLog {
+	return &frozenLog{silentLog: silentLog{clock: clock, polls: make(chan gooseberrypass.Offset, 1)}, gap: gap, short: make(chan struct{}, 1)}
+}
+
 func (l *frozenLog) Tail(ctx context.Context, topic gooseberrypass.Topic, from gooseberrypass.Offset, wait time.Duration) (gooseberrypass.KeyedBatch, error) {
 	if wait > 0 {
 		return l.silentLog.Tail(ctx, topic, from, wait)
@@ -34,40 +36,26 @@
 	timer := l.clock.NewTimer(l.gap)
 	l.short <- struct{}{}
 	<-timer.Chan()
-	return batch(from, false), nil
+	return batch(from, false), l.err
 }
 
 // A process stood still while the answer to a check was on its way. It counted the time at which
 // it took that answer as the time at which the log had answered, and a record that was written
 // meanwhile as new.
 func TestAnswerThatWaitedIsNoLateAnswer(t *testing.T) {
-	const gap = 4 * time.Second
 	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
 	defer cancel()
 	clock := clockwork.NewFakeClock()
 	start := clock.Now()
-	l := &frozenLog{silentLog: silentLog{clock: clock, polls: make(chan gooseberrypass.Offset, 1)}, gap: gap, short: make(chan struct{}, 1)}
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	counts, err := follower.NewReadCounter(prometheus.NewRegistry())
-	if err != nil {
-		t.Fatal(err)
-	}
-	changes := make(chan gooseberrypass.TopicChanged, 2)
-	f := follower.New(clock, l, "t", follower.Settings{CheckPeriod: checkPeriod, LongPoll: longPoll}, func(e gooseberrypass.Event) {
-		if e, ok := e.(gooseberrypass.TopicChanged); ok {
-			changes <- e
-		}
-	}, counts, logger)
-	done := make(chan error, 1)
-	go func() { done <- f.Run(ctx) }()
+	l := newFrozenLog(clock, standstill)
+	changes := startFollower(ctx, t, clock, l, follower.Settings{CheckPeriod: checkPeriod, LongPoll: longPoll})
 	<-l.polls
 	if err := clock.BlockUntilContext(ctx, 1); err != nil {
 		t.Fatal("no check")
 	}
 	clock.Advance(checkPeriod)
 	<-l.short
-	clock.Advance(gap)
+	clock.Advance(standstill)
 	<-changes // the first read
 	select {
 	case got := <-changes:
@@ -77,10 +65,6 @@
 	case <-ctx.Done():
 		t.Error("no records")
 	}
-	cancel()
-	if err := <-done; err != nil {
-		t.Error(err)
-	}
 }
 
 // A process that takes over reading counted a record as written when it read it, and told others
--- a/follower/standstill_test.go
+++ b/follower/standstill_test.go
@@ -46,27 +46,6 @@
 	return changes
 }
 
-// A timedOutLog has no answer to the first check, and a record at the second.
-type timedOutLog struct {
-	silentLog
-	reads int
-	short chan struct{}
-}
-
-func (l *timedOutLog) Tail(ctx context.Context, topic gooseberrypass.Topic, from gooseberrypass.Offset, wait time.Duration) (gooseberrypass.KeyedBatch, error) {
-	if wait > 0 {
-		return l.silentLog.Tail(ctx, topic, from, wait)
-	}
-	l.reads++
-	if l.reads > 1 {
-		return batch(5, false, "b"), nil
-	}
-	timer := l.clock.NewTimer(standstill)
-	l.short <- struct{}{}
-	<-timer.Chan()
-	return gooseberrypass.KeyedBatch{}, errors.New("timed out")
-}
-
 // A process stood still while a check was on its way, which timed out. It forgot when the log had last
 // answered, and counted a record that was written meanwhile as new.
 func TestCheckThatTimedOutInAStandstillKeepsTheTimeOfTheLastAnswer(t *testing.T) {
@@ -74,7 +53,8 @@
 	defer cancel()
 	clock := clockwork.NewFakeClock()
 	start := clock.Now()
-	l := &timedOutLog{silentLog: silentLog{clock: clock, polls: make(chan gooseberrypass.Offset, 1)}, short: make(chan struct{}, 1)}
+	l := newFrozenLog(clock, standstill)
+	l.err = errors.New("timed out")
 	changes := startFollower(ctx, t, clock, l, follower.Settings{CheckPeriod: checkPeriod, LongPoll: longPoll})
 	<-l.polls
 	if err := clock.BlockUntilContext(ctx, 1); err != nil {
