--- a/attributor/exchange.go
+++ b/attributor/exchange.go
@@ -22,7 +22,7 @@
 )
 
 // Evidence is what an entry tells others of crashes. Ages are relative to the moment
-// of sending, and the evidence may have waited since it was received. Parts and requests are identified by hashes.
+// of sending. Parts and requests are identified by hashes.
 type Evidence struct {
 	Answers       []Answer
 	Counts        []Count // of parts under suspicion, shortly after a crash
@@ -193,16 +193,16 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
-	received := now.Add(-e.Waited)
+	receivedAt := now.Add(-e.Waited)
 	a.addReport(now, from, e)
 	for _, t := range e.Answers {
-		a.recordAnswer(part(t.Part), received.Add(-t.Age))
+		a.recordAnswer(part(t.Part), receivedAt.Add(-t.Age))
 	}
 	for _, q := range e.Quarantines {
-		a.adoptQuarantine(q, received.Add(-q.Age))
+		a.adoptQuarantine(q, receivedAt.Add(-q.Age))
 	}
 	for _, i := range e.Interruptions {
-		a.addInterruption(a.received(received, from, i))
+		a.addInterruption(a.received(receivedAt, from, i))
 	}
 	a.judge(now)
 }
--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -68,14 +68,14 @@
 // topics.
 type Materializer struct {
 	agentOffset gooseberrypass.Offset // after the last operator record that agents act on
-	blind       bool                  // the last event about the operator's topic came before any read or pull of it
+	blind       bool                  // the last event about the operator's topic may tell of versions named at any time before the start
 	cached      cachedDeployment
 	decoder     Decoder
 	endpoints   map[string]gooseberrypass.Endpoint // by key
+	followsFrom time.Time                          // from when on the process learns of each naming as it happens, zero before; see recordKnown
 	ignored     *ignoredRecords
 	listeners   []gooseberrypass.Controller
 	logger      logrus.FieldLogger
-	followsFrom time.Time                                                      // time from which the process sees each naming, zero before
 	renewed     []gooseberrypass.Endpoint                                      // endpoints whose records were renewed since the last event about them
 	offsets     atomic.Pointer[map[gooseberrypass.Topic]gooseberrypass.Offset] // next offset of each topic
 	named       []gooseberrypass.AgedTarget                                    // versions in records that were read or pulled since the last snapshot
--- a/materializer/records.go
+++ b/materializer/records.go
@@ -13,8 +13,8 @@
 // A topicRecords holds the records of one topic.
 type topicRecords struct {
 	complete     gooseberrypass.Offset                 // offset from which on every record is known, deletions included
-	isRead       bool                                  // this process has read the topic
-	known        bool                                  // the topic was read, or pulled from another process
+	isRead       bool                                  // this process has read the topic from the log itself
+	known        bool                                  // this process has read the topic, or pulled it from another process
 	knownSince   map[string]time.Time                  // when any process first knew the record, by key
 	next         gooseberrypass.Offset                 // offset after the last known record
 	outranked    map[string]outrankedRecord            // records of a restored log that are older than the known ones, by key
--- a/stager/archiving.go
+++ b/stager/archiving.go
@@ -41,7 +41,7 @@
 	ranked     bool   // rank is known for the current peers
 	restores   uint64 // of the log, as far as known when the last look began
 	retryAfter time.Time
-	since      time.Time // from which the turns count
+	since      time.Time // from which the turns count: the manifest became known, or the log came back from an older copy
 }
 
 // archiveTurnOf returns the time until the turn of a rank, false if it gets none.
