Record that input is discarded before the peer learns of it

A refused connection counted as one that can make room only some time after its peer had read the refusal and the end of the output. A new connection that came at once found none to replace and got 503 in place of an answer, if as many as may leave were leaving.

It went on to the next connection as soon as it had the response, when the server had not begun to discard; 503 is right then. It awaits the end of the server's output now, which it gets long before the 500 ms for which a connection stays, and wants the same answers.

--- a/listener/conn.go
+++ b/listener/conn.go
@@ -36,9 +36,11 @@
 func (c *conn) Close() error {
 	c.releaseHead()
 	now := time.Now()
-	if c.discard.Swap(false) && c.CloseWrite() == nil && c.SetReadDeadline(now.Add(discardTimeout)) == nil {
-		c.discardAt.Store(&now)
-		_, _ = io.CopyN(io.Discard, c.Conn, discardBytes) // the peer may send anything or break off
+	if c.discard.Swap(false) && c.SetReadDeadline(now.Add(discardTimeout)) == nil {
+		c.discardAt.Store(&now) // before the peer learns that it was refused, as its next connection may need the room
+		if c.CloseWrite() == nil {
+			_, _ = io.CopyN(io.Discard, c.Conn, discardBytes) // the peer may send anything or break off
+		}
 	}
 	return c.Conn.Close()
 }
--- a/listener/limits_test.go
+++ b/listener/limits_test.go
@@ -193,7 +193,8 @@
 	for range 20 { // each stays for 500 ms
 		conn := dial(t, l.Address())
 		send(t, conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\nx")
-		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		r := bufio.NewReader(conn)
+		res, err := http.ReadResponse(r, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -201,6 +202,9 @@
 		if res.StatusCode != http.StatusRequestTimeout {
 			t.Fatalf("got status %d, want %d", res.StatusCode, http.StatusRequestTimeout)
 		}
+		if _, err := r.ReadByte(); err != io.EOF { // the server has closed its side
+			t.Fatalf("got error %v, want %v", err, io.EOF)
+		}
 	}
 }
 
