--- a/materializer/bounds.go
+++ b/materializer/bounds.go
@@ -94,7 +94,7 @@
 		if !m.overdueFrom.IsZero() {
 			targets = targets.withSkipped(m.overdueFrom)
 		}
-		if m.blind || !m.topic(gooseberrypass.TopicOperator).isRead {
+		if m.blind || !m.hasRead {
 			m.namedBefore[model] = true
 		}
 		if m.blind {
@@ -143,8 +143,8 @@
 
 // recordKnown records from when on the process sees each naming: from its first read, or from its first pull
 // if it has left the reads to another one for long since.
-func (m *Materializer) recordKnown(now time.Time, e gooseberrypass.TopicChanged, t *topicRecords) {
-	t.isRead = t.isRead || e.Ages == nil
+func (m *Materializer) recordKnown(now time.Time, e gooseberrypass.TopicChanged) {
+	m.hasRead = m.hasRead || e.Ages == nil
 	if m.isOfAnyAge(now, e) || m.followsFrom.IsZero() && (e.Ages == nil || e.Batch.Next > 0) {
 		m.followsFrom = now
 	}
--- a/materializer/materializer.go
+++ b/materializer/materializer.go
@@ -73,6 +73,7 @@
 	decoder     Decoder
 	endpoints   map[string]gooseberrypass.Endpoint // by key
 	followsFrom time.Time                          // from when on the process learns of each naming as it happens, zero before; see recordKnown
+	hasRead     bool                               // this process has read the operator's topic from the log itself
 	ignored     *ignoredRecords
 	listeners   []gooseberrypass.Controller
 	logger      logrus.FieldLogger
--- a/materializer/records.go
+++ b/materializer/records.go
@@ -13,8 +13,6 @@
 // A topicRecords holds the records of one topic.
 type topicRecords struct {
 	complete     gooseberrypass.Offset                 // offset from which on every record is known, deletions included
-	isRead       bool                                  // this process has read the topic from the log itself
-	known        bool                                  // this process has read the topic, or pulled it from another process
 	knownSince   map[string]time.Time                  // when any process first knew the record, by key
 	next         gooseberrypass.Offset                 // offset after the last known record
 	outranked    map[string]outrankedRecord            // records of a restored log that are older than the known ones, by key
@@ -47,14 +45,13 @@
 func (m *Materializer) merge(now time.Time, e gooseberrypass.TopicChanged) bool {
 	t := m.topic(e.Topic)
 	if e.Topic == gooseberrypass.TopicOperator {
-		m.blind = !t.known || m.isOfAnyAge(now, e)
+		m.blind = m.followsFrom.IsZero() || m.isOfAnyAge(now, e)
 		m.overdueFrom = time.Time{}
-		m.recordKnown(now, e, t)
+		m.recordKnown(now, e)
 		if e.Batch.Complete && isOverdue(now, e) {
 			m.overdueFrom = e.ReadFrom
 		}
 	}
-	t.known = t.known || e.Ages == nil || e.Batch.Next > 0
 	changed := false
 	if e.Batch.Next.Restores() >= t.next.Restores() {
 		m.recordRestore(now, e, t)
--- a/materializer/target.go
+++ b/materializer/target.go
@@ -111,8 +111,13 @@
 	if i > 0 && t[i-1].Since.After(since) {
 		since = t[i-1].Since
 	}
-	presumed := slices.Insert(slices.Clone(t), i, Target{Presumed: true, Since: since, Version: version})
-	return presumed[max(0, len(presumed)-maxTargets):]
+	return t.withInserted(i, Target{Presumed: true, Since: since, Version: version})
+}
+
+// withInserted returns the targets with target at position i. The oldest one gives way if there are too many.
+func (t Targets) withInserted(i int, target Target) Targets {
+	inserted := slices.Insert(slices.Clone(t), i, target)
+	return inserted[max(0, len(inserted)-maxTargets):]
 }
 
 // assumedFrom returns the targets in which no assumed time is later than since. Another process
@@ -140,6 +145,5 @@
 		merged[i] = target
 		return merged
 	}
-	merged := slices.Insert(slices.Clone(t), i, target)
-	return merged[max(0, len(merged)-maxTargets):]
+	return t.withInserted(i, target)
 }
