--- a/follower/answers_test.go
+++ b/follower/answers_test.go
@@ -39,15 +39,16 @@
 	return batch(from, false), l.err
 }
 
-// A process stood still while the answer to a check was on its way. It counted the time at which
-// it took that answer as the time at which the log had answered, and a record that was written
-// meanwhile as new.
-func TestAnswerThatWaitedIsNoLateAnswer(t *testing.T) {
+// readAfterStandstill lets a process stand still while its first check is answered, or fails with err. It returns
+// the change that the next check brings, and when the first one began.
+func readAfterStandstill(t *testing.T, err error) (gooseberrypass.TopicChanged, time.Time) {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
 	defer cancel()
 	clock := clockwork.NewFakeClock()
 	start := clock.Now()
 	l := newFrozenLog(clock, standstill)
+	l.err = err
 	changes := startFollower(ctx, t, clock, l, follower.Settings{CheckPeriod: checkPeriod, LongPoll: longPoll})
 	<-l.polls
 	if err := clock.BlockUntilContext(ctx, 1); err != nil {
@@ -58,12 +59,20 @@
 	clock.Advance(standstill)
 	<-changes // the first read
 	select {
-	case got := <-changes:
-		if want := start.Add(checkPeriod); got.ReadFrom.After(want) {
-			t.Errorf("got %s after the start, want at most %s: the log had answered by then", got.ReadFrom.Sub(start), checkPeriod)
-		}
+	case change := <-changes:
+		return change, start.Add(checkPeriod)
 	case <-ctx.Done():
-		t.Error("no records")
+		t.Fatal("no records")
+		return gooseberrypass.TopicChanged{}, start
+	}
+}
+
+// A process stood still while the answer to a check was on its way. It counted the time at which
+// it took that answer as the time at which the log had answered, and a record that was written
+// meanwhile as new.
+func TestAnswerThatWaitedIsNoLateAnswer(t *testing.T) {
+	if got, want := readAfterStandstill(t, nil); got.ReadFrom.After(want) {
+		t.Errorf("got %s, want at most %s: the log had answered by then", got.ReadFrom, want)
 	}
 }
 
--- a/follower/standstill_test.go
+++ b/follower/standstill_test.go
@@ -49,28 +49,8 @@
 // A process stood still while a check was on its way, which timed out. It forgot when the log had last
 // answered, and counted a record that was written meanwhile as new.
 func TestCheckThatTimedOutInAStandstillKeepsTheTimeOfTheLastAnswer(t *testing.T) {
-	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
-	defer cancel()
-	clock := clockwork.NewFakeClock()
-	start := clock.Now()
-	l := newFrozenLog(clock, standstill)
-	l.err = errors.New("timed out")
-	changes := startFollower(ctx, t, clock, l, follower.Settings{CheckPeriod: checkPeriod, LongPoll: longPoll})
-	<-l.polls
-	if err := clock.BlockUntilContext(ctx, 1); err != nil {
-		t.Fatal("no check")
-	}
-	clock.Advance(checkPeriod)
-	<-l.short
-	clock.Advance(standstill)
-	<-changes // the first read
-	select {
-	case got := <-changes:
-		if want := start.Add(checkPeriod); got.ReadFrom.IsZero() || got.ReadFrom.After(want) {
-			t.Errorf("got %s, want a time up to %s: no answer came since", got.ReadFrom, want)
-		}
-	case <-ctx.Done():
-		t.Error("no records")
+	if got, want := readAfterStandstill(t, errors.New("timed out")); got.ReadFrom.IsZero() || got.ReadFrom.After(want) {
+		t.Errorf("got %s, want a time up to %s: no answer came since", got.ReadFrom, want)
 	}
 }
 
